Run several entries' decisions on a virtual clock with small fakes

Cause: the decisions and every fault need tests without sockets or sleeping. Change: poplarhoist/replay with a virtual clock, fakes of platform, store, engines and services, and a bench that wires reducers together; entries can be killed, paused before a chosen effect, cut off and drained.

--- /dev/null
+++ b/poplarhoist/replay/bench.py
@@ -0,0 +1,511 @@
+"""Several entries' reducers wired through a small fake network on a virtual clock."""
+
+import random
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+
+from poplarhoist import wire
+from poplarhoist.decisions import effects as fx
+from poplarhoist.decisions import events as ev
+from poplarhoist.decisions.limits import Limits
+from poplarhoist.decisions.membership import ENDPOINT_PREFIX, INSTANCE_PREFIX
+from poplarhoist.decisions.reducer import reduce
+from poplarhoist.decisions.revisions import INDEX_PATH
+from poplarhoist.decisions.state import State
+from poplarhoist.entry.platform import Answer, token_digest
+from poplarhoist.models import (
+    Adapter,
+    AdapterRef,
+    Caller,
+    Endpoint,
+    EndpointKind,
+    Instance,
+    Liveness,
+    Place,
+    Preset,
+    Refusal,
+    Route,
+    Service,
+    VersionState,
+)
+from poplarhoist.publish import Draft, Publisher
+from poplarhoist.replay.clock import VirtualClock
+from poplarhoist.replay.fakes import FakeEngine, FakePlatform, FakeService, FakeStore, Job
+
+TICK_S = 0.05
+CALL_TIMEOUT_S = 2.0
+TOKEN = "token"
+CALLER = "caller"
+WATCHED = (INDEX_PATH, INSTANCE_PREFIX, ENDPOINT_PREFIX)
+
+
+@define
+class Asked:
+    """A request and what became of it.
+
+    Attributes
+    ----------
+    answered_by : AdapterRef or None
+        Whose answer the caller got.
+    first_at, ended_at : float or None
+        When the first token and the end of the answer were out.
+    loads_waited : bool
+        Whether it had to wait before its first dispatch.
+    """
+
+    request_id: str
+    entry: str
+    target: str
+    tokens: int
+    asked_at: float
+    service: bool = False
+    key: str = ""
+    poison: bool = False
+    dispatches: list[str] = field(factory=list)
+    dispatched_at: float | None = None
+    first_at: float | None = None
+    ended_at: float | None = None
+    answered_by: AdapterRef | None = None
+    completed: bool = False
+    replayed: bool = False
+    refusal: Refusal | None = None
+
+
+@define(eq=False)
+class FakeEntry:
+    """An entry: its state, and the switches that stop or pause it.
+
+    Attributes
+    ----------
+    held : list
+        Events and effects that arrived while it was paused.
+    pause_at : type or None
+        Effect type at which the entry pauses just before running the effect.
+    """
+
+    state: State
+    alive: bool = True
+    paused: bool = False
+    held: list[Callable[[], None]] = field(factory=list)
+    pause_at: type | None = None
+    sequences: dict[str, int] = field(factory=dict)
+    watching: bool = True
+    stopped: bool = False
+    counts: dict[tuple[str, tuple[str, ...]], float] = field(factory=dict)
+
+
+class Bench:
+    """A site of fakes.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries, spread over the places in turn.
+    engines : int
+        Number of engines, spread over the places in turn.
+    places : tuple of Place
+        Regions and availability zones.
+    """
+
+    def __init__(
+        self,
+        entries: int = 3,
+        engines: int = 3,
+        slots: int = 4,
+        batch: int = 8,
+        places: tuple[Place, ...] = (Place("r1", "r1-a"),),
+        checks_fencing: bool = True,
+        limits: Limits | None = None,
+        seed: int = 0,
+        step_s: float = 0.03,
+        latency_s: float = 0.001,
+        region_latency_s: float = 0.03,
+    ) -> None:
+        self.clock = VirtualClock()
+        self.random = random.Random(seed)
+        self.limits = limits or Limits()
+        self.latency_s = latency_s
+        self.region_latency_s = region_latency_s
+        self.platform = FakePlatform(self.clock)
+        self.platform.watchers.append(self.push)
+        store_limits = (self.limits.store_loads_per_s, self.limits.store_in_flight)
+        self.store = FakeStore(self.clock, *store_limits, self.limits.load_s)
+        self.engines: dict[str, FakeEngine] = {}
+        self.services: dict[str, FakeService] = {}
+        self.entries: dict[str, FakeEntry] = {}
+        self.asked: dict[str, Asked] = {}
+        self.checks: list[Callable[[Bench], None]] = []
+        self.cut: set[frozenset[str]] = set()
+        self.events = 0
+        for number in range(engines):
+            place = places[number % len(places)]
+            self.add_engine(f"engine-{number + 1}", place, slots, batch, checks_fencing, step_s)
+        self.add_service("booking-1", places[0])
+        for number in range(entries):
+            self.add_entry(f"entry-{number + 1}", places[number % len(places)])
+
+    def add_engine(self, name, place, slots, batch, checks_fencing, step_s, base="base") -> None:
+        """List an engine."""
+        endpoint = Endpoint(
+            name, EndpointKind.ENGINE, base, place, "-", 0, slots, batch, checks_fencing
+        )
+        self.engines[name] = FakeEngine(endpoint, self.clock, self.store, step_s)
+        self.platform.write(ENDPOINT_PREFIX + name, wire.dump(endpoint))
+
+    def add_service(self, name: str, place: Place) -> None:
+        """List a plain service."""
+        endpoint = Endpoint(name, EndpointKind.SERVICE, "booking", place, "-", 0)
+        self.services[name] = FakeService(endpoint, self.clock)
+        self.platform.write(ENDPOINT_PREFIX + name, wire.dump(endpoint))
+
+    def add_entry(self, name: str, place: Place) -> None:
+        """Start an entry, or start it again with a new boot id."""
+        me = Instance(name, place, "-", 0)
+        state = State(
+            me=me,
+            boot=f"{name}.{self.events}.{self.random.randrange(10**9)}",
+            random=random.Random(self.random.randrange(10**9)),
+            limits=self.limits,
+            services={"booking": Service("booking", (Route("POST", "/book", False),))},
+        )
+        entry = self.entries[name] = FakeEntry(state)
+        self.platform.write(INSTANCE_PREFIX + name, wire.dump(me))
+        self.clock.after(self.latency_s, lambda: self.list_watched(entry))
+        self.clock.after(self.random.random() * TICK_S, lambda: self.tick(entry))
+
+    def publisher(self) -> Publisher:
+        """Return a writer of the configuration."""
+        return Publisher(PlatformForPublisher(self.platform), "bench")
+
+    def configure(self, adapters: int = 8, preset: Preset | None = None) -> None:
+        """Put adapters ``a0``, ``a1`` … with version 1, a caller and a preset in force."""
+        preset = preset or Preset("ordinary")
+
+        def edit(draft: Draft) -> None:
+            draft.put_caller(Caller(CALLER, token_digest(TOKEN)))
+            draft.put_preset(preset)
+            draft.preset = preset.name
+            for number in range(adapters):
+                versions = {"1": VersionState.PUBLISHED}
+                draft.put_adapter(Adapter(f"a{number}", "base", versions, 1))
+
+        self.publisher().change(edit)
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.clock.run_until(self.clock.seconds + seconds)
+
+    # Entries
+
+    def tick(self, entry: FakeEntry) -> None:
+        """Tell an entry that time passes."""
+        if not entry.alive or entry.stopped:
+            return
+        if not entry.paused:
+            self.submit(entry, lambda at: ev.Tick(at))
+        self.clock.after(TICK_S, lambda: self.tick(entry))
+
+    def submit(self, entry: FakeEntry, make: Callable[[float], ev.Event]) -> None:
+        """Apply an event to an entry, at once or when it is no longer paused."""
+        if not entry.alive or entry.stopped:
+            return
+        if entry.paused:
+            entry.held.append(lambda: self.submit(entry, make))
+            return
+        self.events += 1
+        for effect in reduce(entry.state, make(self.clock.seconds)):
+            self.effect(entry, effect)
+        for check in self.checks:
+            check(self)
+
+    def effect(self, entry: FakeEntry, effect: fx.Effect) -> None:
+        """Run an effect, unless the entry is paused before it."""
+        if entry.pause_at is not None and isinstance(effect, entry.pause_at):
+            entry.pause_at = None
+            entry.paused = True
+        if entry.paused:
+            entry.held.append(lambda: self.effect(entry, effect))
+            return
+        RUNNERS[type(effect)](self, entry, effect)
+
+    def pause(self, name: str) -> None:
+        """Stop an entry as SIGSTOP does."""
+        self.entries[name].paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a paused entry go on; what arrived meanwhile is handled first."""
+        entry = self.entries[name]
+        entry.paused = False
+        held, entry.held = entry.held, []
+        for call in held:
+            call()
+
+    def kill(self, name: str, listed: bool = False) -> None:
+        """End an entry without warning; its requests break off."""
+        entry = self.entries[name]
+        entry.alive = False
+        if not listed:
+            self.platform.write_later(INSTANCE_PREFIX + name, None)
+
+    def drain(self, name: str) -> None:
+        """Ask an entry to stop gracefully."""
+        entry = self.entries[name]
+        value = wire.dump(evolve(entry.state.me, state=Liveness.LEAVING))
+        self.platform.write_later(INSTANCE_PREFIX + name, value)
+        self.submit(entry, lambda at: ev.DrainAsked(at))
+
+    def leave(self, endpoint: str) -> None:
+        """Let an endpoint leave: it refuses new work, and the platform lists it late."""
+        fake = self.engines.get(endpoint) or self.services[endpoint]
+        fake.state = Liveness.LEAVING
+        value = wire.dump(evolve(fake.endpoint, state=Liveness.LEAVING))
+        self.platform.write_later(ENDPOINT_PREFIX + endpoint, value)
+
+    # Requests
+
+    def ask(self, entry: str, target: str, tokens: int = 8, deadline_s: float = 30.0, **more):
+        """Send a model call to an entry; returns its Asked record."""
+        return self.send(entry, target, tokens, deadline_s, **more)
+
+    def book(self, entry: str, key: str, deadline_s: float = 30.0, content: str = "x"):
+        """Send a call that must not repeat to an entry; returns its Asked record."""
+        return self.send(
+            entry, "booking", 0, deadline_s, service=True, key=key, digest=content, path="/book"
+        )
+
+    def send(self, entry, target, tokens, deadline_s, poison=False, digest="", **more) -> Asked:
+        """Send a request to an entry."""
+        request_id = f"r{len(self.asked)}"
+        asked = Asked(request_id, entry, target, tokens, self.clock.seconds, poison=poison)
+        asked.service = more.get("service", False)
+        asked.key = more.get("key", "")
+        self.asked[request_id] = asked
+        fake = self.entries[entry]
+        self.submit(
+            fake,
+            lambda at: ev.RequestArrived(
+                at=at,
+                request_id=request_id,
+                token_sha256=token_digest(TOKEN),
+                target=target,
+                deadline_s=deadline_s,
+                digest=digest or request_id,
+                **more,
+            ),
+        )
+        return asked
+
+    def dispatch(self, entry: FakeEntry, effect: fx.Dispatch) -> None:
+        """Send a request to a fake endpoint."""
+        asked = self.asked[effect.request_id]
+        asked.dispatches.append(effect.endpoint)
+        if asked.dispatched_at is None:
+            asked.dispatched_at = self.clock.seconds
+        delay_s = self.delay_to(entry, effect.endpoint)
+
+        def done(outcome: ev.Outcome, reason: str) -> None:
+            self.clock.after(delay_s, lambda: self.ended(entry, effect, outcome, reason))
+
+        def send() -> None:
+            if effect.endpoint in self.services:
+                self.services[effect.endpoint].call(asked.key or asked.request_id, done)
+                return
+            first = lambda: self.first(asked, effect)
+            job = Job(asked.request_id, str(effect.ref), asked.tokens, done, first, asked.poison)
+            self.engines[effect.endpoint].submit(job)
+
+        self.clock.after(delay_s, send)
+
+    def first(self, asked: Asked, effect: fx.Dispatch) -> None:
+        """Note the first token of an answer."""
+        if asked.first_at is None:
+            asked.first_at = self.clock.seconds
+
+    def ended(self, entry: FakeEntry, effect: fx.Dispatch, outcome, reason: str) -> None:
+        """Tell an entry that an attempt ended."""
+        asked = self.asked[effect.request_id]
+        request = entry.state.requests.get(effect.request_id)
+        current = request is not None and request.attempt == effect.attempt
+        if outcome is ev.Outcome.COMPLETED and entry.alive and current:
+            asked.completed = True
+            asked.answered_by = effect.ref
+            asked.ended_at = self.clock.seconds
+        self.submit(
+            entry,
+            lambda at: ev.AttemptEnded(
+                at=at,
+                request_id=effect.request_id,
+                attempt=effect.attempt,
+                endpoint=effect.endpoint,
+                outcome=outcome,
+                reason=reason,
+                record="answer" if effect.ref is None else "",
+            ),
+        )
+
+    def refuse(self, entry: FakeEntry, effect: fx.Refuse) -> None:
+        """Note a refusal."""
+        asked = self.asked[effect.request_id]
+        asked.refusal = effect.refusal
+        asked.ended_at = self.clock.seconds
+
+    def replay(self, entry: FakeEntry, effect: fx.ReplayAnswer) -> None:
+        """Note a recorded answer."""
+        asked = self.asked[effect.request_id]
+        asked.replayed = asked.completed = True
+        asked.ended_at = self.clock.seconds
+
+    # Platform
+
+    def call(self, entry: FakeEntry, purpose: fx.Purpose, make) -> None:
+        """Make a platform call with latency, and tell the entry how it ended."""
+        latency_s = self.latency_s + self.platform.slow_s
+
+        def arrive() -> None:
+            if not entry.alive:
+                return
+            status, version, value = make()
+            lost = status is ev.CallStatus.UNKNOWN
+            wait_s = CALL_TIMEOUT_S if lost else latency_s
+            answer = lambda at: ev.PlatformAnswered(at, purpose, status, version, value)
+            self.clock.after(wait_s, lambda: self.submit(entry, answer))
+
+        self.clock.after(latency_s, arrive)
+
+    def push(self, path: str, version: int, value: object) -> None:
+        """Tell watching entries of a change."""
+        if not path.startswith(WATCHED):
+            return
+        for entry in self.entries.values():
+            self.clock.after(self.latency_s, self.pusher(entry, path, version, value))
+
+    def pusher(self, entry: FakeEntry, path: str, version: int, value: object):
+        """Return the call that tells one entry of a change, retried during an outage."""
+
+        def tell() -> None:
+            if self.platform.outage or not entry.watching:
+                self.clock.after(0.5, tell)
+                return
+            self.submit(entry, lambda at: ev.ObjectChanged(at, path, version, value))
+
+        return tell
+
+    def list_watched(self, entry: FakeEntry) -> None:
+        """Tell a fresh entry of all watched objects."""
+        if self.platform.outage:
+            self.clock.after(0.5, lambda: self.list_watched(entry))
+            return
+        for path, (version, value) in list(self.platform.objects.items()):
+            if path.startswith(WATCHED):
+                self.submit(entry, self.change_event(path, version, value))
+
+    def change_event(self, path: str, version: int, value: object):
+        """Return the maker of a change event."""
+        return lambda at: ev.ObjectChanged(at, path, version, value)
+
+    # Peers and endpoints
+
+    def send_message(self, entry: FakeEntry, effect: fx.SendMessage) -> None:
+        """Carry a message to another entry, unless the way is cut."""
+        target = self.entries.get(effect.peer)
+        me = entry.state.me
+        if target is None or frozenset((me.name, effect.peer)) in self.cut:
+            return
+        entry.sequences[effect.peer] = entry.sequences.get(effect.peer, 0) + 1
+        sequence = entry.sequences[effect.peer]
+        crossing = target.state.me.place.region != me.place.region
+        delay_s = self.region_latency_s if crossing else self.latency_s
+        said = lambda at: ev.PeerSaid(at, me.name, entry.state.boot, sequence, effect.message)
+        self.clock.after(delay_s, lambda: self.submit(target, said))
+
+    def delay_to(self, entry: FakeEntry, endpoint: str) -> float:
+        """Return the latency of the way to an endpoint."""
+        fake = self.engines.get(endpoint) or self.services[endpoint]
+        crossing = fake.endpoint.place.region != entry.state.me.place.region
+        return self.region_latency_s if crossing else self.latency_s
+
+    def poll(self, entry: FakeEntry, effect: fx.PollEndpoint) -> None:
+        """Read a report of a fake endpoint."""
+        asked_at = self.clock.seconds
+        delay_s = self.delay_to(entry, effect.endpoint)
+
+        def answer() -> None:
+            fake = self.engines.get(effect.endpoint) or self.services[effect.endpoint]
+            report = fake.report()
+            if report is None:
+                event = lambda at: ev.EndpointSilent(at, effect.endpoint)
+            else:
+                event = lambda at: ev.EndpointReported(at, asked_at, report)
+            self.clock.after(delay_s, lambda: self.submit(entry, event))
+
+        self.clock.after(delay_s, answer)
+
+    def order(self, entry: FakeEntry, effect: fx.SendOrder) -> None:
+        """Send an order to a fake engine."""
+        delay_s = self.delay_to(entry, effect.endpoint)
+
+        def done(outcome: ev.OrderOutcome, reason: str) -> None:
+            answer = lambda at: ev.OrderAnswered(
+                at, effect.endpoint, effect.order_id, outcome, reason
+            )
+            self.clock.after(delay_s, lambda: self.submit(entry, answer))
+
+        self.clock.after(delay_s, lambda: self.engines[effect.endpoint].order(effect, done))
+
+    def count(self, entry: FakeEntry, effect: fx.Count) -> None:
+        """Add to an entry's counters."""
+        key = (effect.counter, effect.labels)
+        entry.counts[key] = entry.counts.get(key, 0.0) + effect.amount
+
+    def stop(self, entry: FakeEntry, effect: fx.Stop) -> None:
+        """End an entry that stopped gracefully."""
+        entry.stopped = True
+        self.platform.write_later(INSTANCE_PREFIX + entry.state.me.name, None)
+
+    def violations(self) -> list[str]:
+        """Return what the engines saw that must never happen."""
+        return [text for engine in self.engines.values() for text in engine.violations]
+
+
+@define
+class PlatformForPublisher:
+    """The fake platform as the writer of the configuration sees it."""
+
+    platform: FakePlatform
+
+    def get(self, path: str) -> Answer:
+        """Read an object."""
+        return Answer(*self.platform.get(path))
+
+    def put(self, path: str, value: object, expect: int) -> Answer:
+        """Write an object if its version is as expected."""
+        return Answer(*self.platform.put(path, value, expect))
+
+
+def _platform_runner(make):
+    def run(bench: Bench, entry: FakeEntry, effect) -> None:
+        bench.call(entry, effect.purpose, lambda: make(bench.platform, effect))
+
+    return run
+
+
+RUNNERS = {
+    fx.PlatformGet: _platform_runner(lambda platform, effect: platform.get(effect.path)),
+    fx.PlatformList: _platform_runner(lambda platform, effect: platform.list(effect.prefix)),
+    fx.PlatformPut: _platform_runner(
+        lambda platform, effect: platform.put(effect.path, effect.value, effect.expect)
+    ),
+    fx.PlatformDelete: _platform_runner(
+        lambda platform, effect: platform.put(effect.path, None, effect.expect)
+    ),
+    fx.Dispatch: Bench.dispatch,
+    fx.Refuse: Bench.refuse,
+    fx.ReplayAnswer: Bench.replay,
+    fx.SendMessage: Bench.send_message,
+    fx.PollEndpoint: Bench.poll,
+    fx.SendOrder: Bench.order,
+    fx.Count: Bench.count,
+    fx.LogChange: lambda bench, entry, effect: None,
+    fx.Stop: Bench.stop,
+}
--- /dev/null
+++ b/poplarhoist/replay/fakes.py
@@ -0,0 +1,363 @@
+"""Fakes of the platform, the weight store, engines and services, on a virtual clock."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+
+from poplarhoist.decisions.effects import OrderKind, SendOrder
+from poplarhoist.decisions.events import CallStatus, OrderOutcome, Outcome
+from poplarhoist.models import Endpoint, EndpointReport, Liveness
+from poplarhoist.replay.clock import VirtualClock
+
+
+@define
+class FakePlatform:
+    """Objects with versions, conditional writes and pushes of changes.
+
+    Attributes
+    ----------
+    outage, lose_answers, slow_s
+        Faults: refuse all calls; let so many writes take effect without an answer; add seconds.
+    """
+
+    clock: VirtualClock
+    objects: dict[str, tuple[int, object]] = field(factory=dict)
+    revision: int = 0
+    outage: bool = False
+    lose_answers: int = 0
+    slow_s: float = 0.0
+    list_lag_s: float = 0.0
+    calls: dict[str, int] = field(factory=dict)
+    watchers: list[Callable[[str, int, object], None]] = field(factory=list)
+
+    def put(self, path: str, value: object, expect: int) -> tuple[CallStatus, int, object]:
+        """Write or delete an object if its version is as expected; None deletes."""
+        self.count("put")
+        if self.outage:
+            return CallStatus.REFUSED, 0, None
+        version, current = self.objects.get(path, (0, None))
+        if version != expect:
+            return CallStatus.CONFLICT, version, current
+        written = self.write(path, value)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return CallStatus.UNKNOWN, 0, None
+        return CallStatus.OK, written, None
+
+    def write(self, path: str, value: object) -> int:
+        """Store or delete an object and tell the watchers."""
+        self.revision += 1
+        if value is None:
+            self.objects.pop(path, None)
+        else:
+            self.objects[path] = (self.revision, value)
+        for watcher in self.watchers:
+            watcher(path, self.revision, value)
+        return self.revision
+
+    def write_later(self, path: str, value: object) -> None:
+        """Change a list after its lag."""
+        self.clock.after(self.list_lag_s, lambda: self.write(path, value))
+
+    def get(self, path: str) -> tuple[CallStatus, int, object]:
+        """Read an object."""
+        self.count("get")
+        if self.outage:
+            return CallStatus.REFUSED, 0, None
+        if path not in self.objects:
+            return CallStatus.NOT_FOUND, 0, None
+        version, value = self.objects[path]
+        return CallStatus.OK, version, value
+
+    def list(self, prefix: str) -> tuple[CallStatus, int, object]:
+        """Read all objects below a prefix, as a dict by path."""
+        self.count("list")
+        if self.outage:
+            return CallStatus.REFUSED, 0, None
+        found = {path: item[1] for path, item in self.objects.items() if path.startswith(prefix)}
+        return CallStatus.OK, self.revision, found
+
+    def count(self, kind: str) -> None:
+        """Count a call."""
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+
+
+@define
+class FakeStore:
+    """The weight store: a rate, and an in-flight bound beyond which loads take longer.
+
+    Attributes
+    ----------
+    down, slow
+        Faults: every load fails; factor on the time of a load.
+    """
+
+    clock: VirtualClock
+    loads_per_s: float = 4.0
+    in_flight_limit: int = 8
+    load_s: float = 0.25
+    down: bool = False
+    slow: float = 1.0
+    in_flight: int = 0
+    most_in_flight: int = 0
+    loads: int = 0
+    next_at: float = 0.0
+
+    def load(self, done: Callable[[bool], None]) -> None:
+        """Serve one load; calls back with whether it worked."""
+        if self.down:
+            self.clock.after(self.load_s, lambda: done(False))
+            return
+        now = self.clock.monotonic()
+        start = max(now, self.next_at - 1.0)
+        self.next_at = max(now, self.next_at) + 1.0 / self.loads_per_s
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        self.loads += 1
+        factor = max(1.0, self.in_flight / self.in_flight_limit) * self.slow
+        self.clock.after(start - now + self.load_s * factor, lambda: self.finish(done))
+
+    def finish(self, done: Callable[[bool], None]) -> None:
+        """End a load."""
+        self.in_flight -= 1
+        done(not self.down)
+
+
+@define(eq=False)
+class Job:
+    """A request that runs on a fake engine.
+
+    Attributes
+    ----------
+    done : callable
+        Called once with the outcome and the endpoint's reason.
+    first : callable
+        Called when the first token is out.
+    """
+
+    request_id: str
+    ref: str
+    tokens: int
+    done: Callable[[Outcome, str], None]
+    first: Callable[[], None]
+    poison: bool = False
+    given: int = 0
+
+
+@define(eq=False)
+class FakeEngine:
+    """An engine with slots and continuous batching by steps.
+
+    Attributes
+    ----------
+    violations : list
+        What must never happen, such as an eviction of an adapter in use.
+    fail_loads, report_lag_s, silent
+        Faults: so many of the next loads fail; age of the reports; polls get no answer.
+    """
+
+    endpoint: Endpoint
+    clock: VirtualClock
+    store: FakeStore
+    step_s: float = 0.03
+    restart_s: float = 1.0
+    boots: itertools.count = field(factory=lambda: itertools.count(1))
+    boot: int = 0
+    up: bool = True
+    silent: bool = False
+    state: Liveness = Liveness.LIVE
+    epoch: int = 0
+    slots: dict[str, str] = field(factory=dict)
+    running: list[Job] = field(factory=list)
+    waiting: deque[Job] = field(factory=deque)
+    samples: deque[tuple[float, EndpointReport]] = field(factory=deque)
+    report_lag_s: float = 0.0
+    fail_loads: int = 0
+    violations: list[str] = field(factory=list)
+    steps: int = 0
+    filled: int = 0
+    crashes: int = 0
+    stepping: bool = False
+
+    def submit(self, job: Job) -> None:
+        """Take a request, or refuse it as not run."""
+        if not self.up:
+            job.done(Outcome.NOT_SENT, "connect")
+        elif self.state is not Liveness.LIVE:
+            job.done(Outcome.REFUSED, "leaving")
+        elif self.slots.get(job.ref) != "resident":
+            job.done(Outcome.REFUSED, "adapter-not-resident")
+        else:
+            self.waiting.append(job)
+            self.wake()
+
+    def wake(self) -> None:
+        """Begin to step if there is work."""
+        if not self.stepping and (self.running or self.waiting):
+            self.stepping = True
+            boot = self.boot
+            self.clock.after(self.step_s, lambda: self.step(boot))
+
+    def step(self, boot: int) -> None:
+        """Give each running request one token."""
+        if boot != self.boot:
+            return
+        self.stepping = False
+        while self.waiting and len(self.running) < self.endpoint.batch:
+            self.running.append(self.waiting.popleft())
+        if any(job.poison for job in self.running):
+            self.crash()
+            return
+        self.steps += 1
+        self.filled += len(self.running)
+        for job in list(self.running):
+            self.advance(job)
+        self.wake()
+
+    def advance(self, job: Job) -> None:
+        """Give one request a token, or end it."""
+        job.given += 1
+        if job.given == 1:
+            job.first()
+        if job.given >= job.tokens:
+            self.running.remove(job)
+            job.done(Outcome.COMPLETED, "")
+
+    def crash(self) -> None:
+        """Lose all adapters and requests, and come up again later."""
+        self.crashes += 1
+        lost = [*self.running, *self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        self.slots.clear()
+        self.samples.clear()
+        self.boot = next(self.boots)
+        self.stepping = False
+        self.up = False
+        self.clock.after(self.restart_s, self.come_up)
+        for job in lost:
+            job.done(Outcome.BROKEN, "reset")
+
+    def come_up(self) -> None:
+        """Answer again after a crash."""
+        self.up = True
+
+    def order(self, order: SendOrder, done: Callable[[OrderOutcome, str], None]) -> None:
+        """Take an order."""
+        if not self.up:
+            done(OrderOutcome.REFUSED, "not sent")
+            return
+        if self.endpoint.checks_fencing and order.epoch < self.epoch:
+            done(OrderOutcome.FENCED, f"epoch {self.epoch}")
+            return
+        self.epoch = max(self.epoch, order.epoch)
+        if order.kind is OrderKind.FENCE:
+            done(OrderOutcome.DONE, "")
+        elif order.kind is OrderKind.EVICT:
+            self.evict(str(order.ref))
+            done(OrderOutcome.DONE, "")
+        else:
+            self.load(str(order.ref), order.replaces and str(order.replaces), done)
+
+    def evict(self, ref: str) -> None:
+        """Drop an adapter version; record a violation if it is in use."""
+        if self.slots.pop(ref, None) is None:
+            return
+        for job in [job for job in (*self.running, *self.waiting) if job.ref == ref]:
+            self.violations.append(f"{self.endpoint.name} evicted {ref} under {job.request_id}")
+
+    def load(self, ref: str, replaces: str | None, done) -> None:
+        """Load an adapter version, in place of another one if named."""
+        if ref in self.slots:
+            done(OrderOutcome.DONE, "already there")
+            return
+        if replaces:
+            self.evict(replaces)
+        if len(self.slots) >= self.endpoint.slots:
+            done(OrderOutcome.REFUSED, "no slot")
+            return
+        self.slots[ref] = "loading"
+        boot = self.boot
+        self.store.load(lambda worked: self.loaded(ref, worked, boot, done))
+
+    def loaded(self, ref: str, worked: bool, boot: int, done) -> None:
+        """End a load."""
+        if boot != self.boot:
+            done(OrderOutcome.UNKNOWN, "restarted")
+            return
+        if not worked or self.fail_loads > 0:
+            self.fail_loads -= 1 if worked else 0
+            del self.slots[ref]
+            done(OrderOutcome.FAILED, "store")
+            return
+        self.slots[ref] = "resident"
+        done(OrderOutcome.DONE, "")
+
+    def report(self) -> EndpointReport | None:
+        """Return a report as of some time ago; None if the engine does not answer."""
+        if not self.up or self.silent:
+            return None
+        now = self.clock.monotonic()
+        self.samples.append((now, self.sample()))
+        while len(self.samples) > 1 and self.samples[1][0] <= now - self.report_lag_s:
+            self.samples.popleft()
+        sampled_at, report = self.samples[0]
+        return evolve(report, age_s=now - sampled_at)
+
+    def sample(self) -> EndpointReport:
+        """Return the state now."""
+        counts = dict.fromkeys((r for r, state in self.slots.items() if state == "resident"), 0)
+        for job in (*self.running, *self.waiting):
+            counts[job.ref] = counts.get(job.ref, 0) + 1
+        return EndpointReport(
+            endpoint=self.endpoint.name,
+            boot=str(self.boot),
+            age_s=0.0,
+            state=self.state,
+            running=len(self.running),
+            waiting=len(self.waiting),
+            resident=counts,
+            free_slots=self.endpoint.slots - len(self.slots),
+        )
+
+
+@define(eq=False)
+class FakeService:
+    """A plain service that counts its runs by key.
+
+    Attributes
+    ----------
+    lose_answers, down
+        Faults: so many of the next calls run without an answer; nothing listens.
+    """
+
+    endpoint: Endpoint
+    clock: VirtualClock
+    call_s: float = 0.05
+    runs_by_key: dict[str, int] = field(factory=dict)
+    lose_answers: int = 0
+    down: bool = False
+    state: Liveness = Liveness.LIVE
+    running: int = 0
+
+    def call(self, key: str, done: Callable[[Outcome, str], None]) -> None:
+        """Run a call."""
+        if self.down:
+            done(Outcome.NOT_SENT, "connect")
+            return
+        if self.state is not Liveness.LIVE:
+            done(Outcome.REFUSED, "leaving")
+            return
+        self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
+        lost = self.lose_answers > 0
+        self.lose_answers -= 1 if lost else 0
+        outcome = Outcome.BROKEN if lost else Outcome.COMPLETED
+        self.clock.after(self.call_s, lambda: done(outcome, ""))
+
+    def report(self) -> EndpointReport | None:
+        """Return a report; None if nothing listens."""
+        if self.down:
+            return None
+        return EndpointReport(self.endpoint.name, "1", 0.0, self.state, self.running)
