Show the bench's events and effects to hooks, and note what endpoints started

Cause: faults have to strike at a chosen step, and 'not run' has to be checked at the endpoint. Change: hooks before each event and effect; fakes keep the ids of what they started and report work that arrives more than 3 s after they left.

--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -136,6 +136,7 @@
         self.entries: dict[str, FakeEntry] = {}
         self.asked: dict[str, Asked] = {}
         self.checks: list[Callable[[Bench], None]] = []
+        self.hooks: list[Callable[[FakeEntry, object], None]] = []
         self.cut: set[frozenset[str]] = set()
         self.events = 0
         for number in range(engines):
@@ -214,16 +215,32 @@
             entry.held.append(lambda: self.submit(entry, make))
             return
         self.events += 1
-        for effect in reduce(entry.state, make(self.clock.seconds)):
+        event = make(self.clock.seconds)
+        self.tell_hooks(entry, event)
+        if not entry.alive:
+            return
+        if entry.paused:
+            entry.held.append(lambda: self.submit(entry, make))
+            return
+        for effect in reduce(entry.state, event):
             self.effect(entry, effect)
         for check in self.checks:
             check(self)
 
+    def tell_hooks(self, entry: FakeEntry, item: object) -> None:
+        """Show an event that is about to be applied, or an effect that is about to run."""
+        for hook in self.hooks:
+            hook(entry, item)
+
     def effect(self, entry: FakeEntry, effect: fx.Effect) -> None:
         """Run an effect, unless the entry is paused before it."""
+        if entry.alive and not entry.paused:
+            self.tell_hooks(entry, effect)
         if entry.pause_at is not None and isinstance(effect, entry.pause_at):
             entry.pause_at = None
             entry.paused = True
+        if not entry.alive:
+            return
         if entry.paused:
             entry.held.append(lambda: self.effect(entry, effect))
             return
@@ -258,7 +275,7 @@
     def leave(self, endpoint: str) -> None:
         """Let an endpoint leave: it refuses new work, and the platform lists it late."""
         fake = self.engines.get(endpoint) or self.services[endpoint]
-        fake.state = Liveness.LEAVING
+        fake.leave()
         value = wire.dump(evolve(fake.endpoint, state=Liveness.LEAVING))
         self.platform.write_later(ENDPOINT_PREFIX + endpoint, value)
 
@@ -309,7 +326,8 @@
 
         def send() -> None:
             if effect.endpoint in self.services:
-                self.services[effect.endpoint].call(asked.key or asked.request_id, done)
+                service = self.services[effect.endpoint]
+                service.call(asked.request_id, asked.key or asked.request_id, done)
                 return
             first = lambda: self.first(asked, effect)
             job = Job(asked.request_id, str(effect.ref), asked.tokens, done, first, asked.poison)
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -11,6 +11,8 @@
 from poplarhoist.models import Endpoint, EndpointReport, Liveness
 from poplarhoist.replay.clock import VirtualClock
 
+LEAVING_GRACE_S = 3.0
+
 
 @define
 class FakePlatform:
@@ -180,9 +182,18 @@
     filled: int = 0
     crashes: int = 0
     stepping: bool = False
+    started: set[str] = field(factory=set)
+    left_at: float = float("inf")
+
+    def leave(self) -> None:
+        """Refuse new work from now on, and finish what runs."""
+        self.state = Liveness.LEAVING
+        self.left_at = self.clock.monotonic()
 
     def submit(self, job: Job) -> None:
         """Take a request, or refuse it as not run."""
+        if self.clock.monotonic() > self.left_at + LEAVING_GRACE_S:
+            self.violations.append(f"{self.endpoint.name} got {job.request_id} after it left")
         if not self.up:
             job.done(Outcome.NOT_SENT, "connect")
         elif self.state is not Liveness.LIVE:
@@ -190,6 +201,7 @@
         elif self.slots.get(job.ref) != "resident":
             job.done(Outcome.REFUSED, "adapter-not-resident")
         else:
+            self.started.add(job.request_id)
             self.waiting.append(job)
             self.wake()
 
@@ -341,8 +353,13 @@
     down: bool = False
     state: Liveness = Liveness.LIVE
     running: int = 0
+    started: set[str] = field(factory=set)
+
+    def leave(self) -> None:
+        """Refuse new work from now on."""
+        self.state = Liveness.LEAVING
 
-    def call(self, key: str, done: Callable[[Outcome, str], None]) -> None:
+    def call(self, request_id: str, key: str, done: Callable[[Outcome, str], None]) -> None:
         """Run a call."""
         if self.down:
             done(Outcome.NOT_SENT, "connect")
@@ -350,6 +367,7 @@
         if self.state is not Liveness.LIVE:
             done(Outcome.REFUSED, "leaving")
             return
+        self.started.add(request_id)
         self.runs_by_key[key] = self.runs_by_key.get(key, 0) + 1
         lost = self.lose_answers > 0
         self.lose_answers -= 1 if lost else 0
