--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -6,11 +6,11 @@
 from attrs import define, field
 
 from poplarhoist.decisions.admission import AdmissionState
+from poplarhoist.decisions.board import Board
 from poplarhoist.decisions.grants import GrantState, Held
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import MembershipState
-from poplarhoist.decisions.placement import Board
 from poplarhoist.decisions.quarantine import QuarantineState
 from poplarhoist.decisions.retries import RetryState
 from poplarhoist.decisions.revisions import ConfigState
