--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -71,6 +71,12 @@
         Whether no order of an earlier lead can still take effect and the residency is known.
     fenced_at : float or None
         When the engine confirmed the epoch of this lead.
+    reserved_at : float or None
+        Since when it is kept empty for one request; None if it is in ordinary use.
+    returned_at : float
+        When a grant on it was last handed back.
+    idle_sampled_at : float
+        When a report was last sampled that shows nothing running or waiting.
     """
 
     name: str
@@ -81,6 +87,9 @@
     fenced_at: float | None = None
     fence_sent_at: float = float("-inf")
     retry_at: float = float("-inf")
+    reserved_at: float | None = None
+    returned_at: float = float("-inf")
+    idle_sampled_at: float = float("-inf")
 
 
 @define
@@ -137,6 +146,11 @@
     orders: dict[str, Order] = field(factory=dict)
     order_count: int = 0
 
+    def score(self, ref: AdapterRef, at: float) -> float:
+        """Return the decayed demand for an adapter version."""
+        demand = self.demand.get(ref)
+        return demand.decayed(at) if demand else 0.0
+
 
 def current_board(state: State, base: str, epoch: int) -> Board | None:
     """Return the board of a base model if this entry leads it under that epoch."""
@@ -160,8 +174,16 @@
     names.discard(engine.name)
     if not names:
         del board.engines_by_ref[ref]
+    want(board, ref)
+
+
+def want(board: Board, ref: AdapterRef) -> None:
+    """Want a load of an adapter version that requests wait for and no engine in use holds."""
     demand = board.demand.get(ref)
-    if demand is not None and demand.waiting:
+    if demand is None or not demand.waiting:
+        return
+    names = board.engines_by_ref.get(ref, ())
+    if all(board.engines[name].reserved_at is not None for name in names):
         board.wanted.add(ref)
 
 
--- a/poplarhoist/decisions/demand.py
+++ b/poplarhoist/decisions/demand.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions.board import Board, DemandView
+from poplarhoist.decisions.board import Board, DemandView, want
 from poplarhoist.decisions.lead_grants import grant
 from poplarhoist.decisions.messages import DemandItem
 from poplarhoist.models import AdapterRef
@@ -40,8 +40,8 @@
     for name in sorted(board.engines_by_ref.get(ref, ())):
         engine = board.engines[name]
         granted |= grant(state, board, engine, engine.slots[ref], sender, at, out)
-    if not granted and ref not in board.engines_by_ref:
-        board.wanted.add(ref)
+    if not granted:
+        want(board, ref)
 
 
 def expected_ready_s(state: State, board: Board, ref: AdapterRef, at: float) -> float:
--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -16,7 +16,7 @@
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
     """Let an entry dispatch to a slot, if it is fit for use; return whether it was."""
     view = state.members.endpoints.get(engine.name)
-    if not engine.settled or view is None or view.leaving:
+    if not engine.settled or view is None or view.leaving or engine.reserved_at is not None:
         return False
     if slot.state is SlotState.DRAINING:
         slot.state = SlotState.RESIDENT
@@ -35,9 +35,11 @@
     demand = board.demand.get(slot.ref)
     if demand is None:
         return
+    granted = False
     for entry in sorted(demand.waiting_by_entry):
-        grant(state, board, engine, slot, entry, at, out)
-    board.wanted.discard(slot.ref)
+        granted |= grant(state, board, engine, slot, entry, at, out)
+    if granted:
+        board.wanted.discard(slot.ref)
 
 
 def recall(board: Board, engine: EngineBoard, slot: Slot, at: float, out) -> None:
@@ -55,7 +57,10 @@
             continue
         if at - max(slot.recalled_at, slot.since) < state.limits.recall_again_s:
             continue
-        slot.holders -= gone_holders(state, slot)
+        gone = gone_holders(state, slot)
+        if gone:
+            slot.holders -= gone
+            engine.returned_at = at
         if slot.holders:
             recall(board, engine, slot, at, out)
             continue
@@ -84,6 +89,7 @@
     if slot is None:
         return
     slot.holders.discard(sender)
+    engine.returned_at = at
     if slot.state is SlotState.DRAINING and not slot.holders and not board.ungathered:
         slot.cleared_at = at
         out.append(PollEndpoint(engine.name))
--- a/poplarhoist/decisions/orders.py
+++ b/poplarhoist/decisions/orders.py
@@ -4,7 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions.board import Board, DemandView, EngineBoard, Order, SlotState, drop_slot
+from poplarhoist.decisions.board import (
+    Board,
+    DemandView,
+    EngineBoard,
+    Order,
+    Slot,
+    SlotState,
+    add_slot,
+    drop_slot,
+)
 from poplarhoist.decisions.effects import Count, OrderKind, PollEndpoint, SendOrder
 from poplarhoist.decisions.events import OrderAnswered, OrderOutcome
 from poplarhoist.decisions.lead_grants import grant_waiting
@@ -37,6 +46,19 @@
     out.append(SendOrder(engine.name, order_id, kind, board.epoch, ref, replaces))
 
 
+def send_load(state, board, engine, ref, victim: Slot | None, at, out) -> None:
+    """Order a load, in place of a victim if one is given."""
+    board.tokens -= 1.0
+    board.wanted.discard(ref)
+    replaces = None
+    if victim is not None:
+        victim.state = SlotState.REPLACING
+        victim.since = at
+        replaces = victim.ref
+    add_slot(board, engine, Slot(ref, SlotState.LOADING, at))
+    send_order(state, board, engine, OrderKind.LOAD, ref, replaces, at, out)
+
+
 def finish_order(state: State, board: Board, order: Order, event: OrderAnswered, out) -> None:
     """Bring the board in line with the outcome of an order."""
     engine = board.engines.get(order.endpoint)
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -8,9 +8,7 @@
 from poplarhoist.decisions.board import (
     Board,
     EngineBoard,
-    Slot,
     SlotState,
-    add_slot,
     current_board,
     forget_engine,
 )
@@ -20,7 +18,7 @@
 from poplarhoist.decisions.evictions import make_room
 from poplarhoist.decisions.lead_grants import recall_again
 from poplarhoist.decisions.messages import Demand, Expected, HeldGrants, Returned
-from poplarhoist.decisions.orders import fence, finish_order, send_order, settle_lost_orders
+from poplarhoist.decisions.orders import fence, finish_order, send_load, settle_lost_orders
 from poplarhoist.decisions.residency import gather, reconcile, take_held
 from poplarhoist.models import AdapterRef, EndpointReport
 
@@ -135,12 +133,12 @@
     for engine in sorted(ready, key=lambda e: len(e.slots)):
         view = state.members.endpoints[engine.name]
         if len(engine.slots) < view.endpoint.slots:
-            start_load(state, board, engine, ref, None, at, out)
+            send_load(state, board, engine, ref, None, at, out)
             return
     for engine in ready:
         for slot in engine.slots.values():
             if slot.state is SlotState.DRAINING and slot.clean:
-                start_load(state, board, engine, ref, slot, at, out)
+                send_load(state, board, engine, ref, slot, at, out)
                 return
     make_room(state, board, ready, at, out)
 
@@ -150,17 +148,6 @@
     view = state.members.endpoints.get(engine.name)
     if view is None or view.leaving or view.silent_since is not None:
         return False
+    if engine.reserved_at is not None:
+        return False
     return engine.settled and engine.order is None and at >= engine.retry_at
-
-
-def start_load(state, board, engine, ref, victim: Slot | None, at, out) -> None:
-    """Order a load, in place of a victim if one is given."""
-    board.tokens -= 1.0
-    board.wanted.discard(ref)
-    replaces = None
-    if victim is not None:
-        victim.state = SlotState.REPLACING
-        victim.since = at
-        replaces = victim.ref
-    add_slot(board, engine, Slot(ref, SlotState.LOADING, at))
-    send_order(state, board, engine, OrderKind.LOAD, ref, replaces, at, out)
--- a/poplarhoist/decisions/residency.py
+++ b/poplarhoist/decisions/residency.py
@@ -42,6 +42,8 @@
     if engine.boot and report.boot != engine.boot:
         restart(board, engine)
     engine.boot = report.boot
+    if not report.running and not report.waiting:
+        engine.idle_sampled_at = max(engine.idle_sampled_at, sampled_at)
     if engine.fenced_at is None or sampled_at <= engine.fenced_at:
         return
     resident = {AdapterRef.parse(text): running for text, running in report.resident.items()}
@@ -68,6 +70,7 @@
     engine.fenced_at = None
     engine.fence_sent_at = float("-inf")
     engine.settled = False
+    engine.idle_sampled_at = float("-inf")
 
 
 def settle(state: State, board: Board, engine: EngineBoard, at: float, out) -> None:
