Run suspects alone on an emptied endpoint and convict at the second death

Cause: every attempt that broke off counted as a death, also when only the connection broke, and two broken connections convicted an innocent content. A suspect was sent into ordinary batches, so its neighbours became suspects too.

Ruled out: counting silence as a death (a cut between regions would make every crossing request a suspect); convicting only deaths while alone (two copies that run at once would cost a third engine).

Change: an attempt that breaks off is held until a poll shows whether the endpoint died: refused, or another boot id in the latest report. A suspect asks the lead for an emptied endpoint (IsolationWanted, IsolationGrant, IsolationDone), the lead serialises them, and every entry knows of the run (TrialNotice), so that the death is noticed if lead or holder die with it. A whole answer clears the content; convictions go to entries started later.

Conclusion: tests/test_quarantine.py holds a fault at each step, resends through all entries and the bounds.

--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -117,12 +117,18 @@
     admission.waiting += 1
     callers = admission.waiting_by_caller
     callers[request.caller] = callers.get(request.caller, 0) + 1
-    heapq.heappush(admission.deadlines, (request.deadline_at, request.request_id))
+    watch_deadline(state, request)
     admission.dirty.add(request.ref)
     if at - queue.told_at >= DEMAND_AGAIN_S:
         flush(state, [request.ref], at, out)
 
 
+def watch_deadline(state: State, request: RequestState) -> None:
+    """See to it that a request that does not run is looked at when its deadline passes."""
+    item = (request.deadline_at, request.request_id)
+    heapq.heappush(state.admission.deadlines, item)
+
+
 def left_queue(state: State, request: RequestState) -> None:
     """Count a request that waits no more."""
     admission = state.admission
@@ -172,13 +178,13 @@
 
 
 def expired(state: State, at: float) -> list[RequestState]:
-    """Return the waiting requests whose deadline has passed, each once."""
+    """Return the requests that do not run and whose deadline has passed, each once."""
     heap = state.admission.deadlines
     found: dict[str, RequestState] = {}
     while heap and heap[0][0] <= at:
         _, request_id = heapq.heappop(heap)
         request = state.requests.get(request_id)
-        if request is not None and request.stage == "waiting":
+        if request is not None and request.stage not in ("running", "recording"):
             found[request_id] = request
     return list(found.values())
 
--- a/poplarhoist/decisions/grants.py
+++ b/poplarhoist/decisions/grants.py
@@ -26,6 +26,8 @@
         Attempts that run under it.
     recalled : bool
         Whether it is handed back as soon as nothing is in flight.
+    alone : bool
+        Whether it is for one request that runs alone.
     """
 
     base: str
@@ -35,6 +37,7 @@
     used_at: float
     in_flight: int = 0
     recalled: bool = False
+    alone: bool = False
 
 
 @define
@@ -119,7 +122,11 @@
     """Count an attempt that ended under a grant."""
     held.in_flight -= 1
     held.used_at = at
-    if held.recalled and held.in_flight == 0 and find(state, held.ref, held.endpoint) is held:
+    if (
+        (held.recalled or held.alone)
+        and held.in_flight == 0
+        and find(state, held.ref, held.endpoint) is held
+    ):
         hand_back(state, held, out)
 
 
--- /dev/null
+++ b/poplarhoist/decisions/isolation.py
@@ -0,0 +1,115 @@
+"""Suspects of this entry: each waits for the lead to empty an endpoint, and runs alone there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from poplarhoist.decisions import admission, grants, quarantine, requests
+from poplarhoist.decisions.effects import Count, SendMessage
+from poplarhoist.decisions.events import Outcome
+from poplarhoist.decisions.leadership import known_lead
+from poplarhoist.decisions.messages import (
+    Grant,
+    IsolationDone,
+    IsolationGrant,
+    IsolationWanted,
+    Returned,
+    TrialState,
+)
+from poplarhoist.decisions.state import RequestState, Stage
+from poplarhoist.models import Reason
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+WANTED_AGAIN_S = 0.5
+
+
+def begin(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
+    """Hold a request until it can run alone."""
+    if len(state.quarantine.isolated) >= state.config.preset.queue_limit:
+        requests.give_up(state, request, Reason.QUEUE_FULL, "isolate", at, out)
+        return
+    request.stage = Stage.ISOLATING
+    request.deadline_at = request.caller_deadline_at
+    admission.watch_deadline(state, request)
+    state.quarantine.isolated[request.request_id] = at
+    out.append(Count("isolation", ("wanted",)))
+    ask(state, request, at, out)
+
+
+def ask(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
+    """Tell the lead that a request waits to run alone, or where it does."""
+    state.quarantine.isolated[request.request_id] = at
+    lead = known_lead(state, request.base)
+    if not lead:
+        return
+    message = IsolationWanted(
+        request.base,
+        request.request_id,
+        request.digest,
+        request.ref,
+        request.deadline_at - at,
+        request.endpoint if request.alone else "",
+    )
+    out.append(SendMessage(lead, message))
+
+
+def on_grant(state: State, sender: str, message: IsolationGrant, at: float, out) -> None:
+    """Run a request alone, or hand the endpoint back if it is no longer wanted."""
+    request = state.requests.get(message.request_id)
+    if request is None or request.stage != Stage.ISOLATING:
+        if request is None or not request.alone:
+            pair = (message.ref, message.endpoint)
+            out.append(SendMessage(sender, Returned(message.base, message.epoch, *pair)))
+            out.append(SendMessage(sender, IsolationDone(message.base, message.request_id)))
+        return
+    grants.take(state, Grant(message.base, message.epoch, message.ref, message.endpoint), at)
+    grants.find(state, message.ref, message.endpoint).alone = True
+    out.append(Count("isolation", ("granted",)))
+    requests.dispatch(state, request, message.endpoint, at, out, alone=True)
+    request.boot = message.boot
+
+
+def ended(state: State, request: RequestState, outcome: Outcome, out: list[Effect]) -> None:
+    """Take the end of a run alone; a whole answer clears the content."""
+    trial = f"{request.endpoint}/{request.boot}"
+    request.alone = False
+    if outcome in (Outcome.COMPLETED, Outcome.FAILED):
+        out.append(Count("isolation", ("cleared",)))
+        quarantine.close_trial(state, request.digest, trial, TrialState.CLEARED, out)
+    elif outcome is not Outcome.BROKEN:
+        quarantine.close_trial(state, request.digest, trial, TrialState.OVER, out)
+    clean = outcome not in (Outcome.BROKEN, Outcome.CANCELLED)
+    withdraw(state, request, out, clean)
+
+
+def withdraw(state: State, request: RequestState, out: list[Effect], clean: bool = False) -> None:
+    """Tell the lead that a request neither waits to run alone nor does so."""
+    if state.quarantine.isolated.pop(request.request_id, None) is None:
+        return
+    lead = known_lead(state, request.base)
+    if lead:
+        out.append(SendMessage(lead, IsolationDone(request.base, request.request_id, clean)))
+
+
+def on_tick(state: State, at: float, out: list[Effect]) -> None:
+    """Tell the lead again, and let go what is no longer suspected."""
+    for request_id, told_at in list(state.quarantine.isolated.items()):
+        request = state.requests.get(request_id)
+        if request is None:
+            del state.quarantine.isolated[request_id]
+        elif request.stage == Stage.ISOLATING and not quarantine.suspected(state, request.digest):
+            withdraw(state, request, out)
+            requests.start(state, request, at, out)
+        elif at - told_at >= WANTED_AGAIN_S:
+            ask(state, request, at, out)
+
+
+def tell_lead(state: State, base: str, at: float, out: list[Effect]) -> None:
+    """Tell a new lead at once of everything that waits to run alone or does so."""
+    for request_id in list(state.quarantine.isolated):
+        request = state.requests.get(request_id)
+        if request is not None and request.base == base:
+            ask(state, request, at, out)
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -98,6 +98,12 @@
     return view is not None and not view.leaving and view.silent_since is None
 
 
+def known_boot(state: State, endpoint: str) -> str:
+    """Return the boot id of an endpoint's last report; empty if there is none."""
+    view = state.members.endpoints.get(endpoint)
+    return view.report.boot if view and view.report else ""
+
+
 def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
     """Take a change of the platform's lists."""
     if event.path.startswith(INSTANCE_PREFIX):
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -5,6 +5,8 @@
 may be sent again without harm.
 """
 
+import enum
+
 from attrs import frozen
 
 from poplarhoist.models import AdapterRef, EndpointReport, Index
@@ -163,6 +165,83 @@
     convicted: bool = False
 
 
+@frozen
+class KnownSuspects:
+    """Tells an entry that was just started of all suspects and convictions."""
+
+    notices: tuple[SuspectNotice, ...]
+
+
+class TrialState(enum.StrEnum):
+    """Where the run of a suspect alone on an endpoint stands; ``OVER`` is without a verdict."""
+
+    OPEN = "open"
+    OVER = "over"
+    CLEARED = "cleared"
+
+
+@frozen
+class TrialNotice:
+    """Tells of a suspect that runs alone.
+
+    Attributes
+    ----------
+    trial : str
+        Endpoint and boot id, as ``endpoint/boot``.
+    """
+
+    digest: str
+    trial: str
+    state: TrialState
+
+
+@frozen
+class IsolationWanted:
+    """Asks the lead for an endpoint on which a suspect can run alone.
+
+    Attributes
+    ----------
+    left_s : float
+        Seconds until the request is no longer wanted.
+    running_on : str
+        Endpoint on which it runs alone already; empty while it waits.
+    """
+
+    base: str
+    request_id: str
+    digest: str
+    ref: AdapterRef
+    left_s: float
+    running_on: str = ""
+
+
+@frozen
+class IsolationGrant:
+    """Lets the receiver run a suspect alone on an endpoint that was emptied for it."""
+
+    base: str
+    epoch: int
+    request_id: str
+    ref: AdapterRef
+    endpoint: str
+    boot: str
+
+
+@frozen
+class IsolationDone:
+    """Says that a suspect neither waits nor runs any more at the sender.
+
+    Attributes
+    ----------
+    clean : bool
+        Whether the endpoint has ended the request too, so that nothing is left of it there.
+    """
+
+    base: str
+    request_id: str
+    clean: bool = False
+
+
 @frozen
 class IndexNotice:
     """Passes on the highest configuration index that the sender has in force."""
@@ -196,6 +275,11 @@
     | GatherGrants
     | HeldGrants
     | SuspectNotice
+    | KnownSuspects
+    | TrialNotice
+    | IsolationWanted
+    | IsolationGrant
+    | IsolationDone
     | IndexNotice
     | PageWanted
     | PageCopy
--- a/poplarhoist/decisions/outcomes.py
+++ b/poplarhoist/decisions/outcomes.py
@@ -4,9 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions import grants, membership, quarantine, requests, retries, runs
+from poplarhoist.decisions import (
+    admission,
+    grants,
+    isolation,
+    membership,
+    quarantine,
+    requests,
+    retries,
+    runs,
+)
 from poplarhoist.decisions.effects import Count, PollEndpoint
 from poplarhoist.decisions.events import AttemptEnded, Outcome
+from poplarhoist.decisions.quarantine import Doubt
 from poplarhoist.decisions.retries import RetryCause
 from poplarhoist.decisions.state import RequestState, Stage
 from poplarhoist.models import Reason
@@ -26,6 +36,10 @@
         return
     requests.release(state, request, event.at, out)
     out.append(Count("attempt_ended", (event.outcome,)))
+    if event.outcome is Outcome.BROKEN:
+        quarantine.doubt(state, request, event.endpoint, event.at, out)
+    if request.alone:
+        isolation.ended(state, request, event.outcome, out)
     if event.outcome in ANSWERED or event.outcome is Outcome.CANCELLED:
         if event.outcome in ANSWERED:
             runs.finish(state, request.request_id, event.record, out)
@@ -49,7 +63,7 @@
         membership.on_silent(state, event.endpoint, event.at, out)
         out.append(PollEndpoint(event.endpoint))
     request.avoid.add(event.endpoint)
-    try_again(state, request, cause, event, out)
+    try_again(state, request, cause, event.at, out)
 
 
 def give_grant_back(state: State, request: RequestState, event: AttemptEnded, out) -> None:
@@ -66,9 +80,6 @@
 def after_broken(state: State, request: RequestState, event: AttemptEnded, out) -> None:
     """Try a request again that may have run, if it may repeat and nothing was delivered."""
     request.may_have_run = True
-    cause = retries.cause_of(event)
-    if cause is RetryCause.ENDPOINT_LOST:
-        quarantine.note_death(state, request.digest, f"{event.endpoint}/{event.reason}", out)
     if event.delivered or not request.repeat:
         reason = Reason.ENDPOINT_LOST if event.outcome is Outcome.BROKEN else Reason.WRONG_ANSWER
         requests.give_up(state, request, reason, "answer", event.at, out)
@@ -77,12 +88,38 @@
         requests.give_up(state, request, Reason.QUARANTINED, "retry", event.at, out)
         return
     request.avoid.add(event.endpoint)
-    try_again(state, request, cause, event, out)
+    if event.outcome is Outcome.WRONG or not request.digest:
+        try_again(state, request, retries.cause_of(event), event.at, out)
+        return
+    request.stage = Stage.CHECKING
+    admission.watch_deadline(state, request)
+
+
+def on_endpoint_answer(state: State, report, newer: bool, asked_at: float, at: float, out) -> None:
+    """Go on with requests whose endpoint is now known to have died, or to live."""
+    settled = quarantine.on_answer(state, report, newer, asked_at, at, out)
+    after_check(state, settled, at, out)
+
+
+def on_endpoint_refused(state: State, endpoint: str, at: float, out: list[Effect]) -> None:
+    """Go on with requests whose endpoint is now known to have died."""
+    after_check(state, quarantine.on_refused(state, endpoint, at, out), at, out)
+
+
+def after_check(state: State, settled: list[Doubt], at: float, out: list[Effect]) -> None:
+    """Refuse a request that is convicted, and try others again."""
+    for item in settled:
+        request = state.requests.get(item.request_id)
+        if request is None or request.attempt != item.attempt or request.stage != Stage.CHECKING:
+            continue
+        if quarantine.convicted(state, item.digest):
+            requests.give_up(state, request, Reason.QUARANTINED, "retry", at, out)
+        else:
+            try_again(state, request, RetryCause.ENDPOINT_LOST, at, out)
 
 
-def try_again(state: State, request: RequestState, cause: RetryCause, event, out) -> None:
+def try_again(state: State, request: RequestState, cause: RetryCause, at: float, out) -> None:
     """Start another attempt, now or later, if attempts, time and budget allow."""
-    at = event.at
     if not retries.attempts_left(state, request) or at >= request.deadline_at:
         requests.give_up(state, request, Reason.ENDPOINT_LOST, "retry", at, out)
         return
@@ -99,10 +136,12 @@
         return
     request.stage = Stage.BACKOFF
     retries.schedule(state, request, due_at)
+    admission.watch_deadline(state, request)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Start the retries whose time has come."""
+    after_check(state, quarantine.on_tick(state, at, out), at, out)
     for request_id, attempt in retries.take_due(state, at):
         request = state.requests.get(request_id)
         if request is None or request.attempt != attempt or request.stage != Stage.BACKOFF:
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -8,6 +8,7 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    isolation,
     leadership,
     membership,
     messages,
@@ -18,6 +19,7 @@
     revisions,
     routing,
     runs,
+    turns,
 )
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
@@ -43,6 +45,8 @@
     out: list[Effect] = []
     leadership.expire(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
+    if state.quarantine.fresh_convictions:
+        requests.refuse_convicted(state, event.at, out)
     return deliver_to_self(state, event.at, out)
 
 
@@ -68,6 +72,8 @@
     grants.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
     outcomes.on_tick(state, event.at, out)
+    isolation.on_tick(state, event.at, out)
+    turns.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
     stop_when_idle(state, out)
 
@@ -107,7 +113,11 @@
 
 def on_peer(state: State, event: ev.PeerSaid, out: list[Effect]) -> None:
     """Take a message from another entry."""
+    peer = state.members.peers.get(event.sender)
+    started = peer is not None and peer.boot != event.boot
     if membership.accept_batch(state, event, out):
+        if started:
+            quarantine.tell_newcomer(state, event.sender, event.at, out)
         handle_message(state, event.sender, event.message, event.at, out)
 
 
@@ -140,10 +150,23 @@
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.gather(state, sender, message, out)
+                isolation.tell_lead(state, message.base, at, out)
         case messages.HeldGrants():
             placement.on_held(state, sender, message, at, out)
         case messages.SuspectNotice():
-            quarantine.on_notice(state, message, out)
+            quarantine.on_notice(state, message, at, out)
+        case messages.KnownSuspects():
+            for notice in message.notices:
+                quarantine.on_notice(state, notice, at, out)
+        case messages.TrialNotice():
+            quarantine.take_trial(state, message, at)
+        case messages.IsolationWanted():
+            turns.on_wanted(state, sender, message, at, out)
+        case messages.IsolationGrant():
+            if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
+                isolation.on_grant(state, sender, message, at, out)
+        case messages.IsolationDone():
+            turns.on_done(state, sender, message, at, out)
         case messages.IndexNotice():
             revisions.on_index_notice(state, sender, message, at, out)
         case messages.PageWanted():
@@ -154,23 +177,20 @@
 
 def on_reported(state: State, event: ev.EndpointReported, out: list[Effect]) -> None:
     """Take a report that was polled here."""
-    boot = known_boot(state, event.report.endpoint)
-    if membership.on_reported(state, event, out):
+    boot = membership.known_boot(state, event.report.endpoint)
+    newer = membership.on_reported(state, event, out)
+    if newer:
         sampled_at = event.asked_at - event.report.age_s
         spread_report(state, event.report, boot, sampled_at, event.at, out)
+    outcomes.on_endpoint_answer(state, event.report, newer, event.asked_at, event.at, out)
 
 
 def take_report(state: State, report, sampled_at: float, at: float, out: list[Effect]) -> None:
     """Take a report that a peer passed on."""
-    boot = known_boot(state, report.endpoint)
+    boot = membership.known_boot(state, report.endpoint)
     if membership.take_report(state, report, sampled_at, out):
         spread_report(state, report, boot, sampled_at, at, out)
-
-
-def known_boot(state: State, endpoint: str) -> str:
-    """Return the boot id of an endpoint's last report; empty if there is none."""
-    view = state.members.endpoints.get(endpoint)
-    return view.report.boot if view and view.report else ""
+        outcomes.on_endpoint_answer(state, report, True, float("-inf"), at, out)
 
 
 def spread_report(state: State, report, boot: str, sampled_at: float, at: float, out) -> None:
@@ -185,6 +205,8 @@
 def on_endpoint_silent(state: State, event: ev.EndpointSilent, out: list[Effect]) -> None:
     """Take note of an endpoint that does not answer."""
     membership.on_silent(state, event.endpoint, event.at, out)
+    if event.refused:
+        outcomes.on_endpoint_refused(state, event.endpoint, event.at, out)
 
 
 def on_drain(state: State, event: ev.DrainAsked, out: list[Effect]) -> None:
--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -7,6 +7,8 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    isolation,
+    membership,
     quarantine,
     retries,
     routing,
@@ -32,7 +34,7 @@
 RETRY_AFTER_LEAVING_S = 1.0
 RETRY_AFTER_ENDPOINT_S = 1.0
 RETRY_AFTER_RECORD_S = 2.0
-QUIET_STAGES = (Stage.WAITING, Stage.BACKOFF)
+QUIET_STAGES = (Stage.WAITING, Stage.BACKOFF, Stage.CHECKING, Stage.ISOLATING)
 
 
 class Denied(Exception):
@@ -94,6 +96,7 @@
         priority=caller.priority,
         arrived_at=event.at,
         deadline_at=event.at + min(event.deadline_s, state.config.preset.max_wait_s),
+        caller_deadline_at=event.at + event.deadline_s,
         digest=event.digest,
         prefix=event.prefix,
         size=event.size,
@@ -142,6 +145,9 @@
 
 def start(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
     """Dispatch a request, or let it wait if that pays."""
+    if quarantine.convicted(state, request.digest):
+        give_up(state, request, Reason.QUARANTINED, "route", at, out)
+        return
     if request.service:
         endpoint = routing.choose_service(state, request)
         if endpoint is None:
@@ -149,6 +155,9 @@
             return
         dispatch(state, request, endpoint, at, out)
         return
+    if quarantine.suspected(state, request.digest):
+        isolation.begin(state, request, at, out)
+        return
     endpoint = routing.choose(state, request)
     if endpoint is not None:
         dispatch(state, request, endpoint, at, out)
@@ -176,19 +185,27 @@
     admission.wait(state, request, at, out, first=request.attempt > 0)
 
 
-def dispatch(state: State, request: RequestState, endpoint: str, at: float, out) -> None:
-    """Send a request to an endpoint."""
+def dispatch(
+    state: State,
+    request: RequestState,
+    endpoint: str,
+    at: float,
+    out: list[Effect],
+    alone: bool = False,
+) -> None:
+    """Send a request to an endpoint; ``alone`` if that was emptied for it."""
     request.stage = Stage.RUNNING
     request.attempt += 1
     request.endpoint = endpoint
     request.dispatched_at = at
+    request.boot = membership.known_boot(state, endpoint)
+    request.alone = alone
     routing.load_of(state, endpoint).mine += 1
     if request.ref is not None:
         request.held = grants.find(state, request.ref, endpoint)
         grants.started(request.held, at)
-    out.append(
-        Dispatch(request.request_id, request.attempt, endpoint, request.ref, request.priority)
-    )
+    identity = (request.request_id, request.attempt, endpoint)
+    out.append(Dispatch(*identity, request.ref, request.priority, alone))
 
 
 def pump(state: State, ref: AdapterRef, at: float, out: list[Effect]) -> None:
@@ -199,6 +216,9 @@
         if not request_ids:
             return
         request = state.requests[request_ids[0]]
+        if quarantine.suspected(state, request.digest):
+            isolation.begin(state, admission.take_next(state, ref), at, out)
+            continue
         endpoint = routing.choose(state, request)
         if endpoint is None:
             return
@@ -260,20 +280,32 @@
     request = state.requests.get(request_id)
     if request is None or request.stage not in QUIET_STAGES:
         return
-    leave_stage(state, request)
+    leave_stage(state, request, out)
     give_up(state, request, Reason.CALLER_LEFT, "wait", at, out)
 
 
-def leave_stage(state: State, request: RequestState) -> None:
+def leave_stage(state: State, request: RequestState, out: list[Effect]) -> None:
     """Take a request out of what it waits for."""
     if request.stage == Stage.WAITING:
         admission.remove(state, request)
+    elif request.stage == Stage.ISOLATING:
+        isolation.withdraw(state, request, out)
+
+
+def refuse_convicted(state: State, at: float, out: list[Effect]) -> None:
+    """Refuse at once what does not run and was just convicted."""
+    digests = set(state.quarantine.fresh_convictions)
+    state.quarantine.fresh_convictions.clear()
+    for request in list(state.requests.values()):
+        if request.digest in digests and request.stage in QUIET_STAGES:
+            leave_stage(state, request, out)
+            give_up(state, request, Reason.QUARANTINED, "retry", at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Refuse waiting requests whose deadline passed."""
     for request in admission.expired(state, at):
-        leave_stage(state, request)
+        leave_stage(state, request, out)
         give_up(state, request, Reason.DEADLINE, "wait", at, out)
 
 
--- a/poplarhoist/decisions/routing.py
+++ b/poplarhoist/decisions/routing.py
@@ -85,7 +85,7 @@
     """Return the best granted endpoint with room for a request."""
     candidates = []
     for name, held in state.grants.by_ref.get(request.ref, {}).items():
-        if held.recalled or not usable(state, name):
+        if held.recalled or held.alone or not usable(state, name):
             continue
         if has_room(state, name):
             candidates.append(name)
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -16,16 +16,27 @@
 from poplarhoist.decisions.revisions import ConfigState
 from poplarhoist.decisions.routing import RoutingState
 from poplarhoist.decisions.runs import RunState
+from poplarhoist.decisions.turns import TurnState
 from poplarhoist.models import AdapterRef, Instance, Service
 
 
 class Stage(enum.StrEnum):
-    """Where a request stands."""
+    """Where a request stands.
+
+    RECORDING: its record is being created.
+    WAITING: it waits for a grant or for room.
+    RUNNING: an attempt is under way.
+    BACKOFF: it waits before another attempt.
+    CHECKING: it waits to learn whether its endpoint died.
+    ISOLATING: it waits to run alone.
+    """
 
     RECORDING = "recording"
     WAITING = "waiting"
     RUNNING = "running"
     BACKOFF = "backoff"
+    CHECKING = "checking"
+    ISOLATING = "isolating"
 
 
 @define
@@ -42,6 +53,12 @@
         Whether the request may run again after it may have run.
     may_have_run : bool
         Whether an earlier attempt may have run.
+    deadline_at, caller_deadline_at : float
+        Until when it waits for an adapter, and until when its caller waits at all.
+    boot : str
+        Boot id of the endpoint at the latest dispatch; empty if not known.
+    alone : bool
+        Whether the latest attempt runs alone on its endpoint.
     avoid : set
         Endpoints that failed it; others are tried first.
     """
@@ -63,6 +80,9 @@
     stage: Stage = Stage.WAITING
     attempt: int = 0
     endpoint: str = ""
+    caller_deadline_at: float = 0.0
+    boot: str = ""
+    alone: bool = False
     dispatched_at: float = 0.0
     held: Held | None = None
     avoid: set[str] = field(factory=set)
@@ -86,6 +106,7 @@
     routing: RoutingState = field(factory=RoutingState)
     retries: RetryState = field(factory=RetryState)
     quarantine: QuarantineState = field(factory=QuarantineState)
+    turns: TurnState = field(factory=TurnState)
     runs: RunState = field(factory=RunState)
     requests: dict[str, RequestState] = field(factory=dict)
     draining: bool = False
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -6,6 +6,8 @@
     "refused": ("Requests refused", ("reason", "step")),
     "retry": ("Attempts repeated", ("cause",)),
     "attempt_ended": ("Attempts ended", ("outcome",)),
+    "endpoint_death": ("Requests that were running when their endpoint died", ()),
+    "isolation": ("Steps of requests that may only run alone", ("step",)),
     "load_ended": ("Loads ended", ("outcome",)),
     "grant_dropped": ("Grants dropped", ("cause",)),
     "page_rejected": ("Configuration pages rejected", ()),
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -237,6 +237,14 @@
             self.running.remove(job)
             job.done(Outcome.COMPLETED, "")
 
+    def break_connections(self) -> None:
+        """Lose the connections of all requests, but nothing else."""
+        lost = [*self.running, *self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        for job in lost:
+            job.done(Outcome.BROKEN, "reset")
+
     def crash(self) -> None:
         """Lose all adapters and requests, and come up again later."""
         self.crashes += 1
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,239 @@
+"""The request that crashes endpoints: at most two are lost to it, and its neighbours are served."""
+
+import pytest
+
+from poplarhoist.decisions import effects as fx
+from poplarhoist.decisions import messages
+from poplarhoist.decisions import quarantine as q
+from poplarhoist.models import Ran, Reason
+from poplarhoist.replay.bench import Bench
+
+POISON = "poison"
+MOST_LOST = 2
+
+
+def site(**more):
+    """Return a site with four engines on which a few requests have settled in."""
+    bench = Bench(**{"entries": 3, "engines": 4, **more})
+    bench.configure()
+    bench.run(5.0)
+    for number in range(4):
+        bench.ask(f"entry-{number % len(bench.entries) + 1}", f"a{number}")
+    bench.run(3.0)
+    return bench
+
+
+def ask_poison(bench, entry, **more):
+    return bench.ask(entry, "a0", poison=True, digest=POISON, **more)
+
+
+def crashes(bench):
+    return sum(engine.crashes for engine in bench.engines.values())
+
+
+def reserved(bench):
+    living = [entry for entry in bench.entries.values() if entry.alive and not entry.stopped]
+    boards = [board for entry in living for board in entry.state.boards.values()]
+    return [e.name for board in boards for e in board.engines.values() if e.reserved_at is not None]
+
+
+def unanswered(bench):
+    asked = [item for item in bench.asked.values() if bench.entries[item.entry].alive]
+    return [item for item in asked if not item.completed and item.refusal is None]
+
+
+def assert_healthy(bench):
+    """Check that nothing hangs and every living entry serves."""
+    assert unanswered(bench) == []
+    assert reserved(bench) == []
+    living = [name for name, entry in bench.entries.items() if entry.alive]
+    asked = [bench.ask(name, f"a{number}") for number, name in enumerate(living)]
+    bench.run(8.0)
+    assert [item.refusal for item in asked] == [None] * len(living)
+    assert bench.violations() == []
+
+
+def test_a_connection_that_breaks_makes_no_suspects():
+    bench = site()
+    asked = [bench.ask("entry-1", "a0", tokens=40) for _ in range(4)]
+    bench.run(0.5)
+    name = asked[0].dispatches[0]
+    bench.engines[name].break_connections()
+    bench.run(5.0)
+    assert all(item.completed for item in asked)
+    assert bench.counted("endpoint_death") == {}
+    assert bench.counted("isolation") == {}
+
+
+@pytest.mark.parametrize("report_lag_s", [0.0, 1.0])
+def test_neighbours_are_served_and_the_poison_is_refused_for_good(report_lag_s):
+    bench = site()
+    for engine in bench.engines.values():
+        engine.report_lag_s = report_lag_s
+    neighbours = [bench.ask(f"entry-{n % 3 + 1}", "a0", tokens=40) for n in range(5)]
+    bench.run(0.3)
+    poison = ask_poison(bench, "entry-1")
+    bench.run(20.0)
+    assert [item.refusal for item in neighbours] == [None] * 5
+    assert (poison.refusal.reason, poison.refusal.ran) == (Reason.QUARANTINED, Ran.UNKNOWN)
+    assert crashes(bench) == MOST_LOST
+    for name in bench.entries:
+        again = ask_poison(bench, name)
+        assert (again.refusal.reason, again.refusal.ran) == (Reason.QUARANTINED, Ran.NO)
+        assert again.dispatches == []
+    assert_healthy(bench)
+    assert crashes(bench) == MOST_LOST
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("every_s", [0.05, 0.4])
+def test_resends_through_all_entries_cost_no_more_engines(seed, every_s):
+    bench = site(entries=6, engines=6, seed=seed)
+    ask_poison(bench, "entry-1")
+    bench.run(0.1)
+    for _ in range(int(6.0 / every_s)):
+        for name in bench.entries:
+            ask_poison(bench, name, deadline_s=5.0)
+        bench.run(every_s)
+    bench.run(15.0)
+    assert crashes(bench) <= MOST_LOST
+    assert_healthy(bench)
+
+
+def test_a_suspect_that_completes_alone_is_cleared():
+    bench = site()
+    asked = bench.ask("entry-1", "a0", tokens=40, digest="innocent")
+    bench.run(0.3)
+    bench.engines[asked.dispatches[0]].crash()
+    bench.run(8.0)
+    assert asked.completed
+    assert bench.counted("isolation")[("cleared",)] == 1.0
+    again = bench.ask("entry-2", "a0", digest="innocent")
+    bench.run(3.0)
+    assert again.completed
+    assert bench.counted("isolation")[("wanted",)] == 1.0
+
+
+def test_engines_that_die_together_make_no_suspects():
+    bench = site(engines=8)
+    asked = [bench.ask("entry-1", f"a{number}", tokens=60) for number in range(8)]
+    bench.run(1.5)
+    used = sorted({item.dispatches[0] for item in asked})
+    assert len(used) >= q.MASS_DEATHS
+    for name in used:
+        bench.engines[name].crash()
+    bench.run(15.0)
+    assert [item.refusal for item in asked] == [None] * 8
+    assert_healthy(bench)
+
+
+def test_a_suspect_waits_no_longer_than_its_deadline():
+    bench = site(entries=1, engines=1)
+    bench.engines["engine-1"].restart_s = 100.0
+    poison = ask_poison(bench, "entry-1", deadline_s=4.0)
+    bench.run(6.0)
+    assert poison.refusal.ran is Ran.UNKNOWN
+    assert poison.ended_at - poison.asked_at <= 4.1
+
+
+def kill_lead(bench, entry, effect):
+    for name, fake in bench.entries.items():
+        if fake.state.boards:
+            bench.kill(name)
+
+
+def pause_lead(bench, entry, effect):
+    for name, fake in bench.entries.items():
+        if fake.state.boards:
+            bench.pause(name)
+            bench.clock.after(4.0, lambda name=name: bench.resume(name))
+
+
+def kill_holder(bench, entry, effect):
+    bench.kill("entry-1")
+
+
+def kill_reserved(bench, entry, effect):
+    for name in reserved(bench):
+        bench.engines[name].crash()
+        bench.engines[name].crashes -= 1
+
+
+def cut_holder(bench, entry, effect):
+    cut = {frozenset(("entry-1", name)) for name in bench.entries if name != "entry-1"}
+    bench.cut |= cut
+    bench.clock.after(3.0, lambda: bench.cut.difference_update(cut))
+
+
+def sends(kind):
+    return lambda effect: isinstance(effect, fx.SendMessage) and isinstance(effect.message, kind)
+
+
+STEPS = {
+    "suspect told": sends(messages.SuspectNotice),
+    "isolation wanted": sends(messages.IsolationWanted),
+    "trial told": sends(messages.TrialNotice),
+    "isolation granted": sends(messages.IsolationGrant),
+    "dispatched alone": lambda effect: isinstance(effect, fx.Dispatch) and effect.alone,
+    "isolation done": sends(messages.IsolationDone),
+}
+FAULTS = (kill_lead, pause_lead, kill_holder, kill_reserved, cut_holder)
+
+
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("poisonous", [True, False])
+def test_a_fault_at_any_step_hangs_nothing(step, fault, poisonous):
+    bench = site(entries=4, engines=5)
+    fired = []
+
+    def hook(entry, item):
+        if not fired and STEPS[step](item):
+            fired.append(step)
+            fault(bench, entry, item)
+
+    asked = bench.ask("entry-1", "a0", tokens=40, poison=poisonous, digest=POISON)
+    bench.run(0.05)
+    bench.hooks.append(hook)
+    if not poisonous:
+        bench.run(0.3)
+        bench.engines[asked.dispatches[0]].crash()
+        bench.engines[asked.dispatches[0]].crashes -= 1
+    bench.run(1.0)
+    for _ in range(20):
+        for name, entry in bench.entries.items():
+            if entry.alive and poisonous:
+                ask_poison(bench, name, deadline_s=4.0)
+        bench.run(0.5)
+    bench.run(20.0)
+    assert fired
+    assert crashes(bench) <= (MOST_LOST if poisonous else 0)
+    bench.run(70.0 if reserved(bench) else 0.0)
+    assert_healthy(bench)
+
+
+def test_an_entry_started_later_knows_the_convictions():
+    bench = site()
+    ask_poison(bench, "entry-1")
+    bench.run(15.0)
+    for number in range(1, 4):
+        bench.add_entry(f"new-{number}", bench.entries["entry-1"].state.me.place)
+        bench.run(3.0)
+        bench.drain(f"entry-{number}")
+        bench.run(3.0)
+    assert ask_poison(bench, "new-3").refusal.reason is Reason.QUARANTINED
+
+
+def test_suspects_and_convictions_are_bounded():
+    state = Bench(entries=1).entries["entry-1"].state
+    for number in range(q.SUSPECTS_KEPT + 10):
+        q.merge(state, f"s{number}", {f"e/{number}"}, 10.0 * number, [])
+    assert len(state.quarantine.by_digest) == q.SUSPECTS_KEPT
+    assert not q.suspected(state, "s0")
+    q.on_tick(state, 10.0 * (q.SUSPECTS_KEPT + 9) + q.SUSPECT_KEPT_S, [])
+    assert state.quarantine.by_digest == {}
+    assert state.quarantine.deaths_at == {}
+    for number in range(q.CONVICTIONS_KEPT + 10):
+        q.convict(state, f"c{number}", [])
+    assert len(state.quarantine.convictions) == q.CONVICTIONS_KEPT
+    assert q.convicted(state, f"c{q.CONVICTIONS_KEPT + 9}")
