Bound every wait, take turns between adapters, and keep queues cheap

Cause: each Expected message and each demand walked through the whole queue; room on a shared engine always went to the adapter that sorts first; a request for a cold adapter waited its whole deadline when no lead was there; the expected time was forgotten with the last waiting request, so the next one had to ask again; a full queue turned away urgent requests.

Ruled out: refusing as soon as the lead is silent; a change of leads is worth waiting for (test_a_change_of_leads_is_waited_for).

Change: WaitQueue keeps members, arrivals and deadlines so that no operation walks through it; room goes to the highest priority, then to what arrived first; waiting without a lead ends after lead_missing_s; a full queue gives up the latest request of the lowest priority for a more urgent one.

Conclusion: tests/test_admission.py.

--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import heapq
-from collections import deque
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
 from poplarhoist.decisions.effects import SendMessage
 from poplarhoist.decisions.messages import Demand, DemandItem, Expected
-from poplarhoist.models import AdapterRef
+from poplarhoist.decisions.waiting import WaitQueue
+from poplarhoist.models import AdapterRef, Reason
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
@@ -20,77 +21,37 @@
 EXPECTED_VALID_S = 2.0
 
 
-@define
-class WaitQueue:
-    """Requests that wait for one adapter version, by priority and caller in turn."""
-
-    base: str
-    by_priority: dict[int, dict[str, deque[str]]] = field(factory=dict)
-    arrived: int = 0
-    told_at: float = float("-inf")
-    expected_at: float | None = None
-    expected_told_at: float = float("-inf")
-
-    def add(self, priority: int, caller: str, request_id: str, first: bool = False) -> None:
-        """Put a request in the queue."""
-        queue = self.by_priority.setdefault(priority, {}).setdefault(caller, deque())
-        if first:
-            queue.appendleft(request_id)
-        else:
-            queue.append(request_id)
-
-    def pop(self) -> str | None:
-        """Take the next request: highest priority, then callers in turn."""
-        if not self.by_priority:
-            return None
-        priority = max(self.by_priority)
-        by_caller = self.by_priority[priority]
-        caller = next(iter(by_caller))
-        queue = by_caller.pop(caller)
-        request_id = queue.popleft()
-        if queue:
-            by_caller[caller] = queue
-        elif not by_caller:
-            del self.by_priority[priority]
-        return request_id
-
-    def remove(self, priority: int, caller: str, request_id: str) -> None:
-        """Take a request out of the queue."""
-        by_caller = self.by_priority.get(priority, {})
-        queue = by_caller.get(caller)
-        if queue is None or request_id not in queue:
-            return
-        queue.remove(request_id)
-        if not queue:
-            del by_caller[caller]
-        if not by_caller:
-            del self.by_priority[priority]
-
-    def request_ids(self) -> list[str]:
-        """Return all waiting requests."""
-        return [
-            request_id
-            for by_caller in self.by_priority.values()
-            for queue in by_caller.values()
-            for request_id in queue
-        ]
-
-
 @define
 class AdmissionState:
     """Waiting requests.
 
     Attributes
     ----------
-    dirty : set
+    waiting : int
+        Waiting requests over all adapter versions.
+    by_priority : dict
+        Their ids by priority, the latest last.
+    waiting_refs : dict
+        Adapter versions that requests wait for.
+    deadlines : list
+        Heap of deadlines of requests that do not run.
+    dirty : dict
         Adapter versions of which the lead must be told.
+    lingering : dict
+        Adapter versions without waiting requests whose expected time is still remembered.
+    no_lead_since : dict
+        Since when no lead of a base model was heard of, by base model.
     """
 
     queues: dict[AdapterRef, WaitQueue] = field(factory=dict)
     waiting: int = 0
+    by_priority: dict[int, OrderedDict[str, None]] = field(factory=dict)
     waiting_by_caller: dict[str, int] = field(factory=dict)
+    waiting_refs: dict[AdapterRef, None] = field(factory=dict)
     deadlines: list[tuple[float, str]] = field(factory=list)
-    dirty: set[AdapterRef] = field(factory=set)
+    dirty: dict[AdapterRef, None] = field(factory=dict)
+    lingering: dict[AdapterRef, None] = field(factory=dict)
+    no_lead_since: dict[str, float] = field(factory=dict)
     flush_due: float = 0.0
 
 
@@ -98,7 +59,7 @@
     """Count a request as demand, whether it is served, waits or is refused."""
     queue = queue_of(state, request)
     queue.arrived += 1
-    state.admission.dirty.add(request.ref)
+    state.admission.dirty[request.ref] = None
 
 
 def queue_of(state: State, request: RequestState) -> WaitQueue:
@@ -109,16 +70,45 @@
     return queue
 
 
+def why_not_wait(state: State, request: RequestState, at: float) -> Reason | None:
+    """Return why a request may not wait; None if it may."""
+    preset = state.config.preset
+    admission = state.admission
+    expected_s = expected_wait_s(state, request, at)
+    if expected_s is not None and at + expected_s > request.deadline_at:
+        return Reason.NOT_READY_IN_TIME
+    if expected_s is None and lead_is_missing(state, request.base, at):
+        return Reason.NOT_READY
+    by_caller = admission.waiting_by_caller.get(request.caller, 0)
+    if by_caller >= max(1.0, preset.queue_limit * state.limits.caller_queue_share):
+        return Reason.CALLER_QUEUE_FULL
+    if admission.waiting < preset.queue_limit:
+        return None
+    if admission.by_priority and min(admission.by_priority) < request.priority:
+        return None
+    return Reason.QUEUE_FULL
+
+
+def displaced(state: State) -> str | None:
+    """Return the waiting request that has to go if the queue is over its limit."""
+    admission = state.admission
+    if admission.waiting <= state.config.preset.queue_limit:
+        return None
+    return next(reversed(admission.by_priority[min(admission.by_priority)]))
+
+
 def wait(state: State, request: RequestState, at: float, out: list[Effect], first=False) -> None:
     """Let a request wait for its adapter and tell the lead."""
     admission = state.admission
     queue = queue_of(state, request)
-    queue.add(request.priority, request.caller, request.request_id, first)
+    queue.add(request, first)
     admission.waiting += 1
+    admission.by_priority.setdefault(request.priority, OrderedDict())[request.request_id] = None
     callers = admission.waiting_by_caller
     callers[request.caller] = callers.get(request.caller, 0) + 1
+    admission.waiting_refs[request.ref] = None
+    admission.dirty[request.ref] = None
     watch_deadline(state, request)
-    admission.dirty.add(request.ref)
     if at - queue.told_at >= DEMAND_AGAIN_S:
         flush(state, [request.ref], at, out)
 
@@ -129,32 +119,30 @@
     heapq.heappush(state.admission.deadlines, item)
 
 
-def left_queue(state: State, request: RequestState) -> None:
-    """Count a request that waits no more."""
+def remove(state: State, request: RequestState) -> None:
+    """Take one request out of its queue."""
     admission = state.admission
+    queue = admission.queues[request.ref]
+    queue.remove(request)
     admission.waiting -= 1
-    admission.dirty.add(request.ref)
+    admission.dirty[request.ref] = None
+    if not queue.members:
+        del admission.waiting_refs[request.ref]
+    same_priority = admission.by_priority[request.priority]
+    del same_priority[request.request_id]
+    if not same_priority:
+        del admission.by_priority[request.priority]
     callers = admission.waiting_by_caller
     callers[request.caller] -= 1
     if not callers[request.caller]:
         del callers[request.caller]
 
 
-def take_next(state: State, ref: AdapterRef) -> RequestState | None:
-    """Take the next request that waits for an adapter version."""
-    queue = state.admission.queues.get(ref)
-    request_id = queue.pop() if queue else None
-    if request_id is None:
+def next_waiting(state: State, ref: AdapterRef) -> RequestState | None:
+    """Return the next request that waits for an adapter version; it stays in the queue."""
+    if ref not in state.admission.waiting_refs:
         return None
-    request = state.requests[request_id]
-    left_queue(state, request)
-    return request
-
-
-def remove(state: State, request: RequestState) -> None:
-    """Take one request out of its queue."""
-    queue_of(state, request).remove(request.priority, request.caller, request.request_id)
-    left_queue(state, request)
+    return state.requests[state.admission.queues[ref].peek()]
 
 
 def expected_wait_s(state: State, request: RequestState, at: float) -> float | None:
@@ -168,13 +156,13 @@
 
 
 def on_expected(state: State, message: Expected, at: float) -> list[str]:
-    """Take the lead's estimate; return the waiting requests that it concerns."""
+    """Take the lead's estimate; return the requests for which it comes too late."""
     queue = state.admission.queues.get(message.ref)
     if queue is None:
         return []
     queue.expected_at = at + message.ready_in_s
     queue.expected_told_at = at
-    return queue.request_ids()
+    return queue.take_late(queue.expected_at)
 
 
 def expired(state: State, at: float) -> list[RequestState]:
@@ -184,19 +172,56 @@
     while heap and heap[0][0] <= at:
         _, request_id = heapq.heappop(heap)
         request = state.requests.get(request_id)
-        if request is not None and request.stage not in ("running", "recording"):
+        if request is None or request.stage in ("running", "recording"):
+            continue
+        if request.deadline_at <= at:
             found[request_id] = request
     return list(found.values())
 
 
+def note_leads(state: State, at: float) -> None:
+    """Note which base models have no lead that was heard of lately."""
+    since = state.admission.no_lead_since
+    oldest = at - state.limits.peer_timeout_s
+    for base in state.members.engines_by_base:
+        view = state.leadership.by_base.get(base)
+        heard = view is not None and view.holder and view.claimed_at >= oldest
+        if heard or base in state.boards:
+            since.pop(base, None)
+        else:
+            since.setdefault(base, at)
+
+
+def lead_is_missing(state: State, base: str, at: float) -> bool:
+    """Return whether no lead was heard of for longer than a change of leads takes."""
+    since = state.admission.no_lead_since.get(base)
+    return since is not None and at - since >= state.limits.lead_missing_s
+
+
+def without_lead(state: State, at: float) -> list[RequestState]:
+    """Return the requests that wait for a grant which no lead is there to give."""
+    if not state.admission.no_lead_since:
+        return []
+    found = []
+    for ref in state.admission.waiting_refs:
+        queue = state.admission.queues[ref]
+        if not lead_is_missing(state, queue.base, at) or ref in state.grants.by_ref:
+            continue
+        if at - queue.expected_told_at > EXPECTED_VALID_S:
+            found += [state.requests[request_id] for request_id in queue.members]
+    return sorted(found, key=lambda request: request.arrived_at)
+
+
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Tell the leads of demand that changed, and again of what still waits."""
     admission = state.admission
     if at < admission.flush_due:
         return
     admission.flush_due = at + DEMAND_AGAIN_S
-    waiting = [ref for ref, queue in admission.queues.items() if queue.by_priority]
-    flush(state, sorted(admission.dirty.union(waiting)), at, out)
+    note_leads(state, at)
+    flush(state, list(admission.dirty | admission.waiting_refs), at, out)
+    for ref in list(admission.lingering):
+        drop_if_idle(state, ref, at)
 
 
 def flush(state: State, refs: list[AdapterRef], at: float, out: list[Effect]) -> None:
@@ -207,20 +232,32 @@
         view = state.leadership.by_base.get(queue.base)
         if view is None or not view.holder:
             continue
-        items_by_base.setdefault(queue.base, []).append(demand_item(state, ref, queue, at))
+        items_by_base.setdefault(queue.base, []).append(demand_item(ref, queue, at))
         queue.told_at = at
         queue.arrived = 0
-        state.admission.dirty.discard(ref)
-        if not queue.by_priority:
-            del state.admission.queues[ref]
+        state.admission.dirty.pop(ref, None)
+        if not queue.members:
+            drop_if_idle(state, ref, at)
     for base, items in items_by_base.items():
         holder = state.leadership.by_base[base].holder
         out.append(SendMessage(holder, Demand(base, tuple(items))))
 
 
-def demand_item(state: State, ref: AdapterRef, queue: WaitQueue, at: float) -> DemandItem:
+def drop_if_idle(state: State, ref: AdapterRef, at: float) -> None:
+    """Forget an adapter version that nothing waits for once its expected time is stale."""
+    admission = state.admission
+    queue = admission.queues[ref]
+    if queue.members:
+        admission.lingering.pop(ref, None)
+    elif at - queue.expected_told_at <= EXPECTED_VALID_S or ref in admission.dirty:
+        admission.lingering[ref] = None
+    else:
+        admission.lingering.pop(ref, None)
+        del admission.queues[ref]
+
+
+def demand_item(ref: AdapterRef, queue: WaitQueue, at: float) -> DemandItem:
     """Describe the demand for one adapter version."""
-    requests = [state.requests[request_id] for request_id in queue.request_ids()]
-    oldest_s = max((at - request.arrived_at for request in requests), default=0.0)
-    priority = max((request.priority for request in requests), default=0)
-    return DemandItem(ref, len(requests), oldest_s, queue.arrived, priority)
+    oldest_s = max(0.0, at - queue.oldest_at()) if queue.members else 0.0
+    waiting = len(queue.members)
+    return DemandItem(ref, waiting, oldest_s, queue.arrived, queue.top_priority())
--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -38,6 +38,8 @@
         Retries allowed at once on top of that.
     attempts : int
         Attempts of one request at most.
+    lead_missing_s : float
+        Requests wait so long for a base model of which no lead is heard.
     caller_queue_share : float
         Share of the queue that one caller may fill.
     crossing_bytes_per_s : float
@@ -60,5 +62,6 @@
     retry_share: float = 0.1
     retry_burst: float = 32.0
     attempts: int = 4
+    lead_missing_s: float = 6.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -166,23 +166,22 @@
 
 
 def enqueue(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
-    """Let a request wait, unless the queue is full or its adapter comes too late."""
-    preset = state.config.preset
-    waiting = state.admission.waiting
-    by_caller = state.admission.waiting_by_caller.get(request.caller, 0)
-    expected_s = admission.expected_wait_s(state, request, at)
-    if expected_s is not None and at + expected_s > request.deadline_at:
-        give_up(state, request, Reason.NOT_READY_IN_TIME, "admit", at, out, expected_s)
-        return
-    if waiting >= preset.queue_limit:
-        give_up(state, request, Reason.QUEUE_FULL, "admit", at, out)
-        return
-    if by_caller >= max(1.0, preset.queue_limit * state.limits.caller_queue_share):
-        reason = Reason.CALLER_QUEUE_FULL
+    """Let a request wait, unless that does not pay or the queue is full."""
+    reason = admission.why_not_wait(state, request, at)
+    if reason is not None:
         give_up(state, request, reason, "admit", at, out)
         return
     request.stage = Stage.WAITING
     admission.wait(state, request, at, out, first=request.attempt > 0)
+    loser = admission.displaced(state)
+    if loser is not None:
+        stop_waiting(state, state.requests[loser], Reason.QUEUE_FULL, at, out)
+
+
+def stop_waiting(state: State, request: RequestState, reason: Reason, at: float, out) -> None:
+    """Refuse a request that does not run."""
+    leave_stage(state, request, out)
+    give_up(state, request, reason, "wait", at, out)
 
 
 def dispatch(
@@ -210,19 +209,32 @@
 
 def pump(state: State, ref: AdapterRef, at: float, out: list[Effect]) -> None:
     """Dispatch waiting requests of an adapter version while there is room."""
-    while True:
-        queue = state.admission.queues.get(ref)
-        request_ids = queue.request_ids() if queue else []
-        if not request_ids:
-            return
-        request = state.requests[request_ids[0]]
-        if quarantine.suspected(state, request.digest):
-            isolation.begin(state, admission.take_next(state, ref), at, out)
-            continue
-        endpoint = routing.choose(state, request)
-        if endpoint is None:
-            return
-        dispatch(state, admission.take_next(state, ref), endpoint, at, out)
+    while pump_one(state, ref, at, out):
+        pass
+
+
+def pump_one(state: State, ref: AdapterRef, at: float, out: list[Effect]) -> bool:
+    """Let the next request that waits for an adapter version go on; return whether one did."""
+    request = admission.next_waiting(state, ref)
+    if request is None:
+        return False
+    if quarantine.suspected(state, request.digest):
+        admission.remove(state, request)
+        isolation.begin(state, request, at, out)
+        return True
+    endpoint = routing.choose(state, request)
+    if endpoint is None:
+        return False
+    admission.remove(state, request)
+    dispatch(state, request, endpoint, at, out)
+    return True
+
+
+def pump_all(state: State, at: float, out: list[Effect]) -> None:
+    """Look again at everything that waits, as room may come without an event here."""
+    for ref in list(state.admission.waiting_refs):
+        if ref in state.grants.by_ref:
+            pump(state, ref, at, out)
 
 
 def release(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
@@ -235,10 +247,14 @@
 
 
 def pump_endpoint(state: State, endpoint: str, at: float, out: list[Effect]) -> None:
-    """Use room on an endpoint for requests that wait for an adapter granted there."""
-    for ref in sorted(state.grants.by_endpoint.get(endpoint, ())):
-        if ref in state.admission.queues:
-            pump(state, ref, at, out)
+    """Use room on an endpoint for what waits for it: highest priority, then oldest first."""
+    queues = state.admission.queues
+    granted = state.grants.by_endpoint.get(endpoint, ())
+    refs = [ref for ref in granted if ref in state.admission.waiting_refs]
+    while refs and endpoint in state.members.endpoints and routing.has_room(state, endpoint):
+        ref = min(refs, key=lambda ref: (-queues[ref].top_priority(), queues[ref].oldest_at()))
+        if not pump_one(state, ref, at, out) or ref not in state.admission.waiting_refs:
+            refs.remove(ref)
 
 
 def give_up(
@@ -278,10 +294,8 @@
 def on_left(state: State, request_id: str, at: float, out: list[Effect]) -> None:
     """Forget a request whose caller went away while it waited."""
     request = state.requests.get(request_id)
-    if request is None or request.stage not in QUIET_STAGES:
-        return
-    leave_stage(state, request, out)
-    give_up(state, request, Reason.CALLER_LEFT, "wait", at, out)
+    if request is not None and request.stage in QUIET_STAGES:
+        stop_waiting(state, request, Reason.CALLER_LEFT, at, out)
 
 
 def leave_stage(state: State, request: RequestState, out: list[Effect]) -> None:
@@ -298,26 +312,22 @@
     state.quarantine.fresh_convictions.clear()
     for request in list(state.requests.values()):
         if request.digest in digests and request.stage in QUIET_STAGES:
-            leave_stage(state, request, out)
-            give_up(state, request, Reason.QUARANTINED, "retry", at, out)
+            stop_waiting(state, request, Reason.QUARANTINED, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
-    """Refuse waiting requests whose deadline passed."""
+    """Refuse what waited too long, and look for room for the rest."""
     for request in admission.expired(state, at):
-        leave_stage(state, request, out)
-        give_up(state, request, Reason.DEADLINE, "wait", at, out)
+        stop_waiting(state, request, Reason.DEADLINE, at, out)
+    for request in admission.without_lead(state, at):
+        stop_waiting(state, request, Reason.NOT_READY, at, out)
+    pump_all(state, at, out)
 
 
 def on_expected(state: State, request_ids: list[str], at: float, out: list[Effect]) -> None:
     """Refuse at once those requests whose adapter comes too late for them."""
     for request_id in request_ids:
-        request = state.requests[request_id]
-        expected_s = admission.expected_wait_s(state, request, at)
-        if expected_s is None or at + expected_s <= request.deadline_at:
-            continue
-        admission.remove(state, request)
-        give_up(state, request, Reason.NOT_READY_IN_TIME, "wait", at, out, expected_s)
+        stop_waiting(state, state.requests[request_id], Reason.NOT_READY_IN_TIME, at, out)
 
 
 def on_run_created(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -296,7 +296,9 @@
         """Send a service call that may repeat to an entry; returns its Asked record."""
         return self.send(entry, "booking", 0, deadline_s, service=True, method="GET", path="/free")
 
-    def send(self, entry, target, tokens, deadline_s, poison=False, digest="", **more) -> Asked:
+    def send(
+        self, entry, target, tokens, deadline_s, poison=False, digest="", token=TOKEN, **more
+    ) -> Asked:
         """Send a request to an entry."""
         request_id = f"r{len(self.asked)}"
         asked = Asked(request_id, entry, target, tokens, self.clock.seconds, poison=poison)
@@ -309,7 +311,7 @@
             lambda at: ev.RequestArrived(
                 at=at,
                 request_id=request_id,
-                token_sha256=token_digest(TOKEN),
+                token_sha256=token_digest(token),
                 target=target,
                 deadline_s=deadline_s,
                 digest=digest or request_id,
