Route by what was sent since the report, and pay for crossing

Cause: the load of an endpoint was its last report as if nothing had changed since, and every entry saw the same least loaded endpoint. Any granted endpoint with room could draw requests over the link between regions, without budget.

Preferring fuller engines at any load raises waits at 85 % load and fills no batch more, so it is done at low load only.

Change: LoadView keeps when its own attempts changed and is corrected as of the sample; batches are filled one after the other up to a share of the load that the preset's weights give; crossing needs a wait that it saves and tokens of this entry's share of the link, and is counted in bytes.

Conclusion: tests/test_routing.py.

--- /dev/null
+++ b/poplarhoist/decisions/crossing.py
@@ -0,0 +1,61 @@
+"""The paid, narrow link to other regions: a byte budget shared by the live entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define
+
+from poplarhoist.decisions.effects import Count
+from poplarhoist.decisions.membership import live_entries
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+BURST_S = 1.0
+SHARE_VALID_S = 1.0
+
+
+@define
+class CrossingState:
+    """A token bucket of bytes; answers may take it below zero.
+
+    Attributes
+    ----------
+    share_bytes_per_s : float
+        This entry's share of the link.
+    """
+
+    tokens: float = 0.0
+    refilled_at: float = float("-inf")
+    share_bytes_per_s: float = 0.0
+    share_at: float = float("-inf")
+
+
+def is_far(state: State, endpoint: str) -> bool:
+    """Return whether an endpoint is in another region."""
+    place = state.members.endpoints[endpoint].endpoint.place
+    return place.region != state.me.place.region
+
+
+def has_budget(state: State, at: float) -> bool:
+    """Return whether a request may cross now."""
+    crossing = state.crossing
+    if at - crossing.share_at >= SHARE_VALID_S:
+        crossing.share_at = at
+        entries = len(live_entries(state, at))
+        crossing.share_bytes_per_s = state.limits.crossing_bytes_per_s / entries
+    most = crossing.share_bytes_per_s * BURST_S
+    earned = (at - crossing.refilled_at) * crossing.share_bytes_per_s
+    crossing.tokens = min(most, crossing.tokens + earned)
+    crossing.refilled_at = at
+    return crossing.tokens > 0.0
+
+
+def spend(state: State, endpoint: str, size: int, direction: str, out: list[Effect]) -> None:
+    """Charge bytes to or from an endpoint if they cross."""
+    if not size or endpoint not in state.members.endpoints or not is_far(state, endpoint):
+        return
+    state.crossing.tokens -= size
+    out.append(Count("crossing_bytes", (direction,), size))
--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -44,6 +44,8 @@
         Share of the queue that one caller may fill.
     crossing_bytes_per_s : float
         Bytes a second that may cross to another region.
+    crossing_price_s : float
+        Wait that a request must save to be worth crossing.
     """
 
     lease_s: float = 3.0
@@ -65,3 +67,4 @@
     lead_missing_s: float = 6.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
+    crossing_price_s: float = 0.5
--- a/poplarhoist/decisions/outcomes.py
+++ b/poplarhoist/decisions/outcomes.py
@@ -6,6 +6,7 @@
 
 from poplarhoist.decisions import (
     admission,
+    crossing,
     grants,
     isolation,
     membership,
@@ -35,6 +36,7 @@
     if request is None or request.attempt != event.attempt or request.stage != Stage.RUNNING:
         return
     requests.release(state, request, event.at, out)
+    crossing.spend(state, event.endpoint, event.size, "in", out)
     out.append(Count("attempt_ended", (event.outcome,)))
     if event.outcome is Outcome.BROKEN:
         quarantine.doubt(state, request, event.endpoint, event.at, out)
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -10,6 +10,7 @@
     grants,
     isolation,
     leadership,
+    load_views,
     membership,
     messages,
     outcomes,
@@ -17,7 +18,6 @@
     quarantine,
     requests,
     revisions,
-    routing,
     runs,
     turns,
 )
@@ -197,7 +197,7 @@
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
-    routing.on_report(state, report)
+    load_views.on_report(state, report, sampled_at)
     placement.on_report(state, report, sampled_at, at, out)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -6,8 +6,10 @@
 
 from poplarhoist.decisions import (
     admission,
+    crossing,
     grants,
     isolation,
+    load_views,
     membership,
     quarantine,
     retries,
@@ -158,7 +160,7 @@
     if quarantine.suspected(state, request.digest):
         isolation.begin(state, request, at, out)
         return
-    endpoint = routing.choose(state, request)
+    endpoint = routing.choose(state, request, at)
     if endpoint is not None:
         dispatch(state, request, endpoint, at, out)
         return
@@ -199,7 +201,8 @@
     request.dispatched_at = at
     request.boot = membership.known_boot(state, endpoint)
     request.alone = alone
-    routing.load_of(state, endpoint).mine += 1
+    load_views.started(state, endpoint, at)
+    crossing.spend(state, endpoint, request.size, "out", out)
     if request.ref is not None:
         request.held = grants.find(state, request.ref, endpoint)
         grants.started(request.held, at)
@@ -222,7 +225,7 @@
         admission.remove(state, request)
         isolation.begin(state, request, at, out)
         return True
-    endpoint = routing.choose(state, request)
+    endpoint = routing.choose(state, request, at)
     if endpoint is None:
         return False
     admission.remove(state, request)
@@ -239,8 +242,8 @@
 
 def release(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
     """Give back what an attempt held."""
-    load = routing.load_of(state, request.endpoint)
-    load.mine = max(0, load.mine - 1)
+    took_s = at - request.dispatched_at
+    load_views.finished(state, request.endpoint, took_s, at)
     if request.held is not None:
         grants.finished(state, request.held, at, out)
         request.held = None
--- a/poplarhoist/decisions/routing.py
+++ b/poplarhoist/decisions/routing.py
@@ -4,38 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
 from attrs import define, field
 
+from poplarhoist.decisions import crossing
+from poplarhoist.decisions.load_views import LoadView, estimate, load_of
 from poplarhoist.decisions.membership import usable
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.state import RequestState, State
-    from poplarhoist.models import Endpoint, EndpointReport
 
 OTHER_ZONE_COST = 0.25
 OTHER_REGION_COST = 4.0
 QUEUE_FACTOR = 1.25
-
-
-@define
-class LoadView:
-    """Load of an endpoint as this entry sees it.
-
-    Attributes
-    ----------
-    mine : int
-        Attempts of this entry that run there.
-    others : int
-        Requests of other entries at the last report.
-    """
-
-    mine: int = 0
-    others: int = 0
-
-    @property
-    def total(self) -> int:
-        """Requests that are expected to be there now."""
-        return self.mine + self.others
+FILL_TARGET = 0.625
+FILL_BELOW = 0.8
 
 
 @define
@@ -45,34 +28,46 @@
     loads: dict[str, LoadView] = field(factory=dict)
 
 
-def load_of(state: State, endpoint: str) -> LoadView:
-    """Return the load of an endpoint, made on first use."""
-    load = state.routing.loads.get(endpoint)
-    if load is None:
-        load = state.routing.loads[endpoint] = LoadView()
-    return load
-
-
-def on_report(state: State, report: EndpointReport) -> None:
-    """Correct the load of an endpoint by its report."""
-    load = load_of(state, report.endpoint)
-    load.others = max(0, report.running + report.waiting - load.mine)
-
-
-def distance_cost(state: State, endpoint: Endpoint) -> float:
+def distance_cost(state: State, name: str) -> float:
     """Return the cost of the way to an endpoint, in shares of a full batch."""
-    if endpoint.place.region != state.me.place.region:
+    place = state.members.endpoints[name].endpoint.place
+    if place.region != state.me.place.region:
         return OTHER_REGION_COST
-    if endpoint.place.zone != state.me.place.zone:
+    if place.zone != state.me.place.zone:
         return OTHER_ZONE_COST
     return 0.0
 
 
-def cost(state: State, name: str) -> float:
-    """Return the cost of sending one more request to an endpoint."""
-    endpoint = state.members.endpoints[name].endpoint
-    load = load_of(state, name).total / max(1, endpoint.batch)
-    return load + distance_cost(state, endpoint)
+def cost(state: State, name: str, fill: bool = False) -> float:
+    """Return the cost of sending one more request to an endpoint, in shares of a full batch.
+
+    Parameters
+    ----------
+    fill : bool
+        Whether to prefer endpoints that run more, up to ``FILL_TARGET``.
+    """
+    load = batch_share(state, name)
+    if fill and load < FILL_TARGET:
+        load = -load
+    return load + distance_cost(state, name)
+
+
+def batch_share(state: State, name: str) -> float:
+    """Return the load that is expected at an endpoint as a share of its batch."""
+    batch = state.members.endpoints[name].endpoint.batch
+    return estimate(state, name) / max(1, batch)
+
+
+def should_fill(state: State, names: list[str]) -> bool:
+    """Return whether to fill batches one after the other, or to spread requests evenly.
+
+    Filling pays while the endpoints have little to do on average; how little depends on how
+    much the preset weighs full batches against waits.
+    """
+    preset = state.config.preset
+    weight = preset.batch_weight / (preset.stall_weight + preset.batch_weight)
+    mean = sum(batch_share(state, name) for name in names) / len(names)
+    return mean < FILL_BELOW * weight
 
 
 def has_room(state: State, name: str) -> bool:
@@ -81,15 +76,34 @@
     return load_of(state, name).total < max(1.0, batch * QUEUE_FACTOR)
 
 
-def choose(state: State, request: RequestState) -> str | None:
+def wait_s(state: State, name: str) -> float:
+    """Return how long one more request is expected to queue at an endpoint."""
+    batch = max(1, state.members.endpoints[name].endpoint.batch)
+    behind = max(0.0, estimate(state, name) + 1.0 - batch)
+    return behind / batch * load_of(state, name).service_s
+
+
+def choose(state: State, request: RequestState, at: float) -> str | None:
     """Return the best granted endpoint with room for a request."""
-    candidates = []
+    near, far = [], []
     for name, held in state.grants.by_ref.get(request.ref, {}).items():
         if held.recalled or held.alone or not usable(state, name):
             continue
-        if has_room(state, name):
-            candidates.append(name)
-    return pick(state, request, candidates)
+        (far if crossing.is_far(state, name) else near).append(name)
+    best = pick(state, request, [name for name in near if has_room(state, name)])
+    if best is None and far and may_cross(state, request, near, at):
+        best = pick(state, request, [name for name in far if has_room(state, name)])
+    return best
+
+
+def may_cross(state: State, request: RequestState, near: list[str], at: float) -> bool:
+    """Return whether a request gains enough by crossing to another region to pay for it."""
+    if near:
+        waited_s = at - request.arrived_at
+        gain_s = max(waited_s, min(wait_s(state, name) for name in near))
+        if gain_s < state.limits.crossing_price_s:
+            return False
+    return crossing.has_budget(state, at)
 
 
 def choose_service(state: State, request: RequestState) -> str | None:
@@ -100,6 +114,19 @@
 
 def pick(state: State, request: RequestState, candidates: list[str]) -> str | None:
     """Return the cheapest of some endpoints, one that failed the request only as the last."""
-    if not candidates:
-        return None
-    return min(sorted(candidates), key=lambda name: (name in request.avoid, cost(state, name)))
+    if len(candidates) <= 1:
+        return candidates[0] if candidates else None
+    fill = should_fill(state, candidates)
+    costs = [(name in request.avoid, cost(state, name, fill), name) for name in sorted(candidates)]
+    failed, lowest, _ = min(costs)
+    best = [name for avoided, price, name in costs if avoided == failed and price <= lowest]
+    if len(best) == 1:
+        return best[0]
+    if request.prefix:
+        return max(best, key=lambda name: affinity(request.prefix, name))
+    return state.random.choice(best)
+
+
+def affinity(prefix: int, endpoint: str) -> int:
+    """Return the rendezvous hash of a prompt's start and an endpoint; the highest is used."""
+    return xxhash.xxh64_intdigest(f"{prefix}|{endpoint}".encode())
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -7,6 +7,7 @@
 
 from poplarhoist.decisions.admission import AdmissionState
 from poplarhoist.decisions.board import Board
+from poplarhoist.decisions.crossing import CrossingState
 from poplarhoist.decisions.grants import GrantState, Held
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
@@ -103,6 +104,7 @@
     boards: dict[str, Board] = field(factory=dict)
     grants: GrantState = field(factory=GrantState)
     admission: AdmissionState = field(factory=AdmissionState)
+    crossing: CrossingState = field(factory=CrossingState)
     routing: RoutingState = field(factory=RoutingState)
     retries: RetryState = field(factory=RetryState)
     quarantine: QuarantineState = field(factory=QuarantineState)
--- a/poplarhoist/decisions/turns.py
+++ b/poplarhoist/decisions/turns.py
@@ -9,10 +9,10 @@
 from poplarhoist.decisions import quarantine
 from poplarhoist.decisions.board import Board, EngineBoard
 from poplarhoist.decisions.effects import SendMessage
+from poplarhoist.decisions.load_views import estimate
 from poplarhoist.decisions.membership import usable
 from poplarhoist.decisions.messages import IsolationDone, IsolationGrant, IsolationWanted
 from poplarhoist.decisions.reservations import is_empty, load_reserved, release, reserve
-from poplarhoist.decisions.routing import load_of
 from poplarhoist.models import AdapterRef
 
 if TYPE_CHECKING:
@@ -199,7 +199,7 @@
 
     def rank(engine: EngineBoard) -> tuple:
         reserved = engine.name in turns.reserved
-        load = load_of(state, engine.name).total
+        load = estimate(state, engine.name)
         return (is_stuck(board, turns, engine, at), not reserved, load, ref not in engine.slots)
 
     engines = [e for e in engines if may_reserve or e.name in turns.reserved]
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -6,6 +6,7 @@
     "refused": ("Requests refused", ("reason", "step")),
     "retry": ("Attempts repeated", ("cause",)),
     "attempt_ended": ("Attempts ended", ("outcome",)),
+    "crossing_bytes": ("Bytes of requests and answers between regions", ("direction",)),
     "endpoint_death": ("Requests that were running when their endpoint died", ()),
     "isolation": ("Steps of requests that may only run alone", ("step",)),
     "load_ended": ("Loads ended", ("outcome",)),
--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -35,6 +35,7 @@
 
 TICK_S = 0.05
 CALL_TIMEOUT_S = 2.0
+TOKEN_BYTES = 200
 TOKEN = "token"
 CALLER = "caller"
 BOOKING_ROUTES = (Route("POST", "/book", False), Route("GET", "/free", True))
@@ -365,6 +366,7 @@
                 endpoint=effect.endpoint,
                 outcome=outcome,
                 reason=reason,
+                size=asked.tokens * TOKEN_BYTES if outcome is ev.Outcome.COMPLETED else 0,
                 record="answer" if effect.ref is None else "",
             ),
         )
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,182 @@
+"""Where requests go: spread, full batches, distance, crossing and leaving endpoints."""
+
+import random
+import statistics
+
+import pytest
+from attrs import evolve
+
+from poplarhoist.decisions import crossing, load_views
+from poplarhoist.decisions import effects as fx
+from poplarhoist.decisions.limits import Limits
+from poplarhoist.decisions.load_views import LoadView
+from poplarhoist.models import Place, Preset
+from poplarhoist.replay.bench import Bench
+
+FIRST_TOKEN_S = 0.38
+LEAVING_S = 3.0
+STEP_S = 0.03
+HERE, NEAR, FAR = Place("r1", "r1-a"), Place("r1", "r1-b"), Place("r2", "r2-a")
+
+
+def site(resident=None, report_lag_s=0.0, preset=None, **more):
+    """Return a site on whose engines ``a0`` is resident, and every entry may use it."""
+    bench = Bench(**{"slots": 4, **more})
+    bench.configure(preset=preset)
+    for name, engine in bench.engines.items():
+        engine.report_lag_s = report_lag_s
+        if resident is None or name in resident:
+            engine.slots["a0@1"] = "resident"
+    bench.run(5.0)
+    for name in bench.entries:
+        bench.ask(name, "a0", tokens=1)
+    bench.run(3.0 + 2 * report_lag_s)
+    return bench
+
+
+def offer(bench, share, seconds, tokens=30, entries=None, **more):
+    """Offer a share of what the engines can do; return the requests and the spreads seen."""
+    rng = random.Random(1)
+    batches = sum(engine.endpoint.batch for engine in bench.engines.values())
+    per_s = share * batches / (tokens * STEP_S)
+    asked, spreads = [], []
+    end = bench.clock.seconds + seconds
+    while bench.clock.seconds < end:
+        bench.run(rng.expovariate(per_s))
+        entry = rng.choice(entries or sorted(bench.entries))
+        length = 1 + int(rng.expovariate(1 / tokens))
+        asked.append(bench.ask(entry, "a0", tokens=length, **more))
+        loads = [len(e.running) + len(e.waiting) for e in bench.engines.values()]
+        spreads.append(max(loads) - min(loads))
+    bench.run(15.0)
+    return asked, spreads
+
+
+def filled(bench):
+    engines = bench.engines.values()
+    steps = sum(engine.steps * engine.endpoint.batch for engine in engines)
+    return sum(engine.filled for engine in engines) / steps
+
+
+@pytest.mark.parametrize("entries", [1, 6, 9])
+@pytest.mark.parametrize("report_lag_s", [0.0, 1.0])
+def test_entries_do_not_herd_on_the_least_loaded_endpoint(entries, report_lag_s):
+    bench = site(entries=entries, engines=12, report_lag_s=report_lag_s)
+    asked, spreads = offer(bench, 0.7, 15.0)
+    waits = sorted(item.first_at - item.asked_at for item in asked)
+    assert waits[int(0.95 * len(waits))] <= FIRST_TOKEN_S
+    assert statistics.mean(spreads) <= 8
+
+
+def test_the_preset_weighs_full_batches_against_waits():
+    found = {}
+    for batch_weight in (0.2, 4.0):
+        preset = Preset("ordinary", batch_weight=batch_weight)
+        bench = site(entries=6, engines=12, report_lag_s=1.0, preset=preset)
+        asked, _ = offer(bench, 0.25, 15.0)
+        waits = sorted(item.first_at - item.asked_at for item in asked)
+        found[batch_weight] = (filled(bench), waits[int(0.95 * len(waits))])
+    assert found[4.0][0] > found[0.2][0]
+    assert found[4.0][1] <= FIRST_TOKEN_S
+
+
+@pytest.mark.parametrize(
+    ("changes", "sampled_at", "reported", "mine_then", "others_then"),
+    [
+        ([], 5.0, 7, 0, 7),
+        ([(1.0, 1), (2.0, 2)], 5.0, 7, 2, 5),
+        ([(1.0, 1), (6.0, 2)], 5.0, 7, 1, 6),
+        ([(1.0, 1), (2.0, 0), (6.0, 1)], 5.0, 3, 0, 3),
+        ([(1.0, 1), (2.0, 2)], 5.0, 1, 2, 0),
+    ],
+)
+def test_a_report_is_corrected_as_of_its_sample(
+    changes, sampled_at, reported, mine_then, others_then
+):
+    bench = Bench(entries=1)
+    state = bench.entries["entry-1"].state
+    bench.run(0.1)
+    state.routing.loads["engine-1"] = load = LoadView()
+    for at, mine in changes:
+        load.mine = mine
+        load.changes.append((at, mine))
+    report = evolve(bench.engines["engine-1"].sample(), running=reported)
+    load_views.on_report(state, report, sampled_at)
+    assert (load.mine_then, load.others_then) == (mine_then, others_then)
+
+
+def test_the_nearest_endpoint_is_taken_while_it_has_room():
+    bench = site(entries=1, engines=3, places=(HERE, NEAR, FAR))
+    asked = []
+    for _ in range(10):
+        asked.append(bench.ask("entry-1", "a0", tokens=2))
+        bench.run(1.0)
+    assert {item.dispatches[0] for item in asked} == {"engine-1"}
+    assert bench.counted("crossing_bytes") == {}
+
+
+def test_what_is_resident_only_in_the_other_region_crosses():
+    bench = site(resident=("engine-2",), entries=1, engines=2, places=(HERE, FAR))
+    before = sum(bench.counted("crossing_bytes").values())
+    asked = bench.ask("entry-1", "a0", size=1000)
+    bench.run(5.0)
+    assert asked.completed
+    assert asked.dispatches == ["engine-2"]
+    assert sum(bench.counted("crossing_bytes").values()) > before + 1000
+
+
+@pytest.mark.parametrize(
+    ("price_s", "bytes_per_s"), [(0.5, 1_875_000.0), (0.5, 20_000.0), (1000.0, 1_875_000.0)]
+)
+def test_crossing_keeps_to_its_price_and_budget(price_s, bytes_per_s):
+    limits = evolve(Limits(), crossing_price_s=price_s, crossing_bytes_per_s=bytes_per_s)
+    bench = site(entries=2, engines=2, places=(HERE, FAR), limits=limits, batch=4)
+    before = sum(bench.counted("crossing_bytes").values())
+    size, seconds = 2000, 10.0
+    asked, _ = offer(bench, 0.9, seconds, entries=["entry-1"], size=size)
+    crossed = sum(bench.counted("crossing_bytes").values()) - before
+    largest = max(item.tokens for item in asked) * 200 + size
+    budget = bytes_per_s * (seconds + 15.0 + crossing.BURST_S) + 10 * largest
+    assert crossed <= budget
+    assert (crossed > 0) == (price_s < 1000.0)
+    assert all(item.completed or item.refusal for item in asked)
+
+
+def test_a_prefix_goes_to_the_endpoint_that_has_seen_it():
+    bench = site(entries=3, engines=4)
+    used = {}
+    for prefix in range(1, 9):
+        for name in bench.entries:
+            asked = bench.ask(name, "a0", tokens=2, prefix=prefix)
+            bench.run(2.0)
+            used.setdefault(prefix, set()).add(asked.dispatches[0])
+    assert all(len(names) == 1 for names in used.values())
+    assert len(set.union(*used.values())) > 1
+
+
+@pytest.mark.parametrize("report_lag_s", [0.0, 1.0])
+def test_a_leaving_endpoint_gets_nothing_new_while_the_list_lags(report_lag_s):
+    bench = site(entries=6, engines=4, report_lag_s=report_lag_s)
+    bench.platform.list_lag_s = 30.0
+    late = []
+
+    def hook(entry, item):
+        if isinstance(item, fx.Dispatch) and item.endpoint == "engine-1":
+            late.append((entry.state.me.name, bench.clock.seconds))
+
+    offer(bench, 0.5, 3.0)
+    bench.leave("engine-1")
+    left_at = bench.clock.seconds
+    bench.hooks.append(hook)
+    asked, _ = offer(bench, 0.5, 20.0)
+    assert [item for item in late if item[1] > left_at + LEAVING_S] == []
+    assert all(item.completed for item in asked)
+
+
+def test_a_silent_endpoint_gets_nothing():
+    bench = site(entries=3, engines=3)
+    bench.engines["engine-1"].silent = True
+    bench.run(bench.limits.poll_s + bench.limits.report_stale_s + 1.0)
+    asked, _ = offer(bench, 0.3, 5.0)
+    assert all("engine-1" not in item.dispatches for item in asked)
+    assert all(item.completed for item in asked)
