--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
+# Sets are walked in the same order on every run of the tests.
+export PYTHONHASHSEED = 0
 
 .PHONY: all setup format lint check test demo load clean
 
--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -174,13 +174,14 @@
 def expired(state: State, at: float) -> list[RequestState]:
     """Return the waiting requests whose deadline has passed."""
     heap = state.admission.deadlines
-    found = []
+    found: dict[str, RequestState] = {}
     while heap and heap[0][0] <= at:
         _, request_id = heapq.heappop(heap)
         request = state.requests.get(request_id)
+        # A request that waited twice stands in the heap twice.
         if request is not None and request.stage == "waiting":
-            found.append(request)
-    return found
+            found[request_id] = request
+    return list(found.values())
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
