--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -178,7 +178,7 @@
     while heap and heap[0][0] <= at:
         _, request_id = heapq.heappop(heap)
         request = state.requests.get(request_id)
-        if request is not None and request.stage == "waiting":
+        if request is not None and request.stage == "waiting" and request not in found:
             found.append(request)
     return found
 
--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 import enum
+import math
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from poplarhoist.decisions.budget import Budget
 from poplarhoist.decisions.effects import OrderKind
+from poplarhoist.decisions.intentbook import IntentBook, Shadow
+from poplarhoist.decisions.loadqueue import LoadQueue
 from poplarhoist.models import AdapterRef
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.state import State
 
-DEMAND_HALF_LIFE_S = 30.0
+DEMAND_HALF_LIFE_S = 120.0
+WAITING_CREDIT_S = 0.5
+WAITING_CREDIT_MAX = 16
+PRIORITY_CREDIT_S = 2.0
 
 
 class SlotState(enum.StrEnum):
@@ -31,26 +39,46 @@
 
     Attributes
     ----------
-    holders : set
-        Entries that hold a grant for it.
     since : float
         When its state was last set; older reports say nothing of it.
+    holders : dict
+        Number of the latest grant, by the entry that holds it; 0 for one of an earlier lead.
     cleared_at : float or None
         When the last holder handed its grant back while draining.
+    clean : bool
+        Whether it is certain that nothing runs on it.
+    promised : bool
+        Whether it drains for a load that requests wait for, so that demand for it has to wait.
+    inherited : bool
+        Whether an earlier lead may have granted it to entries that have not told of it yet.
     """
 
     ref: AdapterRef
     state: SlotState
     since: float
-    holders: set[str] = field(factory=set)
+    holders: dict[str, int] = field(factory=dict)
     cleared_at: float | None = None
     clean: bool = False
+    promised: bool = False
+    inherited: bool = False
     recalled_at: float = float("-inf")
 
 
 @define
 class Order:
-    """A load under way."""
+    """An order under way.
+
+    Attributes
+    ----------
+    sent_at : float
+        When it was sent, or decided if it waits until it is written down.
+    sent : bool
+        Whether it was sent.
+    answered : bool
+        Whether the call ended, with or without an answer.
+    settle_at : float
+        From when on a report tells whether it took effect.
+    """
 
     order_id: str
     endpoint: str
@@ -58,7 +86,9 @@
     ref: AdapterRef | None
     replaces: AdapterRef | None
     sent_at: float
-    lost: bool = False
+    sent: bool = False
+    answered: bool = False
+    settle_at: float = float("inf")
 
 
 @define
@@ -67,10 +97,19 @@
 
     Attributes
     ----------
+    load : float
+        Requests at the last report, as a share of the batch.
+    available : bool
+        Whether it is listed, live and answering.
     settled : bool
         Whether no order of an earlier lead can still take effect and the residency is known.
     fenced_at : float or None
-        When the engine confirmed the epoch of this lead.
+        When the engine confirmed the epoch of this lead, or the intents were read if it does
+        not check epochs.
+    ghosts : dict
+        Holders, as in ``Slot``, of grants for adapter versions that it lost.
+    suspended : set
+        Adapter versions that a late order of an earlier lead may still load or evict.
     reserved_at : float or None
         Since when it is kept empty for one request; None if it is in ordinary use.
     returned_at : float
@@ -81,15 +120,28 @@
 
     name: str
     boot: str = ""
+    capacity: int = 0
+    region: str = ""
+    load: float = 0.0
+    available: bool = False
     slots: dict[AdapterRef, Slot] = field(factory=dict)
     order: Order | None = None
     settled: bool = False
     fenced_at: float | None = None
     fence_sent_at: float = float("-inf")
     retry_at: float = float("-inf")
+    failures: int = 0
+    ghosts: dict[AdapterRef, dict[str, int]] = field(factory=dict)
+    suspended: set[AdapterRef] = field(factory=set)
     reserved_at: float | None = None
     returned_at: float = float("-inf")
     idle_sampled_at: float = float("-inf")
+    asked_at: float = float("-inf")
+
+    @property
+    def in_use(self) -> bool:
+        """Whether entries may be granted its slots."""
+        return self.available and self.reserved_at is None
 
 
 @define
@@ -119,6 +171,18 @@
         """Return the score as of a time."""
         return self.score * 0.5 ** ((at - self.scored_at) / DEMAND_HALF_LIFE_S)
 
+    def worth(self) -> float:
+        """Return the score as a logarithm that does not change as time passes."""
+        if self.score <= 0.0:
+            return float("-inf")
+        return math.log2(self.score) + self.scored_at / DEMAND_HALF_LIFE_S
+
+    def urgency(self) -> tuple[float, float]:
+        """Return the place in the queue of loads; the smallest goes first."""
+        credit_s = WAITING_CREDIT_S * min(WAITING_CREDIT_MAX, self.waiting)
+        credit_s += PRIORITY_CREDIT_S * self.priority
+        return (self.oldest_at - credit_s, -self.score)
+
 
 @define
 class Board:
@@ -128,8 +192,26 @@
     ----------
     ungathered : set
         Entries that have not yet told of the grants that they hold.
-    wanted : set
-        Adapter versions that requests wait for and no engine holds.
+    known_entries : set
+        Entries that were asked or are being asked.
+    wanted : LoadQueue
+        Adapter versions that requests wait for and no engine in use holds.
+    parked : list
+        Heap of times at which a load that failed may be tried again.
+    ahead : LoadQueue
+        Loads that nobody waits for, or that relieve a full engine.
+    ready_free, ready_clean : dict
+        Names of the engines that may load now, with a free slot or a clean one.
+    shadows : dict
+        What late orders may still do, by the order's id.
+    draining : set
+        Engine and adapter version of each draining slot.
+    victims : list
+        Heap of resident slots by worth; entries may be out of date.
+    blocked_since : float or None
+        Since when no engine can take the load that goes first; None if one can.
+    due : list
+        Heap of times at which an engine is looked at again.
     """
 
     base: str
@@ -137,20 +219,46 @@
     since: float
     engines: dict[str, EngineBoard] = field(factory=dict)
     engines_by_ref: dict[AdapterRef, set[str]] = field(factory=dict)
-    demand: dict[AdapterRef, DemandView] = field(factory=dict)
-    wanted: set[AdapterRef] = field(factory=set)
+    demand: OrderedDict[AdapterRef, DemandView] = field(factory=OrderedDict)
+    refs_by_waiting_entry: dict[str, set[AdapterRef]] = field(factory=dict)
+    wanted: LoadQueue = field(factory=LoadQueue)
+    parked: list[tuple[float, AdapterRef]] = field(factory=list)
+    ahead: LoadQueue = field(factory=LoadQueue)
     ungathered: set[str] = field(factory=set)
+    known_entries: set[str] = field(factory=set)
     gather_sent_at: float = float("-inf")
-    tokens: float = 1.0
-    tokens_at: float = 0.0
+    budget: Budget = field(factory=Budget)
+    intents: IntentBook = field(factory=IntentBook)
+    shadows: dict[str, Shadow] = field(factory=dict)
     orders: dict[str, Order] = field(factory=dict)
     order_count: int = 0
+    grant_count: int = 0
+    ready_free: dict[str, None] = field(factory=dict)
+    ready_clean: dict[str, None] = field(factory=dict)
+    unfenced: set[str] = field(factory=set)
+    reserved: set[str] = field(factory=set)
+    draining: set[tuple[str, AdapterRef]] = field(factory=set)
+    victims: list[tuple[float, str, AdapterRef]] = field(factory=list)
+    due: list[tuple[float, str]] = field(factory=list)
+    warm_revision: int = 0
+    warm_preset: str = ""
+    swept_at: float = float("-inf")
+    blocked_since: float | None = None
 
     def score(self, ref: AdapterRef, at: float) -> float:
         """Return the decayed demand for an adapter version."""
         demand = self.demand.get(ref)
         return demand.decayed(at) if demand else 0.0
 
+    def loads_open(self) -> int:
+        """Return how many loads are under way, those without an answer included."""
+        return sum(1 for order in self.orders.values() if order.kind is OrderKind.LOAD)
+
+    @property
+    def loading(self) -> bool:
+        """Whether this base model needs a share of the store's rate now."""
+        return bool(self.wanted or self.orders)
+
 
 def current_board(state: State, base: str, epoch: int) -> Board | None:
     """Return the board of a base model if this entry leads it under that epoch."""
@@ -162,14 +270,19 @@
 
 def add_slot(board: Board, engine: EngineBoard, slot: Slot) -> None:
     """Put an adapter version on an engine."""
+    slot.holders.update(engine.ghosts.pop(slot.ref, {}))
     engine.slots[slot.ref] = slot
     board.engines_by_ref.setdefault(slot.ref, set()).add(engine.name)
 
 
 def drop_slot(board: Board, engine: EngineBoard, ref: AdapterRef) -> None:
-    """Take an adapter version off an engine."""
-    if engine.slots.pop(ref, None) is None:
+    """Take an adapter version off an engine; its holders are remembered."""
+    slot = engine.slots.pop(ref, None)
+    if slot is None:
         return
+    if slot.holders:
+        engine.ghosts[ref] = slot.holders
+    board.draining.discard((engine.name, ref))
     names = board.engines_by_ref[ref]
     names.discard(engine.name)
     if not names:
@@ -177,18 +290,32 @@
     want(board, ref)
 
 
+def is_cleared(board: Board, slot: Slot) -> bool:
+    """Return whether certainly no entry holds a grant for a slot."""
+    return not slot.holders and not (slot.inherited and board.ungathered)
+
+
+def is_usable(engine: EngineBoard, slot: Slot) -> bool:
+    """Return whether a slot serves requests, now or once its load is done."""
+    if not engine.in_use or slot.ref in engine.suspended or slot.promised:
+        return False
+    return slot.state is not SlotState.REPLACING
+
+
+def is_served(board: Board, ref: AdapterRef) -> bool:
+    """Return whether an engine in use holds or loads an adapter version."""
+    for name in board.engines_by_ref.get(ref, ()):
+        engine = board.engines[name]
+        if is_usable(engine, engine.slots[ref]):
+            return True
+    return False
+
+
 def want(board: Board, ref: AdapterRef) -> None:
     """Want a load of an adapter version that requests wait for and no engine in use holds."""
     demand = board.demand.get(ref)
-    if demand is None or not demand.waiting:
+    if demand is None or not demand.waiting_by_entry or is_served(board, ref):
+        board.wanted.discard(ref)
         return
-    names = board.engines_by_ref.get(ref, ())
-    if all(board.engines[name].reserved_at is not None for name in names):
-        board.wanted.add(ref)
-
-
-def forget_engine(board: Board, name: str) -> None:
-    """Drop an engine that is listed no more."""
-    engine = board.engines.pop(name)
-    for ref in list(engine.slots):
-        drop_slot(board, engine, ref)
+    board.wanted.put(ref, demand.urgency())
+    board.ahead.discard(ref)
--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -1,39 +1,167 @@
-"""Which adapter version leaves an engine to make room for another."""
+"""Which adapter versions leave engines to make room, and which engines may load now."""
 
 from __future__ import annotations
 
+import heapq
+import math
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions.board import Board, EngineBoard, Slot, SlotState
-from poplarhoist.decisions.effects import PollEndpoint
-from poplarhoist.decisions.lead_grants import recall
+from poplarhoist.decisions.board import (
+    Board,
+    EngineBoard,
+    Slot,
+    SlotState,
+    is_cleared,
+    want,
+)
+from poplarhoist.decisions.effects import PollEndpoint, SendMessage
+from poplarhoist.decisions.messages import Recall
 
 if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
+CLEAN_AHEAD = 2
+DRAINS_PER_ENGINE = 2
+VICTIMS_LOOKED_AT = 16
+REPLICA_DISCOUNT = 2.0
 
-def make_room(state: State, board: Board, engines: list[EngineBoard], at: float, out) -> None:
-    """Begin to drain the least wanted slot of engines that drain none yet."""
-    best: tuple[float, EngineBoard, Slot] | None = None
-    for engine in engines:
-        if any(slot.state is SlotState.DRAINING for slot in engine.slots.values()):
-            continue
-        for slot in engine.slots.values():
-            if slot.state is not SlotState.RESIDENT:
-                continue
-            loss = expected_loss(board, slot, at)
-            if best is None or loss < best[0]:
-                best = (loss, engine, slot)
-    if best is not None:
-        drain_slot(state, board, best[1], best[2], at, out)
-
-
-def expected_loss(board: Board, slot: Slot, at: float) -> float:
-    """Return how much is lost by evicting a slot."""
+
+def worth(board: Board, slot: Slot) -> float:
+    """Return how much is lost by evicting a slot, as a logarithm; replicas share their demand."""
     demand = board.demand.get(slot.ref)
     if demand is None:
-        return 0.0
-    return demand.decayed(at) + demand.waiting
+        return float("-inf")
+    replicas = len(board.engines_by_ref.get(slot.ref, ()))
+    shared = math.log2(replicas) * REPLICA_DISCOUNT if replicas > 1 else 0.0
+    return demand.worth() - shared
+
+
+def add_victim(board: Board, engine: EngineBoard, slot: Slot) -> None:
+    """Let a resident slot be found when room is needed."""
+    heapq.heappush(board.victims, (worth(board, slot), engine.name, slot.ref))
+    replicas = board.engines_by_ref.get(slot.ref, ())
+    if len(replicas) > 1:
+        for name in replicas:
+            heapq.heappush(board.victims, (worth(board, slot), name, slot.ref))
+
+
+def may_load(state: State, engine: EngineBoard, at: float) -> bool:
+    """Return whether an engine may be ordered to load now."""
+    if not engine.in_use or not engine.settled or engine.order is not None:
+        return False
+    return at >= engine.retry_at
+
+
+def refresh(state: State, board: Board, engine: EngineBoard, at: float) -> None:
+    """Bring the lists of engines that may load in line with an engine."""
+    board.ready_free.pop(engine.name, None)
+    board.ready_clean.pop(engine.name, None)
+    if not may_load(state, engine, at):
+        return
+    if len(engine.slots) < engine.capacity:
+        board.ready_free[engine.name] = None
+    elif clean_slot(board, engine, at) is not None:
+        board.ready_clean[engine.name] = None
+
+
+def clean_slot(board: Board, engine: EngineBoard, at: float) -> Slot | None:
+    """Return the slot of an engine that can be replaced at once and is missed least."""
+    found = [
+        slot
+        for slot in engine.slots.values()
+        if slot.state is SlotState.DRAINING and slot.clean and slot.ref not in engine.suspended
+    ]
+    return min(found, key=lambda slot: worth(board, slot), default=None)
+
+
+def make_room(state: State, board: Board, needed: int, at: float, out: list[Effect]) -> None:
+    """Drain the slots that are missed least until enough are draining.
+
+    Parameters
+    ----------
+    needed : int
+        Slots for loads that requests wait for; some more are drained ahead of need.
+    """
+    slots = [slot_of(board, pair) for pair in board.draining if serves_loads(board, pair)]
+    promised = sum(slot.promised for slot in slots)
+    spare = sorted((slot for slot in slots if not slot.promised), key=lambda s: worth(board, s))
+    for slot in spare[: max(0, needed - promised)]:
+        promise(board, slot)
+        promised += 1
+    while promised < needed:
+        found = find_victim(board)
+        if found is None:
+            return
+        engine, slot = found
+        drain_slot(state, board, engine, slot, at, out)
+        promise(board, slot)
+        promised += 1
+
+
+def drain_ahead(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Drain some slots that nobody holds, so that the next load finds one at once."""
+    draining = sum(1 for pair in board.draining if serves_loads(board, pair))
+    missing = CLEAN_AHEAD - draining - len(board.ready_free)
+    for _ in range(missing):
+        found = find_victim(board, idle=True)
+        if found is None:
+            return
+        drain_slot(state, board, *found, at, out)
+
+
+def promise(board: Board, slot: Slot) -> None:
+    """Keep a draining slot for a load that requests wait for."""
+    slot.promised = True
+    want(board, slot.ref)
+
+
+def serves_loads(board: Board, pair) -> bool:
+    """Return whether a draining slot makes room for ordinary loads."""
+    engine = board.engines[pair[0]]
+    return engine.in_use and engine.settled
+
+
+def slot_of(board: Board, pair) -> Slot:
+    """Return the slot of a draining pair."""
+    name, ref = pair
+    return board.engines[name].slots[ref]
+
+
+def find_victim(board: Board, idle: bool = False) -> tuple[EngineBoard, Slot] | None:
+    """Return the resident slot that is missed least, on an engine that can drain one.
+
+    Parameters
+    ----------
+    idle : bool
+        Whether only slots that nobody holds will do.
+    """
+    put_back = []
+    found = None
+    while board.victims and found is None and len(put_back) < VICTIMS_LOOKED_AT:
+        key, name, ref = heapq.heappop(board.victims)
+        engine = board.engines.get(name)
+        slot = engine.slots.get(ref) if engine else None
+        if slot is None or slot.state is not SlotState.RESIDENT:
+            continue
+        current = worth(board, slot)
+        if current > key:
+            heapq.heappush(board.victims, (current, name, ref))
+        elif may_drain(engine, slot) and not (idle and not is_cleared(board, slot)):
+            found = (engine, slot)
+        else:
+            put_back.append((current, name, ref))
+    for entry in put_back:
+        heapq.heappush(board.victims, entry)
+    return found
+
+
+def may_drain(engine: EngineBoard, slot: Slot) -> bool:
+    """Return whether a slot may be drained now."""
+    if not engine.in_use or not engine.settled or slot.ref in engine.suspended:
+        return False
+    draining = sum(1 for other in engine.slots.values() if other.state is SlotState.DRAINING)
+    return draining < DRAINS_PER_ENGINE
 
 
 def drain_slot(state: State, board: Board, engine: EngineBoard, slot: Slot, at, out) -> None:
@@ -42,8 +170,29 @@
     slot.since = at
     slot.cleared_at = None
     slot.clean = False
-    if slot.holders or board.ungathered:
-        recall(board, engine, slot, at, out)
-    else:
+    slot.promised = False
+    board.draining.add((engine.name, slot.ref))
+    if is_cleared(board, slot):
         slot.cleared_at = at
         out.append(PollEndpoint(engine.name))
+    else:
+        recall(board, engine, slot, at, out)
+
+
+def keep_slot(board: Board, engine: EngineBoard, slot: Slot, at: float) -> None:
+    """Use a draining slot again."""
+    slot.state = SlotState.RESIDENT
+    slot.since = at
+    slot.cleared_at = None
+    slot.clean = False
+    slot.promised = False
+    board.draining.discard((engine.name, slot.ref))
+    add_victim(board, engine, slot)
+
+
+def recall(board: Board, engine: EngineBoard, slot: Slot, at: float, out) -> None:
+    """Ask every holder of a slot to hand its grant back."""
+    slot.recalled_at = at
+    for holder, number in sorted(slot.holders.items()):
+        message = Recall(board.base, board.epoch, slot.ref, engine.name, number)
+        out.append(SendMessage(holder, message))
--- a/poplarhoist/decisions/grants.py
+++ b/poplarhoist/decisions/grants.py
@@ -22,6 +22,8 @@
 
     Attributes
     ----------
+    number : int
+        Number of the lead's latest grant under ``epoch``; 0 if that lead only heard of it.
     in_flight : int
         Attempts that run under it.
     recalled : bool
@@ -33,6 +35,7 @@
     ref: AdapterRef
     endpoint: str
     used_at: float
+    number: int = 0
     in_flight: int = 0
     recalled: bool = False
 
@@ -45,12 +48,15 @@
     ----------
     by_endpoint : dict
         Adapter versions granted, by endpoint.
+    latest : dict
+        Epoch and number of the latest grant of each base model.
     idle_due : list
         Heap of times at which a grant may have become idle.
     """
 
     by_ref: dict[AdapterRef, dict[str, Held]] = field(factory=dict)
     by_endpoint: dict[str, set[AdapterRef]] = field(factory=dict)
+    latest: dict[str, tuple[int, int]] = field(factory=dict)
     idle_due: list[tuple[float, AdapterRef, str]] = field(factory=list)
 
 
@@ -59,18 +65,32 @@
     return state.grants.by_ref.get(ref, {}).get(endpoint)
 
 
-def take(state: State, message: Grant, at: float) -> None:
-    """Hold a grant that the lead gave."""
-    held = find(state, message.ref, message.endpoint)
-    if held is not None:
-        held.epoch = message.epoch
-        held.recalled = False
+def take(state: State, message: Grant, at: float, out: list[Effect]) -> None:
+    """Hold a grant that the lead gave, unless the message is late or repeated."""
+    latest = state.grants.latest.get(message.base, (0, 0))
+    if message.boot not in ("", state.boot):
+        out.append(Count("grant_dropped", ("for-other-boot",)))
+        return
+    if (message.epoch, message.number) <= latest:
+        out.append(Count("grant_dropped", ("repeated",)))
         return
+    state.grants.latest[message.base] = (message.epoch, message.number)
+    held = find(state, message.ref, message.endpoint)
+    if held is None:
+        held = add(state, message, at)
+    held.epoch = message.epoch
+    held.number = message.number
+    held.recalled = False
+
+
+def add(state: State, message: Grant, at: float) -> Held:
+    """Begin to hold a grant."""
     held = Held(message.base, message.epoch, message.ref, message.endpoint, at)
     state.grants.by_ref.setdefault(message.ref, {})[message.endpoint] = held
     state.grants.by_endpoint.setdefault(message.endpoint, set()).add(message.ref)
     due = at + state.limits.grant_idle_s
     heapq.heappush(state.grants.idle_due, (due, message.ref, message.endpoint))
+    return held
 
 
 def drop(state: State, held: Held) -> None:
@@ -93,7 +113,8 @@
     view = state.leadership.by_base.get(held.base)
     if view is None or not view.holder:
         return
-    message = Returned(held.base, view.epoch, held.ref, held.endpoint)
+    number = held.number if held.epoch == view.epoch else 0
+    message = Returned(held.base, view.epoch, held.ref, held.endpoint, number)
     out.append(SendMessage(view.holder, message))
 
 
@@ -101,7 +122,9 @@
     """Hand a grant back now, or once nothing is in flight under it."""
     held = find(state, message.ref, message.endpoint)
     if held is None:
-        answer = Returned(message.base, message.epoch, message.ref, message.endpoint)
+        answer = Returned(
+            message.base, message.epoch, message.ref, message.endpoint, message.number
+        )
         out.append(SendMessage(sender, answer))
     elif held.in_flight:
         held.recalled = True
@@ -138,17 +161,27 @@
     for ref, by_endpoint in state.grants.by_ref.items():
         for endpoint, held in by_endpoint.items():
             if held.base == message.base:
-                held.epoch = message.epoch
-                held.recalled = False
+                note_gathered(held, message.epoch)
                 pairs.append(GrantPair(ref, endpoint))
     orders_open = message.base in state.leadership.open_orders.values()
     answer = HeldGrants(message.base, message.epoch, tuple(pairs), orders_open)
     out.append(SendMessage(sender, answer))
 
 
-def hand_back_all(state: State, out: list[Effect]) -> None:
-    """Hand every grant back, those in use once nothing is in flight under them."""
-    for by_endpoint in list(state.grants.by_ref.values()):
+def note_gathered(held: Held, epoch: int) -> None:
+    """Hold a grant under a new lead, which knows of no recall by the earlier one."""
+    if held.epoch < epoch:
+        held.epoch = epoch
+        held.number = 0
+        held.recalled = False
+
+
+def hand_back_unneeded(state: State, out: list[Effect]) -> None:
+    """Hand back grants that no request waits for, those in use once nothing is in flight."""
+    for ref, by_endpoint in list(state.grants.by_ref.items()):
+        queue = state.admission.queues.get(ref)
+        if queue is not None and queue.by_priority:
+            continue
         for held in list(by_endpoint.values()):
             if held.in_flight:
                 held.recalled = True
@@ -157,7 +190,9 @@
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
-    """Hand back grants that were not used for a while."""
+    """Hand back grants that were not used for a while; while draining, all that are idle."""
+    if state.draining:
+        hand_back_unneeded(state, out)
     grants = state.grants
     while grants.idle_due and grants.idle_due[0][0] <= at:
         _, ref, endpoint = heapq.heappop(grants.idle_due)
--- /dev/null
+++ b/poplarhoist/decisions/intentbook.py
@@ -0,0 +1,85 @@
+"""Orders written down before they are sent, for engines that do not check epochs."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+from poplarhoist.models import AdapterRef
+
+
+@frozen
+class Intent:
+    """An order that may be under way, as it is written on the platform.
+
+    Attributes
+    ----------
+    holder, boot : str
+        Entry that sends the order, and its boot id.
+    """
+
+    order_id: str
+    endpoint: str
+    epoch: int
+    load: str
+    replaces: str
+    holder: str
+    boot: str
+
+
+@define
+class Shadow:
+    """Adapter versions on an engine that a late order may still load or evict.
+
+    Attributes
+    ----------
+    holder, boot : str
+        Entry that sends the order, and its boot id.
+    until : float or None
+        When the order can no longer take effect; None until its sender has ended it.
+    """
+
+    order_id: str
+    endpoint: str
+    refs: frozenset[AdapterRef]
+    holder: str
+    boot: str
+    until: float | None = None
+
+
+@define
+class IntentBook:
+    """The written intents of one base model and those waiting to be written.
+
+    Attributes
+    ----------
+    needed : bool
+        Whether any engine of the base model does not check epochs.
+    read : bool
+        Whether the intents of earlier leads were read.
+    known_at : float or None
+        When the object was first rewritten under this lead's epoch.
+    version : int
+        Version of the object when it was last read or written here.
+    open_by_id : dict
+        Intents of orders that may be under way.
+    queued : list
+        Ids of orders that are not written yet.
+    writing : dict
+        Ids of the orders in each write that may have taken effect, by the write's nonce.
+    dirty : bool
+        Whether the written object names orders that have ended.
+    busy_since : float or None
+        When the call to the platform that is under way was made.
+    """
+
+    needed: bool = False
+    read: bool = False
+    known_at: float | None = None
+    version: int = 0
+    open_by_id: dict[str, Intent] = field(factory=dict)
+    queued: list[str] = field(factory=list)
+    writing: dict[str, list[str]] = field(factory=dict)
+    writes: int = 0
+    dirty: bool = False
+    busy_since: float | None = None
+    next_at: float = float("-inf")
--- /dev/null
+++ b/poplarhoist/decisions/intents.py
@@ -0,0 +1,287 @@
+"""Intents: orders to engines that do not check epochs are written down before they are sent.
+
+One object a base model names every such order that may be under way. A new lead reads it and
+writes it again under its own epoch, so that no late write of an earlier lead succeeds. Then it
+leaves alone what the orders in it may still load or evict, until their sender has ended them.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from poplarhoist import wire
+from poplarhoist.decisions.board import Board, EngineBoard, Order, current_board
+from poplarhoist.decisions.effects import (
+    Count,
+    IntentsRead,
+    IntentWrite,
+    OrderKind,
+    PlatformGet,
+    PlatformPut,
+    PollEndpoint,
+    SendOrder,
+)
+from poplarhoist.decisions.events import CallStatus, PlatformAnswered
+from poplarhoist.decisions.intentbook import Intent, Shadow
+from poplarhoist.decisions.membership import is_gone
+from poplarhoist.models import AdapterRef
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+INTENT_PREFIX = "intents/"
+RETRY_S = 0.25
+CALL_TIMEOUT_S = 5.0
+
+
+def checks_fencing(state: State, engine: EngineBoard) -> bool:
+    """Return whether an engine refuses orders of earlier leads by itself."""
+    view = state.members.endpoints.get(engine.name)
+    return view is None or view.endpoint.checks_fencing
+
+
+def queue(state: State, board: Board, order: Order, at: float, out: list[Effect]) -> None:
+    """Send an order as soon as it is written down."""
+    board.intents.open_by_id[order.order_id] = Intent(
+        order.order_id,
+        order.endpoint,
+        board.epoch,
+        str(order.ref),
+        str(order.replaces) if order.replaces else "",
+        state.me.name,
+        state.boot,
+    )
+    board.intents.queued.append(order.order_id)
+    advance(state, board, at, out)
+
+
+def close(board: Board, order_id: str) -> None:
+    """Note that an order is no longer under way; the object is cleaned later."""
+    book = board.intents
+    if book.open_by_id.pop(order_id, None) is not None:
+        book.dirty = True
+    if order_id in book.queued:
+        book.queued.remove(order_id)
+
+
+def advance(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Read or write the object if that is due and no call is under way."""
+    book = board.intents
+    if not book.needed or at < book.next_at:
+        return
+    if book.busy_since is not None and at - book.busy_since < CALL_TIMEOUT_S:
+        return
+    if not book.read or book.busy_since is not None:
+        read(board, at, out)
+    elif book.known_at is None or book.queued or book.dirty:
+        write(state, board, at, out)
+
+
+def read(board: Board, at: float, out: list[Effect]) -> None:
+    """Read the object."""
+    board.intents.busy_since = at
+    purpose = IntentsRead(board.base, board.epoch)
+    out.append(PlatformGet(INTENT_PREFIX + board.base, purpose))
+
+
+def write(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Write all open intents; orders decided meanwhile go into the next write."""
+    book = board.intents
+    book.writes += 1
+    nonce = f"{state.boot}/{board.epoch}/{book.writes}"
+    book.writing[nonce] = list(book.queued)
+    book.busy_since = at
+    book.dirty = False
+    orders = [wire.dump(intent) for intent in book.open_by_id.values()]
+    value = {"epoch": board.epoch, "nonce": nonce, "orders": orders}
+    purpose = IntentWrite(board.base, board.epoch, nonce)
+    out.append(PlatformPut(INTENT_PREFIX + board.base, value, book.version, purpose))
+
+
+def on_written(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Send the orders that are now written down, or find out whether they are."""
+    board = current_board(state, event.purpose.base, event.purpose.epoch)
+    if board is None:
+        return
+    book = board.intents
+    book.busy_since = None
+    if event.status is CallStatus.OK:
+        book.version = event.version
+        confirm(state, board, event.purpose.nonce, event.at, out)
+    elif event.status is CallStatus.REFUSED:
+        out.append(Count("intent_write_failed", (event.status,)))
+        book.writing.pop(event.purpose.nonce, None)
+        book.dirty = True
+        book.next_at = event.at + RETRY_S
+    else:
+        out.append(Count("intent_write_failed", (event.status,)))
+        book.dirty = True
+        read(board, event.at, out)
+        return
+    advance(state, board, event.at, out)
+
+
+def on_read(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Take the object: an own write whose answer was lost, or an earlier lead's intents."""
+    board = current_board(state, event.purpose.base, event.purpose.epoch)
+    if board is None:
+        return
+    book = board.intents
+    book.busy_since = None
+    if event.status is CallStatus.NOT_FOUND:
+        book.version = 0
+        book.read = True
+    elif event.status is CallStatus.OK:
+        take_value(state, board, event, out)
+    if event.status not in (CallStatus.OK, CallStatus.NOT_FOUND) or not book.read:
+        book.next_at = event.at + RETRY_S
+    advance(state, board, event.at, out)
+
+
+def take_value(state: State, board: Board, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Bring the book in line with the object as it was read."""
+    book = board.intents
+    value = event.value
+    if value["epoch"] > board.epoch:
+        # A later lead has the object; the lease of this one runs out by itself.
+        book.read = False
+        return
+    book.version = event.version
+    book.read = True
+    if value["nonce"] in book.writing:
+        confirm(state, board, value["nonce"], event.at, out)
+    elif value["epoch"] < board.epoch:
+        for data in value["orders"]:
+            inherit(state, board, wire.load(data, Intent))
+
+
+def inherit(state: State, board: Board, intent: Intent) -> None:
+    """Leave alone what an order of an earlier lead may still load or evict."""
+    if intent.order_id in board.shadows:
+        return
+    board.intents.open_by_id[intent.order_id] = intent
+    refs = frozenset(AdapterRef.parse(text) for text in (intent.load, intent.replaces) if text)
+    cast_shadow(board, Shadow(intent.order_id, intent.endpoint, refs, intent.holder, intent.boot))
+
+
+def cast_shadow(board: Board, shadow: Shadow) -> None:
+    """Begin to leave adapter versions on an engine alone."""
+    board.shadows[shadow.order_id] = shadow
+    engine = board.engines.get(shadow.endpoint)
+    if engine is not None:
+        engine.suspended |= shadow.refs
+
+
+def confirm(state: State, board: Board, nonce: str, at: float, out: list[Effect]) -> None:
+    """Send the orders that a write has put down."""
+    book = board.intents
+    order_ids = book.writing[nonce]
+    book.writing.clear()
+    if book.known_at is None:
+        book.known_at = at
+        fence_all(state, board, at, out)
+    for order_id in order_ids:
+        if order_id not in book.queued:
+            continue
+        book.queued.remove(order_id)
+        order = board.orders.get(order_id)
+        if order is not None:
+            emit(state, board, order, at, out)
+
+
+def fence_all(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Treat engines that do not check epochs as fenced: every earlier order is known."""
+    for name in list(board.unfenced):
+        engine = board.engines[name]
+        if not checks_fencing(state, engine):
+            engine.fenced_at = at
+            board.unfenced.discard(name)
+            out.append(PollEndpoint(name))
+
+
+def emit(state: State, board: Board, order: Order, at: float, out: list[Effect]) -> None:
+    """Send an order."""
+    order.sent = True
+    order.sent_at = at
+    order.settle_at = at + state.limits.order_s
+    state.leadership.open_orders[order.order_id] = board.base
+    out.append(
+        SendOrder(
+            order.endpoint, order.order_id, order.kind, board.epoch, order.ref, order.replaces
+        )
+    )
+
+
+def shadow_order(state: State, board: Board, order: Order, at: float) -> None:
+    """Leave alone what an own order may still do that was given up on."""
+    if order.kind is not OrderKind.LOAD or not order.sent:
+        close(board, order.order_id)
+        return
+    refs = frozenset(ref for ref in (order.ref, order.replaces) if ref is not None)
+    shadow = Shadow(order.order_id, order.endpoint, refs, state.me.name, state.boot)
+    if order.answered:
+        shadow.until = at + state.limits.order_s
+    cast_shadow(board, shadow)
+
+
+def on_held(state: State, board: Board, sender: str, orders_open: bool, at: float) -> None:
+    """Note that an entry says whether orders of its own are still under way."""
+    peer = state.members.peers.get(sender)
+    boot = peer.boot if peer else ""
+    for shadow in board.shadows.values():
+        if shadow.holder != sender or shadow.until is not None or sender == state.me.name:
+            continue
+        if not orders_open or boot != shadow.boot:
+            shadow.until = at + state.limits.order_s
+
+
+def unsettled_holders(state: State, board: Board) -> set[str]:
+    """Return the listed entries that have not ended their orders yet."""
+    names = {shadow.holder for shadow in board.shadows.values() if shadow.until is None}
+    return {name for name in names if name in state.members.peers}
+
+
+def settle_gone(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Note senders that the platform lists as gone, and poll engines that are to be settled."""
+    for shadow in list(board.shadows.values()):
+        if shadow.until is None and is_ended(state, shadow):
+            shadow.until = at + state.limits.order_s
+        if shadow.until is None or at <= shadow.until:
+            continue
+        engine = board.engines.get(shadow.endpoint)
+        if engine is None:
+            del board.shadows[shadow.order_id]
+            close(board, shadow.order_id)
+        elif at - engine.asked_at >= state.limits.recall_again_s:
+            engine.asked_at = at
+            out.append(PollEndpoint(engine.name))
+
+
+def is_ended(state: State, shadow: Shadow) -> bool:
+    """Return whether the sender of an order can no longer send it."""
+    if shadow.holder != state.me.name:
+        return is_gone(state, shadow.holder)
+    return shadow.boot != state.boot or shadow.order_id not in state.leadership.open_orders
+
+
+def settle(board: Board, engine: EngineBoard, sampled_at: float) -> set[AdapterRef]:
+    """End shadows by a report; return the adapter versions that are free again."""
+    ended = [
+        shadow
+        for shadow in board.shadows.values()
+        if shadow.endpoint == engine.name and shadow.until is not None and sampled_at > shadow.until
+    ]
+    if not ended:
+        return set()
+    before = set(engine.suspended)
+    for shadow in ended:
+        del board.shadows[shadow.order_id]
+        close(board, shadow.order_id)
+    engine.suspended = {
+        ref
+        for shadow in board.shadows.values()
+        if shadow.endpoint == engine.name
+        for ref in shadow.refs
+    }
+    return before - engine.suspended
--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -4,29 +4,47 @@
 
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions.board import Board, EngineBoard, Slot, SlotState, current_board
+from poplarhoist.decisions import evictions
+from poplarhoist.decisions.board import (
+    Board,
+    EngineBoard,
+    Slot,
+    SlotState,
+    current_board,
+    is_cleared,
+    is_usable,
+    want,
+)
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
-from poplarhoist.decisions.messages import Grant, Recall, Returned
-from poplarhoist.models import Liveness
+from poplarhoist.decisions.membership import is_gone
+from poplarhoist.decisions.messages import Grant, Returned
 
 if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
 
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
     """Let an entry dispatch to a slot, if it is fit for use; return whether it was."""
-    view = state.members.endpoints.get(engine.name)
-    if not engine.settled or view is None or view.leaving or engine.reserved_at is not None:
+    if not engine.settled or not is_usable(engine, slot):
         return False
     if slot.state is SlotState.DRAINING:
-        slot.state = SlotState.RESIDENT
-        slot.since = at
-        slot.cleared_at = None
-        slot.clean = False
+        evictions.keep_slot(board, engine, slot, at)
+        evictions.refresh(state, board, engine, at)
     if slot.state is not SlotState.RESIDENT:
         return False
-    slot.holders.add(entry)
-    out.append(SendMessage(entry, Grant(board.base, board.epoch, slot.ref, engine.name)))
+    board.grant_count += 1
+    slot.holders[entry] = board.grant_count
+    peer = state.members.peers.get(entry)
+    message = Grant(
+        board.base,
+        board.epoch,
+        slot.ref,
+        engine.name,
+        board.grant_count,
+        peer.boot if peer else state.boot,
+    )
+    out.append(SendMessage(entry, message))
     return True
 
 
@@ -35,61 +53,51 @@
     demand = board.demand.get(slot.ref)
     if demand is None:
         return
-    granted = False
     for entry in sorted(demand.waiting_by_entry):
-        granted |= grant(state, board, engine, slot, entry, at, out)
-    if granted:
-        board.wanted.discard(slot.ref)
+        grant(state, board, engine, slot, entry, at, out)
+    want(board, slot.ref)
 
 
-def recall(board: Board, engine: EngineBoard, slot: Slot, at: float, out) -> None:
-    """Ask every holder of a slot to hand its grant back."""
-    slot.recalled_at = at
-    for holder in sorted(slot.holders):
-        message = Recall(board.base, board.epoch, slot.ref, engine.name)
-        out.append(SendMessage(holder, message))
-
-
-def recall_again(state: State, board: Board, engine: EngineBoard, at: float, out) -> None:
-    """Repeat recalls that were not answered, and look for reports that are still missing."""
-    for slot in engine.slots.values():
-        if slot.state is not SlotState.DRAINING or slot.clean:
-            continue
-        if at - max(slot.recalled_at, slot.since) < state.limits.recall_again_s:
-            continue
-        gone = gone_holders(state, slot)
-        if gone:
-            slot.holders -= gone
-            engine.returned_at = at
-        if slot.holders:
-            recall(board, engine, slot, at, out)
+def recall_again(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Repeat recalls that were not answered, and ask for reports that are still missing."""
+    for name, ref in sorted(board.draining):
+        engine = board.engines[name]
+        slot = engine.slots[ref]
+        if slot.clean or at - max(slot.recalled_at, slot.since) < state.limits.recall_again_s:
             continue
         slot.recalled_at = at
-        if slot.cleared_at is None and not board.ungathered:
+        release_gone(state, engine, slot, at)
+        if slot.cleared_at is None and is_cleared(board, slot):
             slot.cleared_at = at
-        out.append(PollEndpoint(engine.name))
-
+        if slot.cleared_at is not None:
+            out.append(PollEndpoint(engine.name))
+        else:
+            evictions.recall(board, engine, slot, at, out)
 
-def gone_holders(state: State, slot: Slot) -> set[str]:
-    """Return the holders of a slot that the platform lists no more."""
-    return {name for name in slot.holders if name != state.me.name and is_gone(state, name)}
 
-
-def is_gone(state: State, name: str) -> bool:
-    """Return whether the platform lists an entry as gone, or not at all."""
-    peer = state.members.peers.get(name)
-    return peer is None or peer.instance.state is Liveness.GONE
+def release_gone(state: State, engine: EngineBoard, slot: Slot, at: float) -> None:
+    """Take grants back from holders that the platform lists no more."""
+    for name in [name for name in slot.holders if is_gone(state, name)]:
+        del slot.holders[name]
+        engine.returned_at = at
 
 
 def take_return(state: State, sender: str, message: Returned, at: float, out) -> None:
-    """Note that an entry handed a grant back."""
+    """Note that an entry handed a grant back, unless a later grant is on its way to it."""
     board = current_board(state, message.base, message.epoch)
     engine = board.engines.get(message.endpoint) if board else None
-    slot = engine.slots.get(message.ref) if engine else None
-    if slot is None:
+    if engine is None:
+        return
+    slot = engine.slots.get(message.ref)
+    holders = slot.holders if slot else engine.ghosts.get(message.ref, {})
+    if sender not in holders or message.number < holders[sender]:
         return
-    slot.holders.discard(sender)
+    del holders[sender]
     engine.returned_at = at
-    if slot.state is SlotState.DRAINING and not slot.holders and not board.ungathered:
+    if slot is None:
+        if not holders:
+            del engine.ghosts[message.ref]
+        return
+    if slot.state is SlotState.DRAINING and slot.cleared_at is None and is_cleared(board, slot):
         slot.cleared_at = at
         out.append(PollEndpoint(engine.name))
--- a/poplarhoist/decisions/leadership.py
+++ b/poplarhoist/decisions/leadership.py
@@ -18,9 +18,11 @@
     LogChange,
     PlatformGet,
     PlatformPut,
+    SendMessage,
 )
 from poplarhoist.decisions.events import CallStatus, PlatformAnswered
 from poplarhoist.decisions.membership import live_entries, rank
+from poplarhoist.decisions.messages import LeadReleased
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
@@ -43,6 +45,12 @@
         Until when this entry may act as the lead; minus infinity if it is not the lead.
     claimed_at : float
         When the holder last said to be the lead.
+    attempted : dict
+        Writes that may have taken effect or still may, by nonce.
+    led_epoch : int
+        Latest epoch under which this entry acted; no epoch is used a second time.
+    release_nonce : str
+        Nonce of the release that is under way; empty if none is.
     """
 
     base: str
@@ -55,6 +63,8 @@
     call_since: float | None = None
     next_call_at: float = 0.0
     attempted: dict[str, LeaseWrite] = field(factory=dict)
+    led_epoch: int = 0
+    release_nonce: str = ""
 
 
 @define
@@ -66,12 +76,15 @@
     writes : int
         Lease writes so far, to tell them apart.
     open_orders : dict
-        Base model by id of each order that may still be under way, whoever leads now.
+        Base model by id of each order of which the call has not ended, whoever leads now.
+    loading_heard : dict
+        When the lead of a base model last said that it needs a share of the store.
     """
 
     by_base: dict[str, LeaseView] = field(factory=dict)
     writes: int = 0
     open_orders: dict[str, str] = field(factory=dict)
+    loading_heard: dict[str, float] = field(factory=dict)
 
 
 def known_lead(state: State, base: str) -> str:
@@ -107,8 +120,50 @@
     for base in list(state.boards):
         view = state.leadership.by_base[base]
         step_down(state, view, "draining", out)
-        value = {"holder": "", "epoch": view.epoch, "nonce": f"{state.boot}/released"}
-        out.append(PlatformPut(LEAD_PREFIX + base, value, view.version, LeaseRelease(base)))
+        release(state, view, at, out)
+
+
+def release(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
+    """Free the lease object for others."""
+    nonce = f"{state.boot}/released/{view.epoch}"
+    view.release_nonce = nonce
+    view.call_since = at
+    value = {"holder": "", "epoch": view.epoch, "nonce": nonce}
+    out.append(PlatformPut(LEAD_PREFIX + view.base, value, view.version, LeaseRelease(view.base)))
+
+
+def releasing(state: State) -> bool:
+    """Return whether the release of a lease is under way."""
+    return any(view.release_nonce for view in state.leadership.by_base.values())
+
+
+def on_released(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Tell the peers that a lease is free, or find out whether it is."""
+    view = view_of(state, event.purpose.base)
+    view.call_since = None
+    if event.status is CallStatus.OK:
+        announce_release(state, view, out)
+    elif event.status is CallStatus.REFUSED:
+        view.release_nonce = ""
+    else:
+        read(view, event.at, out)
+
+
+def announce_release(state: State, view: LeaseView, out: list[Effect]) -> None:
+    """Tell the peers that a lease is free."""
+    view.release_nonce = ""
+    for peer in state.members.peers:
+        out.append(SendMessage(peer, LeadReleased(view.base, view.epoch)))
+
+
+def on_lead_released(state: State, sender: str, message: LeadReleased, at: float) -> None:
+    """Seek a lease at once that its holder gave up."""
+    view = view_of(state, message.base)
+    if message.epoch < view.epoch or view.base in state.boards:
+        return
+    view.holder = ""
+    view.claimed_at = at - state.limits.peer_timeout_s
+    view.next_call_at = at
 
 
 def advance(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
@@ -117,6 +172,7 @@
         if at - view.call_since < CALL_TIMEOUT_S:
             return
         view.call_since = None
+        view.release_nonce = ""
     if at < view.next_call_at:
         return
     if view.base in state.boards:
@@ -126,14 +182,31 @@
         seek(state, view, at, out)
 
 
+def candidates(state: State, at: float) -> list[str]:
+    """Return the entries that may take a lease now."""
+    peers = state.members.peers
+    return [
+        name
+        for name in live_entries(state, at)
+        if name == state.me.name or not peers[name].draining
+    ]
+
+
 def seek(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
     """Read the lease when its holder has not been heard of, the best-ranked entry first."""
-    place = rank(view.base, live_entries(state, at)).index(state.me.name)
     quiet_s = at - view.claimed_at
+    if quiet_s < state.limits.peer_timeout_s:
+        return
+    place = rank(view.base, candidates(state, at)).index(state.me.name)
     if quiet_s < state.limits.peer_timeout_s + place * RANK_DELAY_S:
         return
-    view.call_since = at
+    read(view, at, out)
     view.next_call_at = at + state.limits.lease_renew_s
+
+
+def read(view: LeaseView, at: float, out: list[Effect]) -> None:
+    """Read the lease object."""
+    view.call_since = at
     out.append(PlatformGet(LEAD_PREFIX + view.base, LeaseRead(view.base, at)))
 
 
@@ -149,53 +222,64 @@
 
 
 def on_read(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Learn the lease's holder; take it over if it stood unchanged for long enough."""
+    """Learn who holds the lease."""
     view = view_of(state, event.purpose.base)
     view.call_since = None
     if event.status is CallStatus.NOT_FOUND:
-        view.version = 0
-        write_lease(state, view, view.epoch + 1, event.at, out)
+        if view.base not in state.boards:
+            view.version = 0
+            take(state, view, event.at, out)
         return
-    if event.status is not CallStatus.OK:
+    if event.status is not CallStatus.OK or event.version < view.version:
         return
     value = event.value
-    if settle_lost_write(state, view, event, out):
-        return
-    if not value["holder"]:
+    view.epoch = max(view.epoch, value["epoch"])
+    if value["nonce"] == view.release_nonce:
         view.version = event.version
-        write_lease(state, view, max(view.epoch, value["epoch"]) + 1, event.at, out)
-        return
-    if event.version != view.version:
+        announce_release(state, view, out)
+    elif value["nonce"] in view.attempted:
+        hold(state, view, view.attempted[value["nonce"]], event.version, event.at, out)
+    else:
+        judge(state, view, event, out)
+
+
+def judge(state: State, view: LeaseView, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Take over a lease that is free or stood unchanged for long enough."""
+    view.release_nonce = ""
+    holder = event.value["holder"]
+    if event.version == view.version:
+        stood_s = event.at - view.seen_at
+    else:
         view.version = event.version
         view.seen_at = event.at
-        view.holder = value["holder"]
-        view.epoch = max(view.epoch, value["epoch"])
-        return
-    if event.at - view.seen_at >= state.limits.lease_s:
-        write_lease(state, view, max(view.epoch, value["epoch"]) + 1, event.at, out)
+        stood_s = 0.0
+        if view.base in state.boards:
+            step_down(state, view, "lease-lost", out)
+        view.holder = holder if holder != state.me.name else ""
+    if view.base not in state.boards and (not holder or stood_s >= state.limits.lease_s):
+        take(state, view, event.at, out)
 
 
-def settle_lost_write(state: State, view: LeaseView, event: PlatformAnswered, out) -> bool:
-    """Recognise an own write whose answer was lost; return whether it was one."""
-    attempted = view.attempted.get(event.value["nonce"])
-    if attempted is None:
-        return False
-    hold(state, view, attempted, event.version, event.at, out)
-    return True
+def take(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
+    """Try to become the lead under the next epoch."""
+    if not state.draining:
+        write_lease(state, view, view.epoch + 1, at, out)
 
 
 def on_write(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Learn whether the lease was taken or renewed."""
+    """Learn whether the lease was taken or renewed.
+
+    A conflict may come from an own earlier write that landed late, so the object is read before
+    anything is given up; until then the time of the last renewal bounds what is done.
+    """
     view = view_of(state, event.purpose.base)
     view.call_since = None
     if event.status is CallStatus.OK:
         hold(state, view, event.purpose, event.version, event.at, out)
-        return
-    if event.status is CallStatus.CONFLICT and view.base in state.boards:
-        step_down(state, view, "lease-lost", out)
-    view.claimed_at = float("-inf")
-    view.call_since = event.at
-    out.append(PlatformGet(LEAD_PREFIX + view.base, LeaseRead(view.base, event.at)))
+    elif event.status is CallStatus.REFUSED:
+        view.attempted.pop(event.purpose.nonce, None)
+    else:
+        read(view, event.at, out)
 
 
 def hold(state: State, view: LeaseView, write: LeaseWrite, version: int, at: float, out) -> None:
@@ -205,11 +289,18 @@
     view.attempted.clear()
     if write.epoch < view.epoch:
         return
-    view.holder = state.me.name
     view.epoch = write.epoch
+    if state.draining:
+        release(state, view, at, out)
+        return
     view.mine_until = write.sent_at + state.limits.lease_use_s
-    if view.base in state.boards or at >= view.mine_until or state.draining:
+    if view.base in state.boards:
         return
+    if at >= view.mine_until or write.epoch <= view.led_epoch:
+        take(state, view, at, out)
+        return
+    view.holder = state.me.name
+    view.led_epoch = view.epoch
     out.append(LogChange("lead-taken", {"base": view.base, "epoch": view.epoch}))
     placement.take_over(state, view.base, view.epoch, at, out)
 
--- /dev/null
+++ b/poplarhoist/decisions/loadqueue.py
@@ -0,0 +1,53 @@
+"""An ordered queue of adapter versions to load, with cheap ranks."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from poplarhoist.models import AdapterRef
+
+Key = tuple[float, float]
+
+
+@define
+class LoadQueue:
+    """Adapter versions by key; the smallest key goes first."""
+
+    keys_by_ref: dict[AdapterRef, Key] = field(factory=dict)
+    ordered: list[tuple[Key, AdapterRef]] = field(factory=list)
+
+    def __contains__(self, ref: AdapterRef) -> bool:
+        return ref in self.keys_by_ref
+
+    def __len__(self) -> int:
+        return len(self.ordered)
+
+    def __iter__(self) -> Iterator[AdapterRef]:
+        return (ref for _, ref in self.ordered)
+
+    def put(self, ref: AdapterRef, key: Key) -> None:
+        """Add an adapter version, or change its key."""
+        old = self.keys_by_ref.get(ref)
+        if old == key:
+            return
+        if old is not None:
+            self.discard(ref)
+        self.keys_by_ref[ref] = key
+        bisect.insort(self.ordered, (key, ref))
+
+    def discard(self, ref: AdapterRef) -> None:
+        """Take an adapter version out, if it is in."""
+        key = self.keys_by_ref.pop(ref, None)
+        if key is not None:
+            del self.ordered[bisect.bisect_left(self.ordered, (key, ref))]
+
+    def rank(self, ref: AdapterRef) -> int:
+        """Return how many go before an adapter version that is in."""
+        return bisect.bisect_left(self.ordered, (self.keys_by_ref[ref], ref))
+
+    def first(self) -> AdapterRef | None:
+        """Return the adapter version that goes first; None if there is none."""
+        return self.ordered[0][1] if self.ordered else None
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -67,7 +67,13 @@
 
 @define
 class MembershipState:
-    """Peers and endpoints by name, and what is due."""
+    """Peers and endpoints by name, and what is due.
+
+    Attributes
+    ----------
+    changed_endpoints, joined : set
+        Endpoints and peers of which the leads have not yet taken a change.
+    """
 
     peers: dict[str, Peer] = field(factory=dict)
     endpoints: dict[str, EndpointView] = field(factory=dict)
@@ -75,6 +81,8 @@
     services_by_name: dict[str, set[str]] = field(factory=dict)
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
+    changed_endpoints: set[str] = field(factory=set)
+    joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
 
 
@@ -92,6 +100,14 @@
     )
 
 
+def is_gone(state: State, name: str) -> bool:
+    """Return whether the platform lists another entry as gone, or not at all."""
+    if name == state.me.name:
+        return False
+    peer = state.members.peers.get(name)
+    return peer is None or peer.instance.state is Liveness.GONE
+
+
 def usable(state: State, name: str) -> bool:
     """Return whether an endpoint may get new work."""
     view = state.members.endpoints.get(name)
@@ -119,6 +135,7 @@
     peer = state.members.peers.get(name)
     if peer is None:
         state.members.peers[name] = Peer(instance)
+        state.members.joined.add(name)
         out.append(LogChange("peer-listed", {"peer": name}))
     else:
         peer.instance = instance
@@ -128,6 +145,7 @@
     """Add, change or remove an endpoint."""
     name = event.path.removeprefix(ENDPOINT_PREFIX)
     members = state.members
+    members.changed_endpoints.add(name)
     if event.value is None:
         view = members.endpoints.pop(name, None)
         if view is not None:
@@ -159,6 +177,7 @@
     if view is None or view.leaving:
         return
     view.leaving = True
+    state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-leaving", {"endpoint": name, "source": source}))
 
 
@@ -170,6 +189,8 @@
     restarted = view.report is not None and view.report.boot != report.boot
     view.report = report
     view.sampled_at = sampled_at
+    if view.silent_since is not None or view.leaving:
+        state.members.changed_endpoints.add(report.endpoint)
     view.silent_since = None
     if report.state is Liveness.LIVE and view.endpoint.state is Liveness.LIVE:
         view.leaving = False
@@ -195,6 +216,7 @@
     if view is None or view.silent_since is not None:
         return
     view.silent_since = at
+    state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-silent", {"endpoint": name}))
 
 
@@ -233,7 +255,9 @@
 def send_heartbeats(state: State, at: float, out: list[Effect]) -> None:
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
-    leads = tuple(LeadClaim(base, board.epoch) for base, board in state.boards.items())
+    leads = tuple(
+        LeadClaim(base, board.epoch, board.loading) for base, board in state.boards.items()
+    )
     leaving = tuple(name for name, view in members.endpoints.items() if view.leaving)
     beat = Heartbeat(state.config.revision, state.draining, leads, leaving)
     reports = tuple(
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -12,10 +12,17 @@
 
 @frozen
 class LeadClaim:
-    """Says that the sender leads a base model under an epoch."""
+    """Says that the sender leads a base model under an epoch.
+
+    Attributes
+    ----------
+    loading : bool
+        Whether the base model needs a share of the weight store now.
+    """
 
     base: str
     epoch: int
+    loading: bool = False
 
 
 @frozen
@@ -88,12 +95,22 @@
 
 @frozen
 class Grant:
-    """Lets the receiver dispatch an adapter version to an endpoint."""
+    """Lets the receiver dispatch an adapter version to an endpoint.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each grant of one epoch, so that late or repeated messages are told apart.
+    boot : str
+        Boot id of the receiver that is meant.
+    """
 
     base: str
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+    boot: str = ""
 
 
 @frozen
@@ -104,6 +121,7 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
 
 
 @frozen
@@ -114,6 +132,15 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+
+
+@frozen
+class LeadReleased:
+    """Says that the sender gave up a base model's lease, which is free to take."""
+
+    base: str
+    epoch: int
 
 
 @frozen
@@ -193,6 +220,7 @@
     | Grant
     | Recall
     | Returned
+    | LeadReleased
     | GatherGrants
     | HeldGrants
     | SuspectNotice
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -2,65 +2,103 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions import lead_grants
-from poplarhoist.decisions.board import (
-    Board,
-    EngineBoard,
-    SlotState,
-    current_board,
-    forget_engine,
+from poplarhoist.decisions import (
+    ahead,
+    budget,
+    demand,
+    evictions,
+    intents,
+    lead_grants,
+    orders,
+    reservations,
+    residency,
 )
-from poplarhoist.decisions.demand import expected_ready_s, grant_or_want, order_key, take_demand
-from poplarhoist.decisions.effects import OrderKind, SendMessage
-from poplarhoist.decisions.events import OrderAnswered, OrderOutcome
-from poplarhoist.decisions.evictions import make_room
-from poplarhoist.decisions.lead_grants import recall_again
-from poplarhoist.decisions.messages import Demand, Expected, HeldGrants, Returned
-from poplarhoist.decisions.orders import fence, finish_order, send_load, settle_lost_orders
-from poplarhoist.decisions.residency import gather, reconcile, take_held
+from poplarhoist.decisions.board import Board, EngineBoard, Slot, current_board, want
+from poplarhoist.decisions.events import OrderAnswered
+from poplarhoist.decisions.messages import Demand, HeldGrants, Returned
 from poplarhoist.models import AdapterRef, EndpointReport
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
+CANDIDATES = 16
+REGION_COST = 0.5
+AHEAD_MARGIN = 0.5
+WARM_SCORE = 1.0
+
 
 def take_over(state: State, base: str, epoch: int, at: float, out: list[Effect]) -> None:
     """Begin to lead a base model: gather grants and residency first."""
-    board = Board(base, epoch, at, tokens_at=at)
-    board.ungathered = {state.me.name, *state.members.peers}
+    board = Board(base, epoch, at)
+    board.budget.filled_at = at
+    board.known_entries = {state.me.name, *state.members.peers}
+    board.ungathered = set(board.known_entries)
     state.boards[base] = board
+    for name in sorted(state.members.engines_by_base.get(base, ())):
+        residency.add_engine(state, board, name, at)
     advance(state, board, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Do what is due on each board."""
+    for name in sorted(state.members.changed_endpoints):
+        on_endpoint(state, name, at)
+    state.members.changed_endpoints.clear()
     for board in state.boards.values():
+        for name in state.members.joined - board.known_entries:
+            board.known_entries.add(name)
+            board.ungathered.add(name)
         advance(state, board, at, out)
+    state.members.joined.clear()
+
+
+def on_endpoint(state: State, name: str, at: float) -> None:
+    """Take a change of what is known of an endpoint."""
+    view = state.members.endpoints.get(name)
+    for board in state.boards.values():
+        if view is None:
+            residency.forget_engine(board, name, at)
+        elif name in state.members.engines_by_base.get(board.base, ()):
+            residency.add_engine(state, board, name, at)
 
 
 def advance(state: State, board: Board, at: float, out: list[Effect]) -> None:
     """Gather, fence, settle lost orders and place loads."""
-    gather(state, board, at, out)
-    for name in state.members.engines_by_base.get(board.base, ()):
-        engine = board.engines.get(name)
-        if engine is None:
-            engine = board.engines[name] = EngineBoard(name)
-        fence(state, board, engine, at, out)
-        recall_again(state, board, engine, at, out)
-    for name in list(board.engines.keys() - state.members.engines_by_base.get(board.base, set())):
-        forget_engine(board, name)
-    settle_lost_orders(state, board, at, out)
+    residency.gather(state, board, at, out)
+    intents.advance(state, board, at, out)
+    intents.settle_gone(state, board, at, out)
+    for name in sorted(board.unfenced):
+        orders.fence(state, board, board.engines[name], at, out)
+    lead_grants.recall_again(state, board, at, out)
+    reservations.poll(state, board, at, out)
+    orders.settle_lost_orders(state, board, at, out)
+    demand.drop_silent(state, board, at)
+    ahead.on_config(state, board)
+    wake(state, board, at)
     pump(state, board, at, out)
 
 
+def wake(state: State, board: Board, at: float) -> None:
+    """Look again at engines and loads of which the backoff has ended."""
+    while board.due and board.due[0][0] <= at:
+        _, name = heapq.heappop(board.due)
+        if name in board.engines:
+            evictions.refresh(state, board, board.engines[name], at)
+    while board.parked and board.parked[0][0] <= at:
+        _, ref = heapq.heappop(board.parked)
+        want(board, ref)
+
+
 def on_held(state: State, sender: str, message: HeldGrants, at: float, out) -> None:
     """Take an entry's account of the grants that it holds."""
     board = current_board(state, message.base, message.epoch)
     if board is not None:
-        take_held(state, board, sender, message, at)
+        residency.take_held(state, board, sender, message, at)
         pump(state, board, at, out)
 
 
@@ -70,14 +108,13 @@
     if board is None:
         return
     for item in message.items:
-        take_demand(board, sender, item, at)
-        grant_or_want(state, board, sender, item.ref, at, out)
+        demand.take_demand(board, sender, item, at)
+        demand.grant_or_want(state, board, sender, item.ref, at, out)
+        ahead.replicate(board, item.ref, at)
     pump(state, board, at, out)
     for item in message.items:
-        if item.waiting and item.ref in board.wanted:
-            ready_in_s = expected_ready_s(state, board, item.ref, at)
-            answer = Expected(board.base, board.epoch, item.ref, ready_in_s)
-            out.append(SendMessage(sender, answer))
+        if item.waiting:
+            demand.tell_expected(state, board, sender, item.ref, at, out)
 
 
 def on_returned(state: State, sender: str, message: Returned, at: float, out) -> None:
@@ -85,69 +122,143 @@
     lead_grants.take_return(state, sender, message, at, out)
 
 
-def on_report(state: State, report: EndpointReport, sampled_at: float, at: float, out) -> None:
-    """Bring the board in line with what an engine reports."""
+def on_report(
+    state: State,
+    report: EndpointReport,
+    sampled_at: float,
+    at: float,
+    out: list[Effect],
+    polled: bool = True,
+) -> None:
+    """Bring the board in line with what an engine reports.
+
+    Parameters
+    ----------
+    polled : bool
+        Whether the report was read here: only then it is certain that it was sampled after
+        ``sampled_at``.
+    """
     for board in state.boards.values():
         engine = board.engines.get(report.endpoint)
-        if engine is not None:
-            reconcile(state, board, engine, report, sampled_at, at, out)
+        if engine is None:
+            continue
+        view = state.members.endpoints[engine.name]
+        engine.load = (report.running + report.waiting) / max(1, view.endpoint.batch)
+        if polled:
+            residency.reconcile(state, board, engine, report, sampled_at, at, out)
             pump(state, board, at, out)
+        else:
+            residency.take_hearsay(state, board, engine, report, out)
 
 
 def on_order(state: State, event: OrderAnswered, out: list[Effect]) -> None:
     """Take the outcome of an order."""
-    if event.outcome is not OrderOutcome.UNKNOWN:
-        state.leadership.open_orders.pop(event.order_id, None)
+    state.leadership.open_orders.pop(event.order_id, None)
     for board in state.boards.values():
         order = board.orders.get(event.order_id)
         if order is not None:
-            finish_order(state, board, order, event, out)
+            orders.finish_order(state, board, order, event, out)
             pump(state, board, event.at, out)
             return
 
 
-def refill(state: State, board: Board, at: float) -> None:
-    """Add to the loads allowed by the store's rate."""
-    limits = state.limits
-    board.tokens += (at - board.tokens_at) * limits.store_loads_per_s
-    board.tokens = min(board.tokens, max(1.0, limits.store_loads_per_s / 2))
-    board.tokens_at = at
-
-
 def pump(state: State, board: Board, at: float, out: list[Effect]) -> None:
-    """Start as many wanted loads as the store and the engines allow."""
-    refill(state, board, at)
-    ranked = sorted(board.wanted, key=lambda ref: order_key(board, ref, at), reverse=True)
-    for ref in ranked:
-        loads = sum(1 for order in board.orders.values() if order.kind is OrderKind.LOAD)
-        if board.tokens < 1.0 or loads >= state.limits.store_in_flight:
-            return
+    """Start as many loads as the store and the engines allow, those waited for first."""
+    budget.refill(state, board, at)
+    blocked = False
+    while board.wanted and budget.may_load(state, board, at):
+        ref = board.wanted.first()
         if board.demand[ref].retry_at > at:
+            board.wanted.discard(ref)
+            heapq.heappush(board.parked, (board.demand[ref].retry_at, ref))
             continue
-        place(state, board, ref, at, out)
+        target = choose(state, board, ref, at)
+        if target is None:
+            blocked = True
+            break
+        board.blocked_since = None
+        orders.send_load(state, board, target[0], ref, target[1], at, out)
+    note_blocked(board, blocked, at)
+    if board.wanted:
+        limit = budget.in_flight_limit(state, board, at)
+        needed = min(len(board.wanted), limit) - len(board.ready_free)
+        evictions.make_room(state, board, needed, at, out)
+        return
+    keep_promised(state, board, at, out)
+    pump_ahead(state, board, at, out)
+    evictions.drain_ahead(state, board, at, out)
 
 
-def place(state: State, board: Board, ref: AdapterRef, at: float, out: list[Effect]) -> None:
-    """Load an adapter version where there is room, or begin to make room."""
-    ready = [e for e in board.engines.values() if can_load(state, e, at)]
-    for engine in sorted(ready, key=lambda e: len(e.slots)):
-        view = state.members.endpoints[engine.name]
-        if len(engine.slots) < view.endpoint.slots:
-            send_load(state, board, engine, ref, None, at, out)
-            return
-    for engine in ready:
-        for slot in engine.slots.values():
-            if slot.state is SlotState.DRAINING and slot.clean:
-                send_load(state, board, engine, ref, slot, at, out)
-                return
-    make_room(state, board, ready, at, out)
-
-
-def can_load(state: State, engine: EngineBoard, at: float) -> bool:
-    """Return whether an engine may be ordered to load now."""
-    view = state.members.endpoints.get(engine.name)
-    if view is None or view.leaving or view.silent_since is not None:
-        return False
-    if engine.reserved_at is not None:
+def note_blocked(board: Board, blocked: bool, at: float) -> None:
+    """Keep since when no engine can take the load that goes first."""
+    if not blocked:
+        board.blocked_since = None
+    elif board.blocked_since is None:
+        board.blocked_since = at
+
+
+def keep_promised(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Use slots again that were to make room for loads which nobody waits for any more."""
+    for pair in sorted(board.draining):
+        slot = evictions.slot_of(board, pair)
+        if slot.promised and evictions.serves_loads(board, pair):
+            slot.promised = False
+            lead_grants.grant_waiting(state, board, board.engines[pair[0]], slot, at, out)
+
+
+def choose(
+    state: State, board: Board, ref: AdapterRef, at: float
+) -> tuple[EngineBoard, Slot | None] | None:
+    """Return the engine to load an adapter version on, and the slot to replace."""
+    region = region_of(state, board, ref)
+    for ready in (board.ready_free, board.ready_clean):
+        names = list(itertools.islice(ready, CANDIDATES))
+        engines = [board.engines[name] for name in names if may_take(state, board, name, ref, at)]
+        if engines:
+            engine = min(engines, key=lambda e: e.load + REGION_COST * (e.region != region))
+            if ready is board.ready_free:
+                return engine, None
+            return engine, evictions.clean_slot(board, engine, at)
+    return None
+
+
+def may_take(state: State, board: Board, name: str, ref: AdapterRef, at: float) -> bool:
+    """Return whether an engine may load an adapter version now."""
+    engine = board.engines[name]
+    if ref in engine.slots or ref in engine.suspended:
         return False
-    return engine.settled and engine.order is None and at >= engine.retry_at
+    return evictions.may_load(state, engine, at)
+
+
+def region_of(state: State, board: Board, ref: AdapterRef) -> str:
+    """Return the region where most requests wait for an adapter version."""
+    view = board.demand.get(ref)
+    if view is None or not view.waiting_by_entry:
+        return state.me.place.region
+    entry = max(sorted(view.waiting_by_entry), key=view.waiting_by_entry.__getitem__)
+    peer = state.members.peers.get(entry)
+    return peer.instance.place.region if peer else state.me.place.region
+
+
+def pump_ahead(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Start loads that nobody waits for, with the budget that others leave."""
+    while board.ahead and budget.may_load(state, board, at) and not board.budget.store_down:
+        ref = board.ahead.first()
+        rank = board.ahead.keys_by_ref[ref][0]
+        if rank != ahead.REPLICA_RANK and board.budget.spare < 1.0:
+            return
+        target = choose(state, board, ref, at)
+        if target is None:
+            return
+        engine, victim = target
+        if victim is not None and not pays(board, ref, victim, at):
+            board.ahead.discard(ref)
+            continue
+        spare = rank != ahead.REPLICA_RANK
+        orders.send_load(state, board, engine, ref, victim, at, out, ahead=spare)
+
+
+def pays(board: Board, ref: AdapterRef, victim: Slot, at: float) -> bool:
+    """Return whether a load that nobody waits for is worth more than what it replaces."""
+    gain = max(WARM_SCORE, board.score(ref, at))
+    return board.score(victim.ref, at) < gain * AHEAD_MARGIN
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -8,6 +8,7 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    intents,
     leadership,
     membership,
     messages,
@@ -76,6 +77,8 @@
         return
     if state.requests or state.runs.by_request or state.boards or state.grants.by_ref:
         return
+    if state.leadership.open_orders or leadership.releasing(state):
+        return
     state.stopped = True
     out.append(fx.Stop())
 
@@ -93,6 +96,12 @@
         leadership.on_read(state, event, out)
     elif isinstance(purpose, fx.LeaseWrite):
         leadership.on_write(state, event, out)
+    elif isinstance(purpose, fx.LeaseRelease):
+        leadership.on_released(state, event, out)
+    elif isinstance(purpose, fx.IntentWrite):
+        intents.on_written(state, event, out)
+    elif isinstance(purpose, fx.IntentsRead):
+        intents.on_read(state, event, out)
     elif isinstance(purpose, fx.PageRead):
         revisions.on_page_read(state, event, out)
     elif isinstance(purpose, fx.RunCreate):
@@ -116,6 +125,8 @@
             membership.on_heartbeat(state, sender, message, out)
             revisions.on_peer_revision(state, sender, message.revision, out)
             for claim in message.leads:
+                if claim.loading:
+                    state.leadership.loading_heard[claim.base] = at
                 leadership.note_epoch(state, claim.base, claim.epoch, sender, at, out)
         case messages.Reports():
             for report in message.reports:
@@ -128,13 +139,15 @@
                 requests.on_expected(state, request_ids, at, out)
         case messages.Grant():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
-                grants.take(state, message, at)
+                grants.take(state, message, at, out)
                 requests.pump(state, message.ref, at, out)
         case messages.Recall():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.recall(state, sender, message, out)
         case messages.Returned():
             placement.on_returned(state, sender, message, at, out)
+        case messages.LeadReleased():
+            leadership.on_lead_released(state, sender, message, at)
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.gather(state, sender, message, out)
@@ -155,14 +168,14 @@
     boot = known_boot(state, event.report.endpoint)
     if membership.on_reported(state, event, out):
         sampled_at = event.asked_at - event.report.age_s
-        spread_report(state, event.report, boot, sampled_at, event.at, out)
+        spread_report(state, event.report, boot, sampled_at, event.at, out, True)
 
 
 def take_report(state: State, report, sampled_at: float, at: float, out: list[Effect]) -> None:
     """Take a report that a peer passed on."""
     boot = known_boot(state, report.endpoint)
     if membership.take_report(state, report, sampled_at, out):
-        spread_report(state, report, boot, sampled_at, at, out)
+        spread_report(state, report, boot, sampled_at, at, out, False)
 
 
 def known_boot(state: State, endpoint: str) -> str:
@@ -171,12 +184,12 @@
     return view.report.boot if view and view.report else ""
 
 
-def spread_report(state: State, report, boot: str, sampled_at: float, at: float, out) -> None:
+def spread_report(state: State, report, boot: str, sampled_at, at, out, polled: bool) -> None:
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
     routing.on_report(state, report)
-    placement.on_report(state, report, sampled_at, at, out)
+    placement.on_report(state, report, sampled_at, at, out, polled)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
 
@@ -192,7 +205,7 @@
     state.draining = True
     out.append(fx.LogChange("entry-draining", {}))
     leadership.hand_over(state, event.at, out)
-    grants.hand_back_all(state, out)
+    grants.hand_back_unneeded(state, out)
 
 
 def ignore(state: State, event: ev.Event, out: list[Effect]) -> None:
--- a/poplarhoist/decisions/reservations.py
+++ b/poplarhoist/decisions/reservations.py
@@ -6,8 +6,8 @@
 
 from poplarhoist.decisions.board import Board, EngineBoard, Slot, SlotState, want
 from poplarhoist.decisions.effects import PollEndpoint
-from poplarhoist.decisions.evictions import drain_slot
-from poplarhoist.decisions.lead_grants import grant_waiting
+from poplarhoist.decisions.evictions import drain_slot, keep_slot, refresh, worth
+from poplarhoist.decisions.lead_grants import grant_waiting, release_gone
 from poplarhoist.decisions.orders import send_load
 from poplarhoist.models import AdapterRef
 
@@ -24,7 +24,10 @@
     if engine.reserved_at is not None:
         return
     engine.reserved_at = at
-    for slot in engine.slots.values():
+    board.reserved.add(engine.name)
+    refresh(state, board, engine, at)
+    for slot in list(engine.slots.values()):
+        slot.promised = False
         if slot.state is SlotState.RESIDENT:
             drain_slot(state, board, engine, slot, at, out)
         want(board, slot.ref)
@@ -41,7 +44,7 @@
         return False
     if any(slot.holders for slot in engine.slots.values()):
         return False
-    return engine.idle_sampled_at > max(engine.reserved_at, engine.returned_at)
+    return engine.idle_sampled_at >= max(engine.reserved_at, engine.returned_at)
 
 
 def load_reserved(
@@ -69,7 +72,7 @@
 def least_wanted(board: Board, engine: EngineBoard, at: float) -> Slot | None:
     """Return the slot of an engine that is missed least."""
     found = [slot for slot in engine.slots.values() if slot.state is SlotState.DRAINING]
-    return min(found, key=lambda slot: board.score(slot.ref, at), default=None)
+    return min(found, key=lambda slot: worth(board, slot), default=None)
 
 
 def release(state: State, board: Board, engine: EngineBoard, at: float, out: list[Effect]) -> None:
@@ -77,10 +80,21 @@
     if engine.reserved_at is None:
         return
     engine.reserved_at = None
+    board.reserved.discard(engine.name)
     for slot in list(engine.slots.values()):
         if slot.state is SlotState.DRAINING:
-            slot.state = SlotState.RESIDENT
-            slot.since = at
-            slot.cleared_at = None
-            slot.clean = False
+            keep_slot(board, engine, slot, at)
         grant_waiting(state, board, engine, slot, at, out)
+    refresh(state, board, engine, at)
+
+
+def poll(state: State, board: Board, at: float, out: list[Effect]) -> None:
+    """Ask reserved engines that are not empty yet for reports."""
+    for name in sorted(board.reserved):
+        engine = board.engines[name]
+        if is_empty(board, engine) or at - engine.asked_at < state.limits.recall_again_s:
+            continue
+        engine.asked_at = at
+        for slot in engine.slots.values():
+            release_gone(state, engine, slot, at)
+        out.append(PollEndpoint(name))
--- a/poplarhoist/decisions/revisions.py
+++ b/poplarhoist/decisions/revisions.py
@@ -36,6 +36,8 @@
         A higher index of which pages are still missing.
     page_text : dict
         Text of each page in force, by digest, for peers that cannot reach the platform.
+    changed : set
+        Adapters on the pages that the last revision changed.
     """
 
     index: Index | None = None
@@ -46,6 +48,7 @@
     adapters_by_name: dict[str, Adapter] = field(factory=dict)
     callers_by_digest: dict[str, Caller] = field(factory=dict)
     presets_by_name: dict[str, Preset] = field(factory=dict)
+    changed: set[str] = field(factory=set)
 
     @property
     def revision(self) -> int:
@@ -111,6 +114,7 @@
     if config.pending is None or missing_pages(config):
         return
     old_pages = config.index.pages if config.index else {}
+    config.changed.clear()
     for name in old_pages.keys() - config.pending.pages.keys():
         forget_page(config, name, old_pages[name])
     for name, digest in config.pending.pages.items():
@@ -145,6 +149,7 @@
     if name.startswith(CATALOGUE_PREFIX):
         for key, value in data.items():
             config.adapters_by_name[key] = wire.load(value, Adapter)
+            config.changed.add(key)
     elif name == CALLERS_PAGE:
         callers = wire.load(data, dict[str, Caller])
         config.callers_by_digest = {caller.token_sha256: caller for caller in callers.values()}
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -7,6 +7,7 @@
     "retry": ("Attempts repeated", ("cause",)),
     "attempt_ended": ("Attempts ended", ("outcome",)),
     "load_ended": ("Loads ended", ("outcome",)),
+    "intent_write_failed": ("Writes of intents without success", ("status",)),
     "grant_dropped": ("Grants dropped", ("cause",)),
     "page_rejected": ("Configuration pages rejected", ()),
     "peer_message_dropped": ("Messages of peers dropped", ("cause",)),
