--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -7,6 +7,7 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    isolation,
     membership,
     quarantine,
     retries,
@@ -14,7 +15,7 @@
     runs,
 )
 from poplarhoist.decisions.effects import Count, Dispatch, Refuse, ReplayAnswer
-from poplarhoist.decisions.events import AttemptEnded, Outcome, PlatformAnswered, RequestArrived
+from poplarhoist.decisions.events import PlatformAnswered, RequestArrived
 from poplarhoist.decisions.state import RequestState, Stage
 from poplarhoist.models import (
     AdapterRef,
@@ -33,6 +34,7 @@
 RETRY_AFTER_LEAVING_S = 1.0
 RETRY_AFTER_ENDPOINT_S = 1.0
 RETRY_AFTER_RECORD_S = 2.0
+QUIET_STAGES = (Stage.WAITING, Stage.BACKOFF, Stage.CHECKING, Stage.ISOLATING)
 
 
 class Denied(Exception):
@@ -94,6 +96,7 @@
         priority=caller.priority,
         arrived_at=event.at,
         deadline_at=event.at + min(event.deadline_s, state.config.preset.max_wait_s),
+        caller_deadline_at=event.at + event.deadline_s,
         digest=event.digest,
         prefix=event.prefix,
         size=event.size,
@@ -142,13 +145,19 @@
 
 def start(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
     """Dispatch a request, or let it wait if that pays."""
+    if quarantine.convicted(state, request.digest):
+        give_up(state, request, Reason.QUARANTINED, "route", at, out)
+        return
     if request.service:
         endpoint = routing.choose_service(state, request)
         if endpoint is None:
-            give_up(state, request, Reason.NO_ENDPOINT, Ran.NO, "route", at, out)
+            give_up(state, request, Reason.NO_ENDPOINT, "route", at, out)
             return
         dispatch(state, request, endpoint, at, out)
         return
+    if quarantine.suspected(state, request.digest):
+        isolation.begin(state, request, at, out)
+        return
     endpoint = routing.choose(state, request)
     if endpoint is not None:
         dispatch(state, request, endpoint, at, out)
@@ -157,70 +166,75 @@
 
 
 def enqueue(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
-    """Let a request wait, unless the queue is full or its adapter comes too late."""
-    preset = state.config.preset
-    waiting = state.admission.waiting
-    by_caller = state.admission.waiting_by_caller.get(request.caller, 0)
-    expected_s = admission.expected_wait_s(state, request, at)
-    if expected_s is not None and at + expected_s > request.deadline_at:
-        give_up(state, request, Reason.NOT_READY_IN_TIME, Ran.NO, "admit", at, out, expected_s)
-        return
-    if waiting >= preset.queue_limit:
-        give_up(state, request, Reason.QUEUE_FULL, Ran.NO, "admit", at, out, expected_s or 1.0)
-        return
-    if by_caller >= max(1.0, preset.queue_limit * state.limits.caller_queue_share):
-        reason = Reason.CALLER_QUEUE_FULL
-        give_up(state, request, reason, Ran.NO, "admit", at, out, expected_s or 1.0)
+    """Let a request wait, unless that does not pay or the queue is full."""
+    reason = admission.why_not_wait(state, request, at)
+    if reason is not None:
+        give_up(state, request, reason, "admit", at, out)
         return
     request.stage = Stage.WAITING
     admission.wait(state, request, at, out, first=request.attempt > 0)
+    loser = admission.displaced(state)
+    if loser is not None:
+        stop_waiting(state, state.requests[loser], Reason.QUEUE_FULL, at, out)
+
+
+def stop_waiting(state: State, request: RequestState, reason: Reason, at: float, out) -> None:
+    """Refuse a request that does not run."""
+    leave_stage(state, request, out)
+    give_up(state, request, reason, "wait", at, out)
 
 
-def dispatch(state: State, request: RequestState, endpoint: str, at: float, out) -> None:
-    """Send a request to an endpoint."""
+def dispatch(
+    state: State,
+    request: RequestState,
+    endpoint: str,
+    at: float,
+    out: list[Effect],
+    alone: bool = False,
+) -> None:
+    """Send a request to an endpoint; ``alone`` if that was emptied for it."""
     request.stage = Stage.RUNNING
     request.attempt += 1
     request.endpoint = endpoint
     request.dispatched_at = at
+    request.boot = membership.known_boot(state, endpoint)
+    request.alone = alone
     routing.load_of(state, endpoint).mine += 1
     if request.ref is not None:
         request.held = grants.find(state, request.ref, endpoint)
         grants.started(request.held, at)
-    out.append(
-        Dispatch(request.request_id, request.attempt, endpoint, request.ref, request.priority)
-    )
+    identity = (request.request_id, request.attempt, endpoint)
+    out.append(Dispatch(*identity, request.ref, request.priority, alone))
 
 
 def pump(state: State, ref: AdapterRef, at: float, out: list[Effect]) -> None:
     """Dispatch waiting requests of an adapter version while there is room."""
-    while True:
-        queue = state.admission.queues.get(ref)
-        request_ids = queue.request_ids() if queue else []
-        if not request_ids:
-            return
-        request = state.requests[request_ids[0]]
-        endpoint = routing.choose(state, request)
-        if endpoint is None:
-            return
-        dispatch(state, admission.take_next(state, ref), endpoint, at, out)
+    while pump_one(state, ref, at, out):
+        pass
 
 
-def on_ended(state: State, event: AttemptEnded, out: list[Effect]) -> None:
-    """Take the outcome of an attempt: answer, try again or refuse."""
-    request = state.requests.get(event.request_id)
-    if request is None or request.attempt != event.attempt or request.stage != Stage.RUNNING:
-        return
-    release(state, request, event.at, out)
-    out.append(Count("attempt_ended", (event.outcome,)))
-    if event.outcome in (Outcome.COMPLETED, Outcome.FAILED, Outcome.CANCELLED):
-        if event.outcome is not Outcome.CANCELLED:
-            runs.finish(state, request.request_id, event.record, out)
-        del state.requests[event.request_id]
-    elif event.outcome in (Outcome.NOT_SENT, Outcome.REFUSED):
-        after_refused(state, request, event, out)
-    else:
-        after_broken(state, request, event, out)
-    pump_endpoint(state, event.endpoint, event.at, out)
+def pump_one(state: State, ref: AdapterRef, at: float, out: list[Effect]) -> bool:
+    """Let the next request that waits for an adapter version go on; return whether one did."""
+    request = admission.next_waiting(state, ref)
+    if request is None:
+        return False
+    if quarantine.suspected(state, request.digest):
+        admission.remove(state, request)
+        isolation.begin(state, request, at, out)
+        return True
+    endpoint = routing.choose(state, request)
+    if endpoint is None:
+        return False
+    admission.remove(state, request)
+    dispatch(state, request, endpoint, at, out)
+    return True
+
+
+def pump_all(state: State, at: float, out: list[Effect]) -> None:
+    """Look again at everything that waits, as room may come without an event here."""
+    for ref in list(state.admission.waiting_refs):
+        if ref in state.grants.by_ref:
+            pump(state, ref, at, out)
 
 
 def release(state: State, request: RequestState, at: float, out: list[Effect]) -> None:
@@ -233,63 +247,41 @@
 
 
 def pump_endpoint(state: State, endpoint: str, at: float, out: list[Effect]) -> None:
-    """Use room on an endpoint for requests that wait for an adapter granted there."""
-    for ref in sorted(state.grants.by_endpoint.get(endpoint, ())):
-        if ref in state.admission.queues:
-            pump(state, ref, at, out)
-
-
-def after_refused(state: State, request: RequestState, event: AttemptEnded, out) -> None:
-    """Try a request again that was certainly not run."""
-    if event.reason == "leaving":
-        membership.mark_leaving(state, event.endpoint, "refusal", out)
-    if event.reason == "adapter-not-resident" and request.ref is not None:
-        held = grants.find(state, request.ref, event.endpoint)
-        if held is not None and held.in_flight == 0:
-            grants.hand_back(state, held, out)
-    request.avoid.add(event.endpoint)
-    try_again(state, request, event.reason or event.outcome, Ran.NO, event, out)
-
-
-def after_broken(state: State, request: RequestState, event: AttemptEnded, out) -> None:
-    """Try a request again that may have run, if it may repeat and nothing was delivered."""
-    quarantine.note_death(state, request.digest, f"{event.endpoint}/{event.reason}", out)
-    wrong = event.outcome is Outcome.WRONG
-    reason = Reason.WRONG_ANSWER if wrong else Reason.ENDPOINT_LOST
-    if event.delivered or not request.repeat:
-        give_up(state, request, reason, Ran.UNKNOWN, "answer", event.at, out)
-        return
-    if quarantine.convicted(state, request.digest):
-        give_up(state, request, Reason.QUARANTINED, Ran.UNKNOWN, "retry", event.at, out)
-        return
-    request.avoid.add(event.endpoint)
-    try_again(state, request, reason, Ran.UNKNOWN, event, out)
-
-
-def try_again(state: State, request: RequestState, cause: str, ran: Ran, event, out) -> None:
-    """Start another attempt if budget, attempts and time allow."""
-    if not retries.attempts_left(state, request) or event.at >= request.deadline_at:
-        give_up(state, request, Reason.ENDPOINT_LOST, ran, "retry", event.at, out)
-        return
-    if not retries.take_credit(state):
-        give_up(state, request, Reason.RETRY_BUDGET, ran, "retry", event.at, out)
-        return
-    out.append(Count("retry", (str(cause),)))
-    start(state, request, event.at, out)
+    """Use room on an endpoint for what waits for it: highest priority, then oldest first."""
+    queues = state.admission.queues
+    granted = state.grants.by_endpoint.get(endpoint, ())
+    refs = [ref for ref in granted if ref in state.admission.waiting_refs]
+    while refs and endpoint in state.members.endpoints and routing.has_room(state, endpoint):
+        ref = min(refs, key=lambda ref: (-queues[ref].top_priority(), queues[ref].oldest_at()))
+        if not pump_one(state, ref, at, out) or ref not in state.admission.waiting_refs:
+            refs.remove(ref)
 
 
 def give_up(
     state: State,
     request: RequestState,
     reason: Reason,
-    ran: Ran,
     step: str,
     at: float,
     out: list[Effect],
-    retry_after_s: float = RETRY_AFTER_ENDPOINT_S,
+    retry_after_s: float | None = None,
+    ran: Ran = Ran.NO,
 ) -> None:
-    """Give a request its final refusal."""
+    """Give a request its final refusal.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        When the caller may come back, in seconds; None takes the expected wait.
+    ran : Ran
+        What is known beyond the attempts of this request itself.
+    """
     state.requests.pop(request.request_id, None)
+    if retry_after_s is None:
+        expected_s = admission.expected_wait_s(state, request, at)
+        retry_after_s = max(expected_s or 0.0, RETRY_AFTER_ENDPOINT_S)
+    if request.may_have_run:
+        ran = Ran.UNKNOWN
     refuse(out, request.request_id, Refusal(reason, ran, step, request.endpoint, retry_after_s))
 
 
@@ -302,29 +294,40 @@
 def on_left(state: State, request_id: str, at: float, out: list[Effect]) -> None:
     """Forget a request whose caller went away while it waited."""
     request = state.requests.get(request_id)
-    if request is None or request.stage != Stage.WAITING:
-        return
-    admission.remove(state, request)
-    give_up(state, request, Reason.CALLER_LEFT, Ran.NO, "wait", at, out)
+    if request is not None and request.stage in QUIET_STAGES:
+        stop_waiting(state, request, Reason.CALLER_LEFT, at, out)
+
+
+def leave_stage(state: State, request: RequestState, out: list[Effect]) -> None:
+    """Take a request out of what it waits for."""
+    if request.stage == Stage.WAITING:
+        admission.remove(state, request)
+    elif request.stage == Stage.ISOLATING:
+        isolation.withdraw(state, request, out)
+
+
+def refuse_convicted(state: State, at: float, out: list[Effect]) -> None:
+    """Refuse at once what does not run and was just convicted."""
+    digests = set(state.quarantine.fresh_convictions)
+    state.quarantine.fresh_convictions.clear()
+    for request in list(state.requests.values()):
+        if request.digest in digests and request.stage in QUIET_STAGES:
+            stop_waiting(state, request, Reason.QUARANTINED, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
-    """Refuse waiting requests whose deadline passed."""
+    """Refuse what waited too long, and look for room for the rest."""
     for request in admission.expired(state, at):
-        expected_s = admission.expected_wait_s(state, request, at) or 1.0
-        admission.remove(state, request)
-        give_up(state, request, Reason.DEADLINE, Ran.NO, "wait", at, out, expected_s)
+        stop_waiting(state, request, Reason.DEADLINE, at, out)
+    for request in admission.without_lead(state, at):
+        stop_waiting(state, request, Reason.NOT_READY, at, out)
+    pump_all(state, at, out)
 
 
 def on_expected(state: State, request_ids: list[str], at: float, out: list[Effect]) -> None:
     """Refuse at once those requests whose adapter comes too late for them."""
     for request_id in request_ids:
-        request = state.requests[request_id]
-        expected_s = admission.expected_wait_s(state, request, at)
-        if expected_s is None or at + expected_s <= request.deadline_at:
-            continue
-        admission.remove(state, request)
-        give_up(state, request, Reason.NOT_READY_IN_TIME, Ran.NO, "wait", at, out, expected_s)
+        stop_waiting(state, state.requests[request_id], Reason.NOT_READY_IN_TIME, at, out)
 
 
 def on_run_created(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
@@ -336,7 +339,7 @@
     if created:
         start(state, request, event.at, out)
     elif reason is Reason.RUN_NOT_RECORDED:
-        give_up(state, request, reason, Ran.NO, "record", event.at, out, RETRY_AFTER_RECORD_S)
+        give_up(state, request, reason, "record", event.at, out, RETRY_AFTER_RECORD_S)
 
 
 def on_run_read(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
@@ -354,4 +357,4 @@
         out.append(verdict)
         return
     ran = runs.ran_of(verdict)
-    give_up(state, request, verdict, ran, "record", event.at, out, RETRY_AFTER_RECORD_S)
+    give_up(state, request, verdict, "record", event.at, out, RETRY_AFTER_RECORD_S, ran)
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -237,6 +237,14 @@
             self.running.remove(job)
             job.done(Outcome.COMPLETED, "")
 
+    def break_connections(self) -> None:
+        """Lose the connections of all requests, but nothing else."""
+        lost = [*self.running, *self.waiting]
+        self.running.clear()
+        self.waiting.clear()
+        for job in lost:
+            job.done(Outcome.BROKEN, "reset")
+
     def crash(self) -> None:
         """Lose all adapters and requests, and come up again later."""
         self.crashes += 1
@@ -307,6 +315,10 @@
         self.slots[ref] = "resident"
         done(OrderOutcome.DONE, "")
 
+    def refuses_connections(self) -> bool:
+        """Return whether nothing listens."""
+        return not self.up
+
     def report(self) -> EndpointReport | None:
         """Return a report as of some time ago; None if the engine does not answer."""
         if not self.up or self.silent:
@@ -374,6 +386,10 @@
         outcome = Outcome.BROKEN if lost else Outcome.COMPLETED
         self.clock.after(self.call_s, lambda: done(outcome, ""))
 
+    def refuses_connections(self) -> bool:
+        """Return whether nothing listens."""
+        return self.down
+
     def report(self) -> EndpointReport | None:
         """Return a report; None if nothing listens."""
         if self.down:
