Group the operators' commands, with explain, lists, presets by file and exit statuses

Cause: the tool had seven flat commands that repeated the shared arguments, and settings faults were told one per table because a class stops at its first failing validator. Change: commands are attrs classes read by defopt, the shared arguments stand once in their base; execution lies in ctl/changes and ctl/views. explain runs the reducer on a copy of the state, so it cannot differ from the decisions. Settings are structured key by key and give all faults at once. Ruled out: a decorator that adds parameters to functions, as the data classes stood twice then.

--- a/poplarhoist/cli/common.py
+++ b/poplarhoist/cli/common.py
@@ -4,18 +4,30 @@
 import sys
 import warnings
 from collections.abc import Callable, Sequence
+from contextlib import redirect_stderr, redirect_stdout
 
 import defopt
 import structlog
 
 from poplarhoist.context import Environment
-from poplarhoist.errors import ConflictError, PlatformError, PoplarhoistError, SettingsError
+from poplarhoist.errors import (
+    ConflictError,
+    EntryError,
+    NotFoundError,
+    PlatformError,
+    PoplarhoistError,
+    SettingsError,
+    UnsettledError,
+)
 from poplarhoist.status import ExitStatus
 
 STATUS_BY_ERROR = {
     SettingsError: ExitStatus.USAGE,
     ConflictError: ExitStatus.CONFLICT,
     PlatformError: ExitStatus.UNAVAILABLE,
+    EntryError: ExitStatus.UNAVAILABLE,
+    NotFoundError: ExitStatus.NOT_FOUND,
+    UnsettledError: ExitStatus.UNSETTLED,
 }
 
 
@@ -32,7 +44,7 @@
     SystemExit
         If the arguments are not usable; the usage was printed then.
     """
-    return defopt.run(commands, argv=list(args), argparse_kwargs={"prog": program})
+    return defopt.run(commands, argv=list(args), short={}, argparse_kwargs={"prog": program})
 
 
 def run(
@@ -44,7 +56,8 @@
 ) -> ExitStatus:
     """Parse arguments, execute the command and turn errors into lines for people."""
     try:
-        command = parse(commands, args, program)
+        with redirect_stdout(env.stdout), redirect_stderr(env.stderr):
+            command = parse(commands, args, program)
         return execute(command, env)
     except SystemExit as stop:
         return ExitStatus.OK if not stop.code else ExitStatus.USAGE
--- /dev/null
+++ b/poplarhoist/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""What ``poplarhoist-ctl`` does: commands as data, and their execution against a site."""
--- /dev/null
+++ b/poplarhoist/ctl/changes.py
@@ -0,0 +1,160 @@
+"""Commands that change a site: adapters, versions, callers, presets, drains."""
+
+from attrs import evolve
+
+from poplarhoist.ctl import arguments
+from poplarhoist.ctl.operator import Operator
+from poplarhoist.ctl.presets import merge, read_presets, read_values
+from poplarhoist.entry.platform import token_digest
+from poplarhoist.errors import ConflictError, EntryError, NotFoundError, SettingsError
+from poplarhoist.models import Adapter, Caller, Preset, PresetKind, VersionState
+from poplarhoist.publish import Draft
+from poplarhoist.status import ExitStatus
+
+
+def adapter_create(operator: Operator, command: arguments.AdapterCreate) -> ExitStatus:
+    """Add an adapter."""
+
+    def edit(draft: Draft) -> None:
+        if draft.adapter(command.name) is not None:
+            raise ConflictError("exists already", "create-adapter", command.name)
+        draft.put_adapter(Adapter(command.name, command.base, callers=command.caller))
+
+    return operator.change(edit, command.wait_s)
+
+
+def version_publish(operator: Operator, command: arguments.VersionPublish) -> ExitStatus:
+    """Publish a version and make it the current one."""
+    if command.version < 1:
+        raise SettingsError(f"expected 1 or more, got {command.version}", "publish", "version")
+
+    def edit(draft: Draft) -> None:
+        adapter = existing_adapter(draft, command.adapter)
+        versions = {**adapter.versions, str(command.version): VersionState.PUBLISHED}
+        draft.put_adapter(evolve(adapter, versions=versions, current=command.version))
+
+    return operator.change(edit, command.wait_s)
+
+
+def version_withdraw(operator: Operator, command: arguments.VersionWithdraw) -> ExitStatus:
+    """Withdraw a version; the highest one that is still published becomes current."""
+
+    def edit(draft: Draft) -> None:
+        adapter = existing_adapter(draft, command.adapter)
+        if str(command.version) not in adapter.versions:
+            raise NotFoundError("no such version", "withdraw", str(command.version))
+        versions = {**adapter.versions, str(command.version): VersionState.WITHDRAWN}
+        left = [int(v) for v, state in versions.items() if state is VersionState.PUBLISHED]
+        current = adapter.current
+        if current == command.version:
+            current = max(left, default=0)
+        draft.put_adapter(evolve(adapter, versions=versions, current=current))
+
+    return operator.change(edit, command.wait_s)
+
+
+def existing_adapter(draft: Draft, name: str) -> Adapter:
+    """Return an adapter.
+
+    Raises
+    ------
+    NotFoundError
+        If there is none of that name.
+    """
+    adapter = draft.adapter(name)
+    if adapter is None:
+        raise NotFoundError("no such adapter", "find-adapter", name)
+    return adapter
+
+
+def caller_put(operator: Operator, command: arguments.CallerPut) -> ExitStatus:
+    """Add or change a caller; the token itself goes nowhere."""
+    token = command.token or operator.env.stdin.readline().strip()
+    if not token:
+        raise SettingsError("expected a token, got nothing", "put-caller", command.name)
+    caller = Caller(command.name, token_digest(token), command.priority)
+    return operator.change(lambda draft: draft.put_caller(caller), command.wait_s)
+
+
+def caller_remove(operator: Operator, command: arguments.CallerRemove) -> ExitStatus:
+    """Remove a caller."""
+
+    def edit(draft: Draft) -> None:
+        if not draft.remove_caller(command.name):
+            raise NotFoundError("no such caller", "remove-caller", command.name)
+
+    return operator.change(edit, command.wait_s)
+
+
+def preset_put(operator: Operator, command: arguments.PresetPut) -> ExitStatus:
+    """Add or change one preset, or all presets of a file."""
+    values_by_name = read_presets(command.file) if command.file else {}
+    if command.name:
+        values = values_by_name.get(command.name, {} if command.file is None else None)
+        if values is None:
+            raise NotFoundError("no such preset in the file", "put-preset", command.name)
+        values_by_name = {command.name: {**values, **read_values(command.set)}}
+    elif not command.file or command.set:
+        raise SettingsError("expected the name of a preset, or a file alone", "put-preset")
+    source = command.file or "--set"
+
+    def edit(draft: Draft) -> None:
+        known = draft.presets()
+        for name, values in values_by_name.items():
+            draft.put_preset(merge(known.get(name, new_preset(name)), values, source))
+        if not draft.preset:
+            draft.preset = next(iter(values_by_name))
+
+    return operator.change(edit, command.wait_s)
+
+
+def new_preset(name: str) -> Preset:
+    """Return a preset with the usual values, for the kind of day that its name says."""
+    kinds = {kind.value: kind for kind in PresetKind}
+    return Preset(name, kind=kinds.get(name, PresetKind.ORDINARY))
+
+
+def preset_use(operator: Operator, command: arguments.PresetUse) -> ExitStatus:
+    """Put a preset in force."""
+
+    def edit(draft: Draft) -> None:
+        if command.name not in draft.presets():
+            known = ", ".join(draft.presets()) or "none"
+            raise NotFoundError(f"no such preset; there are {known}", "use-preset", command.name)
+        draft.preset = command.name
+
+    return operator.change(edit, command.wait_s)
+
+
+def drain(operator: Operator, command: arguments.Drain) -> ExitStatus:
+    """Stop an entry gracefully; wait until it has stopped if asked to."""
+    entry = operator.entry(command.entry)
+    operator.ask(entry, "POST", "/admin/drain")
+
+    def stopped() -> bool:
+        try:
+            operator.ask(entry, "GET", "/admin/status")
+        except EntryError:
+            return True
+        return False
+
+    if command.wait_s <= 0:
+        operator.show({"draining": entry.name}, f"{entry.name} is draining")
+        return ExitStatus.OK
+    if operator.wait_until(stopped, command.wait_s):
+        operator.show({"stopped": entry.name}, f"{entry.name} has stopped")
+        return ExitStatus.OK
+    operator.show({"draining": entry.name}, f"{entry.name} is still draining")
+    return ExitStatus.TIMEOUT
+
+
+HANDLERS = {
+    arguments.AdapterCreate: adapter_create,
+    arguments.VersionPublish: version_publish,
+    arguments.VersionWithdraw: version_withdraw,
+    arguments.CallerPut: caller_put,
+    arguments.CallerRemove: caller_remove,
+    arguments.PresetPut: preset_put,
+    arguments.PresetUse: preset_use,
+    arguments.Drain: drain,
+}
--- /dev/null
+++ b/poplarhoist/ctl/operator.py
@@ -0,0 +1,165 @@
+"""One operator's session with a site: answers, changes, and calls to entries."""
+
+import getpass
+from collections.abc import Callable, Sequence
+
+import orjson
+import urllib3
+from tabulate import tabulate
+from urllib3.exceptions import HTTPError
+
+from poplarhoist import wire
+from poplarhoist.context import Environment
+from poplarhoist.ctl.arguments import Command
+from poplarhoist.entry.platform import HttpPlatform
+from poplarhoist.errors import EntryError, NotFoundError, PoplarhoistError
+from poplarhoist.models import Index
+from poplarhoist.publish import Draft, Publisher
+from poplarhoist.settings.loader import load_site
+from poplarhoist.settings.models import EntrySettings, Site
+from poplarhoist.status import ExitStatus
+
+POLL_S = 0.1
+CALL_TIMEOUT_S = 2.0
+OPERATOR_VARIABLE = "POPLARHOIST_OPERATOR"
+
+
+class Operator:
+    """Answers an operator and acts on a site."""
+
+    def __init__(self, command: Command, env: Environment) -> None:
+        self.json = command.json
+        self.env = env
+        self.site: Site = load_site(command.settings)
+        author = env.variables.get(OPERATOR_VARIABLE) or getpass.getuser()
+        self.publisher = Publisher(HttpPlatform(self.site.platform, env.clock), author)
+        self.pool = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
+
+    def show(self, data: object, text: str) -> None:
+        """Print an answer for programs or for people."""
+        self.env.print(orjson.dumps(data).decode() if self.json else text)
+
+    def show_table(self, rows: Sequence[dict[str, object]]) -> None:
+        """Print rows as JSON objects or as a table with their keys as heads."""
+        heads = [key.replace("_", " ") for key in rows[0]] if rows else []
+        cells = [[cell(value) for value in row.values()] for row in rows]
+        self.show(rows, tabulate(cells, heads) if rows else "none")
+
+    def show_object(self, item: object) -> None:
+        """Print an attrs object, or plain data, with a line for each key."""
+        data = wire.dump(item)
+        rows = [[key.replace("_", " "), cell(value)] for key, value in data.items()]
+        self.show(data, tabulate(rows, tablefmt="plain"))
+
+    def read(self) -> Draft:
+        """Read the configuration in force on the platform."""
+        return self.publisher.draft()
+
+    def change(self, edit: Callable[[Draft], None], wait_s: float) -> ExitStatus:
+        """Make a change; wait until it is in force if asked to.
+
+        Raises
+        ------
+        ConflictError
+            If another operator changed the same thing first.
+        UnsettledError
+            If it is not known whether the change was accepted.
+        """
+        index = self.publisher.change(edit)
+        data: dict[str, object] = {"accepted": index.revision}
+        text = f"accepted as revision {index.revision}"
+        status = ExitStatus.OK
+        if wait_s > 0:
+            behind = self.wait_for(index, wait_s)
+            total = len(self.site.entries)
+            data |= {"in_force": total - len(behind), "entries": total, "behind": behind}
+            text += f", in force on {total - len(behind)} of {total} entries"
+            if behind:
+                text += f"; not on {', '.join(behind)}"
+                status = ExitStatus.TIMEOUT
+        self.show(data, text)
+        return status
+
+    def wait_for(self, index: Index, wait_s: float) -> list[str]:
+        """Wait until a revision is in force; return the entries that are behind."""
+        behind = list(self.site.entries)
+
+        def reached() -> bool:
+            behind[:] = [entry for entry in behind if self.revision_of(entry) < index.revision]
+            return not behind
+
+        self.wait_until(reached, wait_s)
+        return [entry.name for entry in behind]
+
+    def wait_until(self, condition: Callable[[], bool], wait_s: float) -> bool:
+        """Wait until a condition holds; return whether it does."""
+        clock = self.env.clock
+        ends_at = clock.monotonic() + wait_s
+        while not condition():
+            if clock.monotonic() >= ends_at:
+                return False
+            clock.sleep(POLL_S)
+        return True
+
+    def revision_of(self, entry: EntrySettings) -> int:
+        """Return the revision in force on an entry; -1 if it does not answer."""
+        try:
+            return self.ask(entry, "GET", "/admin/status")["revision"]
+        except PoplarhoistError:
+            return -1
+
+    def entry(self, name: str) -> EntrySettings:
+        """Return an entry of the settings.
+
+        Raises
+        ------
+        NotFoundError
+            If the settings name no such entry.
+        """
+        for entry in self.site.entries:
+            if entry.name == name:
+                return entry
+        known = ", ".join(entry.name for entry in self.site.entries)
+        raise NotFoundError(f"no such entry; expected one of {known}", "find-entry", name)
+
+    def ask(self, entry: EntrySettings, method: str, path: str, **fields: object) -> dict:
+        """Call an entry's operators' door.
+
+        Raises
+        ------
+        EntryError
+            If the entry does not answer or refuses.
+        """
+        url = f"http://{entry.host}:{entry.port}{path}"
+        headers = {"Authorization": f"Bearer {self.site.doors.operator_key}"}
+        try:
+            answer = self.pool.request(method, url, headers=headers, fields=fields or None)
+        except HTTPError as error:
+            raise EntryError("no answer", "call-entry", entry.name) from error
+        if answer.status >= 400:
+            raise EntryError(f"status {answer.status}", "call-entry", entry.name)
+        return orjson.loads(answer.data)
+
+    def ask_first(self, path: str, **fields: object) -> dict:
+        """Call the first entry that answers.
+
+        Raises
+        ------
+        EntryError
+            If none does.
+        """
+        for entry in self.site.entries:
+            try:
+                return self.ask(entry, "GET", path, **fields)
+            except EntryError as error:
+                last = error
+        raise last
+
+
+def cell(value: object) -> object:
+    """Return a value as it stands in a table."""
+    if isinstance(value, dict):
+        return ", ".join(f"{key} {item}" for key, item in value.items())
+    if isinstance(value, list | tuple):
+        return ", ".join(str(item) for item in value)
+    return value
--- /dev/null
+++ b/poplarhoist/ctl/presets.py
@@ -0,0 +1,106 @@
+"""Reads presets and single values of presets as TOML, and checks them."""
+
+import math
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+
+import attrs
+from attrs import frozen
+
+from poplarhoist.models import Preset
+from poplarhoist.settings.loader import faults
+from poplarhoist.settings.structure import converter, describe
+
+
+@frozen
+class Bounds:
+    """Range of a number, both ends included."""
+
+    low: float = 0.0
+    high: float = math.inf
+
+
+BOUNDS_BY_KEY = {
+    "max_wait_s": Bounds(0.1, 3600.0),
+    "queue_limit": Bounds(1, 1_000_000),
+    "spare_loads": Bounds(0.0, 1.0),
+}
+ANY_NUMBER = Bounds()
+
+
+def read_presets(path: Path) -> dict[str, dict[str, object]]:
+    """Return the values of each preset of a file by its name.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, if the file cannot be read or holds anything but tables.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise faults(path, [error.strerror or str(error)]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise faults(path, [str(error)]) from error
+    wrong = [f"expected a table, got {v!r} @ {k}" for k, v in data.items() if not is_table(v)]
+    if wrong or not data:
+        raise faults(path, wrong or ["expected a table for each preset, found none"])
+    return data
+
+
+def is_table(value: object) -> bool:
+    """Return whether a value of a file is a table."""
+    return isinstance(value, dict)
+
+
+def read_values(items: tuple[str, ...]) -> dict[str, object]:
+    """Return the values of ``key=value`` arguments.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, one for each argument that is not TOML.
+    """
+    values: dict[str, object] = {}
+    problems = []
+    for item in items:
+        try:
+            values |= tomllib.loads(item)
+        except tomllib.TOMLDecodeError as error:
+            problems.append(f"expected key=value in TOML, got {item!r}: {error}")
+    if problems:
+        raise faults("--set", problems)
+    return values
+
+
+def merge(before: Preset, values: Mapping[str, object], source: object) -> Preset:
+    """Return a preset with some values changed.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, one for each value that cannot be used.
+    """
+    data = {**attrs.asdict(before), **values, "name": before.name}
+    try:
+        preset = converter.structure(data, Preset)
+    except Exception as error:
+        raise faults(source, [f"{fault} of {before.name}" for fault in describe(error)]) from error
+    problems = out_of_range(preset)
+    if problems:
+        raise faults(source, problems)
+    return preset
+
+
+def out_of_range(preset: Preset) -> list[str]:
+    """Return a line for each number of a preset that is out of its range."""
+    problems = []
+    for key, value in attrs.asdict(preset).items():
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            continue
+        bounds = BOUNDS_BY_KEY.get(key, ANY_NUMBER)
+        if not bounds.low <= value <= bounds.high:
+            wanted = f"expected {bounds.low:g} to {bounds.high:g}"
+            problems.append(f"{wanted}, got {value!r} @ {key} of {preset.name}")
+    return problems
--- /dev/null
+++ b/poplarhoist/decisions/explain.py
@@ -0,0 +1,181 @@
+"""Tells what the decisions would do with a request now, by running them on a copy of the state."""
+
+from __future__ import annotations
+
+import copy
+import enum
+
+from attrs import frozen
+
+from poplarhoist.decisions import admission, grants, membership, routing
+from poplarhoist.decisions import effects as fx
+from poplarhoist.decisions.events import RequestArrived
+from poplarhoist.decisions.reducer import reduce
+from poplarhoist.decisions.state import State
+from poplarhoist.models import AdapterRef, Endpoint
+
+PROBE_ID = "explain"
+
+
+class Verdict(enum.StrEnum):
+    """What becomes of a request."""
+
+    DISPATCHED = "dispatched"
+    WAITS = "waits"
+    REFUSED = "refused"
+
+
+@frozen
+class Question:
+    """A request that is asked about.
+
+    Attributes
+    ----------
+    caller : str
+        Name of the caller.
+    deadline_s : float
+        Seconds that the caller would wait for the first byte.
+    """
+
+    model: str
+    caller: str
+    deadline_s: float
+
+
+@frozen
+class Candidate:
+    """An engine that could serve the request.
+
+    Attributes
+    ----------
+    cost : float
+        Cost of sending the request there; the lowest is chosen among those with room.
+    """
+
+    endpoint: str
+    zone: str
+    resident: bool
+    granted: bool
+    usable: bool
+    room: bool
+    cost: float
+
+
+@frozen
+class Explanation:
+    """What would become of a request now, and why.
+
+    Attributes
+    ----------
+    reason : str
+        Why it is refused; empty otherwise.
+    lead : str
+        Entry that decides the loads of the base model; empty if none is known.
+    ready_in_s : float or None
+        Expected wait for the adapter; None if the lead has not told one.
+    """
+
+    entry: str
+    revision: int
+    preset: str
+    verdict: Verdict
+    reason: str = ""
+    retry_after_s: float = 0.0
+    endpoint: str = ""
+    ref: str = ""
+    base: str = ""
+    lead: str = ""
+    waiting: int = 0
+    ready_in_s: float | None = None
+    candidates: tuple[Candidate, ...] = ()
+
+
+def explain(state: State, question: Question, at: float) -> Explanation:
+    """Return what would become of a request.
+
+    Parameters
+    ----------
+    state : State
+        Not changed.
+    """
+    trial = copied(state)
+    event = RequestArrived(
+        at=at,
+        request_id=PROBE_ID,
+        token_sha256=digest_of(trial, question.caller),
+        target=question.model,
+        deadline_s=question.deadline_s,
+    )
+    effects = reduce(trial, event)
+    common = {
+        "entry": state.me.name,
+        "revision": state.config.revision,
+        "preset": state.config.preset.name,
+    }
+    for effect in effects:
+        if isinstance(effect, fx.Refuse) and effect.request_id == PROBE_ID:
+            refusal = effect.refusal
+            common |= {"reason": refusal.reason, "retry_after_s": refusal.retry_after_s}
+            return Explanation(verdict=Verdict.REFUSED, **common, **adapter_facts(state, question))
+    request = trial.requests[PROBE_ID]
+    dispatched = any(isinstance(e, fx.Dispatch) and e.request_id == PROBE_ID for e in effects)
+    verdict = Verdict.DISPATCHED if dispatched else Verdict.WAITS
+    return Explanation(
+        verdict=verdict,
+        endpoint=request.endpoint,
+        ready_in_s=admission.expected_wait_s(trial, request, at),
+        **common,
+        **adapter_facts(state, question),
+    )
+
+
+def copied(state: State) -> State:
+    """Return a copy whose changes do not show; the configuration is shared, as none changes it."""
+    memo = {id(state.config): state.config, id(state.services): state.services}
+    return copy.deepcopy(state, memo)
+
+
+def digest_of(state: State, caller: str) -> str:
+    """Return the digest of a caller's token; empty if there is no such caller."""
+    for digest, known in state.config.callers_by_digest.items():
+        if known.name == caller:
+            return digest
+    return ""
+
+
+def adapter_facts(state: State, question: Question) -> dict[str, object]:
+    """Return what is known of the adapter that a request names."""
+    name, separator, version = question.model.partition("@")
+    adapter = state.config.adapters_by_name.get(name)
+    if adapter is None:
+        return {}
+    number = version if separator else str(adapter.current)
+    if number not in adapter.versions:
+        return {"base": adapter.base}
+    ref = AdapterRef(name, int(number))
+    view = state.leadership.by_base.get(adapter.base)
+    queue = state.admission.queues.get(ref)
+    engines = sorted(state.members.engines_by_base.get(adapter.base, ()))
+    return {
+        "base": adapter.base,
+        "ref": str(ref),
+        "lead": view.holder if view else "",
+        "waiting": len(queue.request_ids()) if queue else 0,
+        "candidates": tuple(candidate(state, ref, name) for name in engines),
+    }
+
+
+def candidate(state: State, ref: AdapterRef, name: str) -> Candidate:
+    """Describe an engine as a candidate for an adapter version."""
+    view = state.members.endpoints[name]
+    endpoint: Endpoint = view.endpoint
+    held = grants.find(state, ref, name)
+    return Candidate(
+        endpoint=name,
+        zone=endpoint.place.zone,
+        resident=view.report is not None and str(ref) in view.report.resident,
+        granted=held is not None and not held.recalled,
+        usable=membership.usable(state, name),
+        room=routing.has_room(state, name),
+        cost=round(routing.cost(state, name), 3),
+    )
--- a/poplarhoist/entry/doors.py
+++ b/poplarhoist/entry/doors.py
@@ -13,8 +13,10 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from poplarhoist import wire
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
+from poplarhoist.decisions.explain import Question, explain
 from poplarhoist.entry import problems
 from poplarhoist.entry.attempts import Attempt, Result, Work
 from poplarhoist.entry.core import Core
@@ -48,6 +50,7 @@
             Rule("/metrics", methods=["GET"], endpoint=self.metrics),
             Rule(PEER_PATH, methods=["POST"], endpoint=self.peer),
             Rule("/admin/status", methods=["GET"], endpoint=self.status),
+            Rule("/admin/explain", methods=["GET"], endpoint=self.explain),
             Rule("/admin/drain", methods=["POST"], endpoint=self.drain),
         ]
         self.map = Map(rules)
@@ -104,7 +107,18 @@
     def status(self, request: Request) -> Response:
         """Describe this entry for operators."""
         self.require_operator(request)
-        return json_response(describe(self.core.state, self.core.at()))
+        refused = self.core.metrics.totals("refused")
+        return json_response(describe(self.core.state, self.core.at()) | {"refused": refused})
+
+    def explain(self, request: Request) -> Response:
+        """Tell where a request would go now, or why it would be refused."""
+        self.require_operator(request)
+        question = Question(
+            model=request.args.get("model", ""),
+            caller=request.args.get("caller", ""),
+            deadline_s=request.args.get("deadline_s", DEFAULT_DEADLINE_S, type=float),
+        )
+        return json_response(wire.dump(explain(self.core.state, question, self.core.at())))
 
     def drain(self, request: Request) -> Response:
         """Begin a graceful stop."""
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -31,6 +31,16 @@
             "poplarhoist_revision", "Configuration revision in force", registry=self.registry
         )
 
+    def totals(self, name: str) -> dict[str, float]:
+        """Return a counter by its first label, added up over the others."""
+        first = COUNTERS[name][1][0]
+        totals: dict[str, float] = {}
+        for sample in next(iter(self.counters[name].collect())).samples:
+            if sample.name.endswith("_total"):
+                key = sample.labels[first]
+                totals[key] = totals.get(key, 0.0) + sample.value
+        return totals
+
     def count(self, name: str, labels: tuple[str, ...] = (), amount: float = 1.0) -> None:
         """Add to a counter."""
         counter = self.counters[name]
--- a/poplarhoist/entry/status.py
+++ b/poplarhoist/entry/status.py
@@ -13,6 +13,11 @@
         "draining": state.draining,
         "waiting": state.admission.waiting,
         "requests": len(state.requests),
+        "queues": {
+            str(ref): len(queue.request_ids())
+            for ref, queue in state.admission.queues.items()
+            if queue.by_priority
+        },
         "leads": {base: board.epoch for base, board in state.boards.items()},
         "known_leads": {
             base: view.holder for base, view in state.leadership.by_base.items() if view.holder
@@ -22,6 +27,12 @@
         },
         "endpoints": {
             name: {
+                "kind": view.endpoint.kind,
+                "serves": view.endpoint.serves,
+                "zone": view.endpoint.place.zone,
+                "slots": view.endpoint.slots,
+                "running": view.report.running if view.report else None,
+                "waiting": view.report.waiting if view.report else None,
                 "leaving": view.leaving,
                 "silent": view.silent_since is not None,
                 "resident": sorted(view.report.resident) if view.report else [],
--- a/poplarhoist/errors.py
+++ b/poplarhoist/errors.py
@@ -38,5 +38,17 @@
     """An endpoint could not be reached or broke its answer off."""
 
 
+class UnsettledError(PlatformError):
+    """It is not known whether a change took effect."""
+
+
+class EntryError(PoplarhoistError):
+    """An entry did not answer an operator, or refused."""
+
+
+class NotFoundError(PoplarhoistError):
+    """Something that a command names does not exist."""
+
+
 class ConflictError(PoplarhoistError):
     """Another writer changed the object first."""
--- a/poplarhoist/models.py
+++ b/poplarhoist/models.py
@@ -157,12 +157,22 @@
     priority: int = 0
 
 
+class PresetKind(enum.StrEnum):
+    """The kinds of day that presets are for."""
+
+    ORDINARY = "ordinary"
+    PEAK = "peak"
+    MAINTENANCE = "maintenance"
+
+
 @frozen
 class Preset:
     """How the site is run while this preset is in force.
 
     Attributes
     ----------
+    kind : PresetKind
+        The kind of day that it is for.
     stall_weight, batch_weight : float
         How much a wait for a load counts against how full the batches are.
     max_wait_s : float
@@ -182,6 +192,7 @@
     queue_limit: int = 512
     spare_loads: float = 0.25
     warm: tuple[str, ...] = ()
+    kind: PresetKind = PresetKind.ORDINARY
 
 
 @frozen
--- a/poplarhoist/publish.py
+++ b/poplarhoist/publish.py
@@ -18,7 +18,7 @@
     page_digest,
 )
 from poplarhoist.entry.platform import Answer, Platform
-from poplarhoist.errors import ConflictError, PlatformError
+from poplarhoist.errors import ConflictError, PlatformError, UnsettledError
 from poplarhoist.models import Adapter, Caller, Index, Preset
 
 CATALOGUE_PAGES = 64
@@ -84,6 +84,20 @@
         """Add or change an adapter."""
         self.edit(catalogue_page(adapter.name))[adapter.name] = wire.dump(adapter)
 
+    def adapters(self) -> dict[str, Adapter]:
+        """Return all adapters by name."""
+        names = [name for name in self.index.pages if name.startswith(CATALOGUE_PREFIX)]
+        found = {n: wire.load(a, Adapter) for page in names for n, a in self.page(page).items()}
+        return dict(sorted(found.items()))
+
+    def callers(self) -> dict[str, Caller]:
+        """Return all callers by name."""
+        return wire.load(self.page(CALLERS_PAGE), dict[str, Caller])
+
+    def remove_caller(self, name: str) -> bool:
+        """Remove a caller; return whether there was one."""
+        return self.edit(CALLERS_PAGE).pop(name, None) is not None
+
     def put_caller(self, caller: Caller) -> None:
         """Add or change a caller."""
         self.edit(CALLERS_PAGE)[caller.name] = wire.dump(caller)
@@ -201,7 +215,7 @@
                 return change in wire.load(found.value, Index).recent
             if found.status is CallStatus.NOT_FOUND:
                 return False
-        raise PlatformError(
+        raise UnsettledError(
             "it is not known whether the change was accepted", "read-back", INDEX_PATH
         )
 
--- a/poplarhoist/settings/loader.py
+++ b/poplarhoist/settings/loader.py
@@ -1,41 +1,28 @@
 """Reads and checks a settings file; reports all faults at once."""
 
 import tomllib
+from collections import Counter
+from collections.abc import Hashable, Iterable
 from pathlib import Path
+from typing import TypeVar
 
-import cattrs
-from cattrs import transform_error
+from attrs import asdict, evolve
 
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.errors import SettingsError
-from poplarhoist.models import Endpoint, Instance, Place, Route, Service
+from poplarhoist.models import Endpoint, EndpointKind, Instance, Place, Route, Service
 from poplarhoist.settings.models import EndpointSettings, EntrySettings, Site
+from poplarhoist.settings.structure import converter, describe
 
 STEP = "load-settings"
 BITS_PER_BYTE = 8
-
-converter = cattrs.Converter(forbid_extra_keys=True)
-
-
-def strict_scalar(value: object, kind: type) -> object:
-    """Take a scalar as it is written, without turning text into numbers.
-
-    Raises
-    ------
-    TypeError
-        If the value is of another type.
-    """
-    if kind is float and isinstance(value, int) and not isinstance(value, bool):
-        return float(value)
-    if type(value) is not kind:
-        raise TypeError(f"expected {kind.__name__}, got {value!r}")
-    return value
-
-
-converter.register_structure_hook_func(
-    lambda kind: kind in (str, int, float, bool),
-    strict_scalar,
+GROWING_TIMINGS = (
+    ("lease_renew_s", "lease_use_s"),
+    ("lease_use_s", "lease_s"),
+    ("heartbeat_s", "peer_timeout_s"),
+    ("poll_s", "report_stale_s"),
 )
+H = TypeVar("H", bound=Hashable)
 
 
 def load_site(path: Path) -> Site:
@@ -60,28 +47,14 @@
     try:
         site = converter.structure(data, Site)
     except Exception as error:
-        raise faults(path, [fault.replace("$.", "") for fault in describe(error)]) from error
+        raise faults(path, describe(error)) from error
     problems = cross_check(site)
     if problems:
         raise faults(path, problems)
     return site
 
 
-def describe(error: BaseException) -> list[str]:
-    """Turn a converter's error into one line for each fault, with key and value."""
-    return transform_error(error, "$", format_fault)
-
-
-def format_fault(error: BaseException, kind: type | None) -> str:
-    """Describe one fault."""
-    if isinstance(error, KeyError):
-        return f"missing key {error.args[0]!r}"
-    if isinstance(error, ValueError | TypeError):
-        return str(error.args[0]) if error.args else str(error)
-    return str(error)
-
-
-def faults(path: Path, messages: list[str]) -> ExceptionGroup:
+def faults(path: object, messages: list[str]) -> ExceptionGroup:
     """Bundle faults of a file."""
     errors = [SettingsError(message, STEP, str(path)) for message in messages]
     return ExceptionGroup(f"{path} cannot be used", errors)
@@ -89,19 +62,55 @@
 
 def cross_check(site: Site) -> list[str]:
     """Return faults that concern more than one key."""
+    checks = (check_names, check_addresses, check_places, check_services, check_timings)
+    return [problem for check in checks for problem in check(site)]
+
+
+def repeated(items: Iterable[H]) -> list[H]:
+    """Return the items that occur more than once, each once and in order."""
+    return [item for item, count in Counter(items).items() if count > 1]
+
+
+def check_names(site: Site) -> list[str]:
+    """Return a line for each name that is used twice, and if there is no entry."""
+    problems = [] if site.entries else ["expected at least one entry, got none @ entries"]
+    for kind in ("entries", "endpoints", "services"):
+        for name in repeated(item.name for item in getattr(site, kind)):
+            problems.append(f"name {name!r} is used more than once @ {kind}")
+    return problems
+
+
+def check_addresses(site: Site) -> list[str]:
+    """Return a line for each address at which two processes would listen."""
+    processes = (site.platform, *site.entries, *site.endpoints)
+    addresses = repeated((item.host, item.port) for item in processes)
+    return [f"address {host}:{port} is used more than once" for host, port in addresses]
+
+
+def check_places(site: Site) -> list[str]:
+    """Return a line for each availability zone that lies in two regions."""
+    pairs = {(item.zone, item.region) for item in (*site.entries, *site.endpoints)}
+    zones = repeated(zone for zone, _ in sorted(pairs))
+    return [f"availability zone {zone!r} is in more than one region" for zone in zones]
+
+
+def check_services(site: Site) -> list[str]:
+    """Return a line for each service endpoint of which no service tells the routes."""
+    known = {service.name for service in site.services}
+    return [
+        f"expected the name of a service, got {endpoint.serves!r} @ endpoints {endpoint.name}"
+        for endpoint in site.endpoints
+        if endpoint.kind is EndpointKind.SERVICE and endpoint.serves not in known
+    ]
+
+
+def check_timings(site: Site) -> list[str]:
+    """Return a line for each pair of timings that must grow and does not."""
     problems = []
-    for kind, names in (
-        ("entries", [entry.name for entry in site.entries]),
-        ("endpoints", [endpoint.name for endpoint in site.endpoints]),
-        ("services", [service.name for service in site.services]),
-    ):
-        for name in sorted({name for name in names if names.count(name) > 1}):
-            problems.append(f"{kind}: name {name!r} is used more than once")
-    addresses = [(item.host, item.port) for item in (*site.entries, *site.endpoints)]
-    for host, port in sorted({a for a in addresses if addresses.count(a) > 1}):
-        problems.append(f"address {host}:{port} is used more than once")
-    if not site.entries:
-        problems.append("entries: at least one is needed")
+    for low, high in GROWING_TIMINGS:
+        low_s, high_s = getattr(site.timings, low), getattr(site.timings, high)
+        if low_s >= high_s:
+            problems.append(f"{low} {low_s:g} must be less than {high} {high_s:g} @ timings")
     return problems
 
 
@@ -167,7 +176,8 @@
 
 def to_limits(site: Site) -> Limits:
     """Return the decisions' limits with the site's own values."""
-    return Limits(
+    return evolve(
+        Limits(**asdict(site.timings)),
         store_loads_per_s=site.store.loads_per_s,
         store_in_flight=site.store.in_flight,
         load_s=site.store.load_s,
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -2,11 +2,14 @@
 
 from attrs import field, frozen, validators
 
+from poplarhoist.decisions.limits import Limits
 from poplarhoist.models import EndpointKind
 
 PORT = validators.and_(validators.ge(1), validators.le(65535))
 NAME = validators.matches_re(r"[a-z0-9][a-z0-9.-]*")
 POSITIVE = validators.gt(0)
+SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
+DEFAULTS = Limits()
 
 
 @frozen
@@ -111,6 +114,25 @@
     connections: int = field(default=1024, validator=POSITIVE)
 
 
+@frozen
+class TimingSettings:
+    """Bounds and intervals of the decisions that operators may set; see ``Limits`` for each."""
+
+    lease_s: float = field(default=DEFAULTS.lease_s, validator=POSITIVE)
+    lease_use_s: float = field(default=DEFAULTS.lease_use_s, validator=POSITIVE)
+    lease_renew_s: float = field(default=DEFAULTS.lease_renew_s, validator=POSITIVE)
+    order_s: float = field(default=DEFAULTS.order_s, validator=POSITIVE)
+    heartbeat_s: float = field(default=DEFAULTS.heartbeat_s, validator=POSITIVE)
+    peer_timeout_s: float = field(default=DEFAULTS.peer_timeout_s, validator=POSITIVE)
+    poll_s: float = field(default=DEFAULTS.poll_s, validator=POSITIVE)
+    report_stale_s: float = field(default=DEFAULTS.report_stale_s, validator=POSITIVE)
+    grant_idle_s: float = field(default=DEFAULTS.grant_idle_s, validator=POSITIVE)
+    retry_share: float = field(default=DEFAULTS.retry_share, validator=SHARE)
+    retry_burst: float = field(default=DEFAULTS.retry_burst, validator=validators.ge(0.0))
+    attempts: int = field(default=DEFAULTS.attempts, validator=validators.ge(1))
+    caller_queue_share: float = field(default=DEFAULTS.caller_queue_share, validator=SHARE)
+
+
 @frozen
 class Site:
     """All settings of a site."""
@@ -124,3 +146,4 @@
     store: StoreSettings = StoreSettings()
     link: LinkSettings = LinkSettings()
     streams: StreamSettings = StreamSettings()
+    timings: TimingSettings = TimingSettings()
--- /dev/null
+++ b/poplarhoist/settings/structure.py
@@ -0,0 +1,113 @@
+"""Turns plain data of a settings file into attrs objects and finds all faults in one pass."""
+
+import enum
+import typing
+from collections.abc import Callable
+
+import attrs
+import cattrs
+from cattrs import ClassValidationError, transform_error
+from cattrs.errors import AttributeValidationNote
+
+ROOT = "$"
+SCALARS = (str, int, float, bool)
+
+converter = cattrs.Converter()
+
+
+def structure_scalar(value: object, kind: type) -> object:
+    """Take a scalar as it is written, without turning text into numbers.
+
+    Raises
+    ------
+    TypeError
+        If the value is of another type.
+    """
+    if issubclass(kind, enum.Enum):
+        return structure_enum(value, kind)
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise TypeError(f"expected {kind.__name__}, got {value!r}")
+    return value
+
+
+def structure_enum(value: object, kind: type[enum.Enum]) -> enum.Enum:
+    """Take one of the values of an enum.
+
+    Raises
+    ------
+    ValueError
+        If the value is none of them.
+    """
+    try:
+        return kind(value)
+    except ValueError:
+        known = ", ".join(str(item.value) for item in kind)
+        raise ValueError(f"expected one of {known}, got {value!r}") from None
+
+
+def structure_class(data: object, kind: type) -> object:
+    """Make an attrs object of a table; every key is checked, whatever the others hold.
+
+    Raises
+    ------
+    TypeError
+        If the data is no table.
+    ClassValidationError
+        With all faults of the table.
+    """
+    if not isinstance(data, dict):
+        raise TypeError(f"expected a table, got {data!r}")
+    values: dict[str, object] = {}
+    errors: list[Exception] = []
+    hints = typing.get_type_hints(kind)
+    fields = attrs.fields_dict(kind)
+    for name, attribute in fields.items():
+        try:
+            if name in data or attribute.default is attrs.NOTHING:
+                values[name] = structure_field(data, attribute, hints[name])
+        except Exception as error:
+            errors.append(noted(error, kind, name))
+    for name in data.keys() - fields.keys():
+        error = ValueError(f"unknown key; expected one of {', '.join(fields)}")
+        errors.append(noted(error, kind, name))
+    if errors:
+        raise ClassValidationError(f"faults of {kind.__name__}", errors, kind)
+    return kind(**values)
+
+
+def structure_field(data: dict, attribute: attrs.Attribute, hint: type) -> object:
+    """Make and check the value of one key."""
+    if attribute.name not in data:
+        raise ValueError("missing key")
+    value = converter.structure(data[attribute.name], hint)
+    if attribute.validator is not None:
+        attribute.validator(None, attribute, value)
+    return value
+
+
+def noted(error: Exception, kind: type, name: str) -> Exception:
+    """Add the key to an error, for the path in its description."""
+    error.add_note(AttributeValidationNote(f"{kind.__name__}.{name}", name, str))
+    return error
+
+
+def describe(error: BaseException) -> list[str]:
+    """Return one line for each fault: what is expected, the value, and the path of the key."""
+    return [line.replace(f"{ROOT}.", "") for line in transform_error(error, ROOT, fault_text)]
+
+
+def fault_text(error: BaseException, kind: type | None) -> str:
+    """Describe one fault."""
+    return str(error.args[0]) if error.args else str(error)
+
+
+def hook_for_class(kind: type) -> Callable:
+    """Return the hook for an attrs class."""
+    return structure_class
+
+
+for scalar in SCALARS:
+    converter.register_structure_hook(scalar, structure_scalar)
+converter.register_structure_hook_factory(attrs.has, hook_for_class)
--- a/poplarhoist/status.py
+++ b/poplarhoist/status.py
@@ -12,4 +12,7 @@
     CONFLICT = 3
     TIMEOUT = 4
     UNAVAILABLE = 5
+    NOT_FOUND = 6
+    UNSETTLED = 7
+    REFUSED = 8
     INTERRUPTED = 130
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,8 +9,8 @@
 
 def test_whole_path(running_site):
     site = running_site(entries=2, engines=3)
-    site.ctl("adapter-create", "drafts", "--base", "base", "--wait-s", "6")
-    site.ctl("version-publish", "drafts", "3", "--wait-s", "6")
+    site.ctl("adapter", "create", "drafts", "--base", "base", "--wait-s", "6")
+    site.ctl("version", "publish", "drafts", "3", "--wait-s", "6")
     for entry in ("entry-1", "entry-2"):
         answer = site.complete(entry, "drafts", tokens=5, stream=True)
         text = answer.read().decode()
