--- a/poplarhoist/ctl/changes.py
+++ b/poplarhoist/ctl/changes.py
@@ -121,7 +121,7 @@
         if command.name not in draft.presets():
             known = ", ".join(draft.presets()) or "none"
             raise NotFoundError(f"no such preset; there are {known}", "use-preset", command.name)
-        draft.preset = command.name
+        draft.use(command.name)
 
     return operator.change(edit, command.wait_s)
 
--- a/poplarhoist/publish.py
+++ b/poplarhoist/publish.py
@@ -41,6 +41,8 @@
         Data of the pages that were read, by name.
     touched : set
         Names of the pages that were changed.
+    preset_chosen : bool
+        Whether the change says which preset is in force, so that it loses to one that says another.
     """
 
     index: Index
@@ -49,6 +51,12 @@
     preset: str
     pages: dict[str, dict] = field(factory=dict)
     touched: set[str] = field(factory=set)
+    preset_chosen: bool = False
+
+    def use(self, preset: str) -> None:
+        """Put a preset in force, also if it is in force already."""
+        self.preset = preset
+        self.preset_chosen = True
 
     def page(self, name: str) -> dict:
         """Return the data of a page, read on first use.
@@ -223,6 +231,6 @@
 def changed_names(draft: Draft) -> set[str]:
     """Return the names of what a draft changes."""
     names = set(draft.touched)
-    if draft.preset != draft.index.preset:
+    if draft.preset_chosen or draft.preset != draft.index.preset:
         names.add("preset")
     return names
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,240 @@
+"""The operators' tool, run in this process against a site of processes."""
+
+import io
+import json
+
+import pytest
+
+from poplarhoist.cli.ctl import main
+from poplarhoist.context import Environment
+from poplarhoist.models import Preset
+from poplarhoist.publish import Publisher
+from poplarhoist.status import ExitStatus
+from tests.site import RunningSite, SiteFile, published, wait_until
+
+PRESETS = """
+[peak]
+kind = "peak"
+max_wait_s = 4
+queue_limit = 64
+[maintenance]
+kind = "maintenance"
+spare_loads = 0.5
+"""
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("ctl")
+    site = RunningSite(SiteFile(folder / "site.toml"))
+    (folder / "presets.toml").write_text(PRESETS)
+    site.start()
+    yield site
+    site.stop()
+
+
+class Answer:
+    """What a run of the tool gave."""
+
+    def __init__(self, settings, *args: str, stdin: str = "") -> None:
+        out, err = io.StringIO(), io.StringIO()
+        env = Environment(io.StringIO(stdin), out, err, variables={"POPLARHOIST_OPERATOR": "me"})
+        self.status = main([*args, "--settings", str(settings)], env)
+        self.out, self.err = out.getvalue(), err.getvalue()
+
+    @property
+    def json(self):
+        return json.loads(self.out)
+
+
+def ctl(site, *args: str, stdin: str = "") -> Answer:
+    return Answer(site.file.path, *args, stdin=stdin)
+
+
+def test_a_change_is_accepted_and_in_force_on_every_entry(site):
+    created = ctl(site, "adapter", "create", "letters", "--base", "base", "--wait-s", "6")
+    assert created.status == ExitStatus.OK, created.err
+    assert "in force on 2 of 2 entries" in created.out
+    answer = ctl(site, "version", "publish", "letters", "2", "--wait-s", "6", "--json")
+    assert (answer.json["in_force"], answer.json["behind"]) == (2, [])
+    shown = ctl(site, "adapter", "show", "letters", "--json").json
+    assert (shown["current"], shown["versions"]) == (2, {"2": "published"})
+    ctl(site, "version", "publish", "letters", "3")
+    ctl(site, "version", "withdraw", "letters", "3", "--wait-s", "6")
+    shown = ctl(site, "adapter", "show", "letters", "--json").json
+    assert (shown["current"], shown["versions"]["3"]) == (2, "withdrawn")
+    names = [row["name"] for row in ctl(site, "adapter", "list", "--json").json]
+    assert {"letters", "plans"} <= set(names)
+
+
+@pytest.mark.parametrize("arguments", [("--token", "secret-of-crew"), ()])
+def test_only_the_digest_of_a_token_is_kept(site, arguments):
+    token = "secret-of-crew"
+    put = ctl(site, "caller", "put", "crew", "--wait-s", "6", *arguments, stdin=token + "\n")
+    assert put.status == ExitStatus.OK, put.err
+    listed = ctl(site, "caller", "list", "--json")
+    assert {"name": "crew", "priority": 0} in listed.json
+    assert token not in listed.out + put.out
+    call = site.call("entry-1", "/v1/models", method="GET", Authorization=f"Bearer {token}")
+    assert call.status == 200
+    assert ctl(site, "caller", "remove", "crew", "--wait-s", "6").status == ExitStatus.OK
+    call = site.call("entry-1", "/v1/models", method="GET", Authorization=f"Bearer {token}")
+    assert call.status == 401
+
+
+def test_exactly_one_preset_is_in_force(site):
+    file = site.file.path.parent / "presets.toml"
+    assert ctl(site, "preset", "put", "--file", str(file)).status == ExitStatus.OK
+    changed = ctl(site, "preset", "put", "peak", "--set", "max_wait_s=5", 'warm=["plans"]')
+    assert changed.status == ExitStatus.OK, changed.err
+    peak = ctl(site, "preset", "show", "peak", "--json").json
+    assert (peak["kind"], peak["max_wait_s"], peak["queue_limit"], peak["warm"]) == (
+        "peak",
+        5.0,
+        64,
+        ["plans"],
+    )
+    for name in ("peak", "maintenance", "ordinary"):
+        assert ctl(site, "preset", "use", name, "--wait-s", "6").status == ExitStatus.OK
+        rows = ctl(site, "preset", "list", "--json").json
+        assert [row["name"] for row in rows if row["in_force"] == "yes"] == [name]
+        assert {site.status(entry)["preset"] for entry in site.file.entry_ports} == {name}
+
+
+@pytest.mark.parametrize(
+    ("args", "status", "text"),
+    [
+        (("adapter", "create", "plans", "--base", "base"), ExitStatus.CONFLICT, "exists already"),
+        (("adapter", "show", "nothing"), ExitStatus.NOT_FOUND, "no such adapter"),
+        (("version", "publish", "nothing", "1"), ExitStatus.NOT_FOUND, "no such adapter"),
+        (("version", "publish", "plans", "0"), ExitStatus.USAGE, "expected 1 or more, got 0"),
+        (("version", "publish", "plans", "x"), ExitStatus.USAGE, "invalid int value"),
+        (("version", "withdraw", "plans", "9"), ExitStatus.NOT_FOUND, "no such version"),
+        (("caller", "put", "crew"), ExitStatus.USAGE, "expected a token"),
+        (("caller", "remove", "nobody"), ExitStatus.NOT_FOUND, "no such caller"),
+        (("preset", "use", "sunday"), ExitStatus.NOT_FOUND, "there are"),
+        (("preset", "put"), ExitStatus.USAGE, "expected the name of a preset"),
+        (("preset", "put", "x", "--set", "spare_loads=2"), ExitStatus.USAGE, "expected 0 to 1"),
+        (("preset", "put", "x", "--set", "colour=2"), ExitStatus.USAGE, "unknown key"),
+        (("preset", "put", "x", "--set", "kind='feast'"), ExitStatus.USAGE, "expected one of"),
+        (("preset", "put", "x", "--set", "max_wait_s"), ExitStatus.USAGE, "in TOML"),
+        (("drain", "entry-9"), ExitStatus.NOT_FOUND, "expected one of entry-1, entry-2"),
+        (("feast",), ExitStatus.USAGE, "invalid choice"),
+    ],
+)
+def test_what_cannot_be_done_is_told_with_a_status_of_its_own(site, args, status, text):
+    before = ctl(site, "preset", "list").out
+    answer = ctl(site, *args)
+    assert answer.status == status
+    assert text in answer.err
+    assert ctl(site, "preset", "list").out == before
+
+
+@pytest.mark.parametrize(
+    ("args", "status", "text"),
+    [
+        (("plans", "--caller", "family"), ExitStatus.OK, "plans@1"),
+        (("plans@7", "--caller", "family"), ExitStatus.REFUSED, "refused: unknown-version"),
+        (("plans", "--caller", "nobody"), ExitStatus.REFUSED, "refused: unknown-caller"),
+        (("nothing", "--caller", "family"), ExitStatus.REFUSED, "refused: unknown-adapter"),
+    ],
+)
+def test_explain_says_what_the_decisions_would_do(site, args, status, text):
+    answer = ctl(site, "explain", *args)
+    assert answer.status == status, answer.err
+    assert text in answer.out
+
+
+def test_explain_names_the_engine_that_then_serves(site):
+    assert site.complete("entry-1").read()
+    told = ctl(site, "explain", "plans", "--caller", "family", "--entry", "entry-1", "--json").json
+    assert told["verdict"] == "dispatched"
+    granted = [row["endpoint"] for row in told["candidates"] if row["granted"]]
+    assert told["endpoint"] in granted
+    assert site.status("entry-1")["requests"] == 0
+
+
+def test_status_and_endpoints_show_the_site(site):
+    site.call("entry-1", "/v1/completions", {"model": "none", "prompt": "x"}).read()
+    found = ctl(site, "status", "--json").json
+    assert found["entry-1"]["refused"]["unknown-adapter"] >= 1
+    leads = [name for name, entry in found.items() if "base" in entry["leads"]]
+    assert len(leads) == 1
+    assert leads[0] in ctl(site, "status").out
+    rows = ctl(site, "endpoint", "list", "--json").json
+    assert {row["endpoint"]: row["kind"] for row in rows} == {
+        "engine-1": "engine",
+        "engine-2": "engine",
+        "booking-1": "service",
+    }
+
+
+def test_a_change_whose_answer_is_lost_is_made_once(site):
+    before = ctl(site, "preset", "use", "ordinary", "--json").json["accepted"]
+    site.control("platform", "/control/faults", lose_answers=1)
+    answer = ctl(site, "preset", "use", "ordinary", "--json")
+    assert answer.status == ExitStatus.OK, answer.err
+    assert answer.json["accepted"] == before + 1
+    assert ctl(site, "preset", "use", "ordinary", "--json").json["accepted"] == before + 2
+
+
+def rival_first(monkeypatch, change) -> None:
+    """Let another operator's change come in just before the next swap of the index."""
+    new_index = Publisher.new_index
+
+    def delayed(publisher, draft, change_id):
+        index = new_index(publisher, draft, change_id)
+        monkeypatch.setattr(Publisher, "new_index", new_index)
+        Publisher(publisher.platform, "rival").change(change)
+        return index
+
+    monkeypatch.setattr(Publisher, "new_index", delayed)
+
+
+def test_the_loser_of_a_race_for_a_preset_is_told_who_won(site, monkeypatch):
+    def use_rivals(draft) -> None:
+        draft.put_preset(Preset("rivals"))
+        draft.use("rivals")
+
+    rival_first(monkeypatch, use_rivals)
+    lost = ctl(site, "preset", "use", "ordinary")
+    assert lost.status == ExitStatus.CONFLICT
+    assert "rival won with revision" in lost.err
+    assert ctl(site, "preset", "show", "--json").json["name"] == "rivals"
+    assert ctl(site, "preset", "use", "ordinary").status == ExitStatus.OK
+
+
+def test_the_loser_of_a_race_for_a_version_is_told_who_won(site, monkeypatch):
+    rival_first(monkeypatch, lambda draft: draft.put_adapter(published("plans", 1, 2)))
+    lost = ctl(site, "version", "publish", "plans", "3")
+    assert lost.status == ExitStatus.CONFLICT
+    assert "rival won with revision" in lost.err
+    assert ctl(site, "adapter", "show", "plans", "--json").json["current"] == 2
+
+
+def test_a_race_over_different_things_loses_nothing(site, monkeypatch):
+    rival_first(monkeypatch, lambda draft: draft.put_adapter(published("others", 1)))
+    assert ctl(site, "preset", "put", "mine", "--set", "max_wait_s=3").status == ExitStatus.OK
+    assert ctl(site, "adapter", "show", "others").status == ExitStatus.OK
+    assert ctl(site, "preset", "show", "mine", "--json").json["max_wait_s"] == 3.0
+
+
+@pytest.mark.parametrize("fault", [{"outage": True}, {"calls_per_s": 0.001}])
+def test_nothing_is_accepted_without_the_platform(site, fault):
+    site.control("platform", "/control/faults", **fault)
+    refused = ctl(site, "preset", "use", "ordinary")
+    site.control("platform", "/control/faults", outage=False, calls_per_s=0.0)
+    assert refused.status == ExitStatus.UNAVAILABLE
+    assert "accepted" not in refused.out
+
+
+def test_drain_waits_until_the_entry_has_stopped(running_site):
+    site = running_site(entries=2, engines=1)
+    assert site.complete("entry-2").read()
+    answer = ctl(site, "drain", "entry-1", "--wait-s", "15")
+    assert (answer.status, answer.out) == (ExitStatus.OK, "entry-1 has stopped\n")
+    assert site.processes["entry-1"].wait(timeout=5) == 0
+    late = ctl(site, "preset", "use", "ordinary", "--wait-s", "0.5")
+    assert late.status == ExitStatus.TIMEOUT
+    assert "in force on 1 of 2 entries; not on entry-1" in late.out
+    wait_until(lambda: ctl(site, "status").status == ExitStatus.UNAVAILABLE)
