--- a/poplarhoist/cli/common.py
+++ b/poplarhoist/cli/common.py
@@ -80,7 +80,7 @@
     return STATUS_BY_ERROR.get(type(error), ExitStatus.ERROR)
 
 
-def configure_logs(json_lines: bool) -> None:
+def configure_logs(json_lines: bool, level: int = logging.INFO) -> None:
     """Log changes of state to standard error, as JSON or for a console."""
     renderer = (
         structlog.processors.JSONRenderer()
@@ -93,6 +93,6 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             renderer,
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
--- a/poplarhoist/cli/standin.py
+++ b/poplarhoist/cli/standin.py
@@ -1,10 +1,11 @@
-"""``poplarhoist-standin``: runs a stand-in of the platform, an engine or a service."""
+"""``poplarhoist-standin``: runs stand-ins of the platform, the engines and the services."""
 
 from poplarhoist.cli.common import quiet_eventlet, run
 
 quiet_eventlet()
 
 import eventlet
+import eventlet.event
 
 eventlet.monkey_patch()
 
@@ -19,6 +20,7 @@
 from poplarhoist.standins.engine import EngineStandin
 from poplarhoist.standins.platform import PlatformStandin
 from poplarhoist.standins.service import ServiceStandin
+from poplarhoist.standins.site import StandinSite
 from poplarhoist.standins.web import serve
 from poplarhoist.status import ExitStatus
 
@@ -49,6 +51,14 @@
     name: str
 
 
+@frozen
+class RunSite:
+    """Run all stand-ins of a site; ``step_s`` is the time of one step in seconds."""
+
+    settings: Path
+    step_s: float
+
+
 def platform(*, settings: Path) -> RunPlatform:
     """Run the stand-in of the platform.
 
@@ -88,16 +98,32 @@
     return RunService(settings, name)
 
 
+def site(*, settings: Path, step_s: float = 0.02) -> RunSite:
+    """Run all stand-ins of a site in this one process.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file of the site.
+    step_s : float
+        Seconds that one step of an engine's batch takes.
+    """
+    return RunSite(settings, step_s)
+
+
 def execute(command: object, env: Environment) -> ExitStatus:
     """Run a stand-in until the process is ended."""
-    site = load_site(command.settings)
+    settings = load_site(command.settings)
+    if isinstance(command, RunSite):
+        StandinSite(settings, env.clock, command.step_s).start()
+        eventlet.event.Event().wait()
     if isinstance(command, RunPlatform):
-        standin = PlatformStandin(site, env.clock)
-        serve(standin.app(), site.platform.host, site.platform.port)
+        standin = PlatformStandin(settings, env.clock)
+        serve(standin.app(), settings.platform.host, settings.platform.port)
         return ExitStatus.OK
-    endpoint = find_endpoint(site, command.name)
+    endpoint = find_endpoint(settings, command.name)
     if isinstance(command, RunEngine):
-        standin = EngineStandin(endpoint, site.platform, env.clock, command.step_s)
+        standin = EngineStandin(endpoint, settings.platform, env.clock, command.step_s)
         standin.run()
     else:
         standin = ServiceStandin(endpoint)
@@ -107,7 +133,7 @@
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run the program."""
-    return run(PROGRAM, [platform, engine, service], execute, args, env)
+    return run(PROGRAM, [platform, engine, service, site], execute, args, env)
 
 
 def console() -> None:
--- /dev/null
+++ b/poplarhoist/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a whole site as green threads of one process."""
--- /dev/null
+++ b/poplarhoist/demo/site.py
@@ -0,0 +1,111 @@
+"""A small site on loopback: stand-ins and entries as green threads of this process."""
+
+import socket
+from pathlib import Path
+
+import eventlet
+
+from poplarhoist.context import Environment
+from poplarhoist.entry.server import EntryServer
+from poplarhoist.models import Instance
+from poplarhoist.settings.loader import load_site, to_instance
+from poplarhoist.standins.site import StandinSite
+
+HOST = "127.0.0.1"
+ENTRIES = {"entry-1": "east-a", "entry-2": "east-b", "entry-3": "west-a"}
+ENGINES = {"engine-1": "east-a", "engine-2": "east-b", "engine-3": "west-a"}
+SERVICE = "booking-1"
+REGION_BY_ZONE = {"east-a": "east", "east-b": "east", "west-a": "west"}
+SLOTS = 4
+BATCH = 4
+STEP_S = 0.01
+READY_S = 10.0
+POLL_S = 0.02
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on loopback that nobody listens on."""
+    listeners = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+def settings_text() -> str:
+    """Return the settings of the site, with free ports."""
+    ports = iter(free_ports(len(ENTRIES) + len(ENGINES) + 2))
+    parts = [
+        f'name = "demo"\n[platform]\nhost = "{HOST}"\nport = {next(ports)}',
+        '[doors]\npeer_key = "key-of-the-demo"\noperator_key = "operator-of-the-demo"',
+        "[store]\nloads_per_s = 8.0\nload_s = 0.1",
+        '[[services]]\nname = "booking"',
+        'routes = [{ method = "POST", path = "/crews", repeat = false }]',
+    ]
+    for name, zone in ENTRIES.items():
+        parts.append(table("entries", name, zone, next(ports)))
+    for name, zone in ENGINES.items():
+        engine = f'kind = "engine"\nserves = "base"\nslots = {SLOTS}\nbatch = {BATCH}'
+        parts.append(table("endpoints", name, zone, next(ports), engine))
+    service = 'kind = "service"\nserves = "booking"'
+    parts.append(table("endpoints", SERVICE, "east-a", next(ports), service))
+    return "\n".join(parts) + "\n"
+
+
+def table(kind: str, name: str, zone: str, port: int, more: str = "") -> str:
+    """Return the settings of one process."""
+    place = f'region = "{REGION_BY_ZONE[zone]}"\nzone = "{zone}"'
+    return f'[[{kind}]]\nname = "{name}"\n{place}\nhost = "{HOST}"\nport = {port}\n{more}'
+
+
+class DemoSite:
+    """The running site."""
+
+    def __init__(self, settings: Path, env: Environment) -> None:
+        self.env = env
+        self.settings = load_site(settings)
+        self.standins = StandinSite(self.settings, env.clock, STEP_S)
+        self.entries: dict[str, EntryServer] = {}
+
+    def start_standins(self) -> None:
+        """Start the platform, the engines and the service."""
+        self.standins.start()
+
+    def start_entries(self) -> None:
+        """Start the entries and wait until they take requests.
+
+        Raises
+        ------
+        TimeoutError
+            If one is not ready in time.
+        """
+        for entry in self.settings.entries:
+            server = EntryServer(self.settings, to_instance(entry), self.env)
+            self.entries[entry.name] = server
+            server.start()
+        self.wait_until(lambda: all(map(is_ready, self.entries.values())), "entries ready")
+
+    def wait_until(self, condition, what: str) -> None:
+        """Wait until a condition holds.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not in time.
+        """
+        with eventlet.Timeout(READY_S, TimeoutError(what)):
+            while not condition():
+                eventlet.sleep(POLL_S)
+
+    def url(self, entry: str) -> str:
+        """Return the base address of an entry."""
+        instance: Instance = self.entries[entry].core.state.me
+        return f"http://{instance.host}:{instance.port}"
+
+
+def is_ready(server: EntryServer) -> bool:
+    """Return whether an entry has its configuration and a lead."""
+    state = server.core.state
+    return state.config.index is not None and any(
+        view.holder for view in state.leadership.by_base.values()
+    )
