Let stand-ins fail as processes do, and answer a stream only once it has begun

Change: answers are lost by cutting the connection, a restart closes the listener, silent connections are real sockets; the entry waits for the first event before it answers.

--- a/poplarhoist/cli/standin.py
+++ b/poplarhoist/cli/standin.py
@@ -5,13 +5,13 @@
 quiet_eventlet()
 
 import eventlet
-import eventlet.event
 
 eventlet.monkey_patch()
 
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 from attrs import frozen
 
@@ -21,10 +21,12 @@
 from poplarhoist.standins.platform import PlatformStandin
 from poplarhoist.standins.service import ServiceStandin
 from poplarhoist.standins.site import StandinSite
+from poplarhoist.standins.store import HttpStore
 from poplarhoist.standins.web import serve
 from poplarhoist.status import ExitStatus
 
 PROGRAM = "poplarhoist-standin"
+SLEEP_S = 3600.0
 
 
 @frozen
@@ -116,19 +118,24 @@
     settings = load_site(command.settings)
     if isinstance(command, RunSite):
         StandinSite(settings, env.clock, command.step_s).start()
-        eventlet.event.Event().wait()
+        return forever()
     if isinstance(command, RunPlatform):
         standin = PlatformStandin(settings, env.clock)
-        serve(standin.app(), settings.platform.host, settings.platform.port)
+        serve(standin.app, settings.platform.host, settings.platform.port)
         return ExitStatus.OK
     endpoint = find_endpoint(settings, command.name)
     if isinstance(command, RunEngine):
-        standin = EngineStandin(endpoint, settings.platform, env.clock, command.step_s)
-        standin.run()
+        store = HttpStore(settings.platform)
+        EngineStandin(endpoint, store, env.clock, command.step_s).run()
     else:
-        standin = ServiceStandin(endpoint)
-    serve(standin.app(), endpoint.host, endpoint.port)
-    return ExitStatus.OK
+        ServiceStandin(endpoint).run()
+    return forever()
+
+
+def forever() -> NoReturn:
+    """Serve until the process is ended."""
+    while True:
+        eventlet.sleep(SLEEP_S)
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
--- a/poplarhoist/entry/doors.py
+++ b/poplarhoist/entry/doors.py
@@ -212,9 +212,14 @@
         if work.stream:
             upstream = attempt.begin()
             if upstream is not None and attempt.result.outcome is ev.Outcome.COMPLETED:
-                body = self.stream(work, attempt, upstream)
-                return Response(body, attempt.result.status, attempt.result.headers)
-            if upstream is not None:
+                events = attempt.events(upstream)
+                # Nothing is told to the caller before there is a part of the answer, so that
+                # an attempt that breaks off earlier can be followed by another one.
+                first = next(events, b"")
+                if first:
+                    body = self.stream(work, attempt, first, events)
+                    return Response(body, attempt.result.status, attempt.result.headers)
+            elif upstream is not None:
                 attempt.result.body = upstream.read()
         else:
             attempt.whole()
@@ -226,11 +231,14 @@
             return Response(result.body, result.status, result.headers)
         return None
 
-    def stream(self, work: Work, attempt: Attempt, upstream) -> Iterator[bytes]:
+    def stream(
+        self, work: Work, attempt: Attempt, first: bytes, events: Iterator[bytes]
+    ) -> Iterator[bytes]:
         """Pass a streamed answer on and tell the decisions how it ended."""
         ended = False
         try:
-            yield from attempt.events(upstream)
+            yield first
+            yield from events
             self.end(attempt.effect, attempt.result)
             ended = True
             if attempt.result.outcome is not ev.Outcome.COMPLETED:
--- a/poplarhoist/standins/batching.py
+++ b/poplarhoist/standins/batching.py
@@ -4,23 +4,28 @@
 from collections.abc import Iterator
 
 import eventlet
-import orjson
 from attrs import define, field
 from eventlet.event import Event
 
+from poplarhoist.standins.answers import Answer, event_bytes
+
 KEEP_ENDED_STREAMS = 256
 
 
 @define(eq=False)
 class Stream:
-    """A generation and the events that it has produced so far."""
+    """A generation and the events that it has produced so far.
+
+    Attributes
+    ----------
+    prefill : int
+        Steps left before the first token, one for each block that the prefix cache lacked.
+    """
 
     stream_id: str
-    request_id: str
-    ref: str
-    tokens: int
-    chat: bool
+    answer: Answer
     priority: int = 0
+    prefill: int = 0
     events: list[bytes] = field(factory=list)
     ended: bool = False
     cancelled: bool = False
@@ -48,6 +53,21 @@
             self.grown.wait()
 
 
+@define
+class KvCache:
+    """What another engine needs to go on with a stream.
+
+    Attributes
+    ----------
+    generated : int
+        Tokens so far.
+    """
+
+    stream_id: str
+    answer: Answer
+    generated: int
+
+
 @define
 class Batcher:
     """Runs streams in steps.
@@ -88,6 +108,28 @@
         stream.cancelled = True
         return True
 
+    def clear(self) -> None:
+        """Lose all streams, as a process that dies."""
+        for stream in self.streams.values():
+            stream.cancelled = True
+            stream.ended = True
+            stream.wake()
+        self.streams.clear()
+        self.running.clear()
+        self.waiting.clear()
+
+    def export(self, stream_id: str) -> "KvCache | None":
+        """Return the cache of a stream that runs; it goes on here until it is cancelled."""
+        stream = self.streams.get(stream_id)
+        if stream is None or stream.ended:
+            return None
+        return KvCache(stream.stream_id, stream.answer, len(stream.events))
+
+    def resume_from(self, cache: "KvCache") -> None:
+        """Go on with a stream that began on another engine."""
+        events = [event_bytes(cache.answer, index) for index in range(cache.generated)]
+        self.submit(Stream(cache.stream_id, cache.answer, events=events))
+
     def run(self) -> None:
         """Advance streams until the process ends."""
         while True:
@@ -104,7 +146,6 @@
         if not self.running:
             return
         self.steps += 1
-        self.filled += len(self.running)
         for stream in self.running:
             self.advance(stream)
         for stream in [stream for stream in self.running if stream.ended]:
@@ -116,9 +157,13 @@
             stream.ended = True
             stream.wake()
             return
+        if stream.prefill > 0:
+            stream.prefill -= 1
+            return
         index = len(stream.events)
-        stream.add(event_bytes(stream, index))
-        if index + 1 >= stream.tokens:
+        self.filled += 1
+        stream.add(event_bytes(stream.answer, index))
+        if index + 1 >= stream.answer.tokens:
             stream.ended = True
             stream.add(b"data: [DONE]\n\n")
 
@@ -133,27 +178,6 @@
         """Return running and waiting streams by adapter version."""
         counts: dict[str, int] = {}
         for stream in (*self.running, *self.waiting):
-            counts[stream.ref] = counts.get(stream.ref, 0) + 1
+            ref = stream.answer.ref
+            counts[ref] = counts.get(ref, 0) + 1
         return counts
-
-
-def token_text(ref: str, index: int) -> str:
-    """Return the token that an adapter version gives at a position, which tests can check."""
-    return f" {ref}:{index}"
-
-
-def event_bytes(stream: Stream, index: int) -> bytes:
-    """Return the server-sent event of one token."""
-    text = token_text(stream.ref, index)
-    last = index + 1 >= stream.tokens
-    choice: dict[str, object] = {"index": 0, "finish_reason": "stop" if last else None}
-    if stream.chat:
-        choice["delta"] = (
-            {"role": "assistant", "content": text} if index == 0 else {"content": text}
-        )
-        kind = "chat.completion.chunk"
-    else:
-        choice["text"] = text
-        kind = "text_completion"
-    data = {"id": stream.request_id, "object": kind, "created": 0, "model": stream.ref}
-    return b"data: " + orjson.dumps({**data, "choices": [choice]}) + b"\n\n"
--- a/poplarhoist/standins/platform.py
+++ b/poplarhoist/standins/platform.py
@@ -11,10 +11,13 @@
 from poplarhoist.clock import Clock
 from poplarhoist.settings.loader import to_endpoint, to_instance
 from poplarhoist.settings.models import Site
-from poplarhoist.standins.web import App, reply
+from poplarhoist.standins.store import WeightStore
+from poplarhoist.standins.web import App, cut, reply, switched
 
 HISTORY = 5000
 WATCH_MAX_S = 30.0
+WATCH_POLL_S = 0.5
+HANG_POLL_S = 0.05
 
 
 @define
@@ -26,7 +29,7 @@
     outage : bool
         Every call is refused with 503.
     hang : bool
-        Every call is held without an answer until switched off.
+        Every call is held without an answer until switched off, waiting watches too.
     slow_s : float
         Seconds added to every call.
     lose_answers : int
@@ -82,21 +85,17 @@
     calls: dict[str, int] = field(factory=dict)
     credit: float = 0.0
     credit_at: float = 0.0
-    store_credit: float = 1.0
-    store_credit_at: float = 0.0
-    store_in_flight: int = 0
-    store_loads: int = 0
+    store: WeightStore = field(init=False)
+    app: App = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         for entry in self.site.entries:
             self.write(f"instances/{entry.name}", wire.dump(to_instance(entry)))
         for endpoint in self.site.endpoints:
             self.write(f"endpoints/{endpoint.name}", wire.dump(to_endpoint(endpoint)))
-        self.store_credit_at = self.credit_at = self.clock.monotonic()
-
-    def app(self) -> App:
-        """Return the WSGI application."""
-        return App(
+        self.credit_at = self.clock.monotonic()
+        self.store = WeightStore(self.site.store, self.clock)
+        self.app = App(
             [
                 ("GET", "/v1/objects/<path:path>", self.get),
                 ("PUT", "/v1/objects/<path:path>", self.put),
@@ -126,7 +125,7 @@
         """Count a call; return a refusal if a fault or the rate limit says so."""
         self.calls[kind] = self.calls.get(kind, 0) + 1
         while self.faults.hang:
-            eventlet.sleep(0.05)
+            eventlet.sleep(HANG_POLL_S)
         if self.faults.slow_s:
             eventlet.sleep(self.faults.slow_s)
         if self.faults.outage:
@@ -178,7 +177,7 @@
         written = self.write(path, value)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            return Response(broken_answer(), 200, {"Content-Length": "1000"})
+            cut()
         return reply({"version": written})
 
     def list(self, request: Request) -> Response:
@@ -210,38 +209,29 @@
             left_s = ends_at - self.clock.monotonic()
             if self.faults.outage:
                 return reply({"error": "outage"}, 503)
+            if self.faults.hang:
+                eventlet.sleep(HANG_POLL_S)
+                continue
             if found or left_s <= 0:
                 changes = [{"path": c.path, "version": c.version, "value": c.value} for c in found]
                 return reply({"revision": self.revision, "changes": changes})
             since = max(since, self.revision)
-            with eventlet.Timeout(min(left_s, 0.5), False):
+            with eventlet.Timeout(min(left_s, WATCH_POLL_S), False):
                 self.changed.wait()
 
     def store_load(self, request: Request) -> Response:
-        """Serve the weights of an adapter: rate-limited, slower beyond the in-flight limit."""
-        if self.faults.store_down:
+        """Serve the weights of an adapter version."""
+        ref = request.get_json()["ref"]
+        if not self.store.fetch(ref):
             return reply({"error": "store down"}, 503)
-        store = self.site.store
-        now = self.clock.monotonic()
-        self.store_credit += (now - self.store_credit_at) * store.loads_per_s
-        self.store_credit = min(self.store_credit, store.loads_per_s)
-        self.store_credit_at = now
-        wait_s = max(0.0, (1.0 - self.store_credit) / store.loads_per_s)
-        self.store_credit -= 1.0
-        self.store_in_flight += 1
-        self.store_loads += 1
-        try:
-            factor = max(1.0, self.store_in_flight / store.in_flight)
-            eventlet.sleep(wait_s + store.load_s * factor * self.faults.store_slow)
-        finally:
-            self.store_in_flight -= 1
-        return reply({"loaded": request.get_json()["ref"]})
+        return reply({"loaded": ref})
 
     def set_faults(self, request: Request) -> Response:
         """Set some fault switches."""
-        data = {**wire.converter.unstructure(self.faults), **request.get_json()}
-        self.faults = wire.load(data, Faults)
-        return reply(data)
+        self.faults = switched(self.faults, request.get_json())
+        self.store.down = self.faults.store_down
+        self.store.slow = self.faults.store_slow
+        return reply(wire.dump(self.faults))
 
     def set_member(self, request: Request) -> Response:
         """Change the instance or endpoint list, after the lag."""
@@ -255,13 +245,7 @@
             {
                 "revision": self.revision,
                 "calls": self.calls,
-                "store_loads": self.store_loads,
+                "store_loads": self.store.loads,
                 "objects": len(self.objects),
             }
         )
-
-
-def broken_answer() -> object:
-    """Yield less than was announced, so that the connection breaks off."""
-    yield b"{"
-    raise ConnectionResetError("answer lost")
--- a/poplarhoist/standins/service.py
+++ b/poplarhoist/standins/service.py
@@ -8,7 +8,9 @@
 
 from poplarhoist import wire
 from poplarhoist.models import Endpoint, EndpointReport, Liveness
-from poplarhoist.standins.web import App, reply
+from poplarhoist.standins.web import App, Listener, cut, reply, switched
+
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
 
 @define
@@ -22,15 +24,18 @@
     lose_answers : int
         So many of the next calls run but their answers are lost.
     down : bool
-        Everything is refused, as if nothing listened.
+        Every connection but those of control calls is cut.
+    restart_s : float
+        Seconds for which nothing listens when the service restarts.
     """
 
     slow_s: float = 0.0
     lose_answers: int = 0
     down: bool = False
+    restart_s: float = 1.0
 
 
-@define
+@define(eq=False)
 class ServiceStandin:
     """State of the stand-in."""
 
@@ -40,12 +45,12 @@
     state: Liveness = Liveness.LIVE
     runs_by_key: dict[str, int] = field(factory=dict)
     running: int = 0
+    listener: Listener | None = None
+    app: App = field(init=False)
 
-    def app(self) -> App:
-        """Return the WSGI application."""
-        methods = ("GET", "POST", "PUT", "PATCH", "DELETE")
-        calls = [(method, "/call/<path:path>", self.call) for method in methods]
-        return App(
+    def __attrs_post_init__(self) -> None:
+        calls = [(method, "/call/<path:path>", self.call) for method in METHODS]
+        self.app = App(
             [
                 *calls,
                 ("GET", "/report", self.report),
@@ -54,10 +59,15 @@
             ]
         )
 
+    def run(self) -> None:
+        """Listen in the background."""
+        self.listener = Listener(self.app, self.endpoint.host, self.endpoint.port)
+        self.listener.open()
+
     def call(self, request: Request, path: str) -> Response:
         """Run a call and count it."""
         if self.faults.down:
-            raise ConnectionResetError("down")
+            cut()
         if self.state is not Liveness.LIVE:
             return reply({"reason": "leaving"}, 503, {"X-Ran": "no"})
         key = request.headers.get("Idempotency-Key", request.headers["X-Request-Id"])
@@ -69,25 +79,36 @@
             self.running -= 1
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
-            raise ConnectionResetError("answer lost")
+            cut()
         data = {"path": path, "key": key, "run": self.runs_by_key[key], "by": self.endpoint.name}
         return reply(data, 201, {"X-Request-Id": request.headers["X-Request-Id"]})
 
     def report(self, request: Request) -> Response:
         """Report load."""
         if self.faults.down:
-            raise ConnectionResetError("down")
+            cut()
         report = EndpointReport(self.endpoint.name, self.boot, 0.0, self.state, self.running)
-        return reply(wire.converter.unstructure(report))
+        return reply(wire.dump(report))
 
     def control(self, request: Request) -> Response:
-        """Set fault switches or change the state."""
+        """Set fault switches, restart, silence connections, or change the state."""
         data = request.get_json()
+        if data.pop("silence", False):
+            self.app.connections.silence()
         if "state" in data:
             self.state = Liveness(data.pop("state"))
-        self.faults = wire.load({**wire.converter.unstructure(self.faults), **data}, Faults)
+        restart = data.pop("restart", False)
+        self.faults = switched(self.faults, data)
+        if restart:
+            self.restart()
         return reply({})
 
+    def restart(self) -> None:
+        """Break off what runs, as a process that dies and starts again; the counts are kept."""
+        self.boot = uuid.uuid4().hex[:8]
+        if self.listener is not None:
+            self.listener.restart(self.faults.restart_s)
+
     def show_state(self, request: Request) -> Response:
         """Show how often each key was run."""
         return reply({"runs_by_key": self.runs_by_key})
--- a/poplarhoist/standins/site.py
+++ b/poplarhoist/standins/site.py
@@ -1,9 +1,5 @@
 """All stand-ins of a site as green threads of one process."""
 
-from collections.abc import Callable
-
-import eventlet
-
 from poplarhoist.clock import Clock
 from poplarhoist.models import EndpointKind
 from poplarhoist.settings.loader import to_endpoint
@@ -11,7 +7,8 @@
 from poplarhoist.standins.engine import EngineStandin
 from poplarhoist.standins.platform import PlatformStandin
 from poplarhoist.standins.service import ServiceStandin
-from poplarhoist.standins.web import BACKLOG, serve_on
+from poplarhoist.standins.store import HttpStore
+from poplarhoist.standins.web import Listener
 
 
 class StandinSite:
@@ -27,22 +24,19 @@
 
     def start(self) -> None:
         """Listen at every address of the settings but those of the entries."""
-        self.listen(self.platform.app(), self.site.platform.host, self.site.platform.port)
+        platform = self.site.platform
+        Listener(self.platform.app, platform.host, platform.port).open()
         for settings in self.site.endpoints:
-            self.listen(self.endpoint_app(settings), settings.host, settings.port)
+            self.start_endpoint(settings)
 
-    def endpoint_app(self, settings: EndpointSettings) -> Callable:
-        """Return the application of an engine or service."""
+    def start_endpoint(self, settings: EndpointSettings) -> None:
+        """Start an engine or a service."""
         endpoint = to_endpoint(settings)
         if settings.kind is EndpointKind.SERVICE:
-            service = self.services[settings.name] = ServiceStandin(endpoint)
-            return service.app()
-        engine = EngineStandin(endpoint, self.site.platform, self.clock, self.step_s)
+            self.services[settings.name] = ServiceStandin(endpoint)
+            self.services[settings.name].run()
+            return
+        store = HttpStore(self.site.platform)
+        engine = EngineStandin(endpoint, store, self.clock, self.step_s)
         self.engines[settings.name] = engine
         engine.run()
-        return engine.app()
-
-    def listen(self, app: Callable, host: str, port: int) -> None:
-        """Serve an application at an address."""
-        listener = eventlet.listen((host, port), backlog=BACKLOG)
-        eventlet.spawn(serve_on, listener, app)
--- a/tests/site.py
+++ b/tests/site.py
@@ -25,6 +25,7 @@
 READY_S = 20.0
 FIRST_PORT, LAST_PORT = 10240, 32000
 PORTS = random.Random()
+CONTROL = urllib3.PoolManager(retries=urllib3.Retry(connect=8, read=0, backoff_factor=0.05))
 POOL = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=32)
 
 
@@ -210,12 +211,12 @@
         """Set fault switches of a stand-in."""
         port = self.port_of(name)
         url = f"http://127.0.0.1:{port}{path}"
-        assert POOL.request("POST", url, json=faults).status == 200
+        assert CONTROL.request("POST", url, json=faults).status == 200
 
     def state(self, name: str) -> dict:
         """Return a stand-in's counters."""
         url = f"http://127.0.0.1:{self.port_of(name)}/control/state"
-        return POOL.request("GET", url).json()
+        return CONTROL.request("GET", url).json()
 
     def status(self, name: str) -> dict:
         """Return an entry's status for operators."""
