--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -14,10 +14,17 @@
 
 @frozen
 class LeadClaim:
-    """Says that the sender leads a base model under an epoch."""
+    """Says that the sender leads a base model under an epoch.
+
+    Attributes
+    ----------
+    loading : bool
+        Whether the base model needs a share of the weight store now.
+    """
 
     base: str
     epoch: int
+    loading: bool = False
 
 
 @frozen
@@ -90,12 +97,22 @@
 
 @frozen
 class Grant:
-    """Lets the receiver dispatch an adapter version to an endpoint."""
+    """Lets the receiver dispatch an adapter version to an endpoint.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each grant of one epoch, so that late or repeated messages are told apart.
+    boot : str
+        Boot id of the receiver that is meant.
+    """
 
     base: str
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+    boot: str = ""
 
 
 @frozen
@@ -106,6 +123,7 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
 
 
 @frozen
@@ -116,6 +134,15 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+
+
+@frozen
+class LeadReleased:
+    """Says that the sender gave up a base model's lease, which is free to take."""
+
+    base: str
+    epoch: int
 
 
 @frozen
@@ -217,13 +244,20 @@
 
 @frozen
 class IsolationGrant:
-    """Lets the receiver run a suspect alone on an endpoint that was emptied for it."""
+    """Lets the receiver run a suspect alone on an endpoint that was emptied for it.
+
+    Attributes
+    ----------
+    grant : Grant
+        The grant under which it runs.
+    boot : str
+        Boot id of the endpoint.
+    """
 
     base: str
     epoch: int
     request_id: str
-    ref: AdapterRef
-    endpoint: str
+    grant: Grant
     boot: str
 
 
@@ -272,6 +306,7 @@
     | Grant
     | Recall
     | Returned
+    | LeadReleased
     | GatherGrants
     | HeldGrants
     | SuspectNotice
--- a/poplarhoist/decisions/quarantine.py
+++ b/poplarhoist/decisions/quarantine.py
@@ -281,10 +281,16 @@
 
 def tell_newcomer(state: State, peer: str, at: float, out: list[Effect]) -> None:
     """Tell an entry that was just started of every suspect and conviction."""
+    tellers = [name for name in rank(peer, live_entries(state, at)) if name != peer][:TELLERS]
+    if state.me.name in tellers:
+        tell_all(state, peer, out)
+
+
+def tell_all(state: State, peer: str, out: list[Effect]) -> None:
+    """Tell an entry of every suspect and conviction, as after a time without contact."""
     quarantine = state.quarantine
     digests = [*quarantine.convictions, *quarantine.by_digest]
-    tellers = [name for name in rank(peer, live_entries(state, at)) if name != peer][:TELLERS]
-    if not digests or state.me.name not in tellers:
+    if not digests:
         return
     notices = tuple(notice_of(state, digest) for digest in digests)
     out.append(SendMessage(peer, KnownSuspects(notices)))
--- a/poplarhoist/decisions/turns.py
+++ b/poplarhoist/decisions/turns.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from poplarhoist.decisions import quarantine
+from poplarhoist.decisions import lead_grants, quarantine
 from poplarhoist.decisions.board import Board, EngineBoard
 from poplarhoist.decisions.effects import SendMessage
 from poplarhoist.decisions.load_views import estimate
@@ -177,7 +177,7 @@
         wanted.running_on = engine.name
         trial = f"{engine.name}/{engine.boot}"
         quarantine.open_trial(state, wanted.digest, trial, at, out)
-        send_grant(board, key, wanted, at, out)
+        send_grant(state, board, key, wanted, at, out)
     return engine.name
 
 
@@ -221,15 +221,13 @@
     reserve(state, board, engine, at, out)
 
 
-def send_grant(board: Board, key: tuple[str, str], wanted: Wanted, at: float, out) -> None:
+def send_grant(state: State, board: Board, key, wanted: Wanted, at: float, out) -> None:
     """Let an entry run a suspect on an emptied engine."""
-    slot = board.engines[wanted.running_on].slots[wanted.ref]
-    slot.holders.add(wanted.entry)
-    wanted.granted_at = at
     engine = board.engines[wanted.running_on]
-    pair = (wanted.ref, engine.name)
-    grant = IsolationGrant(board.base, board.epoch, key[1], *pair, engine.boot)
-    out.append(SendMessage(wanted.entry, grant))
+    wanted.granted_at = at
+    grant = lead_grants.make_grant(state, board, engine, wanted.ref, wanted.entry)
+    message = IsolationGrant(board.base, board.epoch, key[1], grant, engine.boot)
+    out.append(SendMessage(wanted.entry, message))
 
 
 def grant_again(state: State, board: Board, key, wanted: Wanted, at: float, out) -> None:
@@ -240,7 +238,7 @@
         wanted.granted_at = float("-inf")
         return
     if at - wanted.granted_at >= GRANT_AGAIN_S:
-        send_grant(board, key, wanted, at, out)
+        send_grant(state, board, key, wanted, at, out)
 
 
 def release_if_idle(state: State, board: Board, turns: Turns, name: str, at: float, out) -> None:
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -10,6 +10,7 @@
     "endpoint_death": ("Requests that were running when their endpoint died", ()),
     "isolation": ("Steps of requests that may only run alone", ("step",)),
     "load_ended": ("Loads ended", ("outcome",)),
+    "intent_write_failed": ("Writes of intents without success", ("status",)),
     "grant_dropped": ("Grants dropped", ("cause",)),
     "page_rejected": ("Configuration pages rejected", ()),
     "peer_message_dropped": ("Messages of peers dropped", ("cause",)),
@@ -34,6 +35,16 @@
             "poplarhoist_revision", "Configuration revision in force", registry=self.registry
         )
 
+    def totals(self, name: str) -> dict[str, float]:
+        """Return a counter by its first label, added up over the others."""
+        first = COUNTERS[name][1][0]
+        totals: dict[str, float] = {}
+        for sample in next(iter(self.counters[name].collect())).samples:
+            if sample.name.endswith("_total"):
+                key = sample.labels[first]
+                totals[key] = totals.get(key, 0.0) + sample.value
+        return totals
+
     def count(self, name: str, labels: tuple[str, ...] = (), amount: float = 1.0) -> None:
         """Add to a counter."""
         counter = self.counters[name]
