--- a/poplarhoist/decisions/explain.py
+++ b/poplarhoist/decisions/explain.py
@@ -160,7 +160,7 @@
         "base": adapter.base,
         "ref": str(ref),
         "lead": view.holder if view else "",
-        "waiting": len(queue.request_ids()) if queue else 0,
+        "waiting": len(queue.members) if queue else 0,
         "candidates": tuple(candidate(state, ref, name) for name in engines),
     }
 
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -1,5 +1,6 @@
 """Faults that strike a small site at a chosen step of a fixed piece of work."""
 
+import functools
 from collections.abc import Callable
 
 from attrs import define, field
@@ -348,6 +349,28 @@
     scene.bench.hooks.append(hook)
 
 
+@functools.cache
+def occurrences(step: str, checks_fencing: bool, seed: int) -> int:
+    """Return how often a step happens in the work without faults."""
+    return count_steps(checks_fencing, seed)[step]
+
+
+@functools.cache
+def count_steps(checks_fencing: bool, seed: int) -> dict[str, int]:
+    """Run the work without faults and count the moments of every step."""
+    scene = make_scene(checks_fencing, seed)
+    counts = dict.fromkeys(STEPS, 0)
+
+    def hook(entry: FakeEntry, item: object) -> None:
+        for name, matches in STEPS.items():
+            counts[name] += bool(matches(item))
+
+    scene.bench.hooks.append(hook)
+    work(scene)
+    scene.bench.run(WORK_S + SETTLE_S)
+    return counts
+
+
 def run_cell(
     step: str,
     faults: tuple[str, ...],
@@ -356,7 +379,11 @@
     skip: int = 0,
     times: int = 1,
 ) -> Scene:
-    """Run the work with faults at a step; the scene tells what was broken."""
+    """Run the work with faults at a step; the scene tells what was broken.
+
+    The faults strike at the moment numbered ``skip``, modulo those that the work has.
+    """
+    skip %= max(1, occurrences(step, checks_fencing, seed))
     scene = make_scene(checks_fencing, seed)
     strike(scene, step, faults, skip, times)
     work(scene)
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -11,6 +11,7 @@
 PAIR_CELLS = 60
 TWICE_CELLS = 40
 UNCHECKED_CELLS = 60
+MOMENTS = 6
 SEED = int(os.environ.get("MATRIX_SEED", "0"))
 SCALE = int(os.environ.get("MATRIX_SCALE", "1"))
 
@@ -29,7 +30,7 @@
             chooser.choice(steps),
             chooser.choice(faults),
             chooser.choice(faults),
-            chooser.randrange(4),
+            chooser.randrange(MOMENTS),
         )
         for _ in range(count * SCALE)
     ]
