--- /dev/null
+++ b/poplarhoist/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measures and their report."""
--- /dev/null
+++ b/poplarhoist/replay/shapes.py
@@ -0,0 +1,65 @@
+"""Sizes of the sites that traces are replayed on."""
+
+from attrs import frozen
+
+from poplarhoist.decisions.limits import Limits
+from poplarhoist.models import Place, Preset
+
+
+@frozen
+class SiteShape:
+    """What a replayed site consists of, and its ordinary load.
+
+    Attributes
+    ----------
+    step_s : float
+        Seconds that an engine takes for one step of its batch.
+    arrivals_per_s : float
+        Ordinary arrivals a second over all entries.
+    tokens_mean : int
+        Mean tokens of an answer; lengths spread evenly from a quarter of it upwards.
+    """
+
+    name: str
+    entries: int
+    engines: int
+    places: tuple[Place, ...]
+    loads_per_s: float
+    arrivals_per_s: float
+    tokens_mean: int
+    preset: Preset
+    slots: int = 16
+    batch: int = 8
+    step_s: float = 0.03
+    adapters: int = 3000
+
+    def limits(self) -> Limits:
+        """Return the decisions' limits for this site."""
+        return Limits(store_loads_per_s=self.loads_per_s)
+
+
+QASR = SiteShape(
+    name="qasr",
+    entries=9,
+    engines=9,
+    places=(Place("amman", "amman-a"), Place("amman", "amman-b"), Place("irbid", "irbid-a")),
+    loads_per_s=4.0,
+    arrivals_per_s=6.0,
+    tokens_mean=96,
+    preset=Preset("ordinary", stall_weight=2.0, batch_weight=1.0),
+)
+TORNOS = SiteShape(
+    name="tornos",
+    entries=6,
+    engines=5,
+    places=(
+        Place("attica", "piraeus"),
+        Place("attica", "marousi"),
+        Place("macedonia", "thessaloniki"),
+    ),
+    loads_per_s=2.0,
+    arrivals_per_s=2.0,
+    tokens_mean=192,
+    preset=Preset("ordinary", stall_weight=1.0, batch_weight=2.0),
+)
+SHAPES_BY_NAME = {shape.name: shape for shape in (QASR, TORNOS)}
