--- a/poplarhoist/replay/baselines.py
+++ b/poplarhoist/replay/baselines.py
@@ -12,11 +12,13 @@
 from poplarhoist.replay.fleet import (
     LATENCY_S,
     REGION_LATENCY_S,
+    START_S,
     Call,
     change_fakes,
     engine_violations,
     make_engines,
     place_of,
+    ref_of,
 )
 from poplarhoist.replay.traces import Change, Trace
 
@@ -269,7 +271,7 @@
         super().__init__(trace, seed)
         self.uses_by_ref: dict[str, list[float]] = {}
         for arrival in trace.arrivals:
-            self.uses_by_ref.setdefault(f"a{arrival.adapter}@1", []).append(arrival.at)
+            self.uses_by_ref.setdefault(ref_of(arrival.adapter), []).append(START_S + arrival.at)
 
     def next_use(self, ref: str) -> float:
         """Return when an adapter is next asked for; infinite if never."""
--- a/poplarhoist/replay/fleet.py
+++ b/poplarhoist/replay/fleet.py
@@ -10,6 +10,7 @@
 from poplarhoist.replay.shapes import SiteShape
 from poplarhoist.replay.traces import Arrival, Change, ChangeKind
 
+START_S = 5.0
 LATENCY_S = 0.001
 REGION_LATENCY_S = 0.03
 
--- a/poplarhoist/replay/runner.py
+++ b/poplarhoist/replay/runner.py
@@ -11,11 +11,10 @@
     RandomPolicy,
     RendezvousPolicy,
 )
-from poplarhoist.replay.fleet import Call, Policy, place_of
+from poplarhoist.replay.fleet import START_S, Call, Policy, place_of
 from poplarhoist.replay.hoist import HoistPolicy
 from poplarhoist.replay.traces import Trace
 
-START_S = 5.0
 SETTLE_S = 60.0
 PROGRESS_S = 30.0
 REQUEST_BYTES = 600
--- a/poplarhoist/replay/shapes.py
+++ b/poplarhoist/replay/shapes.py
@@ -58,8 +58,8 @@
         Place("macedonia", "thessaloniki"),
     ),
     loads_per_s=2.0,
-    arrivals_per_s=2.0,
-    tokens_mean=192,
+    arrivals_per_s=2.3,
+    tokens_mean=160,
     preset=Preset("ordinary", stall_weight=1.0, batch_weight=2.0),
 )
 SHAPES_BY_NAME = {shape.name: shape for shape in (QASR, TORNOS)}
