Measure how time, bytes and memory of the decisions grow with a site

Cause: the capacity at the two-year size is to be worked out from measured slopes. Ruled out: tracemalloc, which cannot tell the parts of the state apart nor the decisions from the fakes that drive them; a walk over what a part of the state reaches can. Change: 'poplarhoist-load slopes' runs the real reducers at three sizes or more of entries, endpoints, adapters, waiting requests, grants, changes and base models; microseconds for each kind of event, bytes for each kind of message, coding time, bytes of each part of the state by role, calls to the platform by kind; least-squares slope, intercept and residual, as table and JSON.

--- a/poplarhoist/cli/load.py
+++ b/poplarhoist/cli/load.py
@@ -12,7 +12,11 @@
 from attrs import frozen
 
 from poplarhoist.context import Environment
+from poplarhoist.load.dimensions import DIMENSIONS_BY_NAME
 from poplarhoist.load.measures import table, to_json
+from poplarhoist.load.slopes import Slope, grows, measure
+from poplarhoist.load.slopes import table as slope_table
+from poplarhoist.load.slopes import to_json as slope_json
 from poplarhoist.replay.runner import POLICIES_BY_NAME
 from poplarhoist.replay.runner import replay as run_trace
 from poplarhoist.replay.shapes import SHAPES_BY_NAME
@@ -100,7 +104,49 @@
         Path(path).write_text(text + "\n", encoding="utf-8")
 
 
-EXECUTORS = {Replay: execute_replay}
+@frozen
+class Slopes:
+    """Measure how costs grow with the size of a site."""
+
+    dimensions: tuple[str, ...]
+    everything: bool
+    out: str
+
+
+def slopes(
+    *,
+    dimension: Literal[
+        "all", "entries", "endpoints", "adapters", "waiting", "grants", "changes", "bases"
+    ] = "all",
+    everything: bool = False,
+    out: str = "",
+) -> Slopes:
+    """Measure what the decisions cost in time, bytes and memory, and how that grows.
+
+    Parameters
+    ----------
+    dimension
+        What grows: its cost is measured at three sizes or more.
+    everything : bool
+        Print also what does not grow.
+    out : str
+        File for all slopes as JSON; none if empty.
+    """
+    return Slopes(chosen(dimension, DIMENSIONS_BY_NAME), everything, out)
+
+
+def execute_slopes(command: Slopes, env: Environment) -> ExitStatus:
+    """Measure and print the table."""
+    found: list[Slope] = []
+    for name in command.dimensions:
+        found.extend(measure(DIMENSIONS_BY_NAME[name], env.stderr))
+    wanted = (lambda slope: True) if command.everything else grows
+    env.print(slope_table(found, wanted))
+    write_json(command.out, slope_json(found))
+    return ExitStatus.OK
+
+
+EXECUTORS = {Replay: execute_replay, Slopes: execute_slopes}
 
 
 def execute(command: object, env: Environment) -> ExitStatus:
@@ -110,7 +156,7 @@
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run the program."""
-    return run(PROGRAM, [replay], execute, args, env)
+    return run(PROGRAM, [replay, slopes], execute, args, env)
 
 
 def console() -> None:
--- /dev/null
+++ b/poplarhoist/load/fit.py
@@ -0,0 +1,40 @@
+"""Straight lines through measured points, by least squares."""
+
+import statistics
+from collections.abc import Sequence
+
+from attrs import frozen
+
+
+@frozen
+class Line:
+    """A line and how far the points lie from it.
+
+    Attributes
+    ----------
+    residual : float
+        Root of the mean squared distance of the points, in the unit of the values.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(sizes: Sequence[float], values: Sequence[float]) -> Line:
+    """Return the least-squares line.
+
+    Raises
+    ------
+    StatisticsError
+        If there are fewer than two sizes, or all are the same.
+    """
+    slope, intercept = statistics.linear_regression(sizes, values)
+    squares = [
+        (value - intercept - slope * size) ** 2 for size, value in zip(sizes, values, strict=True)
+    ]
+    return Line(slope, intercept, statistics.fmean(squares) ** 0.5)
--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -136,6 +136,7 @@
         self.services: dict[str, FakeService] = {}
         self.entries: dict[str, FakeEntry] = {}
         self.asked: dict[str, Asked] = {}
+        self.reduce = reduce
         self.checks: list[Callable[[Bench], None]] = []
         self.hooks: list[Callable[[FakeEntry, object], None]] = []
         self.cut: set[frozenset[str]] = set()
@@ -223,7 +224,7 @@
         if entry.paused:
             entry.held.append(lambda: self.submit(entry, make))
             return
-        for effect in reduce(entry.state, event):
+        for effect in self.reduce(entry.state, event):
             self.effect(entry, effect)
         for check in self.checks:
             check(self)
