--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -178,6 +178,7 @@
     while heap and heap[0][0] <= at:
         _, request_id = heapq.heappop(heap)
         request = state.requests.get(request_id)
+        # A request that waited twice stands in the heap twice.
         if request is not None and request.stage == "waiting":
             found[request_id] = request
     return list(found.values())
