Load a running site open-loop over HTTP and check every answer

Cause: the virtual figures need their counterpart on real processes, and correctness under load had no check outside single tests. Ruled out: a closed loop of callers, which hides waits; latency counts from the time that a call was due. Residency of an adapter is read from the stand-ins, as a caller cannot know it. Change: 'poplarhoist-load run' sends a seeded trace and bookings to the entries of a settings file, sends again after Retry-After, books some keys twice, checks each token for adapter, version and order and each key's run count, restarts engines or slows the store as the trace says; table as for replays, JSON, PNG; exit status 1 if anything is wrong, lost or doubled. Conclusion: a run over an engine restart on two entries and two engines finds nothing wrong.

--- a/poplarhoist/cli/load.py
+++ b/poplarhoist/cli/load.py
@@ -9,18 +9,25 @@
 from pathlib import Path
 from typing import Literal
 
+import eventlet
 from attrs import frozen
 
 from poplarhoist.context import Environment
+from poplarhoist.load.caller import CallerClient
 from poplarhoist.load.dimensions import DIMENSIONS_BY_NAME
 from poplarhoist.load.measures import table, to_json
+from poplarhoist.load.openloop import OpenLoop
+from poplarhoist.load.plot import plot
 from poplarhoist.load.slopes import Slope, grows, measure
 from poplarhoist.load.slopes import table as slope_table
 from poplarhoist.load.slopes import to_json as slope_json
+from poplarhoist.models import EndpointKind, Place, Preset
 from poplarhoist.replay.runner import POLICIES_BY_NAME
 from poplarhoist.replay.runner import replay as run_trace
-from poplarhoist.replay.shapes import SHAPES_BY_NAME
+from poplarhoist.replay.shapes import SHAPES_BY_NAME, SiteShape
 from poplarhoist.replay.traces import TRACES_BY_NAME
+from poplarhoist.settings.loader import load_site
+from poplarhoist.settings.models import Site
 from poplarhoist.status import ExitStatus
 
 PROGRAM = "poplarhoist-load"
@@ -146,7 +153,108 @@
     return ExitStatus.OK
 
 
-EXECUTORS = {Replay: execute_replay, Slopes: execute_slopes}
+@frozen
+class Run:
+    """Load a running site."""
+
+    settings: Path
+    token: str
+    trace: str
+    rate: float
+    tokens: int
+    warm_up_s: float
+    seconds: float
+    bookings: float
+    seed: int
+    out: str
+    png: str
+
+
+def run_site(
+    *,
+    settings: Path,
+    token: str,
+    trace: Literal[
+        "zipf-0.8", "zipf-1.0", "zipf-1.2", "shift", "crowd", "restart", "store-slow"
+    ] = "zipf-1.0",
+    rate: float = 5.0,
+    tokens: int = 64,
+    warm_up_s: float = 10.0,
+    seconds: float = 30.0,
+    bookings: float = 1.0,
+    seed: int = 1,
+    out: str = "",
+    png: str = "",
+) -> Run:
+    """Load a running site open-loop over HTTP, check each answer and measure.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file of the site, whose endpoints are stand-ins.
+    token : str
+        Token of the caller; its adapters are asked for.
+    trace
+        Kind of the arrivals.
+    rate : float
+        Ordinary arrivals a second.
+    tokens : int
+        Mean tokens of an answer.
+    warm_up_s : float
+        Seconds of load before those that are measured.
+    seconds : float
+        Seconds that are measured.
+    bookings : float
+        Calls a second that must not repeat.
+    seed : int
+        Seed of the trace.
+    out : str
+        File for the measures as JSON; none if empty.
+    png : str
+        File for a plot; none if empty.
+    """
+    return Run(settings, token, trace, rate, tokens, warm_up_s, seconds, bookings, seed, out, png)
+
+
+def execute_run(command: Run, env: Environment) -> ExitStatus:
+    """Load the site and print the table; fails if an answer was wrong, lost or doubled."""
+    site = load_site(command.settings)
+    urls = tuple(f"http://{entry.host}:{entry.port}" for entry in site.entries)
+    client = CallerClient(env.clock, command.token, urls)
+    shape = shape_of(site, len(client.models()), command)
+    trace = TRACES_BY_NAME[command.trace](shape, command.seed)
+    loop = OpenLoop(site, client, env.clock, trace, command.bookings, command.seed, env.stderr)
+    measures = loop.run()
+    env.print(table([measures]))
+    write_json(command.out, to_json([measures]))
+    if command.png:
+        plot([measures], Path(command.png))
+    faults = measures.wrong + measures.lost + measures.doubled
+    return ExitStatus.ERROR if faults else ExitStatus.OK
+
+
+def shape_of(site: Site, adapters: int, command: Run) -> SiteShape:
+    """Return the sizes of a running site and the load that is asked for."""
+    engines = [e for e in site.endpoints if e.kind is EndpointKind.ENGINE]
+    return SiteShape(
+        name=site.name,
+        entries=len(site.entries),
+        engines=len(engines),
+        places=tuple({Place(entry.region, entry.zone): None for entry in site.entries}),
+        loads_per_s=site.store.loads_per_s,
+        arrivals_per_s=command.rate,
+        tokens_mean=command.tokens,
+        preset=Preset("ordinary"),
+        slots=engines[0].slots,
+        batch=engines[0].batch,
+        adapters=adapters,
+        warm_up_s=command.warm_up_s,
+        measured_s=command.seconds,
+    )
+
+
+COMMANDS = {"run": run_site, "replay": replay, "slopes": slopes}
+EXECUTORS = {Replay: execute_replay, Slopes: execute_slopes, Run: execute_run}
 
 
 def execute(command: object, env: Environment) -> ExitStatus:
@@ -156,11 +264,12 @@
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run the program."""
-    return run(PROGRAM, [replay, slopes], execute, args, env)
+    return run(PROGRAM, COMMANDS, execute, args, env)
 
 
 def console() -> None:
     """Run the program from a shell."""
+    eventlet.monkey_patch()
     sys.exit(main(sys.argv[1:], Environment()))
 
 
--- /dev/null
+++ b/poplarhoist/load/caller.py
@@ -0,0 +1,182 @@
+"""A caller of a running site: sends calls, sends them again when told to, checks the answers."""
+
+import re
+import uuid
+from collections.abc import Iterator
+
+import eventlet
+import orjson
+import urllib3
+from attrs import define, field
+from urllib3.exceptions import HTTPError
+
+from poplarhoist.clock import Clock
+
+RESENDS = 3
+TIMEOUT_S = 60.0
+READ_BYTES = 65536
+TOKEN_PATTERN = re.compile(r" (\S+)@(\d+):(\d+)")
+
+
+@define
+class Outcome:
+    """What became of a call.
+
+    Attributes
+    ----------
+    due_at : float
+        When the call was to be sent; times are counted from here.
+    gaps : list of float
+        Seconds between the chunks of the answer.
+    refused : str
+        Reason of the final refusal; empty if there is none.
+    not_run : bool
+        Whether the final refusal said that the call was not run.
+    """
+
+    due_at: float
+    first_at: float | None = None
+    ended_at: float | None = None
+    gaps: list[float] = field(factory=list)
+    complete: bool = False
+    wrong: bool = False
+    refused: str = ""
+    not_run: bool = False
+    resends: int = 0
+    stalled: bool = False
+
+
+@define
+class CallerClient:
+    """Calls one entry after another, each over a connection of its own."""
+
+    clock: Clock
+    token: str
+    urls: tuple[str, ...]
+    deadline_s: float = 30.0
+
+    def headers(self, **more: str) -> dict[str, str]:
+        """Return the headers of a call."""
+        return {
+            "Authorization": f"Bearer {self.token}",
+            "Content-Type": "application/json",
+            "X-Deadline-Seconds": str(self.deadline_s),
+            "Connection": "close",
+            **more,
+        }
+
+    def post(self, entry: int, path: str, body: dict, **headers: str):
+        """Send one request; the answer is not yet read.
+
+        Raises
+        ------
+        HTTPError
+            If there is no answer.
+        """
+        pool = urllib3.PoolManager(retries=False, maxsize=1, timeout=TIMEOUT_S)
+        return pool.request(
+            "POST",
+            self.urls[entry % len(self.urls)] + path,
+            body=orjson.dumps(body),
+            headers=self.headers(**headers),
+            preload_content=False,
+            redirect=False,
+        )
+
+    def models(self) -> list[str]:
+        """Return the names of the adapters that the caller may use, in their order.
+
+        Raises
+        ------
+        HTTPError
+            If the entry does not answer.
+        """
+        pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        answer = pool.request("GET", self.urls[0] + "/v1/models", headers=self.headers())
+        return sorted(model["id"] for model in answer.json()["data"])
+
+    def complete(self, outcome: Outcome, entry: int, adapter: str, tokens: int) -> Outcome:
+        """Ask for a streamed completion and check every token of it."""
+        body = {"model": adapter, "prompt": uuid.uuid4().hex, "max_tokens": tokens, "stream": True}
+        response = self.until_served(outcome, lambda: self.post(entry, "/v1/completions", body))
+        if response is None:
+            return outcome
+        data = b"".join(self.chunks(outcome, response))
+        outcome.ended_at = self.clock.monotonic()
+        judge_stream(outcome, data, adapter, tokens)
+        return outcome
+
+    def book(self, outcome: Outcome, entry: int, path: str, key: str) -> Outcome:
+        """Make a call that must not repeat; it is sent again under the same key."""
+        post = lambda: self.post(entry, path, {"crew": 1}, **{"Idempotency-Key": key})
+        response = self.until_served(outcome, post)
+        if response is None:
+            return outcome
+        data = b"".join(self.chunks(outcome, response))
+        outcome.ended_at = self.clock.monotonic()
+        outcome.complete = orjson.loads(data).get("key") == key
+        outcome.wrong = not outcome.complete
+        return outcome
+
+    def until_served(self, outcome: Outcome, post):
+        """Send a call, and again after Retry-After; None if it is refused or not answered."""
+        while True:
+            try:
+                response = post()
+                if response.status < 300:
+                    return response
+                problem = orjson.loads(response.read())
+            except (HTTPError, orjson.JSONDecodeError):
+                return None
+            wait = response.headers.get("Retry-After")
+            if wait is None or outcome.resends >= RESENDS:
+                outcome.refused = str(problem.get("reason", response.status))
+                outcome.not_run = problem.get("ran") == "no"
+                outcome.ended_at = self.clock.monotonic()
+                return None
+            outcome.resends += 1
+            eventlet.sleep(float(wait))
+
+    def chunks(self, outcome: Outcome, response) -> Iterator[bytes]:
+        """Yield the chunks of an answer and note when they arrived; ends where it breaks off."""
+        last_at = None
+        try:
+            for chunk in response.stream(READ_BYTES, decode_content=False):
+                now = self.clock.monotonic()
+                if last_at is None:
+                    outcome.first_at = now
+                else:
+                    outcome.gaps.append(now - last_at)
+                last_at = now
+                yield chunk
+        except HTTPError:
+            return
+
+
+def judge_stream(outcome: Outcome, data: bytes, adapter: str, tokens: int) -> None:
+    """Check that an answer is whole and comes from one version of its adapter."""
+    events = [line for line in data.split(b"\n\n") if line]
+    if events and events[-1].startswith(b"event: error"):
+        problem = orjson.loads(events[-1].partition(b"data: ")[2])["error"]
+        outcome.refused = problem["reason"]
+        return
+    if not events or events[-1] != b"data: [DONE]":
+        return
+    texts = [
+        orjson.loads(event.removeprefix(b"data: "))["choices"][0]["text"] for event in events[:-1]
+    ]
+    outcome.complete = is_answer(texts, adapter, tokens)
+    outcome.wrong = not outcome.complete
+
+
+def is_answer(texts: list[str], adapter: str, tokens: int) -> bool:
+    """Return whether the tokens are those of one version of an adapter, all and in order."""
+    name, _, wanted = adapter.partition("@")
+    found = [TOKEN_PATTERN.fullmatch(text) for text in texts]
+    if len(texts) != tokens or not all(found):
+        return False
+    names = {match[1] for match in found}
+    versions = {match[2] for match in found}
+    numbers = [int(match[3]) for match in found]
+    version_fits = versions == {wanted} if wanted else len(versions) == 1
+    return names == {name} and version_fits and numbers == list(range(tokens))
--- a/poplarhoist/replay/runner.py
+++ b/poplarhoist/replay/runner.py
@@ -47,9 +47,9 @@
     policy = POLICIES_BY_NAME[policy_name](trace, seed)
     calls = schedule(trace, policy)
     steps = [(0, 0)]
-    policy.clock.after(trace.measured_from + START_S, lambda: steps.append(work_of(policy)))
+    policy.clock.after(trace.shape.warm_up_s + START_S, lambda: steps.append(work_of(policy)))
     loads = []
-    policy.clock.after(trace.measured_from + START_S, lambda: loads.append(policy.store.loads))
+    policy.clock.after(trace.shape.warm_up_s + START_S, lambda: loads.append(policy.store.loads))
     run(trace, policy, policy_name, progress)
     policy.finish()
     measures = measure(trace, policy_name, calls)
@@ -58,7 +58,7 @@
     measures.loads = policy.store.loads - loads[0]
     measures.control_bytes = policy.control_bytes()
     measures.wrong += len(policy.violations())
-    measures.span_s = trace.end - trace.measured_from + SETTLE_S
+    measures.span_s = trace.shape.measured_s + SETTLE_S
     measures.took_s = time.perf_counter() - started
     return measures
 
@@ -91,7 +91,7 @@
 
 def run(trace: Trace, policy: Policy, policy_name: str, progress: TextIO | None) -> None:
     """Let the virtual time of the trace pass."""
-    end = START_S + trace.end + SETTLE_S
+    end = START_S + trace.shape.end_s + SETTLE_S
     while policy.clock.seconds < end:
         policy.clock.run_until(min(end, policy.clock.seconds + PROGRESS_S))
         if progress is not None:
@@ -105,7 +105,7 @@
     measures = Measures(trace.shape.name, trace.name, policy_name)
     first = histogram()
     for call in calls:
-        if call.arrival.at < trace.measured_from:
+        if call.arrival.at < trace.shape.warm_up_s:
             continue
         measures.asked += 1
         measures.resent += call.resends
@@ -117,7 +117,7 @@
 def add_call(trace: Trace, measures: Measures, call: Call, first) -> None:
     """Add one call to the measures."""
     arrived_at = START_S + call.arrival.at
-    left_at = call.dispatched_at or call.ended_at or START_S + trace.end + SETTLE_S
+    left_at = call.dispatched_at or call.ended_at or START_S + trace.shape.end_s + SETTLE_S
     if call.stalled:
         measures.add_stall(left_at - arrived_at)
     else:
--- a/poplarhoist/replay/shapes.py
+++ b/poplarhoist/replay/shapes.py
@@ -18,6 +18,8 @@
         Ordinary arrivals a second over all entries.
     tokens_mean : int
         Mean tokens of an answer; lengths spread evenly from a quarter of it upwards.
+    warm_up_s, measured_s : float
+        Seconds of a trace that only fill the slots, and those that are measured after them.
     """
 
     name: str
@@ -32,6 +34,17 @@
     batch: int = 8
     step_s: float = 0.03
     adapters: int = 3000
+    warm_up_s: float = 60.0
+    measured_s: float = 180.0
+
+    @property
+    def end_s(self) -> float:
+        """Length of a trace."""
+        return self.warm_up_s + self.measured_s
+
+    def after(self, share: float) -> float:
+        """Return when a share of the measured time has passed."""
+        return self.warm_up_s + share * self.measured_s
 
     def limits(self) -> Limits:
         """Return the decisions' limits for this site."""
--- a/poplarhoist/replay/traces.py
+++ b/poplarhoist/replay/traces.py
@@ -11,18 +11,18 @@
 from poplarhoist.models import Preset
 from poplarhoist.replay.shapes import SiteShape
 
-WARM_UP_S = 60.0
-MEASURED_S = 180.0
 CROWD_FACTOR = 3.0
 CROWD_ADAPTERS = 60
-CROWD_S = 60.0
-SHIFT_EVERY_S = 30.0
+CROWD_FROM, CROWD_UNTIL = 1 / 3, 2 / 3
+SHIFTS = 6
 SHIFT_SHARE = 0.27
+RESTART_AT = 0.1
+PRESET_AT = 0.05
 WARM_ADAPTERS = 30
-WARM_AHEAD_S = 20.0
+WARM_ASKED_FROM = 0.15
 WARM_SHARE = 0.3
 SLOW_FACTOR = 16.0
-SLOW_S = 40.0
+SLOW_FROM, SLOW_UNTIL = 0.1, 0.3
 
 
 @frozen
@@ -59,8 +59,6 @@
 
     Attributes
     ----------
-    measured_from : float
-        Earlier arrivals only fill the slots and are not measured.
     stationary : bool
         Whether popularity, rate and site stay the same throughout.
     """
@@ -69,8 +67,6 @@
     shape: SiteShape
     arrivals: tuple[Arrival, ...]
     changes: tuple[Change, ...] = ()
-    measured_from: float = WARM_UP_S
-    end: float = WARM_UP_S + MEASURED_S
     stationary: bool = False
 
 
@@ -124,9 +120,6 @@
         return Trace(name, self.shape, found, changes, stationary=stationary)
 
 
-END_S = WARM_UP_S + MEASURED_S
-
-
 def begin(shape: SiteShape, seed: int) -> Arrivals:
     """Return an empty trace with popularity ranks dealt at random."""
     source = random.Random(seed)
@@ -140,7 +133,7 @@
 
     def make(shape: SiteShape, seed: int) -> Trace:
         drawn = begin(shape, seed)
-        drawn.poisson(0.0, END_S, shape.arrivals_per_s, drawn.ranked(exponent))
+        drawn.poisson(0.0, shape.end_s, shape.arrivals_per_s, drawn.ranked(exponent))
         return drawn.trace(f"zipf-{exponent}", stationary=True)
 
     return make
@@ -150,19 +143,17 @@
     """Exchange a share of the most popular adapters for others at intervals."""
     drawn = begin(shape, seed)
     pick = drawn.ranked(1.0)
-    start = 0.0
-    while start < END_S:
-        end = WARM_UP_S if start == 0.0 else start + SHIFT_EVERY_S
+    bounds = [0.0, *(shape.after(number / SHIFTS) for number in range(SHIFTS + 1))]
+    for start, end in itertools.pairwise(bounds):
         drawn.poisson(start, end, shape.arrivals_per_s, pick)
         exchange(drawn)
-        start = end
     return drawn.trace("shift")
 
 
 def exchange(drawn: Arrivals) -> None:
     """Swap a share of the adapters that fill the slots with unpopular ones."""
     order, source = drawn.order, drawn.source
-    top = drawn.shape.slots * drawn.shape.engines
+    top = min(drawn.shape.slots * drawn.shape.engines, len(order) // 2)
     for rank in source.sample(range(top), int(top * SHIFT_SHARE)):
         other = source.randrange(top, len(order))
         order[rank], order[other] = order[other], order[rank]
@@ -171,40 +162,41 @@
 def crowd(shape: SiteShape, seed: int) -> Trace:
     """Let an exhibition's crowd ask some adapters, at three times the ordinary rate in all."""
     drawn = begin(shape, seed)
-    drawn.poisson(0.0, END_S, shape.arrivals_per_s, drawn.ranked(1.0))
-    asked = drawn.source.sample(range(shape.adapters), CROWD_ADAPTERS)
+    drawn.poisson(0.0, shape.end_s, shape.arrivals_per_s, drawn.ranked(1.0))
+    asked = drawn.source.sample(range(shape.adapters), min(CROWD_ADAPTERS, shape.adapters))
     extra = shape.arrivals_per_s * (CROWD_FACTOR - 1.0)
-    start = WARM_UP_S + (MEASURED_S - CROWD_S) / 2
-    drawn.poisson(start, start + CROWD_S, extra, drawn.among(asked))
+    start, end = shape.after(CROWD_FROM), shape.after(CROWD_UNTIL)
+    drawn.poisson(start, end, extra, drawn.among(asked))
     return drawn.trace("crowd")
 
 
 def engine_restart(shape: SiteShape, seed: int) -> Trace:
     """Restart one engine cold."""
     drawn = begin(shape, seed)
-    drawn.poisson(0.0, END_S, shape.arrivals_per_s, drawn.ranked(1.0))
-    return drawn.trace("restart", (Change(WARM_UP_S + 20.0, ChangeKind.ENGINE_RESTART),))
+    drawn.poisson(0.0, shape.end_s, shape.arrivals_per_s, drawn.ranked(1.0))
+    return drawn.trace("restart", (Change(shape.after(RESTART_AT), ChangeKind.ENGINE_RESTART),))
 
 
 def store_slow(shape: SiteShape, seed: int) -> Trace:
     """Let loads take many times as long for a while."""
     drawn = begin(shape, seed)
-    drawn.poisson(0.0, END_S, shape.arrivals_per_s, drawn.ranked(1.0))
-    slow = Change(WARM_UP_S + 20.0, ChangeKind.STORE_SPEED, SLOW_FACTOR)
-    return drawn.trace("store-slow", (slow, evolve(slow, at=slow.at + SLOW_S, amount=1.0)))
+    drawn.poisson(0.0, shape.end_s, shape.arrivals_per_s, drawn.ranked(1.0))
+    slow = Change(shape.after(SLOW_FROM), ChangeKind.STORE_SPEED, SLOW_FACTOR)
+    return drawn.trace("store-slow", (slow, evolve(slow, at=shape.after(SLOW_UNTIL), amount=1.0)))
 
 
 def preset_switch(shape: SiteShape, seed: int) -> Trace:
     """Switch to a preset that warms adapters, which are asked for a while later."""
     drawn = begin(shape, seed)
-    warm = drawn.source.sample(range(shape.adapters), WARM_ADAPTERS)
-    switch_at = WARM_UP_S + 10.0
-    drawn.poisson(0.0, END_S, shape.arrivals_per_s, drawn.ranked(1.0))
+    warm = drawn.source.sample(range(shape.adapters), min(WARM_ADAPTERS, shape.adapters))
+    drawn.poisson(0.0, shape.end_s, shape.arrivals_per_s, drawn.ranked(1.0))
     extra = shape.arrivals_per_s * WARM_SHARE
-    drawn.poisson(switch_at + WARM_AHEAD_S, END_S, extra, drawn.among(warm))
+    drawn.poisson(shape.after(WARM_ASKED_FROM), shape.end_s, extra, drawn.among(warm))
     names = tuple(f"a{number}" for number in warm)
     preset = evolve(shape.preset, name="peak", warm=names)
-    return drawn.trace("preset", (Change(switch_at, ChangeKind.PRESET, preset=preset),))
+    return drawn.trace(
+        "preset", (Change(shape.after(PRESET_AT), ChangeKind.PRESET, preset=preset),)
+    )
 
 
 TRACES_BY_NAME: dict[str, Callable[[SiteShape, int], Trace]] = {
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,90 @@
+"""Open-loop load on a small real site."""
+
+import json
+
+import pytest
+
+from poplarhoist.load.caller import Outcome, is_answer, judge_stream
+from poplarhoist.load.measures import Measures
+from poplarhoist.load.openloop import Booking, add_bookings
+from tests.site import TOKEN, published
+
+ADAPTERS = 12
+
+
+def words(adapter, version, count):
+    return [f" {adapter}@{version}:{index}" for index in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("texts", "asked", "right"),
+    [
+        (words("a", 1, 3), "a", True),
+        (words("a", 2, 3), "a@2", True),
+        (words("a", 1, 3), "a@2", False),
+        (words("b", 1, 3), "a", False),
+        (words("a", 1, 2), "a", False),
+        (words("a", 1, 2) + [" a@2:2"], "a", False),
+        ([" a@1:0", " a@1:2", " a@1:1"], "a", False),
+        (words("a", 1, 2) + ["?"], "a", False),
+    ],
+)
+def test_an_answer_is_checked_token_by_token(texts, asked, right):
+    assert is_answer(texts, asked, 3) is right
+
+
+@pytest.mark.parametrize(
+    ("data", "complete", "wrong", "refused"),
+    [
+        (b'data: {"choices":[{"text":" a@1:0"}]}\n\ndata: [DONE]\n\n', True, False, ""),
+        (b'data: {"choices":[{"text":" b@1:0"}]}\n\ndata: [DONE]\n\n', False, True, ""),
+        (b'data: {"choices":[{"text":" a@1:0"}]}\n\n', False, False, ""),
+        (b'event: error\ndata: {"error":{"reason":"lost"}}\n\n', False, False, "lost"),
+        (b"", False, False, ""),
+    ],
+)
+def test_a_stream_is_judged_by_its_end(data, complete, wrong, refused):
+    outcome = Outcome(0.0)
+    judge_stream(outcome, data, "a", 1)
+    assert (outcome.complete, outcome.wrong, outcome.refused) == (complete, wrong, refused)
+
+
+@pytest.mark.parametrize(
+    ("complete", "not_run", "runs", "found"),
+    [
+        (True, False, 1, (0, 0, 0)),
+        (True, False, 2, (0, 0, 1)),
+        (True, False, 0, (0, 1, 0)),
+        (False, True, 0, (0, 0, 0)),
+        (False, True, 1, (1, 0, 0)),
+        (False, False, 1, (0, 0, 0)),
+    ],
+)
+def test_a_booking_is_checked_against_its_runs(complete, not_run, runs, found):
+    refused = "" if complete else "run-not-recorded"
+    outcome = Outcome(0.0, complete=complete, refused=refused, not_run=not_run)
+    measures = Measures("site", "trace", "policy")
+    add_bookings(measures, [Booking("key", outcome)], {"key": runs})
+    assert (measures.wrong, measures.lost, measures.doubled) == found
+
+
+def test_load_on_a_real_site_finds_nothing_wrong_doubled_or_lost(running_site, tmp_path):
+    site = running_site(entries=2, engines=2, slots=4)
+
+    def edit(draft):
+        for number in range(ADAPTERS):
+            draft.put_adapter(published(f"a{number:02}", 1))
+
+    site.publish(edit)
+    out, png = tmp_path / "load.json", tmp_path / "load.png"
+    options = ["--settings", str(site.file.path), "--token", TOKEN, "--trace", "restart"]
+    options += ["--rate", "10", "--tokens", "16", "--warm-up-s", "2", "--seconds", "6"]
+    options += ["--bookings", "3", "--out", str(out), "--png", str(png)]
+    assert site.spawn("load", "load", "run", *options).wait(timeout=90) == 0
+    (found,) = json.loads(out.read_text())
+    assert found["asked"] == found["answered"] + sum(found["refused"].values())
+    assert found["asked"] > 30 and found["booked"] > 5
+    assert (found["wrong"], found["lost"], found["doubled"]) == (0, 0, 0)
+    assert found["stalled"] > 0 and found["loads"] > 0
+    assert 0.0 < found["batch_efficiency"] <= 1.0
+    assert png.read_bytes().startswith(b"\x89PNG")
