--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -5,6 +5,8 @@
 may be sent again without harm.
 """
 
+import enum
+
 from attrs import frozen
 
 from poplarhoist.models import AdapterRef, EndpointReport, Index
@@ -12,10 +14,17 @@
 
 @frozen
 class LeadClaim:
-    """Says that the sender leads a base model under an epoch."""
+    """Says that the sender leads a base model under an epoch.
+
+    Attributes
+    ----------
+    loading : bool
+        Whether the base model needs a share of the weight store now.
+    """
 
     base: str
     epoch: int
+    loading: bool = False
 
 
 @frozen
@@ -88,12 +97,22 @@
 
 @frozen
 class Grant:
-    """Lets the receiver dispatch an adapter version to an endpoint."""
+    """Lets the receiver dispatch an adapter version to an endpoint.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each grant of one epoch, so that late or repeated messages are told apart.
+    boot : str
+        Boot id of the receiver that is meant.
+    """
 
     base: str
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+    boot: str = ""
 
 
 @frozen
@@ -104,6 +123,7 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
 
 
 @frozen
@@ -114,6 +134,15 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+
+
+@frozen
+class LeadReleased:
+    """Says that the sender gave up a base model's lease, which is free to take."""
+
+    base: str
+    epoch: int
 
 
 @frozen
@@ -163,6 +192,83 @@
     convicted: bool = False
 
 
+@frozen
+class KnownSuspects:
+    """Tells an entry that was just started of all suspects and convictions."""
+
+    notices: tuple[SuspectNotice, ...]
+
+
+class TrialState(enum.StrEnum):
+    """Where the run of a suspect alone on an endpoint stands; ``OVER`` is without a verdict."""
+
+    OPEN = "open"
+    OVER = "over"
+    CLEARED = "cleared"
+
+
+@frozen
+class TrialNotice:
+    """Tells of a suspect that runs alone.
+
+    Attributes
+    ----------
+    trial : str
+        Endpoint and boot id, as ``endpoint/boot``.
+    """
+
+    digest: str
+    trial: str
+    state: TrialState
+
+
+@frozen
+class IsolationWanted:
+    """Asks the lead for an endpoint on which a suspect can run alone.
+
+    Attributes
+    ----------
+    left_s : float
+        Seconds until the request is no longer wanted.
+    running_on : str
+        Endpoint on which it runs alone already; empty while it waits.
+    """
+
+    base: str
+    request_id: str
+    digest: str
+    ref: AdapterRef
+    left_s: float
+    running_on: str = ""
+
+
+@frozen
+class IsolationGrant:
+    """Lets the receiver run a suspect alone on an endpoint that was emptied for it."""
+
+    base: str
+    epoch: int
+    request_id: str
+    ref: AdapterRef
+    endpoint: str
+    boot: str
+
+
+@frozen
+class IsolationDone:
+    """Says that a suspect neither waits nor runs any more at the sender.
+
+    Attributes
+    ----------
+    clean : bool
+        Whether the endpoint has ended the request too, so that nothing is left of it there.
+    """
+
+    base: str
+    request_id: str
+    clean: bool = False
+
+
 @frozen
 class IndexNotice:
     """Passes on the highest configuration index that the sender has in force."""
@@ -193,9 +299,15 @@
     | Grant
     | Recall
     | Returned
+    | LeadReleased
     | GatherGrants
     | HeldGrants
     | SuspectNotice
+    | KnownSuspects
+    | TrialNotice
+    | IsolationWanted
+    | IsolationGrant
+    | IsolationDone
     | IndexNotice
     | PageWanted
     | PageCopy
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -8,6 +8,8 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    intents,
+    isolation,
     leadership,
     membership,
     messages,
@@ -18,6 +20,7 @@
     revisions,
     routing,
     runs,
+    turns,
 )
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
@@ -43,6 +46,8 @@
     out: list[Effect] = []
     leadership.expire(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
+    if state.quarantine.fresh_convictions:
+        requests.refuse_convicted(state, event.at, out)
     return deliver_to_self(state, event.at, out)
 
 
@@ -68,6 +73,8 @@
     grants.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
     outcomes.on_tick(state, event.at, out)
+    isolation.on_tick(state, event.at, out)
+    turns.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
     stop_when_idle(state, out)
 
@@ -78,6 +85,8 @@
         return
     if state.requests or state.runs.by_request or state.boards or state.grants.by_ref:
         return
+    if state.leadership.open_orders or leadership.releasing(state):
+        return
     state.stopped = True
     out.append(fx.Stop())
 
@@ -95,6 +104,12 @@
         leadership.on_read(state, event, out)
     elif isinstance(purpose, fx.LeaseWrite):
         leadership.on_write(state, event, out)
+    elif isinstance(purpose, fx.LeaseRelease):
+        leadership.on_released(state, event, out)
+    elif isinstance(purpose, fx.IntentWrite):
+        intents.on_written(state, event, out)
+    elif isinstance(purpose, fx.IntentsRead):
+        intents.on_read(state, event, out)
     elif isinstance(purpose, fx.PageRead):
         revisions.on_page_read(state, event, out)
     elif isinstance(purpose, fx.RunCreate):
@@ -107,7 +122,11 @@
 
 def on_peer(state: State, event: ev.PeerSaid, out: list[Effect]) -> None:
     """Take a message from another entry."""
+    peer = state.members.peers.get(event.sender)
+    started = peer is not None and peer.boot != event.boot
     if membership.accept_batch(state, event, out):
+        if started:
+            quarantine.tell_newcomer(state, event.sender, event.at, out)
         handle_message(state, event.sender, event.message, event.at, out)
 
 
@@ -118,6 +137,8 @@
             membership.on_heartbeat(state, sender, message, out)
             revisions.on_peer_revision(state, sender, message.revision, out)
             for claim in message.leads:
+                if claim.loading:
+                    state.leadership.loading_heard[claim.base] = at
                 leadership.note_epoch(state, claim.base, claim.epoch, sender, at, out)
         case messages.Reports():
             for report in message.reports:
@@ -130,20 +151,35 @@
                 requests.on_expected(state, request_ids, at, out)
         case messages.Grant():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
-                grants.take(state, message, at)
+                grants.take(state, message, at, out)
                 requests.pump(state, message.ref, at, out)
         case messages.Recall():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.recall(state, sender, message, out)
         case messages.Returned():
             placement.on_returned(state, sender, message, at, out)
+        case messages.LeadReleased():
+            leadership.on_lead_released(state, sender, message, at)
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.gather(state, sender, message, out)
+                isolation.tell_lead(state, message.base, at, out)
         case messages.HeldGrants():
             placement.on_held(state, sender, message, at, out)
         case messages.SuspectNotice():
-            quarantine.on_notice(state, message, out)
+            quarantine.on_notice(state, message, at, out)
+        case messages.KnownSuspects():
+            for notice in message.notices:
+                quarantine.on_notice(state, notice, at, out)
+        case messages.TrialNotice():
+            quarantine.take_trial(state, message, at)
+        case messages.IsolationWanted():
+            turns.on_wanted(state, sender, message, at, out)
+        case messages.IsolationGrant():
+            if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
+                isolation.on_grant(state, sender, message, at, out)
+        case messages.IsolationDone():
+            turns.on_done(state, sender, message, at, out)
         case messages.IndexNotice():
             revisions.on_index_notice(state, sender, message, at, out)
         case messages.PageWanted():
@@ -154,37 +190,36 @@
 
 def on_reported(state: State, event: ev.EndpointReported, out: list[Effect]) -> None:
     """Take a report that was polled here."""
-    boot = known_boot(state, event.report.endpoint)
-    if membership.on_reported(state, event, out):
+    boot = membership.known_boot(state, event.report.endpoint)
+    newer = membership.on_reported(state, event, out)
+    if newer:
         sampled_at = event.asked_at - event.report.age_s
-        spread_report(state, event.report, boot, sampled_at, event.at, out)
+        spread_report(state, event.report, boot, sampled_at, event.at, out, True)
+    outcomes.on_endpoint_answer(state, event.report, newer, event.asked_at, event.at, out)
 
 
 def take_report(state: State, report, sampled_at: float, at: float, out: list[Effect]) -> None:
     """Take a report that a peer passed on."""
-    boot = known_boot(state, report.endpoint)
+    boot = membership.known_boot(state, report.endpoint)
     if membership.take_report(state, report, sampled_at, out):
-        spread_report(state, report, boot, sampled_at, at, out)
-
-
-def known_boot(state: State, endpoint: str) -> str:
-    """Return the boot id of an endpoint's last report; empty if there is none."""
-    view = state.members.endpoints.get(endpoint)
-    return view.report.boot if view and view.report else ""
+        spread_report(state, report, boot, sampled_at, at, out, False)
+        outcomes.on_endpoint_answer(state, report, True, float("-inf"), at, out)
 
 
-def spread_report(state: State, report, boot: str, sampled_at: float, at: float, out) -> None:
+def spread_report(state: State, report, boot: str, sampled_at, at, out, polled: bool) -> None:
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
     routing.on_report(state, report)
-    placement.on_report(state, report, sampled_at, at, out)
+    placement.on_report(state, report, sampled_at, at, out, polled)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
 
 def on_endpoint_silent(state: State, event: ev.EndpointSilent, out: list[Effect]) -> None:
     """Take note of an endpoint that does not answer."""
     membership.on_silent(state, event.endpoint, event.at, out)
+    if event.refused:
+        outcomes.on_endpoint_refused(state, event.endpoint, event.at, out)
 
 
 def on_drain(state: State, event: ev.DrainAsked, out: list[Effect]) -> None:
@@ -194,7 +229,7 @@
     state.draining = True
     out.append(fx.LogChange("entry-draining", {}))
     leadership.hand_over(state, event.at, out)
-    grants.hand_back_all(state, out)
+    grants.hand_back_unneeded(state, out)
 
 
 def ignore(state: State, event: ev.Event, out: list[Effect]) -> None:
