Measure what an entry adds: requests, latency, processor time, memory

Cause: the targets of added latency, tokens a second and memory had no figures. Ruled out: starting the processes from the tool, as no process of the product starts another; a script among the tests does. Even gaps between calls, which fall in step with the engines' batches and showed 10 ms for model calls where the plain calls showed 3.

--- a/poplarhoist/cli/load.py
+++ b/poplarhoist/cli/load.py
@@ -17,6 +17,9 @@
 from poplarhoist.load.dimensions import DIMENSIONS_BY_NAME
 from poplarhoist.load.measures import table, to_json
 from poplarhoist.load.openloop import OpenLoop
+from poplarhoist.load.overhead import OverheadProbe, Process
+from poplarhoist.load.overhead import table as overhead_table
+from poplarhoist.load.overhead import to_json as overhead_json
 from poplarhoist.load.plot import plot
 from poplarhoist.load.slopes import Slope, grows, measure
 from poplarhoist.load.slopes import table as slope_table
@@ -219,8 +222,7 @@
 def execute_run(command: Run, env: Environment) -> ExitStatus:
     """Load the site and print the table; fails if an answer was wrong, lost or doubled."""
     site = load_site(command.settings)
-    urls = tuple(f"http://{entry.host}:{entry.port}" for entry in site.entries)
-    client = CallerClient(env.clock, command.token, urls)
+    client = CallerClient(env.clock, command.token, urls_of(site))
     shape = shape_of(site, len(client.models()), command)
     trace = TRACES_BY_NAME[command.trace](shape, command.seed)
     loop = OpenLoop(site, client, env.clock, trace, command.bookings, command.seed, env.stderr)
@@ -253,8 +255,75 @@
     )
 
 
-COMMANDS = {"run": run_site, "replay": replay, "slopes": slopes}
-EXECUTORS = {Replay: execute_replay, Slopes: execute_slopes, Run: execute_run}
+@frozen
+class MeasureOverhead:
+    """Measure what the first entry of a running site adds."""
+
+    settings: Path
+    token: str
+    pid: int
+    seconds: float
+    stream_tokens: int
+    memory_only: bool
+    out: str
+
+
+def overhead(
+    *,
+    settings: Path,
+    token: str,
+    pid: int,
+    seconds: float = 20.0,
+    stream_tokens: int = 600,
+    memory_only: bool = False,
+    out: str = "",
+) -> MeasureOverhead:
+    """Measure requests a second, added latency, processor time and memory of one entry.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file of the running site, whose endpoints are stand-ins.
+    token : str
+        Token of the caller.
+    pid : int
+        Process id of the first entry of the settings.
+    seconds : float
+        Length of each of the measurements of throughput and of latency.
+    stream_tokens : int
+        Length of each streamed answer.
+    memory_only : bool
+        Measure only the resident memory.
+    out : str
+        File for the figures as JSON; none if empty.
+    """
+    return MeasureOverhead(settings, token, pid, seconds, stream_tokens, memory_only, out)
+
+
+def execute_overhead(command: MeasureOverhead, env: Environment) -> ExitStatus:
+    """Measure and print the table."""
+    site = load_site(command.settings)
+    client = CallerClient(env.clock, command.token, urls_of(site)[:1])
+    process = Process(command.pid)
+    probe = OverheadProbe(site, client, env.clock, process, command.seconds, command.stream_tokens)
+    figures = probe.memory() if command.memory_only else probe.run()
+    env.print(overhead_table(figures))
+    write_json(command.out, overhead_json(figures))
+    return ExitStatus.OK
+
+
+def urls_of(site: Site) -> tuple[str, ...]:
+    """Return the addresses of a site's entries."""
+    return tuple(f"http://{entry.host}:{entry.port}" for entry in site.entries)
+
+
+COMMANDS = {"run": run_site, "overhead": overhead, "replay": replay, "slopes": slopes}
+EXECUTORS = {
+    Replay: execute_replay,
+    Slopes: execute_slopes,
+    Run: execute_run,
+    MeasureOverhead: execute_overhead,
+}
 
 
 def execute(command: object, env: Environment) -> ExitStatus:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -88,3 +88,18 @@
     assert found["stalled"] > 0 and found["loads"] > 0
     assert 0.0 < found["batch_efficiency"] <= 1.0
     assert png.read_bytes().startswith(b"\x89PNG")
+
+
+def test_overhead_of_a_real_entry_is_measured(running_site, tmp_path):
+    site = running_site(entries=1, engines=1, batch=64)
+    out = tmp_path / "overhead.json"
+    options = ["--settings", str(site.file.path), "--token", TOKEN, "--out", str(out)]
+    options += ["--pid", str(site.processes["entry-1"].pid)]
+    options += ["--seconds", "1", "--stream-tokens", "20"]
+    assert site.spawn("load", "load", "overhead", *options).wait(timeout=90) == 0
+    found = {figure["name"]: figure["value"] for figure in json.loads(out.read_text())}
+    assert 0.0 < found["ratio"] < 1.0
+    assert found["model call, added at 50"] > 0.0
+    assert found["streams cut"] == 0
+    assert found["processor of a chunk"] > 0.0
+    assert found["resident memory at 1 adapters"] > 0.0
