--- a/poplarhoist/decisions/isolation.py
+++ b/poplarhoist/decisions/isolation.py
@@ -59,17 +59,29 @@
 def on_grant(state: State, sender: str, message: IsolationGrant, at: float, out) -> None:
     """Run a request alone, or hand the endpoint back if it is no longer wanted."""
     request = state.requests.get(message.request_id)
-    if request is None or request.stage != Stage.ISOLATING:
-        if request is None or not request.alone:
-            pair = (message.ref, message.endpoint)
-            out.append(SendMessage(sender, Returned(message.base, message.epoch, *pair)))
-            out.append(SendMessage(sender, IsolationDone(message.base, message.request_id)))
+    waits = request is not None and request.stage == Stage.ISOLATING
+    if not waits and (request is None or not request.alone):
+        grant = message.grant
+        pair = (grant.ref, grant.endpoint)
+        answer = Returned(grant.base, grant.epoch, *pair, grant.number)
+        out.append(SendMessage(sender, answer))
+        out.append(SendMessage(sender, IsolationDone(message.base, message.request_id)))
         return
-    grants.take(state, Grant(message.base, message.epoch, message.ref, message.endpoint), at)
-    grants.find(state, message.ref, message.endpoint).alone = True
-    out.append(Count("isolation", ("granted",)))
-    requests.dispatch(state, request, message.endpoint, at, out, alone=True)
-    request.boot = message.boot
+    held = take_grant(state, message.grant, at, out)
+    if held is not None and waits:
+        out.append(Count("isolation", ("granted",)))
+        requests.dispatch(state, request, held.endpoint, at, out, alone=True)
+        request.boot = message.boot
+
+
+def take_grant(state: State, grant: Grant, at: float, out: list[Effect]) -> grants.Held | None:
+    """Hold a grant for one request only; return None if it was late or repeated."""
+    grants.take(state, grant, at, out)
+    held = grants.find(state, grant.ref, grant.endpoint)
+    if held is None or (held.epoch, held.number) != (grant.epoch, grant.number):
+        return None
+    held.alone = True
+    return held
 
 
 def ended(state: State, request: RequestState, outcome: Outcome, out: list[Effect]) -> None:
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -244,13 +244,20 @@
 
 @frozen
 class IsolationGrant:
-    """Lets the receiver run a suspect alone on an endpoint that was emptied for it."""
+    """Lets the receiver run a suspect alone on an endpoint that was emptied for it.
+
+    Attributes
+    ----------
+    grant : Grant
+        The grant under which it runs.
+    boot : str
+        Boot id of the endpoint.
+    """
 
     base: str
     epoch: int
     request_id: str
-    ref: AdapterRef
-    endpoint: str
+    grant: Grant
     boot: str
 
 
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -11,6 +11,7 @@
     intents,
     isolation,
     leadership,
+    load_views,
     membership,
     messages,
     outcomes,
@@ -18,7 +19,6 @@
     quarantine,
     requests,
     revisions,
-    routing,
     runs,
     turns,
 )
@@ -124,9 +124,13 @@
     """Take a message from another entry."""
     peer = state.members.peers.get(event.sender)
     started = peer is not None and peer.boot != event.boot
+    oldest = event.at - state.limits.peer_timeout_s
+    returned = peer is not None and not started and peer.heard_at < oldest
     if membership.accept_batch(state, event, out):
         if started:
             quarantine.tell_newcomer(state, event.sender, event.at, out)
+        elif returned:
+            quarantine.tell_all(state, event.sender, out)
         handle_message(state, event.sender, event.message, event.at, out)
 
 
@@ -210,7 +214,7 @@
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
-    routing.on_report(state, report)
+    load_views.on_report(state, report, sampled_at)
     placement.on_report(state, report, sampled_at, at, out, polled)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -192,9 +192,8 @@
             fired.append(step)
             fault(bench, entry, item)
 
-    asked = bench.ask("entry-1", "a0", tokens=40, poison=poisonous, digest=POISON)
-    bench.run(0.05)
     bench.hooks.append(hook)
+    asked = bench.ask("entry-1", "a0", tokens=40, poison=poisonous, digest=POISON)
     if not poisonous:
         bench.run(0.3)
         bench.engines[asked.dispatches[0]].crash()
