Judge the replayed decisions against their targets

Cause: whether a target is met had to be read off a table of forty rows a site. Change: 'poplarhoist-load replay' ends with a table of ratios to the baselines for each trace that was run under all of them, the ratio that the clairvoyant bound itself reaches, and what is missed. Conclusion: a miss can be told from a target that even foresight does not reach.

--- a/poplarhoist/cli/load.py
+++ b/poplarhoist/cli/load.py
@@ -24,6 +24,8 @@
 from poplarhoist.load.slopes import Slope, grows, measure
 from poplarhoist.load.slopes import table as slope_table
 from poplarhoist.load.slopes import to_json as slope_json
+from poplarhoist.load.verdicts import judge
+from poplarhoist.load.verdicts import table as verdict_table
 from poplarhoist.models import EndpointKind, Place, Preset
 from poplarhoist.replay.runner import POLICIES_BY_NAME
 from poplarhoist.replay.runner import replay as run_trace
@@ -98,12 +100,18 @@
 def execute_replay(command: Replay, env: Environment) -> ExitStatus:
     """Replay and print the table."""
     found = []
+    stationary = set()
     for site in command.sites:
         for name in command.traces:
             trace = TRACES_BY_NAME[name](SHAPES_BY_NAME[site], command.seed)
+            if trace.stationary:
+                stationary.add(name)
             for policy in command.policies:
                 found.append(run_trace(trace, policy, command.seed, env.stderr))
     env.print(table(found))
+    verdicts = judge(found, stationary)
+    if verdicts:
+        env.print("\n" + verdict_table(verdicts))
     write_json(command.out, to_json(found))
     return ExitStatus.OK
 
--- a/tests/test_baselines.py
+++ b/tests/test_baselines.py
@@ -7,6 +7,8 @@
 
 from poplarhoist.cli.load import main
 from poplarhoist.context import Environment
+from poplarhoist.load.measures import Measures
+from poplarhoist.load.verdicts import judge
 from poplarhoist.replay.runner import POLICIES_BY_NAME, replay
 from poplarhoist.replay.shapes import SHAPES_BY_NAME
 from poplarhoist.replay.traces import TRACES_BY_NAME, Trace
@@ -56,3 +58,33 @@
     assert "100%" in printed.err
     (found,) = json.loads(out.read_text())
     assert found["answered"] == found["asked"]
+
+
+def run(policy, stall_s, batch_efficiency):
+    return Measures("tornos", "t", policy, stall_s=stall_s, batch_efficiency=batch_efficiency)
+
+
+@pytest.mark.parametrize(
+    ("stall_s", "batch", "stationary", "missed"),
+    [
+        (50.0, 0.5, True, []),
+        (51.0, 0.5, True, ["stalls over 0.5 of lru"]),
+        (50.0, 0.49, False, ["batch efficiency under rendezvous"]),
+        (53.0, 0.5, True, ["stalls over 0.5 of lru", "stalls over 1.3 of clairvoyant"]),
+        (53.0, 0.5, False, ["stalls over 0.5 of lru"]),
+        (
+            101.0,
+            0.3,
+            False,
+            ["stalls over 0.5 of lru", "batch efficiency under rendezvous", "beaten by lru"],
+        ),
+    ],
+)
+def test_targets_are_judged(stall_s, batch, stationary, missed):
+    baselines = [
+        run("lru", 100.0, 0.4),
+        run("rendezvous", 120.0, 0.5),
+        run("clairvoyant", 40.0, 0.6),
+    ]
+    found = judge([*baselines, run("hoist", stall_s, batch)], {"t"} if stationary else set())
+    assert [verdict.missed() for verdict in found] == [missed]
