Read bytes between regions from the counter that is counted

Cause: a real run over two regions showed 0 bytes crossed: 'endpoint_bytes' is declared but never counted; requests and answers between regions are counted as 'crossing_bytes'. Change: the load tool reads 'crossing_bytes'; replays give requests a size and take the bench's own size of a token.

--- a/poplarhoist/load/observer.py
+++ b/poplarhoist/load/observer.py
@@ -11,7 +11,8 @@
 
 WATCH_S = 0.1
 TIMEOUT_S = 10.0
-BYTES_BETWEEN_REGIONS = ("poplarhoist_endpoint_bytes_total", "poplarhoist_peer_bytes_total")
+CROSSED = "poplarhoist_crossing_bytes_total{"
+CONTROL_CROSSED = "poplarhoist_peer_bytes_total{crossing=yes}"
 
 
 @define
--- a/poplarhoist/load/openloop.py
+++ b/poplarhoist/load/openloop.py
@@ -12,7 +12,7 @@
 from poplarhoist.clock import Clock
 from poplarhoist.load.caller import CallerClient, Outcome
 from poplarhoist.load.measures import Measures, histogram, percentiles_ms, record
-from poplarhoist.load.observer import BYTES_BETWEEN_REGIONS, SiteObserver, Work
+from poplarhoist.load.observer import CONTROL_CROSSED, CROSSED, SiteObserver, Work
 from poplarhoist.models import EndpointKind
 from poplarhoist.replay.traces import Arrival, Change, ChangeKind, Trace
 from poplarhoist.settings.models import Site
@@ -172,9 +172,9 @@
         measures.wrong += done.violations
         now = self.observer.counters()
         grown = {key: value - counters.get(key, 0.0) for key, value in now.items()}
-        endpoint, peer = BYTES_BETWEEN_REGIONS
-        measures.crossed_bytes = round(grown.get(f"{endpoint}{{crossing=yes}}", 0.0))
-        measures.control_bytes = round(grown.get(f"{peer}{{crossing=yes}}", 0.0))
+        crossed = (value for key, value in grown.items() if key.startswith(CROSSED))
+        measures.crossed_bytes = round(sum(crossed))
+        measures.control_bytes = round(grown.get(CONTROL_CROSSED, 0.0))
         measures.notes = {key: value for key, value in grown.items() if value}
         measures.span_s = measures.took_s = self.clock.monotonic() - self.started_at
         return measures
--- a/poplarhoist/replay/fleet.py
+++ b/poplarhoist/replay/fleet.py
@@ -13,6 +13,7 @@
 START_S = 5.0
 LATENCY_S = 0.001
 REGION_LATENCY_S = 0.03
+REQUEST_BYTES = 600
 
 
 @define(eq=False)
--- a/poplarhoist/replay/hoist.py
+++ b/poplarhoist/replay/hoist.py
@@ -9,6 +9,7 @@
 from poplarhoist.replay.fleet import (
     LATENCY_S,
     REGION_LATENCY_S,
+    REQUEST_BYTES,
     Call,
     change_fakes,
     engine_violations,
@@ -50,7 +51,8 @@
         request_id = f"r{len(self.bench.asked)}"
         self.calls_by_request[request_id] = call
         entry = f"entry-{arrival.entry + 1}"
-        self.bench.ask(entry, f"a{arrival.adapter}", arrival.tokens, CALLER_DEADLINE_S)
+        adapter = f"a{arrival.adapter}"
+        self.bench.ask(entry, adapter, arrival.tokens, CALLER_DEADLINE_S, size=REQUEST_BYTES)
 
     def observe(self, entry: FakeEntry, effect: object) -> None:
         """Note what an entry does about a call, before it is done."""
--- a/poplarhoist/replay/runner.py
+++ b/poplarhoist/replay/runner.py
@@ -11,14 +11,13 @@
     RandomPolicy,
     RendezvousPolicy,
 )
-from poplarhoist.replay.fleet import START_S, Call, Policy, place_of
+from poplarhoist.replay.bench import TOKEN_BYTES
+from poplarhoist.replay.fleet import REQUEST_BYTES, START_S, Call, Policy, place_of
 from poplarhoist.replay.hoist import HoistPolicy
 from poplarhoist.replay.traces import Trace
 
 SETTLE_S = 60.0
 PROGRESS_S = 30.0
-REQUEST_BYTES = 600
-TOKEN_BYTES = 160
 
 POLICIES_BY_NAME: dict[str, Callable[[Trace, int], Policy]] = {
     "random": RandomPolicy,
