Intents proved by late orders; holders told to those who may lead next; fair draining

Cause: with a lead paused, the next one could not reach it and so could evict nothing it had not loaded itself; a wanted load that found no engine held up all others; all slots were drained at once when more adapters were wanted than slots exist. Change: each entry tells its grants to three entries that may lead next, and an entry that was paused gives its idle grants up; a lead reads lease versions from claims, so that takeover does not wait a second lease; drains are bounded by a share of the slots, a wanted adapter that still drains is used again, and replicas drain what is worth less than they are. Orders whose call ended for certain are settled at once.

--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -19,7 +19,7 @@
     from poplarhoist.decisions.state import State
 
 DEMAND_HALF_LIFE_S = 120.0
-WAITING_CREDIT_S = 0.5
+WAITING_CREDIT_S = 0.1
 WAITING_CREDIT_MAX = 16
 PRIORITY_CREDIT_S = 2.0
 
@@ -62,6 +62,8 @@
     promised: bool = False
     inherited: bool = False
     recalled_at: float = float("-inf")
+    loaded_at: float = float("-inf")
+    granted_at: float = float("-inf")
 
 
 @define
@@ -192,6 +194,8 @@
     ----------
     ungathered : set
         Entries that have not yet told of the grants that they hold.
+    unknown : set
+        Those of them of which it is not even known what they told of before.
     known_entries : set
         Entries that were asked or are being asked.
     wanted : LoadQueue
@@ -208,6 +212,8 @@
         Engine and adapter version of each draining slot.
     victims : list
         Heap of resident slots by worth; entries may be out of date.
+    capacity : int
+        Slots of all engines.
     blocked_since : float or None
         Since when no engine can take the load that goes first; None if one can.
     due : list
@@ -225,6 +231,7 @@
     parked: list[tuple[float, AdapterRef]] = field(factory=list)
     ahead: LoadQueue = field(factory=LoadQueue)
     ungathered: set[str] = field(factory=set)
+    unknown: set[str] = field(factory=set)
     known_entries: set[str] = field(factory=set)
     gather_sent_at: float = float("-inf")
     budget: Budget = field(factory=Budget)
@@ -243,6 +250,7 @@
     warm_revision: int = 0
     warm_preset: str = ""
     swept_at: float = float("-inf")
+    capacity: int = 0
     blocked_since: float | None = None
 
     def score(self, ref: AdapterRef, at: float) -> float:
@@ -292,7 +300,7 @@
 
 def is_cleared(board: Board, slot: Slot) -> bool:
     """Return whether certainly no entry holds a grant for a slot."""
-    return not slot.holders and not (slot.inherited and board.ungathered)
+    return not slot.holders and not (slot.inherited and board.unknown)
 
 
 def is_usable(engine: EngineBoard, slot: Slot) -> bool:
--- a/poplarhoist/decisions/demand.py
+++ b/poplarhoist/decisions/demand.py
@@ -69,7 +69,7 @@
         peer = state.members.peers.get(entry)
         if entry == state.me.name or (peer is not None and peer.heard_at >= oldest):
             continue
-        for ref in list(board.refs_by_waiting_entry.pop(entry)):
+        for ref in sorted(board.refs_by_waiting_entry.pop(entry)):
             end_waiting(board, entry, ref)
             want(board, ref)
 
--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -6,12 +6,14 @@
 import math
 from typing import TYPE_CHECKING
 
+from poplarhoist.decisions import lead_grants
 from poplarhoist.decisions.board import (
     Board,
     EngineBoard,
     Slot,
     SlotState,
     is_cleared,
+    is_usable,
     want,
 )
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
@@ -23,6 +25,7 @@
 
 CLEAN_AHEAD = 2
 DRAINS_PER_ENGINE = 2
+STAY_S = 0.5
 VICTIMS_LOOKED_AT = 16
 REPLICA_DISCOUNT = 2.0
 
@@ -42,7 +45,7 @@
     heapq.heappush(board.victims, (worth(board, slot), engine.name, slot.ref))
     replicas = board.engines_by_ref.get(slot.ref, ())
     if len(replicas) > 1:
-        for name in replicas:
+        for name in sorted(replicas):
             heapq.heappush(board.victims, (worth(board, slot), name, slot.ref))
 
 
@@ -83,20 +86,27 @@
     needed : int
         Slots for loads that requests wait for; some more are drained ahead of need.
     """
-    slots = [slot_of(board, pair) for pair in board.draining if serves_loads(board, pair)]
-    promised = sum(slot.promised for slot in slots)
+    missing = needed - promised(board)
+    pairs = [pair for pair in sorted(board.draining) if serves_loads(board, pair)]
+    slots = [slot_of(board, pair) for pair in pairs]
     spare = sorted((slot for slot in slots if not slot.promised), key=lambda s: worth(board, s))
-    for slot in spare[: max(0, needed - promised)]:
+    for slot in spare[: max(0, missing)]:
         promise(board, slot)
-        promised += 1
-    while promised < needed:
-        found = find_victim(board)
+        missing -= 1
+    while missing > 0:
+        found = find_victim(board, at)
         if found is None:
             return
         engine, slot = found
         drain_slot(state, board, engine, slot, at, out)
         promise(board, slot)
-        promised += 1
+        missing -= 1
+
+
+def promised(board: Board) -> int:
+    """Return how many slots drain for loads that requests wait for."""
+    pairs = (pair for pair in board.draining if serves_loads(board, pair))
+    return sum(slot_of(board, pair).promised for pair in pairs)
 
 
 def drain_ahead(state: State, board: Board, at: float, out: list[Effect]) -> None:
@@ -104,12 +114,27 @@
     draining = sum(1 for pair in board.draining if serves_loads(board, pair))
     missing = CLEAN_AHEAD - draining - len(board.ready_free)
     for _ in range(missing):
-        found = find_victim(board, idle=True)
+        found = find_victim(board, at, idle=True)
         if found is None:
             return
         drain_slot(state, board, *found, at, out)
 
 
+def drain_for_replica(state: State, board: Board, ref, at: float, out: list[Effect]) -> None:
+    """Drain a slot for a further replica if it is worth less than the replica would be."""
+    if any(serves_loads(board, pair) for pair in board.draining):
+        return
+    found = find_victim(board, at)
+    if found is None:
+        return
+    engine, slot = found
+    replicas = len(board.engines_by_ref.get(ref, ()))
+    if board.score(slot.ref, at) < board.score(ref, at) / (replicas + 1):
+        drain_slot(state, board, engine, slot, at, out)
+    else:
+        add_victim(board, engine, slot)
+
+
 def promise(board: Board, slot: Slot) -> None:
     """Keep a draining slot for a load that requests wait for."""
     slot.promised = True
@@ -128,7 +153,7 @@
     return board.engines[name].slots[ref]
 
 
-def find_victim(board: Board, idle: bool = False) -> tuple[EngineBoard, Slot] | None:
+def find_victim(board: Board, at: float, idle: bool = False) -> tuple[EngineBoard, Slot] | None:
     """Return the resident slot that is missed least, on an engine that can drain one.
 
     Parameters
@@ -147,7 +172,7 @@
         current = worth(board, slot)
         if current > key:
             heapq.heappush(board.victims, (current, name, ref))
-        elif may_drain(engine, slot) and not (idle and not is_cleared(board, slot)):
+        elif may_drain(engine, slot, at) and not (idle and not is_cleared(board, slot)):
             found = (engine, slot)
         else:
             put_back.append((current, name, ref))
@@ -156,10 +181,12 @@
     return found
 
 
-def may_drain(engine: EngineBoard, slot: Slot) -> bool:
+def may_drain(engine: EngineBoard, slot: Slot, at: float) -> bool:
     """Return whether a slot may be drained now."""
     if not engine.in_use or not engine.settled or slot.ref in engine.suspended:
         return False
+    if at - slot.loaded_at < STAY_S:
+        return False
     draining = sum(1 for other in engine.slots.values() if other.state is SlotState.DRAINING)
     return draining < DRAINS_PER_ENGINE
 
@@ -179,6 +206,20 @@
         recall(board, engine, slot, at, out)
 
 
+def revive(state: State, board: Board, ref, at: float, out: list[Effect]) -> bool:
+    """Use a draining slot of a wanted adapter version again instead of loading it elsewhere."""
+    for name in sorted(board.engines_by_ref.get(ref, ())):
+        engine = board.engines[name]
+        slot = engine.slots[ref]
+        if slot.state is not SlotState.DRAINING or not slot.promised:
+            continue
+        slot.promised = False
+        if engine.settled and is_usable(engine, slot):
+            lead_grants.grant_waiting(state, board, engine, slot, at, out)
+            return True
+    return False
+
+
 def keep_slot(board: Board, engine: EngineBoard, slot: Slot, at: float) -> None:
     """Use a draining slot again."""
     slot.state = SlotState.RESIDENT
--- a/poplarhoist/decisions/grants.py
+++ b/poplarhoist/decisions/grants.py
@@ -7,7 +7,9 @@
 
 from attrs import define, field
 
+from poplarhoist.decisions import holdings
 from poplarhoist.decisions.effects import Count, SendMessage
+from poplarhoist.decisions.intentbook import orders_open
 from poplarhoist.decisions.messages import GatherGrants, Grant, GrantPair, HeldGrants, Returned
 from poplarhoist.models import AdapterRef
 
@@ -90,6 +92,7 @@
     state.grants.by_endpoint.setdefault(message.endpoint, set()).add(message.ref)
     due = at + state.limits.grant_idle_s
     heapq.heappush(state.grants.idle_due, (due, message.ref, message.endpoint))
+    holdings.note(state, held.base, GrantPair(held.ref, held.endpoint), True)
     return held
 
 
@@ -101,6 +104,7 @@
     del by_endpoint[held.endpoint]
     if not by_endpoint:
         del state.grants.by_ref[held.ref]
+    holdings.note(state, held.base, GrantPair(held.ref, held.endpoint), False)
     refs = state.grants.by_endpoint[held.endpoint]
     refs.discard(held.ref)
     if not refs:
@@ -155,7 +159,7 @@
             out.append(Count("grant_dropped", ("endpoint-restarted",)))
 
 
-def gather(state: State, sender: str, message: GatherGrants, out: list[Effect]) -> None:
+def gather(state: State, sender: str, message: GatherGrants, at: float, out) -> None:
     """Tell a new lead of all grants held for its base model."""
     pairs = []
     for ref, by_endpoint in state.grants.by_ref.items():
@@ -163,8 +167,8 @@
             if held.base == message.base:
                 note_gathered(held, message.epoch)
                 pairs.append(GrantPair(ref, endpoint))
-    orders_open = message.base in state.leadership.open_orders.values()
-    answer = HeldGrants(message.base, message.epoch, tuple(pairs), orders_open)
+    still_open = orders_open(state.leadership.open_orders, at, message.base)
+    answer = HeldGrants(message.base, message.epoch, tuple(pairs), still_open)
     out.append(SendMessage(sender, answer))
 
 
@@ -176,6 +180,16 @@
         held.recalled = False
 
 
+def give_up_all(state: State, out: list[Effect]) -> None:
+    """Hand every grant back, those in use once nothing is in flight under them."""
+    for by_endpoint in list(state.grants.by_ref.values()):
+        for held in list(by_endpoint.values()):
+            if held.in_flight:
+                held.recalled = True
+            else:
+                hand_back(state, held, out)
+
+
 def hand_back_unneeded(state: State, out: list[Effect]) -> None:
     """Hand back grants that no request waits for, those in use once nothing is in flight."""
     for ref, by_endpoint in list(state.grants.by_ref.items()):
--- /dev/null
+++ b/poplarhoist/decisions/holdings.py
@@ -0,0 +1,146 @@
+"""What other entries hold, kept by those entries that may lead next.
+
+A new lead asks every entry for its grants. One that cannot be reached then blocks only the pairs
+that it told of before, not every slot.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from poplarhoist.decisions.effects import SendMessage
+from poplarhoist.decisions.membership import candidates, rank
+from poplarhoist.decisions.messages import GrantPair, Holdings
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+DEPUTIES = 3
+FULL_S = 5.0
+
+
+@define
+class Told:
+    """What this entry told of its grants for one base model.
+
+    Attributes
+    ----------
+    changed : dict
+        Whether each pair is held that changed since the last message.
+    number : int
+        Number of the last message.
+    """
+
+    changed: dict[GrantPair, bool] = field(factory=dict)
+    deputies: tuple[str, ...] = ()
+    number: int = 0
+    full_at: float = float("-inf")
+
+
+@define
+class PeerHoldings:
+    """What a peer told of its grants for one base model.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether no message was missed since the last that named all pairs.
+    """
+
+    boot: str = ""
+    number: int = 0
+    whole: bool = False
+    pairs: set[GrantPair] = field(factory=set)
+
+
+@define
+class HoldingsState:
+    """Grants of peers by base model and peer, and what was told of those held here."""
+
+    told: dict[str, Told] = field(factory=dict)
+    by_base: dict[str, dict[str, PeerHoldings]] = field(factory=dict)
+    due: float = 0.0
+
+
+def note(state: State, base: str, pair: GrantPair, held: bool) -> None:
+    """Note that a grant was taken or given up here."""
+    state.holdings.told.setdefault(base, Told()).changed[pair] = held
+
+
+def on_tick(state: State, at: float, out: list[Effect]) -> None:
+    """Tell the entries that may lead next of grants that changed; of all now and then."""
+    holdings = state.holdings
+    if at < holdings.due:
+        return
+    holdings.due = at + state.limits.heartbeat_s
+    for base in state.members.engines_by_base:
+        told = holdings.told.setdefault(base, Told())
+        if at - told.full_at >= FULL_S:
+            tell_all(state, base, told, at, out)
+        elif told.changed:
+            tell_changes(base, told, out)
+
+
+def tell_all(state: State, base: str, told: Told, at: float, out: list[Effect]) -> None:
+    """Name all pairs to the entries that may lead next, as ranked now."""
+    told.full_at = at
+    told.changed.clear()
+    told.number += 1
+    ranked = rank(base, candidates(state, at))
+    others = [name for name in ranked if name != state.me.name]
+    told.deputies = tuple(others[:DEPUTIES])
+    pairs = tuple(
+        GrantPair(ref, endpoint)
+        for ref, by_endpoint in state.grants.by_ref.items()
+        for endpoint, held in by_endpoint.items()
+        if held.base == base
+    )
+    for name in told.deputies:
+        out.append(SendMessage(name, Holdings(base, told.number, True, pairs)))
+
+
+def tell_changes(base: str, told: Told, out: list[Effect]) -> None:
+    """Name the pairs that changed."""
+    told.number += 1
+    added = tuple(pair for pair, held in told.changed.items() if held)
+    removed = tuple(pair for pair, held in told.changed.items() if not held)
+    told.changed.clear()
+    for name in told.deputies:
+        out.append(SendMessage(name, Holdings(base, told.number, False, added, removed)))
+
+
+def on_message(state: State, sender: str, message: Holdings) -> None:
+    """Take a peer's word of its grants."""
+    boot = state.members.peers[sender].boot
+    by_peer = state.holdings.by_base.setdefault(message.base, {})
+    known = by_peer.setdefault(sender, PeerHoldings())
+    if message.full:
+        by_peer[sender] = PeerHoldings(boot, message.number, True, set(message.added))
+        return
+    if boot != known.boot or message.number > known.number + 1:
+        known.whole = False
+    if not known.whole or message.number <= known.number:
+        return
+    known.number = message.number
+    known.pairs.update(message.added)
+    known.pairs.difference_update(message.removed)
+
+
+def on_marks(state: State, sender: str, numbers: dict[str, int]) -> None:
+    """Notice that messages of a peer were missed, or went to other entries."""
+    for base, number in numbers.items():
+        known = state.holdings.by_base.get(base, {}).get(sender)
+        if known is not None and known.number < number:
+            known.whole = False
+
+
+def known_pairs(state: State, base: str, name: str) -> set[GrantPair] | None:
+    """Return the pairs that a peer held when last heard of; None if that is not known."""
+    known = state.holdings.by_base.get(base, {}).get(name)
+    peer = state.members.peers.get(name)
+    if known is None or peer is None or not known.whole or known.boot != peer.boot:
+        return None
+    return known.pairs
--- a/poplarhoist/decisions/intentbook.py
+++ b/poplarhoist/decisions/intentbook.py
@@ -26,6 +26,20 @@
     boot: str
 
 
+@define
+class OpenOrder:
+    """An order that this entry sent.
+
+    Attributes
+    ----------
+    until : float
+        When it can no longer take effect; infinity while its call has not ended.
+    """
+
+    base: str
+    until: float = float("inf")
+
+
 @define
 class Shadow:
     """Adapter versions on an engine that a late order may still load or evict.
@@ -83,3 +97,16 @@
     dirty: bool = False
     busy_since: float | None = None
     next_at: float = float("-inf")
+
+
+def orders_open(orders: dict[str, OpenOrder], at: float, base: str | None = None) -> bool:
+    """Return whether any order may still take effect; forgets those that cannot.
+
+    Parameters
+    ----------
+    base : str or None
+        Only orders of this base model count; None counts all.
+    """
+    for order_id in [order_id for order_id, order in orders.items() if at > order.until]:
+        del orders[order_id]
+    return any(base in (None, order.base) for order in orders.values())
--- a/poplarhoist/decisions/intents.py
+++ b/poplarhoist/decisions/intents.py
@@ -21,8 +21,8 @@
     PollEndpoint,
     SendOrder,
 )
-from poplarhoist.decisions.events import CallStatus, PlatformAnswered
-from poplarhoist.decisions.intentbook import Intent, Shadow
+from poplarhoist.decisions.events import CallStatus, OrderAnswered, OrderOutcome, PlatformAnswered
+from poplarhoist.decisions.intentbook import Intent, OpenOrder, Shadow
 from poplarhoist.decisions.membership import is_gone
 from poplarhoist.models import AdapterRef
 
@@ -205,7 +205,7 @@
     order.sent = True
     order.sent_at = at
     order.settle_at = at + state.limits.order_s
-    state.leadership.open_orders[order.order_id] = board.base
+    state.leadership.open_orders[order.order_id] = OpenOrder(board.base)
     out.append(
         SendOrder(
             order.endpoint, order.order_id, order.kind, board.epoch, order.ref, order.replaces
@@ -225,6 +225,19 @@
     cast_shadow(board, shadow)
 
 
+def note_answered(state: State, event: OrderAnswered) -> None:
+    """Note until when an order may still take effect of which the call has ended."""
+    lost = event.outcome is OrderOutcome.UNKNOWN
+    until = event.at + state.limits.order_s if lost else event.at
+    order = state.leadership.open_orders.get(event.order_id)
+    if order is not None:
+        order.until = until
+    for board in state.boards.values():
+        shadow = board.shadows.get(event.order_id)
+        if shadow is not None:
+            shadow.until = until
+
+
 def on_held(state: State, board: Board, sender: str, orders_open: bool, at: float) -> None:
     """Note that an entry says whether orders of its own are still under way."""
     peer = state.members.peers.get(sender)
@@ -232,8 +245,10 @@
     for shadow in board.shadows.values():
         if shadow.holder != sender or shadow.until is not None or sender == state.me.name:
             continue
-        if not orders_open or boot != shadow.boot:
+        if boot != shadow.boot:
             shadow.until = at + state.limits.order_s
+        elif not orders_open:
+            shadow.until = at
 
 
 def unsettled_holders(state: State, board: Board) -> set[str]:
@@ -259,7 +274,7 @@
 
 
 def is_ended(state: State, shadow: Shadow) -> bool:
-    """Return whether the sender of an order can no longer send it."""
+    """Return whether the sender of an order can no longer send it, though it may be late."""
     if shadow.holder != state.me.name:
         return is_gone(state, shadow.holder)
     return shadow.boot != state.boot or shadow.order_id not in state.leadership.open_orders
--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -23,6 +23,8 @@
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
+GRANT_AGAIN_S = 1.0
+
 
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
     """Let an entry dispatch to a slot, if it is fit for use; return whether it was."""
@@ -33,6 +35,9 @@
         evictions.refresh(state, board, engine, at)
     if slot.state is not SlotState.RESIDENT:
         return False
+    if entry in slot.holders and at - slot.granted_at < GRANT_AGAIN_S:
+        return True
+    slot.granted_at = at
     board.grant_count += 1
     slot.holders[entry] = board.grant_count
     peer = state.members.peers.get(entry)
--- a/poplarhoist/decisions/leadership.py
+++ b/poplarhoist/decisions/leadership.py
@@ -21,8 +21,9 @@
     SendMessage,
 )
 from poplarhoist.decisions.events import CallStatus, PlatformAnswered
-from poplarhoist.decisions.membership import live_entries, rank
-from poplarhoist.decisions.messages import LeadReleased
+from poplarhoist.decisions.intentbook import OpenOrder
+from poplarhoist.decisions.membership import candidates, rank
+from poplarhoist.decisions.messages import LeadClaim, LeadReleased
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
@@ -76,14 +77,14 @@
     writes : int
         Lease writes so far, to tell them apart.
     open_orders : dict
-        Base model by id of each order of which the call has not ended, whoever leads now.
+        Orders of this entry by id that may still take effect, whoever leads now.
     loading_heard : dict
         When the lead of a base model last said that it needs a share of the store.
     """
 
     by_base: dict[str, LeaseView] = field(factory=dict)
     writes: int = 0
-    open_orders: dict[str, str] = field(factory=dict)
+    open_orders: dict[str, OpenOrder] = field(factory=dict)
     loading_heard: dict[str, float] = field(factory=dict)
 
 
@@ -182,16 +183,6 @@
         seek(state, view, at, out)
 
 
-def candidates(state: State, at: float) -> list[str]:
-    """Return the entries that may take a lease now."""
-    peers = state.members.peers
-    return [
-        name
-        for name in live_entries(state, at)
-        if name == state.me.name or not peers[name].draining
-    ]
-
-
 def seek(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
     """Read the lease when its holder has not been heard of, the best-ranked entry first."""
     quiet_s = at - view.claimed_at
@@ -202,6 +193,9 @@
         return
     read(view, at, out)
     view.next_call_at = at + state.limits.lease_renew_s
+    free_at = view.seen_at + state.limits.lease_s
+    if at < free_at:
+        view.next_call_at = min(view.next_call_at, free_at)
 
 
 def read(view: LeaseView, at: float, out: list[Effect]) -> None:
@@ -313,6 +307,18 @@
     out.append(LogChange("lead-given-up", {"base": view.base, "reason": reason}))
 
 
+def on_claim(state: State, sender: str, claim: LeadClaim, at: float, out: list[Effect]) -> None:
+    """Take a lead's word that it leads, and of the lease object that it last wrote."""
+    if claim.loading:
+        state.leadership.loading_heard[claim.base] = at
+    if not note_epoch(state, claim.base, claim.epoch, sender, at, out):
+        return
+    view = view_of(state, claim.base)
+    if claim.version > view.version:
+        view.version = claim.version
+        view.seen_at = at
+
+
 def note_epoch(state: State, base: str, epoch: int, sender: str, at: float, out) -> bool:
     """Take note of a lead's epoch; return False if a later one is known."""
     view = view_of(state, base)
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -93,6 +93,16 @@
     return [*names, state.me.name]
 
 
+def candidates(state: State, at: float) -> list[str]:
+    """Return the entries that may take a lease now."""
+    peers = state.members.peers
+    return [
+        name
+        for name in live_entries(state, at)
+        if name == state.me.name or not peers[name].draining
+    ]
+
+
 def rank(key: str, names: list[str]) -> list[str]:
     """Order names by rendezvous hash for a key, the best first."""
     return sorted(
@@ -252,14 +262,20 @@
     poll_due(state, at, out)
 
 
+def lead_claim(state: State, base: str) -> LeadClaim:
+    """Return what to say of a base model that this entry leads."""
+    board = state.boards[base]
+    version = state.leadership.by_base[base].version
+    return LeadClaim(base, board.epoch, board.loading, version)
+
+
 def send_heartbeats(state: State, at: float, out: list[Effect]) -> None:
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
-    leads = tuple(
-        LeadClaim(base, board.epoch, board.loading) for base, board in state.boards.items()
-    )
+    leads = tuple(lead_claim(state, base) for base in state.boards)
     leaving = tuple(name for name, view in members.endpoints.items() if view.leaving)
-    beat = Heartbeat(state.config.revision, state.draining, leads, leaving)
+    marks = {base: told.number for base, told in state.holdings.told.items()}
+    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, marks)
     reports = tuple(
         evolve(report, age_s=at - sampled_at)
         for report, sampled_at in members.fresh_reports.values()
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -5,7 +5,7 @@
 may be sent again without harm.
 """
 
-from attrs import frozen
+from attrs import field, frozen
 
 from poplarhoist.models import AdapterRef, EndpointReport, Index
 
@@ -18,11 +18,14 @@
     ----------
     loading : bool
         Whether the base model needs a share of the weight store now.
+    version : int
+        Version of the lease object as the sender last wrote it.
     """
 
     base: str
     epoch: int
     loading: bool = False
+    version: int = 0
 
 
 @frozen
@@ -37,12 +40,15 @@
         Base models that the sender leads.
     leaving : tuple
         Names of endpoints that the sender saw leaving.
+    holdings : dict
+        Number of the sender's last ``Holdings`` by base model.
     """
 
     revision: int
     draining: bool = False
     leads: tuple[LeadClaim, ...] = ()
     leaving: tuple[str, ...] = ()
+    holdings: dict[str, int] = field(factory=dict)
 
 
 @frozen
@@ -175,6 +181,25 @@
     orders_open: bool = False
 
 
+@frozen
+class Holdings:
+    """Tells an entry that may lead next of the grants that the sender holds.
+
+    Attributes
+    ----------
+    number : int
+        Grows by one with each message of a base model, so that a missed one is noticed.
+    full : bool
+        Whether ``added`` names all pairs; else it names those since the last message.
+    """
+
+    base: str
+    number: int
+    full: bool
+    added: tuple[GrantPair, ...] = ()
+    removed: tuple[GrantPair, ...] = ()
+
+
 @frozen
 class SuspectNotice:
     """Tells of a request that was running when endpoints died.
@@ -223,6 +248,7 @@
     | LeadReleased
     | GatherGrants
     | HeldGrants
+    | Holdings
     | SuspectNotice
     | IndexNotice
     | PageWanted
--- a/poplarhoist/decisions/orders.py
+++ b/poplarhoist/decisions/orders.py
@@ -121,7 +121,7 @@
         drop_slot(board, engine, order.replaces)
     if loaded and slot is not None:
         slot.state = SlotState.RESIDENT
-        slot.since = at
+        slot.since = slot.loaded_at = at
         engine.failures = 0
         board.demand.setdefault(order.ref, DemandView(scored_at=at)).failures = 0
         add_victim(board, engine, slot)
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -27,6 +27,8 @@
     from poplarhoist.decisions.state import State
 
 CANDIDATES = 16
+LOOK_AHEAD = 8
+DRAIN_SHARE = 4
 REGION_COST = 0.5
 AHEAD_MARGIN = 0.5
 WARM_SCORE = 1.0
@@ -36,11 +38,11 @@
     """Begin to lead a base model: gather grants and residency first."""
     board = Board(base, epoch, at)
     board.budget.filled_at = at
-    board.known_entries = {state.me.name, *state.members.peers}
-    board.ungathered = set(board.known_entries)
     state.boards[base] = board
     for name in sorted(state.members.engines_by_base.get(base, ())):
         residency.add_engine(state, board, name, at)
+    for name in (state.me.name, *state.members.peers):
+        residency.begin_gather(state, board, name, at)
     advance(state, board, at, out)
 
 
@@ -50,9 +52,8 @@
         on_endpoint(state, name, at)
     state.members.changed_endpoints.clear()
     for board in state.boards.values():
-        for name in state.members.joined - board.known_entries:
-            board.known_entries.add(name)
-            board.ungathered.add(name)
+        for name in sorted(state.members.joined - board.known_entries):
+            residency.begin_gather(state, board, name, at)
         advance(state, board, at, out)
     state.members.joined.clear()
 
@@ -153,7 +154,7 @@
 
 def on_order(state: State, event: OrderAnswered, out: list[Effect]) -> None:
     """Take the outcome of an order."""
-    state.leadership.open_orders.pop(event.order_id, None)
+    intents.note_answered(state, event)
     for board in state.boards.values():
         order = board.orders.get(event.order_id)
         if order is not None:
@@ -167,28 +168,43 @@
     budget.refill(state, board, at)
     blocked = False
     while board.wanted and budget.may_load(state, board, at):
-        ref = board.wanted.first()
-        if board.demand[ref].retry_at > at:
-            board.wanted.discard(ref)
-            heapq.heappush(board.parked, (board.demand[ref].retry_at, ref))
-            continue
-        target = choose(state, board, ref, at)
-        if target is None:
+        if not start_one(state, board, at, out):
             blocked = True
             break
         board.blocked_since = None
-        orders.send_load(state, board, target[0], ref, target[1], at, out)
     note_blocked(board, blocked, at)
     if board.wanted:
-        limit = budget.in_flight_limit(state, board, at)
-        needed = min(len(board.wanted), limit) - len(board.ready_free)
-        evictions.make_room(state, board, needed, at, out)
+        evictions.make_room(state, board, slots_needed(state, board, at), at, out)
         return
     keep_promised(state, board, at, out)
     pump_ahead(state, board, at, out)
     evictions.drain_ahead(state, board, at, out)
 
 
+def start_one(state: State, board: Board, at: float, out: list[Effect]) -> bool:
+    """Start the first load that finds an engine; return whether anything was done."""
+    promised = evictions.promised(board)
+    for rank, ref in enumerate(list(itertools.islice(board.wanted, LOOK_AHEAD))):
+        if board.demand[ref].retry_at > at:
+            board.wanted.discard(ref)
+            heapq.heappush(board.parked, (board.demand[ref].retry_at, ref))
+            return True
+        if rank < promised and evictions.revive(state, board, ref, at, out):
+            return True
+        target = choose(state, board, ref, at)
+        if target is not None:
+            orders.send_load(state, board, target[0], ref, target[1], at, out)
+            return True
+    return False
+
+
+def slots_needed(state: State, board: Board, at: float) -> int:
+    """Return how many slots are to be drained for loads that requests wait for."""
+    limit = budget.in_flight_limit(state, board, at)
+    share = max(1, board.capacity // DRAIN_SHARE)
+    return min(len(board.wanted), limit, share) - len(board.ready_free)
+
+
 def note_blocked(board: Board, blocked: bool, at: float) -> None:
     """Keep since when no engine can take the load that goes first."""
     if not blocked:
@@ -249,6 +265,8 @@
             return
         target = choose(state, board, ref, at)
         if target is None:
+            if rank == ahead.REPLICA_RANK:
+                evictions.drain_for_replica(state, board, ref, at, out)
             return
         engine, victim = target
         if victim is not None and not pays(board, ref, victim, at):
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -8,6 +8,7 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    holdings,
     intents,
     leadership,
     membership,
@@ -22,6 +23,7 @@
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.decisions.effects import Effect
+from poplarhoist.decisions.intentbook import orders_open
 from poplarhoist.decisions.state import State
 
 
@@ -41,11 +43,20 @@
         What the shell is to do, in order.
     """
     out: list[Effect] = []
+    note_time(state, event.at, out)
     leadership.expire(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
     return deliver_to_self(state, event.at, out)
 
 
+def note_time(state: State, at: float, out: list[Effect]) -> None:
+    """Give up idle grants after a pause: a lead that nobody told of may have recalled them."""
+    if at - state.last_event_at > state.limits.lease_use_s:
+        out.append(fx.LogChange("entry-was-paused", {"seconds": at - state.last_event_at}))
+        grants.give_up_all(state, out)
+    state.last_event_at = at
+
+
 def deliver_to_self(state: State, at: float, out: list[Effect]) -> list[Effect]:
     """Handle messages to this entry, and those that follow from them."""
     effects: list[Effect] = []
@@ -66,18 +77,19 @@
     leadership.on_tick(state, event.at, out)
     placement.on_tick(state, event.at, out)
     grants.on_tick(state, event.at, out)
+    holdings.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
-    stop_when_idle(state, out)
+    stop_when_idle(state, event.at, out)
 
 
-def stop_when_idle(state: State, out: list[Effect]) -> None:
+def stop_when_idle(state: State, at: float, out: list[Effect]) -> None:
     """Stop a draining entry once nothing is left to do."""
     if not state.draining or state.stopped:
         return
     if state.requests or state.runs.by_request or state.boards or state.grants.by_ref:
         return
-    if state.leadership.open_orders or leadership.releasing(state):
+    if orders_open(state.leadership.open_orders, at) or leadership.releasing(state):
         return
     state.stopped = True
     out.append(fx.Stop())
@@ -123,11 +135,10 @@
     match message:
         case messages.Heartbeat():
             membership.on_heartbeat(state, sender, message, out)
+            holdings.on_marks(state, sender, message.holdings)
             revisions.on_peer_revision(state, sender, message.revision, out)
             for claim in message.leads:
-                if claim.loading:
-                    state.leadership.loading_heard[claim.base] = at
-                leadership.note_epoch(state, claim.base, claim.epoch, sender, at, out)
+                leadership.on_claim(state, sender, claim, at, out)
         case messages.Reports():
             for report in message.reports:
                 take_report(state, report, at - report.age_s, at, out)
@@ -150,9 +161,11 @@
             leadership.on_lead_released(state, sender, message, at)
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
-                grants.gather(state, sender, message, out)
+                grants.gather(state, sender, message, at, out)
         case messages.HeldGrants():
             placement.on_held(state, sender, message, at, out)
+        case messages.Holdings():
+            holdings.on_message(state, sender, message)
         case messages.SuspectNotice():
             quarantine.on_notice(state, message, out)
         case messages.IndexNotice():
--- a/poplarhoist/decisions/reservations.py
+++ b/poplarhoist/decisions/reservations.py
@@ -40,7 +40,7 @@
     Nobody holds a grant on it, and a report sampled after the last one was handed back shows
     nothing running or waiting.
     """
-    if engine.reserved_at is None or board.ungathered or not engine.settled:
+    if engine.reserved_at is None or board.unknown or not engine.settled:
         return False
     if any(slot.holders for slot in engine.slots.values()):
         return False
--- a/poplarhoist/decisions/residency.py
+++ b/poplarhoist/decisions/residency.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions import ahead, intents, orders
+from poplarhoist.decisions import ahead, holdings, intents, orders
 from poplarhoist.decisions.board import (
     Board,
     EngineBoard,
@@ -17,7 +18,7 @@
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
 from poplarhoist.decisions.evictions import add_victim, refresh
 from poplarhoist.decisions.lead_grants import grant_waiting
-from poplarhoist.decisions.messages import GatherGrants, HeldGrants
+from poplarhoist.decisions.messages import GatherGrants, GrantPair, HeldGrants
 from poplarhoist.models import AdapterRef, EndpointReport
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 def gather(state: State, board: Board, at: float, out: list[Effect]) -> None:
     """Ask entries that have not answered yet for the grants that they hold."""
     board.ungathered = {name for name in board.ungathered if is_listed(state, name)}
+    board.unknown &= board.ungathered
     asked = board.ungathered | intents.unsettled_holders(state, board)
     if not asked or at - board.gather_sent_at < state.limits.recall_again_s:
         return
@@ -43,7 +45,26 @@
 
 def take_held(state: State, board: Board, sender: str, message: HeldGrants, at: float) -> None:
     """Take an entry's account of the grants that it holds."""
-    for pair in message.pairs:
+    add_holder(board, sender, message.pairs, at)
+    board.ungathered.discard(sender)
+    board.unknown.discard(sender)
+    intents.on_held(state, board, sender, message.orders_open, at)
+
+
+def begin_gather(state: State, board: Board, name: str, at: float) -> None:
+    """Begin to ask an entry for its grants; count on those that it told of before."""
+    board.known_entries.add(name)
+    board.ungathered.add(name)
+    pairs = holdings.known_pairs(state, board.base, name)
+    if pairs is None:
+        board.unknown.add(name)
+    else:
+        add_holder(board, name, pairs, at)
+
+
+def add_holder(board: Board, sender: str, pairs: Iterable[GrantPair], at: float) -> None:
+    """Note that an entry holds grants that this lead did not give."""
+    for pair in sorted(pairs, key=str):
         engine = board.engines.get(pair.endpoint)
         if engine is None:
             continue
@@ -56,8 +77,6 @@
             slot = Slot(pair.ref, SlotState.RESIDENT, at, {sender: 0}, inherited=True)
             add_slot(board, engine, slot)
             add_victim(board, engine, slot)
-    board.ungathered.discard(sender)
-    intents.on_held(state, board, sender, message.orders_open, at)
 
 
 def add_engine(state: State, board: Board, name: str, at: float) -> EngineBoard:
@@ -69,6 +88,7 @@
         shadows = (s for s in board.shadows.values() if s.endpoint == name)
         engine.suspended = {ref for shadow in shadows for ref in shadow.refs}
     view = state.members.endpoints[name]
+    board.capacity += view.endpoint.slots - engine.capacity
     engine.capacity = view.endpoint.slots
     engine.region = view.endpoint.place.region
     if not view.endpoint.checks_fencing:
@@ -104,6 +124,7 @@
     if engine.order is not None:
         board.orders.pop(engine.order.order_id, None)
         intents.close(board, engine.order.order_id)
+    board.capacity -= engine.capacity
     del board.engines[name]
     board.unfenced.discard(name)
     board.reserved.discard(name)
@@ -124,14 +145,14 @@
     for ref, slot in list(engine.slots.items()):
         check_slot(board, engine, slot, resident.get(ref), sampled_at, at)
     if engine.order is None:
-        for ref in resident.keys() - engine.slots.keys():
+        for ref in sorted(resident.keys() - engine.slots.keys()):
             slot = Slot(ref, SlotState.RESIDENT, at, inherited=True)
             add_slot(board, engine, slot)
             add_victim(board, engine, slot)
     if not engine.settled:
         engine.settled = True
         freed = set(engine.slots)
-    for ref in freed & engine.slots.keys():
+    for ref in sorted(freed & engine.slots.keys()):
         grant_waiting(state, board, engine, engine.slots[ref], at, out)
     refresh(state, board, engine, at)
 
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -8,6 +8,7 @@
 from poplarhoist.decisions.admission import AdmissionState
 from poplarhoist.decisions.board import Board
 from poplarhoist.decisions.grants import GrantState, Held
+from poplarhoist.decisions.holdings import HoldingsState
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import MembershipState
@@ -76,11 +77,13 @@
     leadership: LeadershipState = field(factory=LeadershipState)
     boards: dict[str, Board] = field(factory=dict)
     grants: GrantState = field(factory=GrantState)
+    holdings: HoldingsState = field(factory=HoldingsState)
     admission: AdmissionState = field(factory=AdmissionState)
     routing: RoutingState = field(factory=RoutingState)
     retries: RetryState = field(factory=RetryState)
     quarantine: QuarantineState = field(factory=QuarantineState)
     runs: RunState = field(factory=RunState)
     requests: dict[str, RequestState] = field(factory=dict)
+    last_event_at: float = float("inf")
     draining: bool = False
     stopped: bool = False
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -20,8 +20,10 @@
 
     Attributes
     ----------
-    outage, lose_answers, slow_s
-        Faults: refuse all calls; let so many writes take effect without an answer; add seconds.
+    outage, lose_answers, slow_s, late_writes, late_s, faulty_path
+        Faults: refuse all calls; let so many writes take effect without an answer; add seconds;
+        let so many writes have no answer and arrive only after some seconds; lost answers and
+        late writes concern paths with this prefix.
     """
 
     clock: VirtualClock
@@ -30,6 +32,9 @@
     outage: bool = False
     lose_answers: int = 0
     slow_s: float = 0.0
+    late_writes: int = 0
+    late_s: float = 0.0
+    faulty_path: str = ""
     list_lag_s: float = 0.0
     calls: dict[str, int] = field(factory=dict)
     watchers: list[Callable[[str, int, object], None]] = field(factory=list)
@@ -39,11 +44,15 @@
         self.count("put")
         if self.outage:
             return CallStatus.REFUSED, 0, None
+        if self.late_writes > 0 and path.startswith(self.faulty_path):
+            self.late_writes -= 1
+            self.clock.after(self.late_s, lambda: self.put(path, value, expect))
+            return CallStatus.UNKNOWN, 0, None
         version, current = self.objects.get(path, (0, None))
         if version != expect:
             return CallStatus.CONFLICT, version, current
         written = self.write(path, value)
-        if self.lose_answers > 0:
+        if self.lose_answers > 0 and path.startswith(self.faulty_path):
             self.lose_answers -= 1
             return CallStatus.UNKNOWN, 0, None
         return CallStatus.OK, written, None
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,30 +3,7 @@
 from poplarhoist.decisions import reservations
 from poplarhoist.models import AdapterRef
 from poplarhoist.replay.bench import Bench
-
-
-def lead_of(bench):
-    """Return the entry that leads the base model, and its board."""
-    leads = [entry for entry in bench.entries.values() if entry.alive and entry.state.boards]
-    assert len(leads) == 1
-    return leads[0], leads[0].state.boards["base"]
-
-
-def act(bench, entry, call, *args):
-    """Call a decision of an entry and run its effects."""
-    out = []
-    result = call(*args, bench.clock.seconds, out)
-    for effect in out:
-        bench.effect(entry, effect)
-    return result
-
-
-def until(bench, condition, seconds=20.0):
-    """Let time pass until a condition holds."""
-    end = bench.clock.seconds + seconds
-    while not condition():
-        assert bench.clock.seconds < end
-        bench.run(0.05)
+from tests.leads import act, lead_of, until
 
 
 def test_a_reserved_engine_is_emptied_for_one_adapter_and_used_again():
