--- a/poplarhoist/cli/standin.py
+++ b/poplarhoist/cli/standin.py
@@ -1,4 +1,4 @@
-"""``poplarhoist-standin``: runs a stand-in of the platform, an engine or a service."""
+"""``poplarhoist-standin``: runs stand-ins of the platform, the engines and the services."""
 
 from poplarhoist.cli.common import quiet_eventlet, run
 
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 from attrs import frozen
 
@@ -19,10 +20,13 @@
 from poplarhoist.standins.engine import EngineStandin
 from poplarhoist.standins.platform import PlatformStandin
 from poplarhoist.standins.service import ServiceStandin
+from poplarhoist.standins.site import StandinSite
+from poplarhoist.standins.store import HttpStore
 from poplarhoist.standins.web import serve
 from poplarhoist.status import ExitStatus
 
 PROGRAM = "poplarhoist-standin"
+SLEEP_S = 3600.0
 
 
 @frozen
@@ -49,6 +53,14 @@
     name: str
 
 
+@frozen
+class RunSite:
+    """Run all stand-ins of a site; ``step_s`` is the time of one step in seconds."""
+
+    settings: Path
+    step_s: float
+
+
 def platform(*, settings: Path) -> RunPlatform:
     """Run the stand-in of the platform.
 
@@ -88,26 +100,47 @@
     return RunService(settings, name)
 
 
+def site(*, settings: Path, step_s: float = 0.02) -> RunSite:
+    """Run all stand-ins of a site in this one process.
+
+    Parameters
+    ----------
+    settings : Path
+        Settings file of the site.
+    step_s : float
+        Seconds that one step of an engine's batch takes.
+    """
+    return RunSite(settings, step_s)
+
+
 def execute(command: object, env: Environment) -> ExitStatus:
     """Run a stand-in until the process is ended."""
-    site = load_site(command.settings)
+    settings = load_site(command.settings)
+    if isinstance(command, RunSite):
+        StandinSite(settings, env.clock, command.step_s).start()
+        return forever()
     if isinstance(command, RunPlatform):
-        standin = PlatformStandin(site, env.clock)
-        serve(standin.app(), site.platform.host, site.platform.port)
+        standin = PlatformStandin(settings, env.clock)
+        serve(standin.app, settings.platform.host, settings.platform.port)
         return ExitStatus.OK
-    endpoint = find_endpoint(site, command.name)
+    endpoint = find_endpoint(settings, command.name)
     if isinstance(command, RunEngine):
-        standin = EngineStandin(endpoint, site.platform, env.clock, command.step_s)
-        standin.run()
+        store = HttpStore(settings.platform)
+        EngineStandin(endpoint, store, env.clock, command.step_s).run()
     else:
-        standin = ServiceStandin(endpoint)
-    serve(standin.app(), endpoint.host, endpoint.port)
-    return ExitStatus.OK
+        ServiceStandin(endpoint).run()
+    return forever()
+
+
+def forever() -> NoReturn:
+    """Serve until the process is ended."""
+    while True:
+        eventlet.sleep(SLEEP_S)
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
     """Run the program."""
-    return run(PROGRAM, [platform, engine, service], execute, args, env)
+    return run(PROGRAM, [platform, engine, service, site], execute, args, env)
 
 
 def console() -> None:
--- a/poplarhoist/decisions/grants.py
+++ b/poplarhoist/decisions/grants.py
@@ -30,6 +30,8 @@
         Attempts that run under it.
     recalled : bool
         Whether it is handed back as soon as nothing is in flight.
+    alone : bool
+        Whether it is for one request that runs alone.
     """
 
     base: str
@@ -40,6 +42,7 @@
     number: int = 0
     in_flight: int = 0
     recalled: bool = False
+    alone: bool = False
 
 
 @define
@@ -146,7 +149,11 @@
     """Count an attempt that ended under a grant."""
     held.in_flight -= 1
     held.used_at = at
-    if held.recalled and held.in_flight == 0 and find(state, held.ref, held.endpoint) is held:
+    if (
+        (held.recalled or held.alone)
+        and held.in_flight == 0
+        and find(state, held.ref, held.endpoint) is held
+    ):
         hand_back(state, held, out)
 
 
--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -38,10 +38,14 @@
         Retries allowed at once on top of that.
     attempts : int
         Attempts of one request at most.
+    lead_missing_s : float
+        Requests wait so long for a base model of which no lead is heard.
     caller_queue_share : float
         Share of the queue that one caller may fill.
     crossing_bytes_per_s : float
         Bytes a second that may cross to another region.
+    crossing_price_s : float
+        Wait that a request must save to be worth crossing.
     """
 
     lease_s: float = 3.0
@@ -58,7 +62,9 @@
     store_in_flight: int = 8
     load_s: float = 0.25
     retry_share: float = 0.1
-    retry_burst: float = 10.0
+    retry_burst: float = 32.0
     attempts: int = 4
+    lead_missing_s: float = 6.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
+    crossing_price_s: float = 0.5
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -10,15 +10,18 @@
     grants,
     holdings,
     intents,
+    isolation,
     leadership,
+    load_views,
     membership,
     messages,
+    outcomes,
     placement,
     quarantine,
     requests,
     revisions,
-    routing,
     runs,
+    turns,
 )
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
@@ -46,6 +49,8 @@
     note_time(state, event.at, out)
     leadership.expire(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
+    if state.quarantine.fresh_convictions:
+        requests.refuse_convicted(state, event.at, out)
     return deliver_to_self(state, event.at, out)
 
 
@@ -79,6 +84,9 @@
     grants.on_tick(state, event.at, out)
     holdings.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
+    outcomes.on_tick(state, event.at, out)
+    isolation.on_tick(state, event.at, out)
+    turns.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
     stop_when_idle(state, event.at, out)
 
@@ -126,7 +134,15 @@
 
 def on_peer(state: State, event: ev.PeerSaid, out: list[Effect]) -> None:
     """Take a message from another entry."""
+    peer = state.members.peers.get(event.sender)
+    started = peer is not None and peer.boot != event.boot
+    oldest = event.at - state.limits.peer_timeout_s
+    returned = peer is not None and not started and peer.heard_at < oldest
     if membership.accept_batch(state, event, out):
+        if started:
+            quarantine.tell_newcomer(state, event.sender, event.at, out)
+        elif returned:
+            quarantine.tell_all(state, event.sender, out)
         handle_message(state, event.sender, event.message, event.at, out)
 
 
@@ -162,12 +178,25 @@
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
                 grants.gather(state, sender, message, at, out)
+                isolation.tell_lead(state, message.base, at, out)
         case messages.HeldGrants():
             placement.on_held(state, sender, message, at, out)
         case messages.Holdings():
             holdings.on_message(state, sender, message)
         case messages.SuspectNotice():
-            quarantine.on_notice(state, message, out)
+            quarantine.on_notice(state, message, at, out)
+        case messages.KnownSuspects():
+            for notice in message.notices:
+                quarantine.on_notice(state, notice, at, out)
+        case messages.TrialNotice():
+            quarantine.take_trial(state, message, at)
+        case messages.IsolationWanted():
+            turns.on_wanted(state, sender, message, at, out)
+        case messages.IsolationGrant():
+            if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
+                isolation.on_grant(state, sender, message, at, out)
+        case messages.IsolationDone():
+            turns.on_done(state, sender, message, at, out)
         case messages.IndexNotice():
             revisions.on_index_notice(state, sender, message, at, out)
         case messages.PageWanted():
@@ -178,30 +207,27 @@
 
 def on_reported(state: State, event: ev.EndpointReported, out: list[Effect]) -> None:
     """Take a report that was polled here."""
-    boot = known_boot(state, event.report.endpoint)
-    if membership.on_reported(state, event, out):
+    boot = membership.known_boot(state, event.report.endpoint)
+    newer = membership.on_reported(state, event, out)
+    if newer:
         sampled_at = event.asked_at - event.report.age_s
         spread_report(state, event.report, boot, sampled_at, event.at, out, True)
+    outcomes.on_endpoint_answer(state, event.report, newer, event.asked_at, event.at, out)
 
 
 def take_report(state: State, report, sampled_at: float, at: float, out: list[Effect]) -> None:
     """Take a report that a peer passed on."""
-    boot = known_boot(state, report.endpoint)
+    boot = membership.known_boot(state, report.endpoint)
     if membership.take_report(state, report, sampled_at, out):
         spread_report(state, report, boot, sampled_at, at, out, False)
-
-
-def known_boot(state: State, endpoint: str) -> str:
-    """Return the boot id of an endpoint's last report; empty if there is none."""
-    view = state.members.endpoints.get(endpoint)
-    return view.report.boot if view and view.report else ""
+        outcomes.on_endpoint_answer(state, report, True, float("-inf"), at, out)
 
 
 def spread_report(state: State, report, boot: str, sampled_at, at, out, polled: bool) -> None:
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
-    routing.on_report(state, report)
+    load_views.on_report(state, report, sampled_at)
     placement.on_report(state, report, sampled_at, at, out, polled)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
@@ -209,6 +235,8 @@
 def on_endpoint_silent(state: State, event: ev.EndpointSilent, out: list[Effect]) -> None:
     """Take note of an endpoint that does not answer."""
     membership.on_silent(state, event.endpoint, event.at, out)
+    if event.refused:
+        outcomes.on_endpoint_refused(state, event.endpoint, event.at, out)
 
 
 def on_drain(state: State, event: ev.DrainAsked, out: list[Effect]) -> None:
@@ -232,7 +260,7 @@
         state, event.request_id, event.at, out
     ),
     ev.FirstByte: ignore,
-    ev.AttemptEnded: requests.on_ended,
+    ev.AttemptEnded: outcomes.on_ended,
     ev.PlatformAnswered: on_platform,
     ev.ObjectChanged: on_object,
     ev.WatchBroken: ignore,
