--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -16,7 +16,7 @@
     want,
 )
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
-from poplarhoist.decisions.membership import is_gone
+from poplarhoist.decisions.membership import is_gone, is_silent
 from poplarhoist.decisions.messages import Grant, Returned
 
 if TYPE_CHECKING:
@@ -24,6 +24,8 @@
     from poplarhoist.decisions.state import State
     from poplarhoist.models import AdapterRef
 
+GRANT_AGAIN_S = 1.0
+
 
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
     """Let an entry dispatch to a slot, if it is fit for use; return whether it was."""
@@ -34,6 +36,9 @@
         evictions.refresh(state, board, engine, at)
     if slot.state is not SlotState.RESIDENT:
         return False
+    if entry in slot.holders and at - slot.granted_at < GRANT_AGAIN_S:
+        return True
+    slot.granted_at = at
     out.append(SendMessage(entry, make_grant(state, board, engine, slot.ref, entry)))
     return True
 
@@ -66,6 +71,10 @@
             continue
         slot.recalled_at = at
         release_gone(state, engine, slot, at)
+        if engine.reserved_at is None and any(is_silent(state, n, at) for n in slot.holders):
+            evictions.keep_slot(board, engine, slot, at)
+            grant_waiting(state, board, engine, slot, at, out)
+            continue
         if slot.cleared_at is None and is_cleared(board, slot):
             slot.cleared_at = at
         if slot.cleared_at is not None:
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -9,6 +9,7 @@
 from poplarhoist.decisions.board import Board
 from poplarhoist.decisions.crossing import CrossingState
 from poplarhoist.decisions.grants import GrantState, Held
+from poplarhoist.decisions.holdings import HoldingsState
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import MembershipState
@@ -103,6 +104,7 @@
     leadership: LeadershipState = field(factory=LeadershipState)
     boards: dict[str, Board] = field(factory=dict)
     grants: GrantState = field(factory=GrantState)
+    holdings: HoldingsState = field(factory=HoldingsState)
     admission: AdmissionState = field(factory=AdmissionState)
     crossing: CrossingState = field(factory=CrossingState)
     routing: RoutingState = field(factory=RoutingState)
@@ -111,5 +113,6 @@
     turns: TurnState = field(factory=TurnState)
     runs: RunState = field(factory=RunState)
     requests: dict[str, RequestState] = field(factory=dict)
+    last_event_at: float = float("inf")
     draining: bool = False
     stopped: bool = False
