--- a/poplarhoist/decisions/leadership.py
+++ b/poplarhoist/decisions/leadership.py
@@ -21,15 +21,16 @@
     SendMessage,
 )
 from poplarhoist.decisions.events import CallStatus, PlatformAnswered
-from poplarhoist.decisions.membership import live_entries, rank
-from poplarhoist.decisions.messages import LeadReleased
+from poplarhoist.decisions.intentbook import OpenOrder
+from poplarhoist.decisions.membership import candidates, rank
+from poplarhoist.decisions.messages import LeadClaim, LeadReleased
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
 LEAD_PREFIX = "leads/"
-CALL_TIMEOUT_S = 2.0
+CALL_TIMEOUT_S = 0.5
 RANK_DELAY_S = 0.3
 
 
@@ -49,6 +50,8 @@
         Writes that may have taken effect or still may, by nonce.
     led_epoch : int
         Latest epoch under which this entry acted; no epoch is used a second time.
+    idle_since : float
+        Since when no other entry can have led, as of the last try to take the lease.
     release_nonce : str
         Nonce of the release that is under way; empty if none is.
     """
@@ -64,6 +67,7 @@
     next_call_at: float = 0.0
     attempted: dict[str, LeaseWrite] = field(factory=dict)
     led_epoch: int = 0
+    idle_since: float = float("inf")
     release_nonce: str = ""
 
 
@@ -76,14 +80,14 @@
     writes : int
         Lease writes so far, to tell them apart.
     open_orders : dict
-        Base model by id of each order of which the call has not ended, whoever leads now.
+        Orders of this entry by id that may still take effect, whoever leads now.
     loading_heard : dict
         When the lead of a base model last said that it needs a share of the store.
     """
 
     by_base: dict[str, LeaseView] = field(factory=dict)
     writes: int = 0
-    open_orders: dict[str, str] = field(factory=dict)
+    open_orders: dict[str, OpenOrder] = field(factory=dict)
     loading_heard: dict[str, float] = field(factory=dict)
 
 
@@ -182,16 +186,6 @@
         seek(state, view, at, out)
 
 
-def candidates(state: State, at: float) -> list[str]:
-    """Return the entries that may take a lease now."""
-    peers = state.members.peers
-    return [
-        name
-        for name in live_entries(state, at)
-        if name == state.me.name or not peers[name].draining
-    ]
-
-
 def seek(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
     """Read the lease when its holder has not been heard of, the best-ranked entry first."""
     quiet_s = at - view.claimed_at
@@ -202,6 +196,9 @@
         return
     read(view, at, out)
     view.next_call_at = at + state.limits.lease_renew_s
+    free_at = view.seen_at + state.limits.lease_s
+    if at < free_at:
+        view.next_call_at = min(view.next_call_at, free_at)
 
 
 def read(view: LeaseView, at: float, out: list[Effect]) -> None:
@@ -263,6 +260,8 @@
 def take(state: State, view: LeaseView, at: float, out: list[Effect]) -> None:
     """Try to become the lead under the next epoch."""
     if not state.draining:
+        idle_since = view.seen_at + state.limits.lease_use_s
+        view.idle_since = min(at, max(idle_since, at - state.limits.lease_s))
         write_lease(state, view, view.epoch + 1, at, out)
 
 
@@ -313,6 +312,18 @@
     out.append(LogChange("lead-given-up", {"base": view.base, "reason": reason}))
 
 
+def on_claim(state: State, sender: str, claim: LeadClaim, at: float, out: list[Effect]) -> None:
+    """Take a lead's word that it leads, and of the lease object that it last wrote."""
+    if claim.loading:
+        state.leadership.loading_heard[claim.base] = at
+    if not note_epoch(state, claim.base, claim.epoch, sender, at, out):
+        return
+    view = view_of(state, claim.base)
+    if claim.version > view.version:
+        view.version = claim.version
+        view.seen_at = at
+
+
 def note_epoch(state: State, base: str, epoch: int, sender: str, at: float, out) -> bool:
     """Take note of a lead's epoch; return False if a later one is known."""
     view = view_of(state, base)
