--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -212,6 +212,8 @@
         Engine and adapter version of each draining slot.
     victims : list
         Heap of resident slots by worth; entries may be out of date.
+    victim_keys : dict
+        Key of the one entry of each slot in the heap that counts.
     capacity : int
         Slots of all engines.
     blocked_since : float or None
@@ -246,6 +248,7 @@
     reserved: set[str] = field(factory=set)
     draining: set[tuple[str, AdapterRef]] = field(factory=set)
     victims: list[tuple[float, str, AdapterRef]] = field(factory=list)
+    victim_keys: dict[tuple[str, AdapterRef], float] = field(factory=dict)
     due: list[tuple[float, str]] = field(factory=list)
     warm_revision: int = 0
     warm_preset: str = ""
--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
+    from poplarhoist.models import AdapterRef
 
 CLEAN_AHEAD = 2
 DRAINS_PER_ENGINE = 2
@@ -43,11 +44,17 @@
 
 def add_victim(board: Board, engine: EngineBoard, slot: Slot) -> None:
     """Let a resident slot be found when room is needed."""
-    heapq.heappush(board.victims, (worth(board, slot), engine.name, slot.ref))
-    replicas = board.engines_by_ref.get(slot.ref, ())
-    if len(replicas) > 1:
-        for name in sorted(replicas):
-            heapq.heappush(board.victims, (worth(board, slot), name, slot.ref))
+    key = worth(board, slot)
+    for name in sorted(board.engines_by_ref.get(slot.ref, ())):
+        push_victim(board, key, name, slot.ref)
+
+
+def push_victim(board: Board, key: float, name: str, ref: AdapterRef) -> None:
+    """Put a slot into the heap, once; a key that has grown is corrected when it comes up."""
+    pair = (name, ref)
+    if board.victim_keys.get(pair, float("inf")) > key:
+        board.victim_keys[pair] = key
+        heapq.heappush(board.victims, (key, name, ref))
 
 
 def may_load(state: State, engine: EngineBoard, at: float) -> bool:
@@ -65,11 +72,11 @@
         return
     if len(engine.slots) < engine.capacity:
         board.ready_free[engine.name] = None
-    elif clean_slot(board, engine, at) is not None:
+    elif clean_slot(board, engine) is not None:
         board.ready_clean[engine.name] = None
 
 
-def clean_slot(board: Board, engine: EngineBoard, at: float) -> Slot | None:
+def clean_slot(board: Board, engine: EngineBoard) -> Slot | None:
     """Return the slot of an engine that can be replaced at once and is missed least."""
     found = [
         slot
@@ -125,7 +132,7 @@
     """Drain a slot for a further replica if it is worth less than the replica would be."""
     if any(serves_loads(board, pair) for pair in board.draining):
         return
-    found = find_victim(state, board, at)
+    found = find_victim(state, board, at, spare=ref)
     if found is None:
         return
     engine, slot = found
@@ -155,7 +162,11 @@
 
 
 def find_victim(
-    state: State, board: Board, at: float, idle: bool = False
+    state: State,
+    board: Board,
+    at: float,
+    idle: bool = False,
+    spare: AdapterRef | None = None,
 ) -> tuple[EngineBoard, Slot] | None:
     """Return the resident slot that is missed least, on an engine that can drain one.
 
@@ -163,24 +174,31 @@
     ----------
     idle : bool
         Whether only slots that nobody holds will do.
+    spare : AdapterRef or None
+        Engines that hold this adapter version are passed over.
     """
     put_back = []
     found = None
     while board.victims and found is None and len(put_back) < VICTIMS_LOOKED_AT:
         key, name, ref = heapq.heappop(board.victims)
+        if board.victim_keys.get((name, ref)) != key:
+            continue
+        del board.victim_keys[(name, ref)]
         engine = board.engines.get(name)
         slot = engine.slots.get(ref) if engine else None
         if slot is None or slot.state is not SlotState.RESIDENT:
             continue
         current = worth(board, slot)
         if current > key:
-            heapq.heappush(board.victims, (current, name, ref))
-        elif may_drain(state, engine, slot, at) and not (idle and not is_cleared(board, slot)):
+            push_victim(board, current, name, ref)
+        elif spare in engine.slots or (idle and not is_cleared(board, slot)):
+            put_back.append((current, name, ref))
+        elif may_drain(state, engine, slot, at):
             found = (engine, slot)
         else:
             put_back.append((current, name, ref))
-    for entry in put_back:
-        heapq.heappush(board.victims, entry)
+    for current, name, ref in put_back:
+        push_victim(board, current, name, ref)
     return found
 
 
@@ -188,7 +206,7 @@
     """Return whether a slot may be drained now."""
     if not engine.in_use or not engine.settled or slot.ref in engine.suspended:
         return False
-    if at - slot.loaded_at < STAY_S:
+    if at - slot.loaded_at < STAY_S or at < engine.retry_at - STAY_S:
         return False
     if any(is_silent(state, name, at) for name in slot.holders):
         return False
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -230,11 +230,13 @@
     for ready in (board.ready_free, board.ready_clean):
         names = list(itertools.islice(ready, CANDIDATES))
         engines = [board.engines[name] for name in names if may_take(state, board, name, ref, at)]
-        if engines:
-            engine = min(engines, key=lambda e: e.load + REGION_COST * (e.region != region))
-            if ready is board.ready_free:
+        engines.sort(key=lambda e: e.load + REGION_COST * (e.region != region))
+        for engine in engines:
+            if len(engine.slots) < engine.capacity:
                 return engine, None
-            return engine, evictions.clean_slot(board, engine, at)
+            victim = evictions.clean_slot(board, engine)
+            if victim is not None:
+                return engine, victim
     return None
 
 
