Count an endpoint as dead only if its host refuses connections, and cost each candidate once

Cause: a poll that timed out while connecting was told as "refused", so a cut link looked like deaths of endpoints and made suspects of what ran there. pick computed the cost of each candidate twice.

Change: nothing_listens looks for a refused connection; pick computes shares once.

--- a/poplarhoist/decisions/events.py
+++ b/poplarhoist/decisions/events.py
@@ -189,7 +189,13 @@
 
 @frozen
 class EndpointSilent:
-    """An endpoint did not answer a poll."""
+    """An endpoint did not answer a poll.
+
+    Attributes
+    ----------
+    refused : bool
+        Whether its host refused the connection, as nothing listens there.
+    """
 
     at: float
     endpoint: str
--- a/poplarhoist/decisions/routing.py
+++ b/poplarhoist/decisions/routing.py
@@ -38,18 +38,9 @@
     return 0.0
 
 
-def cost(state: State, name: str, fill: bool = False) -> float:
-    """Return the cost of sending one more request to an endpoint, in shares of a full batch.
-
-    Parameters
-    ----------
-    fill : bool
-        Whether to prefer endpoints that run more, up to ``FILL_TARGET``.
-    """
-    load = batch_share(state, name)
-    if fill and load < FILL_TARGET:
-        load = -load
-    return load + distance_cost(state, name)
+def cost(state: State, name: str) -> float:
+    """Return the cost of sending one more request to an endpoint, in shares of a full batch."""
+    return batch_share(state, name) + distance_cost(state, name)
 
 
 def batch_share(state: State, name: str) -> float:
@@ -58,16 +49,14 @@
     return estimate(state, name) / max(1, batch)
 
 
-def should_fill(state: State, names: list[str]) -> bool:
-    """Return whether to fill batches one after the other, or to spread requests evenly.
+def fill_below(state: State) -> float:
+    """Return the mean load up to which batches are filled one after the other.
 
-    Filling pays while the endpoints have little to do on average; how little depends on how
-    much the preset weighs full batches against waits.
+    That pays while the endpoints have little to do on average; how little depends on how much
+    the preset weighs full batches against waits.
     """
     preset = state.config.preset
-    weight = preset.batch_weight / (preset.stall_weight + preset.batch_weight)
-    mean = sum(batch_share(state, name) for name in names) / len(names)
-    return mean < FILL_BELOW * weight
+    return FILL_BELOW * preset.batch_weight / (preset.stall_weight + preset.batch_weight)
 
 
 def has_room(state: State, name: str) -> bool:
@@ -113,13 +102,21 @@
 
 
 def pick(state: State, request: RequestState, candidates: list[str]) -> str | None:
-    """Return the cheapest of some endpoints, one that failed the request only as the last."""
+    """Return the cheapest of some endpoints, one that failed the request only as the last.
+
+    While there is little to do, those that run more are cheaper, up to ``FILL_TARGET``.
+    """
     if len(candidates) <= 1:
         return candidates[0] if candidates else None
-    fill = should_fill(state, candidates)
-    costs = [(name in request.avoid, cost(state, name, fill), name) for name in sorted(candidates)]
-    failed, lowest, _ = min(costs)
-    best = [name for avoided, price, name in costs if avoided == failed and price <= lowest]
+    names = [name for name in candidates if name not in request.avoid] or candidates
+    shares = [(batch_share(state, name), name) for name in sorted(names)]
+    fills = sum(share for share, _ in shares) < fill_below(state) * len(shares)
+    costs = []
+    for share, name in shares:
+        load = -share if fills and share < FILL_TARGET else share
+        costs.append((load + distance_cost(state, name), name))
+    lowest = min(costs)[0]
+    best = [name for price, name in costs if price == lowest]
     if len(best) == 1:
         return best[0]
     if request.prefix:
--- a/poplarhoist/entry/endpoints.py
+++ b/poplarhoist/entry/endpoints.py
@@ -9,7 +9,7 @@
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.http import ShortLivedPool, never_sent
+from poplarhoist.entry.http import ShortLivedPool, never_sent, nothing_listens
 from poplarhoist.models import Endpoint, EndpointReport
 
 POLL_TIMEOUT_S = 1.0
@@ -46,7 +46,7 @@
             answer = self.pool.request("GET", endpoint_url(endpoint) + "/report", timeout=timeout)
             report = wire.load(orjson.loads(answer.data), EndpointReport)
         except HTTPError as error:
-            refused = never_sent(error)
+            refused = nothing_listens(error)
             self.core.submit(ev.EndpointSilent(self.core.at(), effect.endpoint, refused))
             return
         except Exception:
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -46,6 +46,13 @@
             raise
 
 
+def nothing_listens(error: HTTPError) -> bool:
+    """Return whether the other side's host is there but no process listens."""
+    return isinstance(error, NewConnectionError) and isinstance(
+        error.__cause__, ConnectionRefusedError
+    )
+
+
 def never_sent(error: HTTPError) -> bool:
     """Return whether a failed request certainly did not reach the other side."""
     return isinstance(error, NewConnectionError | ConnectTimeoutError | NameResolutionError)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,11 +1,15 @@
 """The request that crashes endpoints: at most two are lost to it, and its neighbours are served."""
 
+import socket
+
 import pytest
+import urllib3
 
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import messages
 from poplarhoist.decisions import quarantine as q
 from poplarhoist.decisions import suspect_store as store
+from poplarhoist.entry.http import nothing_listens
 from poplarhoist.models import Ran, Reason
 from poplarhoist.replay.bench import Bench
 
@@ -279,3 +283,14 @@
         q.convict(state, f"c{number}", [])
     assert len(state.quarantine.convictions) == store.CONVICTIONS_KEPT
     assert q.convicted(state, f"c{store.CONVICTIONS_KEPT + 9}")
+
+
+def test_only_a_refused_connection_says_that_nothing_listens():
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        url = f"http://127.0.0.1:{closed.getsockname()[1]}/report"
+    pool = urllib3.PoolManager(retries=False)
+    with pytest.raises(urllib3.exceptions.HTTPError) as refused:
+        pool.request("GET", url)
+    assert nothing_listens(refused.value)
+    assert not nothing_listens(urllib3.exceptions.ConnectTimeoutError("timed out"))
