--- a/poplarhoist/entry/problems.py
+++ b/poplarhoist/entry/problems.py
@@ -45,9 +45,20 @@
     }
 
 
+def client_error(data: dict[str, object]) -> dict[str, object]:
+    """Return the error object that OpenAI-compatible clients read."""
+    return {
+        "message": f"{data['title']} (ran: {data['ran']})",
+        "type": data["type"],
+        "param": None,
+        "code": data["reason"],
+    }
+
+
 def response(request_id: str, refusal: Refusal) -> Response:
     """Return the HTTP answer of a refusal."""
     data = document(request_id, refusal)
+    data["error"] = client_error(data)
     headers = {"X-Request-Id": request_id}
     if refusal.retry_after_s > 0:
         headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
@@ -65,11 +76,13 @@
         "step": "accept",
         "detail": error.description,
     }
+    data["error"] = client_error(data)
     return Response(orjson.dumps(data), error.code, content_type=CONTENT_TYPE)
 
 
 def event(request_id: str, refusal: Refusal | None) -> bytes:
     """Return the server-sent event that ends a broken stream."""
     refusal = refusal or Refusal(Reason.ENDPOINT_LOST, Ran.UNKNOWN, "answer")
-    data = {"error": document(request_id, refusal)}
+    data = document(request_id, refusal)
+    data = {"error": {**data, **client_error(data)}}
     return b"event: error\ndata: " + orjson.dumps(data) + b"\n\n"
--- a/tests/site.py
+++ b/tests/site.py
@@ -155,7 +155,8 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry."""
-        self.spawn(name, "entry", "--settings", str(self.file.path), "--name", name)
+        args = ("--settings", str(self.file.path), "--name", name, "--json-logs")
+        self.spawn(name, "entry", *args)
 
     def wait_ready(self, name: str) -> None:
         """Wait until an entry takes requests."""
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -169,6 +169,18 @@
     }
 
 
+def test_entries_log_changes_of_state_in_json(site):
+    for _ in range(3):
+        assert site.complete("entry-1").read()
+    for name in site.file.entry_ports:
+        text = site.file.path.with_suffix(f".{name}.log").read_text()
+        lines = [json.loads(line) for line in text.splitlines()]
+        assert {line["entry"] for line in lines} == {name}
+        changes = {line["event"] for line in lines}
+        assert "endpoint-listed" in changes
+        assert len(lines) < 60
+
+
 def test_a_change_whose_answer_is_lost_is_made_once(site):
     before = ctl(site, "preset", "use", "ordinary", "--json").json["accepted"]
     site.control("platform", "/control/faults", lose_answers=1)
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,440 @@
+"""The stand-ins and each of their fault switches, in this process."""
+
+import eventlet
+import pytest
+from eventlet.greenpool import GreenPool
+from werkzeug.test import Client
+
+from poplarhoist.clock import SystemClock
+from poplarhoist.models import Endpoint, EndpointKind, Place
+from poplarhoist.replay.clock import VirtualClock
+from poplarhoist.settings.models import (
+    DoorSettings,
+    EntrySettings,
+    PlatformSettings,
+    Site,
+    StoreSettings,
+)
+from poplarhoist.standins.engine import POISON, EngineStandin
+from poplarhoist.standins.platform import PlatformStandin
+from poplarhoist.standins.service import ServiceStandin
+from poplarhoist.standins.store import WeightStore
+from poplarhoist.standins.web import App, ConnectionCut, Listener, cut, reply
+
+PLACE = Place("r1", "r1-a")
+LONGEST_S = 10.0
+
+
+class FakeStore:
+    """Gives weights at once, or after an event."""
+
+    def __init__(self) -> None:
+        self.wait = eventlet.event.Event()
+        self.wait.send()
+        self.refs: list[str] = []
+
+    def fetch(self, ref: str) -> bool:
+        self.refs.append(ref)
+        self.wait.wait()
+        return True
+
+
+class Engine:
+    """An engine and a client of it."""
+
+    def __init__(self, slots: int = 2, batch: int = 2, checks_fencing: bool = True) -> None:
+        endpoint = Endpoint(
+            "e", EndpointKind.ENGINE, "base", PLACE, "127.0.0.1", 1, slots, batch, checks_fencing
+        )
+        self.clock = VirtualClock()
+        self.standin = EngineStandin(endpoint, FakeStore(), self.clock, step_s=0.001)
+        self.client = Client(self.standin.app)
+        self.thread = eventlet.spawn(self.standin.batcher.run)
+        self.asked = 0
+
+    def order(self, kind: str, ref: str = "a@1", epoch: int = 1, replaces: str | None = None):
+        data = {"kind": kind, "ref": ref, "epoch": epoch, "replaces": replaces}
+        return self.client.post("/orders", json=data).json
+
+    def ask(self, ref: str = "a@1", tokens: int = 3, priority: int = 0, **body):
+        self.asked += 1
+        headers = {
+            "X-Adapter": ref,
+            "X-Request-Id": f"r{self.asked}",
+            "X-Stream-Id": f"s{self.asked}",
+            "X-Priority": str(priority),
+        }
+        data = {"model": "a", "prompt": "x", "max_tokens": tokens, **body}
+        return self.client.post("/v1/completions", json=data, headers=headers)
+
+    def control(self, **faults) -> None:
+        assert self.client.post("/control", json=faults).status_code == 200
+
+    def text(self, answer) -> str:
+        return answer.json["choices"][0]["text"]
+
+
+@pytest.fixture(autouse=True)
+def bounded():
+    with eventlet.Timeout(LONGEST_S):
+        yield
+
+
+@pytest.fixture
+def engine():
+    engine = Engine()
+    assert engine.order("load")["outcome"] == "done"
+    yield engine
+    engine.thread.kill()
+
+
+@pytest.mark.parametrize(
+    ("faults", "same_request", "same_adapter"),
+    [
+        ({}, True, True),
+        ({"wrong_request": 1}, False, True),
+        ({"wrong_adapter": 1}, True, False),
+        ({"crossed": 1}, False, True),
+    ],
+)
+def test_an_answer_tells_whose_it_is(engine, faults, same_request, same_adapter):
+    engine.ask()
+    engine.control(**faults)
+    answer = engine.ask()
+    assert engine.text(answer) == " a@1:0 a@1:1 a@1:2"
+    assert (answer.headers["X-Request-Id"] == "r2") is same_request
+    assert (answer.headers["X-Adapter"] == "a@1") is same_adapter
+    assert engine.ask().headers["X-Request-Id"] == "r3"
+
+
+@pytest.mark.parametrize(
+    ("faults", "body"),
+    [({"down": True}, {}), ({}, {"prompt": POISON}), ({"down": True}, {"stream": True})],
+)
+def test_a_lost_answer_is_no_answer(engine, faults, body):
+    engine.control(**faults)
+    with pytest.raises(ConnectionCut):
+        engine.ask(**body)
+
+
+@pytest.mark.parametrize(
+    ("control", "ref", "reason"),
+    [
+        ({"state": "leaving"}, "a@1", "leaving"),
+        ({"restart": True}, "a@1", "adapter-not-resident"),
+        ({}, "b@1", "adapter-not-resident"),
+    ],
+)
+def test_a_refused_request_was_not_run(engine, control, ref, reason):
+    engine.control(**control)
+    answer = engine.ask(ref)
+    assert (answer.headers["X-Ran"], answer.json["reason"]) == ("no", reason)
+    assert engine.standin.batcher.filled == 0
+
+
+@pytest.mark.parametrize(("checks_fencing", "outcome"), [(True, "fenced"), (False, "done")])
+def test_an_order_with_an_old_fencing_number(checks_fencing, outcome):
+    engine = Engine(checks_fencing=checks_fencing)
+    assert engine.order("fence", epoch=5)["outcome"] == "done"
+    assert engine.order("load", epoch=4)["outcome"] == outcome
+    assert engine.order("load", "b@1", epoch=5)["outcome"] == "done"
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome", "resident"),
+    [
+        ({}, "done", {"a@1", "b@1"}),
+        ({"fail_loads": 1}, "failed", {"a@1"}),
+        ({"lose_orders": 1}, None, {"a@1", "b@1"}),
+    ],
+)
+def test_how_a_load_ends(engine, faults, outcome, resident):
+    engine.control(**faults)
+    if outcome is None:
+        with pytest.raises(ConnectionCut):
+            engine.order("load", "b@1")
+    else:
+        assert engine.order("load", "b@1")["outcome"] == outcome
+    assert set(engine.standin.slots) == resident
+
+
+def test_slots_are_few_and_an_eviction_in_use_is_noted(engine):
+    engine.order("load", "b@1")
+    assert engine.order("load", "c@1") == {"outcome": "refused", "reason": "no slot"}
+    assert engine.order("load", "c@1", replaces="b@1")["outcome"] == "done"
+    assert engine.standin.violations == []
+    asking = eventlet.spawn(engine.ask, tokens=1000)
+    while not engine.standin.batcher.running:
+        eventlet.sleep(0.001)
+    assert engine.order("evict")["outcome"] == "done"
+    assert engine.standin.violations == ["evicted a@1 in use by r1"]
+    with pytest.raises(ConnectionCut):
+        asking.wait()
+
+
+def test_a_load_that_a_restart_overtakes_has_no_answer(engine):
+    store = engine.standin.store
+    store.wait = eventlet.event.Event()
+    loading = eventlet.spawn(engine.order, "load", "b@1")
+    while "b@1" not in store.refs:
+        eventlet.sleep(0.001)
+    engine.control(restart=True)
+    store.wait.send()
+    with pytest.raises(ConnectionCut):
+        loading.wait()
+    assert (engine.standin.slots, engine.standin.epoch) == ({}, 0)
+
+
+def test_priority_goes_first_and_steps_are_shared(engine):
+    pool = GreenPool()
+    ended = []
+    for number, priority in enumerate((0, 0, 0, 5)):
+        tokens = 40 if number < 2 else 1
+        answer = pool.spawn(engine.ask, tokens=tokens, priority=priority)
+        answer.link(lambda thread, n=number: ended.append(n))
+        while engine.asked <= number:
+            eventlet.sleep(0)
+    pool.waitall()
+    batcher = engine.standin.batcher
+    assert ended.index(3) < ended.index(2)
+    assert batcher.filled == 82
+    assert batcher.steps <= 42
+
+
+def test_a_stream_is_resumed_and_cancelled(engine):
+    events = engine.ask(tokens=4, stream=True).text.split("\n\n")
+    resumed = engine.client.get("/v1/streams/s1?offset=2").text.split("\n\n")
+    assert resumed == events[2:]
+    assert engine.client.delete("/v1/streams/s1").json == {"cancelled": True}
+    assert engine.client.get("/v1/streams/s1").status_code == 404
+
+
+def test_a_stream_goes_on_elsewhere_from_its_kv_cache(engine):
+    other = Engine()
+    other.order("load")
+    asking = eventlet.spawn(engine.ask, tokens=20)
+    while engine.standin.batcher.filled < 3:
+        eventlet.sleep(0.001)
+    cache = engine.client.get("/kv/s1").json
+    assert other.client.post("/kv", json=cache).json == {"stream_id": "s1"}
+    whole = other.client.get("/v1/streams/s1?offset=0").text
+    assert [f" a@1:{n}" in whole for n in range(20)] == [True] * 20
+    assert other.standin.batcher.filled <= 17
+    assert engine.text(asking.wait()).split()[-1] == "a@1:19"
+    assert engine.client.get("/kv/s1").status_code == 404
+
+
+def test_the_prefix_cache_is_small_and_its_events_late_with_gaps(engine):
+    engine.standin.cache.limit = 3
+    engine.control(cache_lag_s=5.0, cache_gap_every=2)
+    engine.ask(prompt="p" * 1024)
+    engine.ask(prompt="p" * 512)
+    assert len(engine.standin.cache.blocks) == 3
+    assert engine.client.get("/cache/events").json == []
+    engine.clock.sleep(5.0)
+    sequences = [event["sequence"] for event in engine.client.get("/cache/events?since=1").json]
+    assert sequences
+    assert all(sequence % 2 for sequence in sequences)
+
+
+def test_a_cached_prefix_saves_steps(engine):
+    engine.ask(prompt="p" * 1024, tokens=1)
+    first = engine.standin.batcher.steps
+    engine.ask(prompt="p" * 1024, tokens=1)
+    assert (first, engine.standin.batcher.steps - first) == (5, 1)
+
+
+def test_reports_lag(engine):
+    engine.control(report_lag_s=3.0)
+    engine.client.get("/report")
+    engine.order("load", "b@1")
+    engine.clock.sleep(2.0)
+    report = engine.client.get("/report").json
+    assert (report["resident"], report["age_s"]) == ({"a@1": 0}, 2.0)
+    engine.clock.sleep(3.0)
+    assert engine.client.get("/report").json["resident"] == {"a@1": 0, "b@1": 0}
+
+
+@pytest.fixture
+def platform():
+    site = Site(
+        "t",
+        PlatformSettings("127.0.0.1", 1),
+        DoorSettings("peer-key", "operator"),
+        (EntrySettings("entry-1", "r1", "r1-a", "127.0.0.1", 2),),
+    )
+    return Client(PlatformStandin(site, SystemClock()).app)
+
+
+def put(platform, value, expect: int, path: str = "x"):
+    return platform.put(f"/v1/objects/{path}?expect={expect}", json=value)
+
+
+def test_objects_are_written_by_version(platform):
+    version = put(platform, 1, 0).json["version"]
+    lost = put(platform, 2, 0)
+    assert (lost.status_code, lost.json) == (409, {"version": version, "value": 1})
+    later = put(platform, 2, version).json["version"]
+    assert platform.get("/v1/objects/x").json == {"version": later, "value": 2}
+    assert platform.delete(f"/v1/objects/x?expect={version}").status_code == 409
+    assert platform.delete(f"/v1/objects/x?expect={later}").status_code == 200
+    assert platform.get("/v1/objects/x").status_code == 404
+
+
+def test_a_watch_tells_of_changes_and_of_being_too_old(platform):
+    since = platform.get("/v1/list?prefix=x").json["revision"]
+    watch = f"/v1/watch?prefix=x&timeout_s=5&since={since}"
+    waiting = eventlet.spawn(platform.get, watch)
+    eventlet.sleep(0)
+    put(platform, 1, 0)
+    assert [change["path"] for change in waiting.wait().json["changes"]] == ["x"]
+    version = 0
+    for _ in range(5001):
+        version = put(platform, 1, version, "y").json["version"]
+    assert platform.get(watch).status_code == 410
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "written"),
+    [
+        ({"outage": True}, 503, False),
+        ({"calls_per_s": 0.001}, 429, False),
+        ({"lose_answers": 1}, None, True),
+        ({"slow_s": 0.01}, 200, True),
+        ({"switch": 1}, 200, True),
+    ],
+)
+def test_what_becomes_of_a_write(platform, faults, status, written):
+    switched = platform.post("/control/faults", json=faults)
+    assert switched.status_code == (400 if "switch" in faults else 200)
+    if status is None:
+        with pytest.raises(ConnectionCut):
+            put(platform, 1, 0)
+    else:
+        assert put(platform, 1, 0).status_code == status
+    off = {"outage": False, "calls_per_s": 0.0}
+    platform.post("/control/faults", json=off)
+    assert (platform.get("/v1/objects/x").status_code == 200) is written
+
+
+def test_a_hanging_platform_answers_nothing_until_it_goes_on(platform):
+    platform.post("/control/faults", json={"hang": True})
+    waiting = eventlet.spawn(put, platform, 1, 0)
+    eventlet.sleep(0.02)
+    assert not waiting.dead
+    platform.post("/control/faults", json={"hang": False})
+    assert waiting.wait().status_code == 200
+
+
+def test_lists_lag(platform):
+    platform.post("/control/faults", json={"list_lag_s": 0.05})
+    platform.post("/control/member", json={"path": "instances/entry-1", "value": None})
+    assert platform.get("/v1/objects/instances/entry-1").status_code == 200
+    while platform.get("/v1/objects/instances/entry-1").status_code == 200:
+        eventlet.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("before", "in_flight", "slow", "wait_s", "load_s"),
+    [
+        (0, 8, 1.0, 0.0, 0.25),
+        (4, 8, 1.0, 1.0, 0.25),
+        (0, 16, 1.0, 0.0, 0.5),
+        (0, 8, 10.0, 0.0, 2.5),
+    ],
+)
+def test_the_store_limits_its_rate_and_slows_down_when_crowded(
+    before, in_flight, slow, wait_s, load_s
+):
+    store = WeightStore(StoreSettings(4.0, 8, 0.25), VirtualClock(), slow=slow)
+    for _ in range(before):
+        store.reserve()
+    store.in_flight = in_flight
+    assert (store.reserve(), store.load_s()) == (wait_s, load_s)
+
+
+@pytest.mark.parametrize("fault", [{"store_down": True}, {}])
+def test_the_store_is_down(platform, fault):
+    platform.post("/control/faults", json=fault)
+    answer = platform.post("/store/load", json={"ref": "a@1"})
+    assert answer.status_code == (503 if fault else 200)
+
+
+@pytest.mark.parametrize(
+    ("control", "runs", "answered"),
+    [
+        ({}, 1, True),
+        ({"lose_answers": 1}, 1, False),
+        ({"down": True}, 0, False),
+        ({"state": "leaving"}, 0, True),
+    ],
+)
+def test_a_service_counts_runs_by_key(control, runs, answered):
+    endpoint = Endpoint("s", EndpointKind.SERVICE, "booking", PLACE, "127.0.0.1", 1)
+    client = Client(ServiceStandin(endpoint).app)
+    client.post("/control", json=control)
+    headers = {"Idempotency-Key": "k", "X-Request-Id": "r"}
+    if answered:
+        answer = client.post("/call/crews", headers=headers)
+        assert (answer.headers.get("X-Ran") == "no") is (runs == 0)
+    else:
+        with pytest.raises(ConnectionCut):
+            client.post("/call/crews", headers=headers)
+    assert client.get("/control/state").json["runs_by_key"] == ({"k": 1} if runs else {})
+
+
+class Door:
+    """An application that listens on loopback, and raw requests to it."""
+
+    def __init__(self) -> None:
+        rules = [("GET", "/ok", self.ok), ("GET", "/lost", self.lost)]
+        self.app = App(rules)
+        probe = eventlet.listen(("127.0.0.1", 0))
+        self.address = probe.getsockname()
+        probe.close()
+        self.listener = Listener(self.app, *self.address)
+        self.listener.open()
+
+    def ok(self, request):
+        return reply({})
+
+    def lost(self, request):
+        cut()
+
+    def connect(self):
+        return eventlet.connect(self.address)
+
+    def send(self, connection, path: str, wait_s: float = 5.0) -> bytes | None:
+        """Return what came back; None for silence."""
+        connection.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        with eventlet.Timeout(wait_s, False):
+            return connection.recv(4096)
+        return None
+
+
+def test_a_cut_connection_carries_no_byte():
+    door = Door()
+    assert door.send(door.connect(), "/lost") == b""
+    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
+
+
+def test_open_connections_go_silent_while_new_ones_work():
+    door = Door()
+    old = door.connect()
+    assert door.send(old, "/ok")
+    door.app.connections.silence()
+    assert door.send(old, "/ok", wait_s=0.2) is None
+    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
+
+
+def test_a_restart_refuses_connections_and_ends_open_ones():
+    door = Door()
+    old = door.connect()
+    assert door.send(old, "/ok")
+    door.listener.restart(0.1)
+    assert old.recv(4096) == b""
+    with pytest.raises(ConnectionRefusedError):
+        door.connect()
+    while not door.listener.is_open:
+        eventlet.sleep(0.01)
+    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
