--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
+    from poplarhoist.models import AdapterRef
 
 
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
@@ -33,19 +34,17 @@
         evictions.refresh(state, board, engine, at)
     if slot.state is not SlotState.RESIDENT:
         return False
+    out.append(SendMessage(entry, make_grant(state, board, engine, slot.ref, entry)))
+    return True
+
+
+def make_grant(state: State, board: Board, engine: EngineBoard, ref: AdapterRef, entry: str):
+    """Note an entry as a holder of a slot, and return the grant for it."""
     board.grant_count += 1
-    slot.holders[entry] = board.grant_count
+    engine.slots[ref].holders[entry] = board.grant_count
     peer = state.members.peers.get(entry)
-    message = Grant(
-        board.base,
-        board.epoch,
-        slot.ref,
-        engine.name,
-        board.grant_count,
-        peer.boot if peer else state.boot,
-    )
-    out.append(SendMessage(entry, message))
-    return True
+    boot = peer.boot if peer else state.boot
+    return Grant(board.base, board.epoch, ref, engine.name, board.grant_count, boot)
 
 
 def grant_waiting(state: State, board: Board, engine: EngineBoard, slot: Slot, at, out) -> None:
