--- a/poplarhoist/cli/common.py
+++ b/poplarhoist/cli/common.py
@@ -82,16 +82,16 @@
 
 def configure_logs(json_lines: bool, level: int = logging.INFO) -> None:
     """Log changes of state to standard error, as JSON or for a console."""
-    renderer = (
-        structlog.processors.JSONRenderer()
+    renderers = (
+        [structlog.processors.format_exc_info, structlog.processors.JSONRenderer()]
         if json_lines
-        else structlog.dev.ConsoleRenderer(colors=False)
+        else [structlog.dev.ConsoleRenderer(colors=False)]
     )
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            renderer,
+            *renderers,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
--- a/poplarhoist/decisions/explain.py
+++ b/poplarhoist/decisions/explain.py
@@ -48,8 +48,12 @@
 
     Attributes
     ----------
-    cost : float
-        Cost of sending the request there; the lowest is chosen among those with room.
+    room : bool
+        Whether it can take one more request without a long queue.
+    load : float
+        Requests expected there as a share of its batch.
+    wait_s : float
+        Expected time in its queue.
     """
 
     endpoint: str
@@ -58,7 +62,8 @@
     granted: bool
     usable: bool
     room: bool
-    cost: float
+    load: float
+    wait_s: float
 
 
 @frozen
@@ -160,7 +165,7 @@
         "base": adapter.base,
         "ref": str(ref),
         "lead": view.holder if view else "",
-        "waiting": len(queue.request_ids()) if queue else 0,
+        "waiting": len(queue.members) if queue else 0,
         "candidates": tuple(candidate(state, ref, name) for name in engines),
     }
 
@@ -177,5 +182,6 @@
         granted=held is not None and not held.recalled,
         usable=membership.usable(state, name),
         room=routing.has_room(state, name),
-        cost=round(routing.cost(state, name), 3),
+        load=round(routing.batch_share(state, name), 3),
+        wait_s=round(routing.wait_s(state, name), 3),
     )
--- a/poplarhoist/entry/status.py
+++ b/poplarhoist/entry/status.py
@@ -14,9 +14,9 @@
         "waiting": state.admission.waiting,
         "requests": len(state.requests),
         "queues": {
-            str(ref): len(queue.request_ids())
+            str(ref): len(queue.members)
             for ref, queue in state.admission.queues.items()
-            if queue.by_priority
+            if queue.members
         },
         "leads": {base: board.epoch for base, board in state.boards.items()},
         "known_leads": {
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -147,7 +147,10 @@
 
 def test_explain_names_the_engine_that_then_serves(site):
     assert site.complete("entry-1").read()
-    told = ctl(site, "explain", "plans", "--caller", "family", "--entry", "entry-1", "--json").json
+    asked = ("explain", "plans", "--caller", "family", "--entry", "entry-1", "--json")
+    answer = ctl(site, *asked)
+    assert answer.status == ExitStatus.OK, answer.err
+    told = answer.json
     assert told["verdict"] == "dispatched"
     granted = [row["endpoint"] for row in told["candidates"] if row["granted"]]
     assert told["endpoint"] in granted
