--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,14 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
+# The site, caller and seconds of `make load` and `make soak`; the site has to run.
+SETTINGS ?= examples/qasr/site.toml
+TOKEN ?= secret-of-a-family
+LOAD_S ?= 30
+SOAK_S ?= 3600
 # Sets are walked in the same order on every run of the tests.
 export PYTHONHASHSEED = 0
 
-.PHONY: all setup format lint check test demo load clean
+.PHONY: all setup format lint check test demo load soak clean
 
 all: test
 
@@ -31,7 +36,11 @@
 	$(VENV)/bin/poplarhoist-demo
 
 load: setup
-	$(VENV)/bin/poplarhoist-load --help
+	$(VENV)/bin/poplarhoist-load run --settings $(SETTINGS) --token $(TOKEN) --seconds $(LOAD_S)
+
+soak: setup
+	$(VENV)/bin/poplarhoist-load run --settings $(SETTINGS) --token $(TOKEN) --seconds $(SOAK_S) \
+		--trace shift
 
 clean:
 	rm -rf $(VENV) build out *.egg-info
--- /dev/null
+++ b/poplarhoist/ctl/adapters.py
@@ -0,0 +1,66 @@
+"""Reads many adapters from a TOML file."""
+
+from pathlib import Path
+
+from attrs import evolve, field, frozen, validators
+
+from poplarhoist.ctl.tables import read_tables
+from poplarhoist.errors import ConflictError
+from poplarhoist.models import Adapter, VersionState
+from poplarhoist.settings.loader import faults
+from poplarhoist.settings.structure import converter, describe
+
+STEP = "import-adapter"
+
+
+@frozen
+class AdapterTable:
+    """An adapter as a file gives it.
+
+    Attributes
+    ----------
+    version : int
+        Version to publish; 0 for none.
+    """
+
+    base: str
+    version: int = field(default=0, validator=validators.ge(0))
+    callers: tuple[str, ...] = ("*",)
+
+
+def read_adapters(path: Path) -> dict[str, AdapterTable]:
+    """Return the adapters of a file by name.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, one for each fault of the file.
+    """
+    problems: list[str] = []
+    adapters: dict[str, AdapterTable] = {}
+    for name, table in read_tables(path).items():
+        try:
+            adapters[name] = converter.structure(table, AdapterTable)
+        except Exception as error:
+            problems += [f"{fault} of {name}" for fault in describe(error)]
+    if problems:
+        raise faults(path, problems)
+    return adapters
+
+
+def merged(before: Adapter | None, name: str, table: AdapterTable) -> Adapter:
+    """Return an adapter with what a file adds to it.
+
+    Raises
+    ------
+    ConflictError
+        If it exists for another base model.
+    """
+    adapter = before or Adapter(name, table.base)
+    if adapter.base != table.base:
+        raise ConflictError(f"exists already for base model {adapter.base}", STEP, name)
+    adapter = evolve(adapter, callers=table.callers)
+    if table.version:
+        versions = {**adapter.versions, str(table.version): VersionState.PUBLISHED}
+        adapter = evolve(adapter, versions=versions, current=table.version)
+    return adapter
--- a/poplarhoist/ctl/arguments.py
+++ b/poplarhoist/ctl/arguments.py
@@ -60,6 +60,19 @@
     caller: tuple[str, ...] = field(kw_only=True, default=("*",))
 
 
+@command
+class AdapterImport(Change):
+    """Add many adapters, or versions of them, in one change.
+
+    Parameters
+    ----------
+    file
+        TOML file with a table for each adapter: base, version, callers.
+    """
+
+    file: Path
+
+
 @command
 class AdapterShow(Command):
     """Show an adapter.
@@ -248,7 +261,12 @@
 
 
 COMMANDS = {
-    "adapter": {"create": AdapterCreate, "show": AdapterShow, "list": AdapterList},
+    "adapter": {
+        "create": AdapterCreate,
+        "import": AdapterImport,
+        "show": AdapterShow,
+        "list": AdapterList,
+    },
     "version": {"publish": VersionPublish, "withdraw": VersionWithdraw},
     "caller": {"put": CallerPut, "list": CallerList, "remove": CallerRemove},
     "preset": {"put": PresetPut, "use": PresetUse, "show": PresetShow, "list": PresetList},
--- a/poplarhoist/ctl/changes.py
+++ b/poplarhoist/ctl/changes.py
@@ -3,8 +3,10 @@
 from attrs import evolve
 
 from poplarhoist.ctl import arguments
+from poplarhoist.ctl.adapters import merged, read_adapters
 from poplarhoist.ctl.operator import Operator
-from poplarhoist.ctl.presets import merge, read_presets, read_values
+from poplarhoist.ctl.presets import merge, read_values
+from poplarhoist.ctl.tables import read_tables
 from poplarhoist.entry.platform import token_digest
 from poplarhoist.errors import ConflictError, EntryError, NotFoundError, SettingsError
 from poplarhoist.models import Adapter, Caller, Preset, PresetKind, VersionState
@@ -23,6 +25,17 @@
     return operator.change(edit, command.wait_s)
 
 
+def adapter_import(operator: Operator, command: arguments.AdapterImport) -> ExitStatus:
+    """Add many adapters, or versions of them, in one change."""
+    tables = read_adapters(command.file)
+
+    def edit(draft: Draft) -> None:
+        for name, table in tables.items():
+            draft.put_adapter(merged(draft.adapter(name), name, table))
+
+    return operator.change(edit, command.wait_s)
+
+
 def version_publish(operator: Operator, command: arguments.VersionPublish) -> ExitStatus:
     """Publish a version and make it the current one."""
     if command.version < 1:
@@ -88,7 +101,7 @@
 
 def preset_put(operator: Operator, command: arguments.PresetPut) -> ExitStatus:
     """Add or change one preset, or all presets of a file."""
-    values_by_name = read_presets(command.file) if command.file else {}
+    values_by_name = read_tables(command.file) if command.file else {}
     if command.name:
         values = values_by_name.get(command.name, {} if command.file is None else None)
         if values is None:
@@ -150,6 +163,7 @@
 
 HANDLERS = {
     arguments.AdapterCreate: adapter_create,
+    arguments.AdapterImport: adapter_import,
     arguments.VersionPublish: version_publish,
     arguments.VersionWithdraw: version_withdraw,
     arguments.CallerPut: caller_put,
--- a/poplarhoist/ctl/presets.py
+++ b/poplarhoist/ctl/presets.py
@@ -3,7 +3,6 @@
 import math
 import tomllib
 from collections.abc import Mapping
-from pathlib import Path
 
 import attrs
 from attrs import frozen
@@ -29,31 +28,6 @@
 ANY_NUMBER = Bounds()
 
 
-def read_presets(path: Path) -> dict[str, dict[str, object]]:
-    """Return the values of each preset of a file by its name.
-
-    Raises
-    ------
-    ExceptionGroup
-        Of SettingsError, if the file cannot be read or holds anything but tables.
-    """
-    try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise faults(path, [error.strerror or str(error)]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise faults(path, [str(error)]) from error
-    wrong = [f"expected a table, got {v!r} @ {k}" for k, v in data.items() if not is_table(v)]
-    if wrong or not data:
-        raise faults(path, wrong or ["expected a table for each preset, found none"])
-    return data
-
-
-def is_table(value: object) -> bool:
-    """Return whether a value of a file is a table."""
-    return isinstance(value, dict)
-
-
 def read_values(items: tuple[str, ...]) -> dict[str, object]:
     """Return the values of ``key=value`` arguments.
 
--- /dev/null
+++ b/poplarhoist/ctl/tables.py
@@ -0,0 +1,27 @@
+"""Reads TOML files that hold nothing but tables."""
+
+import tomllib
+from pathlib import Path
+
+from poplarhoist.settings.loader import faults
+
+
+def read_tables(path: Path) -> dict[str, dict[str, object]]:
+    """Return the tables of a file by name.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, if the file cannot be read or holds anything but tables.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise faults(path, [error.strerror or str(error)]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise faults(path, [str(error)]) from error
+    items = data.items()
+    wrong = [f"expected a table, got {v!r} @ {k}" for k, v in items if not isinstance(v, dict)]
+    if wrong or not data:
+        raise faults(path, wrong or ["expected tables, found none"])
+    return data
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -67,6 +67,29 @@
     assert {"letters", "plans"} <= set(names)
 
 
+@pytest.mark.parametrize(
+    ("text", "status", "told"),
+    [
+        ('[m1]\nbase = "base"\nversion = 4\n["m.2"]\nbase = "base"', ExitStatus.OK, "accepted"),
+        ('[m1]\nbase = "base"\nversion = 5', ExitStatus.OK, "accepted"),
+        ('[m1]\nbase = "other"', ExitStatus.CONFLICT, "exists already for base model base"),
+        ("[m3]\nversion = -1", ExitStatus.USAGE, "missing key @ base of m3"),
+        ("m3 = 1", ExitStatus.USAGE, "expected a table, got 1 @ m3"),
+        ("", ExitStatus.USAGE, "expected tables, found none"),
+    ],
+)
+def test_many_adapters_are_one_change(site, tmp_path, text, status, told):
+    file = tmp_path / "adapters.toml"
+    file.write_text('[m1]\nbase = "base"\nversion = 4')
+    assert ctl(site, "adapter", "import", str(file)).status == ExitStatus.OK
+    file.write_text(text)
+    answer = ctl(site, "adapter", "import", str(file))
+    assert answer.status == status, answer.err
+    assert told in answer.out + answer.err
+    if status is ExitStatus.OK:
+        assert ctl(site, "adapter", "show", "m1", "--json").json["current"] >= 4
+
+
 @pytest.mark.parametrize("arguments", [("--token", "secret-of-crew"), ()])
 def test_only_the_digest_of_a_token_is_kept(site, arguments):
     token = "secret-of-crew"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,8 @@
 
 from poplarhoist.cli.ctl import main
 from poplarhoist.context import Environment
-from poplarhoist.ctl.presets import merge, read_presets
+from poplarhoist.ctl.presets import merge
+from poplarhoist.ctl.tables import read_tables
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.models import EndpointKind, Preset, PresetKind
 from poplarhoist.settings.loader import load_site, to_limits
@@ -136,5 +137,5 @@
 
 
 def examples_presets(folder: Path) -> list[Preset]:
-    values_by_name = read_presets(folder / "presets.toml")
+    values_by_name = read_tables(folder / "presets.toml")
     return [merge(Preset(name), values, folder) for name, values in values_by_name.items()]
