--- a/poplarhoist/decisions/budget.py
+++ b/poplarhoist/decisions/budget.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from attrs import define
+from attrs import define, field
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.board import Board
@@ -31,6 +31,8 @@
         Average time of a load; 0 before the first.
     failures : int
         Loads failed since the last that worked, over all engines.
+    failed_engines, failed_refs : set
+        Where and what failed since then.
     probe_at : float
         When the next load may be tried while the store is down.
     """
@@ -40,12 +42,15 @@
     filled_at: float = 0.0
     load_s: float = 0.0
     failures: int = 0
+    failed_engines: set[str] = field(factory=set)
+    failed_refs: set[str] = field(factory=set)
     probe_at: float = float("-inf")
 
     @property
     def store_down(self) -> bool:
-        """Whether the store serves nobody, as far as can be seen."""
-        return self.failures >= STORE_DOWN_FAILURES
+        """Whether the store serves nobody: several adapters failed, on several engines."""
+        several = len(self.failed_engines) > 1 and len(self.failed_refs) > 1
+        return several and self.failures >= STORE_DOWN_FAILURES
 
 
 def share(state: State, base: str, at: float) -> float:
@@ -100,15 +105,19 @@
     """Count a load that worked."""
     budget = board.budget
     budget.failures = 0
+    budget.failed_engines.clear()
+    budget.failed_refs.clear()
     if not budget.load_s:
         budget.load_s = took_s
     budget.load_s += LOAD_TIME_WEIGHT * (took_s - budget.load_s)
 
 
-def note_failed(board: Board, at: float) -> None:
+def note_failed(board: Board, engine: str, ref: str, at: float) -> None:
     """Count a load that failed, and wait longer before the next if the store is down."""
     budget = board.budget
     budget.failures += 1
+    budget.failed_engines.add(engine)
+    budget.failed_refs.add(ref)
     excess = budget.failures - STORE_DOWN_FAILURES
     if excess >= 0:
         budget.probe_at = at + min(PROBE_BACKOFF_MAX_S, PROBE_BACKOFF_S * 2.0**excess)
--- a/poplarhoist/decisions/orders.py
+++ b/poplarhoist/decisions/orders.py
@@ -29,6 +29,7 @@
 LOAD_BACKOFF_S = 1.0
 LOAD_BACKOFF_MAX_S = 30.0
 ENGINE_FAILURES = 3
+ADAPTER_FAILURES = 2
 
 
 def fence(state: State, board: Board, engine: EngineBoard, at: float, out) -> None:
@@ -134,12 +135,13 @@
 def after_failure(state: State, board: Board, engine: EngineBoard, ref, failed: bool, at) -> None:
     """Wait before the next try: for the adapter, the engine or the store, as it seems."""
     if failed:
-        budget.note_failed(board, at)
+        budget.note_failed(board, engine.name, str(ref), at)
     demand = board.demand.setdefault(ref, DemandView(scored_at=at))
     if not board.budget.store_down:
         demand.failures += 1
-        demand.retry_at = at + backoff_s(demand.failures)
         engine.failures += 1
+    if not board.budget.store_down and demand.failures >= ADAPTER_FAILURES:
+        demand.retry_at = at + backoff_s(demand.failures - ADAPTER_FAILURES + 1)
     engine.retry_at = at + state.limits.load_s
     if engine.failures >= ENGINE_FAILURES:
         engine.retry_at = at + backoff_s(engine.failures - ENGINE_FAILURES + 1)
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -263,6 +263,9 @@
     while board.ahead and budget.may_load(state, board, at) and not board.budget.store_down:
         ref = board.ahead.first()
         rank = board.ahead.keys_by_ref[ref][0]
+        if rank == ahead.RECOVER_RANK and board.score(ref, at) < ahead.RECOVER_SCORE:
+            board.ahead.discard(ref)
+            continue
         if rank != ahead.REPLICA_RANK and board.budget.spare < 1.0:
             return
         target = choose(state, board, ref, at)
@@ -272,8 +275,7 @@
             return
         engine, victim = target
         if victim is not None and not pays(board, ref, victim, at):
-            board.ahead.discard(ref)
-            continue
+            return
         spare = rank != ahead.REPLICA_RANK
         orders.send_load(state, board, engine, ref, victim, at, out, ahead=spare)
 
--- a/poplarhoist/decisions/reservations.py
+++ b/poplarhoist/decisions/reservations.py
@@ -59,6 +59,8 @@
         return slot.state in (SlotState.RESIDENT, SlotState.DRAINING)
     if engine.order is not None or at < engine.retry_at or not is_empty(board, engine):
         return False
+    if ref in engine.suspended:
+        return False
     view = state.members.endpoints.get(engine.name)
     if view is None:
         return False
@@ -71,7 +73,9 @@
 
 def least_wanted(board: Board, engine: EngineBoard, at: float) -> Slot | None:
     """Return the slot of an engine that is missed least."""
-    found = [slot for slot in engine.slots.values() if slot.state is SlotState.DRAINING]
+    changing = (SlotState.LOADING, SlotState.REPLACING)
+    slots = engine.slots.values()
+    found = [s for s in slots if s.state not in changing and s.ref not in engine.suspended]
     return min(found, key=lambda slot: worth(board, slot), default=None)
 
 
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -165,8 +165,8 @@
     ----------
     violations : list
         What must never happen, such as an eviction of an adapter in use.
-    fail_loads, report_lag_s, silent
-        Faults: so many of the next loads fail; age of the reports; polls get no answer.
+    fail_loads, bad_refs, report_lag_s, silent
+        Faults: so many of the next loads fail; loads of these fail; age of the reports; polls get no answer.
     """
 
     endpoint: Endpoint
@@ -186,6 +186,7 @@
     samples: deque[tuple[float, EndpointReport]] = field(factory=deque)
     report_lag_s: float = 0.0
     fail_loads: int = 0
+    bad_refs: set[str] = field(factory=set)
     violations: list[str] = field(factory=list)
     steps: int = 0
     filled: int = 0
@@ -316,8 +317,8 @@
         if boot != self.boot:
             done(OrderOutcome.UNKNOWN, "restarted")
             return
-        if not worked or self.fail_loads > 0:
-            self.fail_loads -= 1 if worked else 0
+        if not worked or self.fail_loads > 0 or ref in self.bad_refs:
+            self.fail_loads -= 1 if worked and self.fail_loads > 0 else 0
             del self.slots[ref]
             done(OrderOutcome.FAILED, "store")
             return
