--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -21,6 +21,7 @@
     requests,
     revisions,
     runs,
+    suspect_store,
     turns,
 )
 from poplarhoist.decisions import effects as fx
@@ -48,6 +49,7 @@
     out: list[Effect] = []
     note_time(state, event.at, out)
     leadership.expire(state, event.at, out)
+    membership.note_pause(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
     if state.quarantine.fresh_convictions:
         requests.refuse_convicted(state, event.at, out)
@@ -107,6 +109,7 @@
     """Take a change of an object on the platform."""
     revisions.on_object(state, event, out)
     membership.on_object(state, event, out)
+    quarantine.on_object(state, event, out)
 
 
 def on_platform(state: State, event: ev.PlatformAnswered, out: list[Effect]) -> None:
@@ -122,6 +125,8 @@
         intents.on_written(state, event, out)
     elif isinstance(purpose, fx.IntentsRead):
         intents.on_read(state, event, out)
+    elif isinstance(purpose, fx.SuspectWrite):
+        suspect_store.on_written(state, event)
     elif isinstance(purpose, fx.PageRead):
         revisions.on_page_read(state, event, out)
     elif isinstance(purpose, fx.RunCreate):
