--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -20,7 +20,6 @@
 
 INSTANCE_PREFIX = "instances/"
 ENDPOINT_PREFIX = "endpoints/"
-PAUSED_S = 1.0
 
 
 @define
@@ -75,8 +74,6 @@
 
     Attributes
     ----------
-    last_event_at : float
-        When the last event of any kind was handled.
     changed_endpoints, joined : set
         Endpoints and peers of which the leads have not yet taken a change.
     """
@@ -87,7 +84,6 @@
     services_by_name: dict[str, set[str]] = field(factory=dict)
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
-    last_event_at: float = float("-inf")
     changed_endpoints: set[str] = field(factory=set)
     joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
@@ -141,17 +137,12 @@
     return view.silent_since is None and view.unsure_since is None
 
 
-def note_pause(state: State, at: float, out: list[Effect]) -> None:
-    """Ask every endpoint again if this entry was paused: what it knows is old.
+def ask_all(state: State, at: float, out: list[Effect]) -> None:
+    """Ask every endpoint again after a pause of this entry: what it knows is old.
 
     Messages that waited meanwhile are old too, so only an own poll sent now tells whether an
     endpoint still takes work.
     """
-    paused_s = at - state.members.last_event_at
-    state.members.last_event_at = at
-    if not PAUSED_S <= paused_s < float("inf"):
-        return
-    out.append(LogChange("entry-was-paused", {"seconds": round(paused_s, 3)}))
     for name, view in state.members.endpoints.items():
         view.unsure_since = at
         out.append(PollEndpoint(name))
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -30,6 +30,8 @@
 from poplarhoist.decisions.intentbook import orders_open
 from poplarhoist.decisions.state import State
 
+PAUSED_S = 1.0
+
 
 def reduce(state: State, event: ev.Event) -> list[Effect]:
     """Apply an event.
@@ -49,7 +51,6 @@
     out: list[Effect] = []
     note_time(state, event.at, out)
     leadership.expire(state, event.at, out)
-    membership.note_pause(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
     if state.quarantine.fresh_convictions:
         requests.refuse_convicted(state, event.at, out)
@@ -57,11 +58,16 @@
 
 
 def note_time(state: State, at: float, out: list[Effect]) -> None:
-    """Give up idle grants after a pause: a lead that nobody told of may have recalled them."""
-    if at - state.last_event_at > state.limits.lease_use_s:
-        out.append(fx.LogChange("entry-was-paused", {"seconds": at - state.last_event_at}))
-        grants.give_up_all(state, out)
+    """Notice a pause of this entry, after which much of what it knows may be old."""
+    paused_s = at - state.last_event_at
     state.last_event_at = at
+    if paused_s < PAUSED_S:
+        return
+    out.append(fx.LogChange("entry-was-paused", {"seconds": round(paused_s, 3)}))
+    membership.ask_all(state, at, out)
+    if paused_s > state.limits.lease_use_s:
+        # A lead that nobody told of may have recalled grants meanwhile.
+        grants.give_up_all(state, out)
 
 
 def deliver_to_self(state: State, at: float, out: list[Effect]) -> list[Effect]:
--- a/poplarhoist/decisions/reservations.py
+++ b/poplarhoist/decisions/reservations.py
@@ -67,6 +67,8 @@
     victim = None
     if len(engine.slots) >= view.endpoint.slots:
         victim = least_wanted(board, engine, at)
+        if victim is None:
+            return False
     send_load(state, board, engine, ref, victim, at, out)
     return False
 
