--- a/poplarhoist/decisions/reservations.py
+++ b/poplarhoist/decisions/reservations.py
@@ -59,19 +59,25 @@
         return slot.state in (SlotState.RESIDENT, SlotState.DRAINING)
     if engine.order is not None or at < engine.retry_at or not is_empty(board, engine):
         return False
+    if ref in engine.suspended:
+        return False
     view = state.members.endpoints.get(engine.name)
     if view is None:
         return False
     victim = None
     if len(engine.slots) >= view.endpoint.slots:
         victim = least_wanted(board, engine, at)
+        if victim is None:
+            return False
     send_load(state, board, engine, ref, victim, at, out)
     return False
 
 
 def least_wanted(board: Board, engine: EngineBoard, at: float) -> Slot | None:
     """Return the slot of an engine that is missed least."""
-    found = [slot for slot in engine.slots.values() if slot.state is SlotState.DRAINING]
+    changing = (SlotState.LOADING, SlotState.REPLACING)
+    slots = engine.slots.values()
+    found = [s for s in slots if s.state not in changing and s.ref not in engine.suspended]
     return min(found, key=lambda slot: worth(board, slot), default=None)
 
 
