--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -130,7 +130,10 @@
         return
     engine, slot = found
     replicas = len(board.engines_by_ref.get(ref, ()))
-    if board.score(slot.ref, at) < board.score(ref, at) / (replicas + 1):
+    demand = board.demand.get(slot.ref)
+    in_demand = demand is not None and demand.waiting > 0
+    useless = ref in engine.slots or in_demand
+    if not useless and board.score(slot.ref, at) < board.score(ref, at) / (replicas + 1):
         drain_slot(state, board, engine, slot, at, out)
     else:
         add_victim(board, engine, slot)
