--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -230,11 +230,13 @@
     for ready in (board.ready_free, board.ready_clean):
         names = list(itertools.islice(ready, CANDIDATES))
         engines = [board.engines[name] for name in names if may_take(state, board, name, ref, at)]
-        if engines:
-            engine = min(engines, key=lambda e: e.load + REGION_COST * (e.region != region))
-            if ready is board.ready_free:
+        engines.sort(key=lambda e: e.load + REGION_COST * (e.region != region))
+        for engine in engines:
+            if len(engine.slots) < engine.capacity:
                 return engine, None
-            return engine, evictions.clean_slot(board, engine, at)
+            victim = evictions.clean_slot(board, engine)
+            if victim is not None:
+                return engine, victim
     return None
 
 
@@ -261,6 +263,9 @@
     while board.ahead and budget.may_load(state, board, at) and not board.budget.store_down:
         ref = board.ahead.first()
         rank = board.ahead.keys_by_ref[ref][0]
+        if rank == ahead.RECOVER_RANK and board.score(ref, at) < ahead.RECOVER_SCORE:
+            board.ahead.discard(ref)
+            continue
         if rank != ahead.REPLICA_RANK and board.budget.spare < 1.0:
             return
         target = choose(state, board, ref, at)
@@ -270,8 +275,7 @@
             return
         engine, victim = target
         if victim is not None and not pays(board, ref, victim, at):
-            board.ahead.discard(ref)
-            continue
+            return
         spare = rank != ahead.REPLICA_RANK
         orders.send_load(state, board, engine, ref, victim, at, out, ahead=spare)
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -67,6 +67,29 @@
     assert {"letters", "plans"} <= set(names)
 
 
+@pytest.mark.parametrize(
+    ("text", "status", "told"),
+    [
+        ('[m1]\nbase = "base"\nversion = 4\n["m.2"]\nbase = "base"', ExitStatus.OK, "accepted"),
+        ('[m1]\nbase = "base"\nversion = 5', ExitStatus.OK, "accepted"),
+        ('[m1]\nbase = "other"', ExitStatus.CONFLICT, "exists already for base model base"),
+        ("[m3]\nversion = -1", ExitStatus.USAGE, "missing key @ base of m3"),
+        ("m3 = 1", ExitStatus.USAGE, "expected a table, got 1 @ m3"),
+        ("", ExitStatus.USAGE, "expected tables, found none"),
+    ],
+)
+def test_many_adapters_are_one_change(site, tmp_path, text, status, told):
+    file = tmp_path / "adapters.toml"
+    file.write_text('[m1]\nbase = "base"\nversion = 4')
+    assert ctl(site, "adapter", "import", str(file)).status == ExitStatus.OK
+    file.write_text(text)
+    answer = ctl(site, "adapter", "import", str(file))
+    assert answer.status == status, answer.err
+    assert told in answer.out + answer.err
+    if status is ExitStatus.OK:
+        assert ctl(site, "adapter", "show", "m1", "--json").json["current"] >= 4
+
+
 @pytest.mark.parametrize("arguments", [("--token", "secret-of-crew"), ()])
 def test_only_the_digest_of_a_token_is_kept(site, arguments):
     token = "secret-of-crew"
@@ -147,7 +170,10 @@
 
 def test_explain_names_the_engine_that_then_serves(site):
     assert site.complete("entry-1").read()
-    told = ctl(site, "explain", "plans", "--caller", "family", "--entry", "entry-1", "--json").json
+    asked = ("explain", "plans", "--caller", "family", "--entry", "entry-1", "--json")
+    answer = ctl(site, *asked)
+    assert answer.status == ExitStatus.OK, answer.err
+    told = answer.json
     assert told["verdict"] == "dispatched"
     granted = [row["endpoint"] for row in told["candidates"] if row["granted"]]
     assert told["endpoint"] in granted
@@ -169,6 +195,18 @@
     }
 
 
+def test_entries_log_changes_of_state_in_json(site):
+    for _ in range(3):
+        assert site.complete("entry-1").read()
+    for name in site.file.entry_ports:
+        text = site.file.path.with_suffix(f".{name}.log").read_text()
+        lines = [json.loads(line) for line in text.splitlines()]
+        assert {line["entry"] for line in lines} == {name}
+        changes = {line["event"] for line in lines}
+        assert "endpoint-listed" in changes
+        assert len(lines) < 60
+
+
 def test_a_change_whose_answer_is_lost_is_made_once(site):
     before = ctl(site, "preset", "use", "ordinary", "--json").json["accepted"]
     site.control("platform", "/control/faults", lose_answers=1)
