--- a/poplarhoist/decisions/admission.py
+++ b/poplarhoist/decisions/admission.py
@@ -77,6 +77,8 @@
     expected_s = expected_wait_s(state, request, at)
     if expected_s is not None and at + expected_s > request.deadline_at:
         return Reason.NOT_READY_IN_TIME
+    if expected_s is None and lead_is_missing(state, request.base, at):
+        return Reason.NOT_READY
     by_caller = admission.waiting_by_caller.get(request.caller, 0)
     if by_caller >= max(1.0, preset.queue_limit * state.limits.caller_queue_share):
         return Reason.CALLER_QUEUE_FULL
@@ -190,20 +192,23 @@
             since.setdefault(base, at)
 
 
+def lead_is_missing(state: State, base: str, at: float) -> bool:
+    """Return whether no lead was heard of for longer than a change of leads takes."""
+    since = state.admission.no_lead_since.get(base)
+    return since is not None and at - since >= state.limits.lead_missing_s
+
+
 def without_lead(state: State, at: float) -> list[RequestState]:
-    """Return the requests that have waited for long while no lead was there to give a grant."""
+    """Return the requests that wait for a grant which no lead is there to give."""
     if not state.admission.no_lead_since:
         return []
     found = []
-    latest = at - state.limits.lead_missing_s
     for ref in state.admission.waiting_refs:
         queue = state.admission.queues[ref]
-        since = state.admission.no_lead_since.get(queue.base, at)
-        if since > latest or ref in state.grants.by_ref:
+        if not lead_is_missing(state, queue.base, at) or ref in state.grants.by_ref:
             continue
-        if queue.oldest_at() <= latest and at - queue.expected_told_at > EXPECTED_VALID_S:
-            waiting = (state.requests[request_id] for request_id in queue.members)
-            found += [request for request in waiting if request.arrived_at <= latest]
+        if at - queue.expected_told_at > EXPECTED_VALID_S:
+            found += [state.requests[request_id] for request_id in queue.members]
     return sorted(found, key=lambda request: request.arrived_at)
 
 
--- a/poplarhoist/decisions/quarantine.py
+++ b/poplarhoist/decisions/quarantine.py
@@ -207,7 +207,7 @@
     if digest is None:
         return
     if event.value is None:
-        state.quarantine.by_digest.pop(digest, None)
+        acquit(state, digest, out)
     elif event.value["convicted"]:
         convict(state, digest, out)
     else:
@@ -254,6 +254,14 @@
         del quarantine.convictions[next(iter(quarantine.convictions))]
 
 
+def acquit(state: State, digest: str, out: list[Effect]) -> None:
+    """Forget a content whose object was deleted: it is cleared, old, or an operator's choice."""
+    state.quarantine.by_digest.pop(digest, None)
+    if digest in state.quarantine.convictions:
+        del state.quarantine.convictions[digest]
+        out.append(LogChange("request-acquitted", {"digest": digest}))
+
+
 def open_trial(state: State, digest: str, trial: str, at: float, out: list[Effect]) -> None:
     """Note that a suspect is about to run alone, and tell the peers."""
     state.quarantine.trials[trial] = Trial(digest, at)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -71,8 +71,8 @@
     assert bench.store.loads == loads + 1
 
 
-@pytest.mark.parametrize("after_s", [0.0, 20.0])
-def test_without_a_lead_a_cold_adapter_is_waited_for_so_long(after_s):
+@pytest.mark.parametrize(("after_s", "wait_s"), [(0.0, Limits().lead_missing_s), (20.0, 0.0)])
+def test_without_a_lead_only_what_is_granted_is_served(after_s, wait_s):
     bench = site()
     bench.ask("entry-1", "a0"), bench.ask("entry-2", "a0"), bench.ask("entry-3", "a0")
     bench.run(2.0)
@@ -84,8 +84,8 @@
     cold = bench.ask(other, "a9", deadline_s=60.0)
     bench.run(20.0)
     assert (cold.refusal.reason, cold.refusal.ran) == (Reason.NOT_READY, Ran.NO)
-    slack_s = 0.5 if after_s else bench.limits.peer_timeout_s + 1.0
-    assert cold.ended_at - cold.asked_at <= bench.limits.lead_missing_s + slack_s
+    slack_s = bench.limits.peer_timeout_s + 1.0
+    assert cold.ended_at - cold.asked_at <= wait_s + (slack_s if wait_s else 0.0)
 
 
 def test_resident_adapters_are_served_without_lead_and_platform():
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -231,6 +231,17 @@
     assert ask_poison(bench, "new-1").refusal.reason is Reason.QUARANTINED
 
 
+def test_deleting_the_object_lifts_a_conviction():
+    bench = site()
+    ask_poison(bench, "entry-1")
+    bench.run(15.0)
+    bench.platform.write(store.SUSPECT_PREFIX + POISON, None)
+    bench.run(1.0)
+    asked = [bench.ask(name, "a0", digest=POISON) for name in bench.entries]
+    bench.run(5.0)
+    assert all(item.completed for item in asked)
+
+
 def test_suspects_are_written_down_as_soon_as_the_platform_is_back():
     bench = site()
     bench.platform.outage = True
