--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 from poplarhoist.entry.http import nothing_listens
 from poplarhoist.models import Ran, Reason
 from poplarhoist.replay.bench import Bench
+from poplarhoist.standins.engine import POISON as POISON_PROMPT
 
 POISON = "poison"
 MOST_LOST = 2
@@ -305,3 +306,17 @@
         pool.request("GET", url)
     assert nothing_listens(refused.value)
     assert not nothing_listens(urllib3.exceptions.ConnectTimeoutError("timed out"))
+
+
+def test_entries_and_engines_as_processes(running_site):
+    site = running_site(entries=2, engines=3)
+    site.ctl("adapter", "create", "drafts", "--base", "base", "--wait-s", "6")
+    site.ctl("version", "publish", "drafts", "3", "--wait-s", "6")
+    body = {"model": "drafts", "prompt": POISON_PROMPT, "max_tokens": 3}
+    first = site.call("entry-1", "/v1/completions", body)
+    assert (first.status, first.json()["ran"]) == (422, "unknown"), first.json()
+    again = site.call("entry-2", "/v1/completions", body)
+    assert (again.status, again.json()["ran"]) == (422, "no"), again.json()
+    crashed = [site.state(name)["crashes"] for name in site.file.engine_ports]
+    assert sum(crashed) == MOST_LOST
+    assert site.complete("entry-2", "drafts", tokens=2).status == 200
