Stop an entry without cutting a connection that has come in

Ruled out: closing the listening socket under the server, which ends idle connections at once, and one that was just accepted looks idle.

--- a/poplarhoist/entry/doors.py
+++ b/poplarhoist/entry/doors.py
@@ -68,6 +68,9 @@
             # The caller gets a plain refusal; operators get the cause.
             self.core.log.exception("request-failed", path=request.path)
             response = problems.from_http(InternalServerError())
+        if self.core.state.draining:
+            # A kept connection would end with this process, maybe under a caller's next request.
+            response.headers["Connection"] = "close"
         return response(environ, start_response)
 
     def healthz(self, request: Request) -> Response:
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -7,6 +7,7 @@
 import eventlet
 import eventlet.wsgi
 import structlog
+from eventlet.greenio import GreenSocket
 
 from poplarhoist.context import Environment
 from poplarhoist.decisions import effects as fx
@@ -16,6 +17,7 @@
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.doors import Doors
 from poplarhoist.entry.endpoints import EndpointCalls
+from poplarhoist.entry.listener import StoppableListener
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import Peers
 from poplarhoist.entry.platform import HttpPlatform
@@ -57,7 +59,7 @@
         listener = eventlet.listen((me.host, me.port), backlog=BACKLOG)
         self.server = eventlet.spawn(
             eventlet.wsgi.server,
-            listener,
+            self.stoppable(listener),
             self.doors,
             log_output=False,
             debug=False,
@@ -79,9 +81,22 @@
         """Begin a graceful stop."""
         self.core.submit(ev.DrainAsked(self.core.at()))
 
+    def stoppable(self, listener: GreenSocket) -> StoppableListener:
+        """Return a listener that a graceful stop closes."""
+        self.listener = StoppableListener(listener)
+        return self.listener
+
     def stop(self, effect: fx.Stop) -> None:
         """End once the answers that are being written are out."""
-        eventlet.spawn_after(STOP_GRACE_S, self.stopped.send)
+        eventlet.spawn_n(self.close)
+
+    def close(self) -> None:
+        """Refuse new connections, answer the requests that have come, and end."""
+        self.listener.stop()
+        eventlet.sleep(STOP_GRACE_S)
+        self.listener.release()
+        self.server.wait()
+        self.stopped.send()
 
     def run(self) -> None:
         """Serve until a graceful stop is through."""
