Prove unsettled changes and the stand-ins in one process; more timings in settings

Cause: no test held the exit status of a change that is neither accepted nor refused for sure. Change: a test loses the answer and takes the platform away before the read-back.

--- a/poplarhoist/ctl/views.py
+++ b/poplarhoist/ctl/views.py
@@ -7,6 +7,7 @@
 from poplarhoist.ctl.changes import existing_adapter
 from poplarhoist.ctl.operator import Operator
 from poplarhoist.errors import EntryError, NotFoundError
+from poplarhoist.models import EndpointKind
 from poplarhoist.status import ExitStatus
 
 REFUSED = "refused"
@@ -69,7 +70,7 @@
                 "state": state,
                 "running": view["running"],
                 "waiting": view["waiting"],
-                "slots": view["slots"],
+                "slots": view["slots"] if view["kind"] == EndpointKind.ENGINE else None,
                 "resident": view["resident"],
                 "report_age_s": view["report_age_s"],
             }
--- a/poplarhoist/settings/loader.py
+++ b/poplarhoist/settings/loader.py
@@ -19,6 +19,7 @@
 GROWING_TIMINGS = (
     ("lease_renew_s", "lease_use_s"),
     ("lease_use_s", "lease_s"),
+    ("lease_s", "lead_missing_s"),
     ("heartbeat_s", "peer_timeout_s"),
     ("poll_s", "report_stale_s"),
 )
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -130,6 +130,8 @@
     retry_share: float = field(default=DEFAULTS.retry_share, validator=SHARE)
     retry_burst: float = field(default=DEFAULTS.retry_burst, validator=validators.ge(0.0))
     attempts: int = field(default=DEFAULTS.attempts, validator=validators.ge(1))
+    lead_missing_s: float = field(default=DEFAULTS.lead_missing_s, validator=POSITIVE)
+    crossing_price_s: float = field(default=DEFAULTS.crossing_price_s, validator=validators.ge(0.0))
     caller_queue_share: float = field(default=DEFAULTS.caller_queue_share, validator=SHARE)
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -7,6 +7,8 @@
 
 from poplarhoist.cli.ctl import main
 from poplarhoist.context import Environment
+from poplarhoist.decisions.revisions import INDEX_PATH
+from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.models import Preset
 from poplarhoist.publish import Publisher
 from poplarhoist.status import ExitStatus
@@ -216,6 +218,23 @@
     assert ctl(site, "preset", "use", "ordinary", "--json").json["accepted"] == before + 2
 
 
+def test_a_change_that_cannot_be_settled_is_told_as_such(site, monkeypatch):
+    put = HttpPlatform.put
+
+    def put_before_an_outage(platform, path, value, expect):
+        answer = put(platform, path, value, expect)
+        site.control("platform", "/control/faults", outage=path == INDEX_PATH)
+        return answer
+
+    site.control("platform", "/control/faults", lose_answers=1)
+    monkeypatch.setattr(HttpPlatform, "put", put_before_an_outage)
+    answer = ctl(site, "preset", "use", "ordinary")
+    site.control("platform", "/control/faults", outage=False)
+    assert answer.status == ExitStatus.UNSETTLED
+    assert "not known" in answer.err
+    assert "accepted as" not in answer.out
+
+
 def rival_first(monkeypatch, change) -> None:
     """Let another operator's change come in just before the next swap of the index."""
     new_index = Publisher.new_index
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.site import TOKEN
+from tests.site import TOKEN, RunningSite, SiteFile, wait_until
 
 
 def test_whole_path(running_site):
@@ -42,3 +42,18 @@
     assert answer.status == status
     problem = answer.json()
     assert (problem["reason"], problem["ran"]) == (reason, "no")
+
+
+def test_all_stand_ins_in_one_process(tmp_path):
+    site = RunningSite(SiteFile(tmp_path / "one.toml", entries=1))
+    try:
+        site.spawn("stand-ins", "standin", "site", "--settings", str(site.file.path))
+        wait_until(lambda: site.answers(site.file.platform_port, "/control/state"))
+        site.configure()
+        site.start_entry("entry-1")
+        site.wait_ready("entry-1")
+        assert site.complete("entry-1").status == 200
+        booked = site.call("entry-1", "/services/booking/book", {}, Idempotency_Key="k")
+        assert booked.json()["run"] == 1
+    finally:
+        site.stop()
