Tune placement by replayed traces: longer memory, slots ahead, fuller batches where they weigh

Tried one after the other: half-life of demand 30, 120, 400 s; credit for waiting callers 0, 2, 10 s; 0, 2, 6 slots drained ahead; no replicas; burst 1 and 2 s of the rate. Change: 400 s, no credit, up to 6 slots ahead, a burst of half the in-flight bound; loads go to the fuller engine where batches weigh more than stalls.

--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -18,9 +18,7 @@
 if TYPE_CHECKING:
     from poplarhoist.decisions.state import State
 
-DEMAND_HALF_LIFE_S = 120.0
-WAITING_CREDIT_S = 0.1
-WAITING_CREDIT_MAX = 16
+DEMAND_HALF_LIFE_S = 400.0
 PRIORITY_CREDIT_S = 2.0
 
 
@@ -181,9 +179,7 @@
 
     def urgency(self) -> tuple[float, float]:
         """Return the place in the queue of loads; the smallest goes first."""
-        credit_s = WAITING_CREDIT_S * min(WAITING_CREDIT_MAX, self.waiting)
-        credit_s += PRIORITY_CREDIT_S * self.priority
-        return (self.oldest_at - credit_s, -self.score)
+        return (self.oldest_at - PRIORITY_CREDIT_S * self.priority, -self.score)
 
 
 @define
--- a/poplarhoist/decisions/budget.py
+++ b/poplarhoist/decisions/budget.py
@@ -10,7 +10,7 @@
     from poplarhoist.decisions.board import Board
     from poplarhoist.decisions.state import State
 
-BURST_S = 1.0
+BURST_SHARE = 0.5
 STORE_DOWN_FAILURES = 3
 PROBE_BACKOFF_S = 0.5
 PROBE_BACKOFF_MAX_S = 8.0
@@ -79,7 +79,7 @@
     per_s = rate(state, board, at)
     passed_s = at - budget.filled_at
     budget.filled_at = at
-    most = max(1.0, per_s * BURST_S)
+    most = max(1.0, in_flight_limit(state, board, at) * BURST_SHARE)
     budget.tokens = min(most, budget.tokens + passed_s * per_s)
     spare_per_s = per_s * state.config.preset.spare_loads
     budget.spare = min(1.0, budget.spare + passed_s * spare_per_s)
--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -25,11 +25,11 @@
     from poplarhoist.decisions.state import State
     from poplarhoist.models import AdapterRef
 
-CLEAN_AHEAD = 2
+CLEAN_AHEAD = 6
+CLEAN_SHARE = 8
 DRAINS_PER_ENGINE = 2
 STAY_S = 0.5
 VICTIMS_LOOKED_AT = 32
-REPLICA_DISCOUNT = 2.0
 
 
 def worth(board: Board, slot: Slot) -> float:
@@ -38,8 +38,7 @@
     if demand is None:
         return float("-inf")
     replicas = len(board.engines_by_ref.get(slot.ref, ()))
-    shared = math.log2(replicas) * REPLICA_DISCOUNT if replicas > 1 else 0.0
-    return demand.worth() - shared
+    return demand.worth() - math.log2(max(1, replicas))
 
 
 def add_victim(board: Board, engine: EngineBoard, slot: Slot) -> None:
@@ -120,7 +119,8 @@
 def drain_ahead(state: State, board: Board, at: float, out: list[Effect]) -> None:
     """Drain some slots that nobody holds, so that the next load finds one at once."""
     draining = sum(1 for pair in board.draining if serves_loads(board, pair))
-    missing = CLEAN_AHEAD - draining - len(board.ready_free)
+    wanted = min(CLEAN_AHEAD, max(1, board.capacity // CLEAN_SHARE))
+    missing = wanted - draining - len(board.ready_free)
     for _ in range(missing):
         found = find_victim(state, board, at, idle=True)
         if found is None:
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -31,6 +31,7 @@
 DRAIN_SHARE = 4
 REGION_COST = 0.5
 AHEAD_MARGIN = 0.5
+FULL_LOAD = 0.75
 WARM_SCORE = 1.0
 
 
@@ -230,7 +231,7 @@
     for ready in (board.ready_free, board.ready_clean):
         names = list(itertools.islice(ready, CANDIDATES))
         engines = [board.engines[name] for name in names if may_take(state, board, name, ref, at)]
-        engines.sort(key=lambda e: e.load + REGION_COST * (e.region != region))
+        engines.sort(key=lambda e: cost(state, e) + REGION_COST * (e.region != region))
         for engine in engines:
             if len(engine.slots) < engine.capacity:
                 return engine, None
@@ -240,6 +241,16 @@
     return None
 
 
+def cost(state: State, engine: EngineBoard) -> float:
+    """Return what counts against an engine: its load, or the lack of it if batches weigh more."""
+    if engine.load >= FULL_LOAD:
+        return 1.0 + engine.load
+    preset = state.config.preset
+    if preset.batch_weight > preset.stall_weight:
+        return -engine.load
+    return engine.load
+
+
 def may_take(state: State, board: Board, name: str, ref: AdapterRef, at: float) -> bool:
     """Return whether an engine may load an adapter version now."""
     engine = board.engines[name]
