Give the baselines the burst that the decisions have now

Change: the baselines use the same bound. Conclusion: the bound has to stay one, or the comparison is not fair.

--- a/poplarhoist/replay/baselines.py
+++ b/poplarhoist/replay/baselines.py
@@ -3,7 +3,7 @@
 import bisect
 import random
 
-from poplarhoist.decisions.budget import BURST_S
+from poplarhoist.decisions.budget import BURST_SHARE
 from poplarhoist.decisions.effects import OrderKind, SendOrder
 from poplarhoist.decisions.events import OrderOutcome, Outcome
 from poplarhoist.decisions.membership import rank
@@ -176,7 +176,10 @@
         """Add to the loads allowed by the store's rate."""
         rate = self.shape.loads_per_s
         now = self.clock.seconds
-        self.tokens = min(max(1.0, rate * BURST_S), self.tokens + (now - self.tokens_at) * rate)
+        self.tokens = min(
+            max(1.0, self.in_flight_limit * BURST_SHARE),
+            self.tokens + (now - self.tokens_at) * rate,
+        )
         self.tokens_at = now
 
     def start_load(self, ref: str, engine: FakeEngine, victim: str | None) -> None:
