Runs that must not repeat hold through lost answers, deaths and outages

Cause: a record whose claim's answer was lost could land after the read-back and block its key for ever; a call that was given up left its record and its entry's drain hanging; a holder restarted under its name still counted as working; the last write was tried once; a caller and key with slashes could share a record with others; nothing deleted old records.

Ruled out: rewriting another holder's record on its death (it may only be paused); group commit by key shard (docs/design/runs.md).

--- a/poplarhoist/decisions/effects.py
+++ b/poplarhoist/decisions/effects.py
@@ -81,6 +81,14 @@
     nonce: str
 
 
+@frozen
+class RunSweep:
+    """Purpose: list a shard of records, or read or delete the old one at ``path``."""
+
+    path: str = ""
+    deleted: bool = False
+
+
 Purpose = (
     LeaseRead
     | LeaseWrite
@@ -91,6 +99,7 @@
     | RunCreate
     | RunRead
     | RunFinish
+    | RunSweep
 )
 
 
--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -38,6 +38,9 @@
         Retries allowed at once on top of that.
     attempts : int
         Attempts of one request at most.
+    run_retention_s, run_sweep_s : float
+        Time for which the record of a call that must not repeat is kept, and time in which the
+        entries together look through all records for old ones.
     caller_queue_share : float
         Share of the queue that one caller may fill.
     crossing_bytes_per_s : float
@@ -60,5 +63,7 @@
     retry_share: float = 0.1
     retry_burst: float = 10.0
     attempts: int = 4
+    run_retention_s: float = 86_400.0
+    run_sweep_s: float = 21_600.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -17,6 +17,7 @@
     revisions,
     routing,
     runs,
+    sweeping,
 )
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
@@ -66,6 +67,8 @@
     placement.on_tick(state, event.at, out)
     grants.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
+    runs.on_tick(state, event.at, out)
+    sweeping.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
     stop_when_idle(state, out)
 
@@ -100,7 +103,9 @@
     elif isinstance(purpose, fx.RunRead):
         requests.on_run_read(state, event, out)
     elif isinstance(purpose, fx.RunFinish):
-        runs.on_finished(state, event)
+        runs.on_finished(state, event, out)
+    elif isinstance(purpose, fx.RunSweep):
+        sweeping.on_answer(state, event, out)
 
 
 def on_peer(state: State, event: ev.PeerSaid, out: list[Effect]) -> None:
--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -213,8 +213,10 @@
     release(state, request, event.at, out)
     out.append(Count("attempt_ended", (event.outcome,)))
     if event.outcome in (Outcome.COMPLETED, Outcome.FAILED, Outcome.CANCELLED):
-        if event.outcome is not Outcome.CANCELLED:
-            runs.finish(state, request.request_id, event.record, out)
+        if event.outcome is Outcome.CANCELLED:
+            runs.on_refused(state, request.request_id, Ran.UNKNOWN, event.at, out)
+        else:
+            runs.finish(state, request.request_id, event.record, event.at, out)
         del state.requests[event.request_id]
     elif event.outcome in (Outcome.NOT_SENT, Outcome.REFUSED):
         after_refused(state, request, event, out)
@@ -290,6 +292,7 @@
 ) -> None:
     """Give a request its final refusal."""
     state.requests.pop(request.request_id, None)
+    runs.on_refused(state, request.request_id, ran, at, out)
     refuse(out, request.request_id, Refusal(reason, ran, step, request.endpoint, retry_after_s))
 
 
@@ -309,7 +312,9 @@
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
-    """Refuse waiting requests whose deadline passed."""
+    """Refuse requests whose deadline passed while they waited or were being recorded."""
+    for request in runs.expired(state, at):
+        give_up(state, request, Reason.RUN_NOT_RECORDED, Ran.NO, "record", at, out)
     for request in admission.expired(state, at):
         expected_s = admission.expected_wait_s(state, request, at) or 1.0
         admission.remove(state, request)
@@ -328,30 +333,38 @@
 
 
 def on_run_created(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Start a call whose record was created."""
-    request = state.requests.get(event.purpose.request_id)
-    if request is None:
-        return
-    created, reason = runs.on_created(state, event, out)
-    if created:
-        start(state, request, event.at, out)
-    elif reason is Reason.RUN_NOT_RECORDED:
-        give_up(state, request, reason, Ran.NO, "record", event.at, out, RETRY_AFTER_RECORD_S)
+    """Go on with a call whose record was claimed, or was not."""
+    request = recording(state, event)
+    if request is not None:
+        after_record(state, request, runs.on_claimed(state, request, event, out), event.at, out)
 
 
 def on_run_read(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Start, replay or refuse a call by the record that was read back."""
+    """Go on with a call whose record was read back."""
+    request = recording(state, event)
+    if request is not None:
+        after_record(state, request, runs.on_read(state, request, event, out), event.at, out)
+
+
+def recording(state: State, event: PlatformAnswered) -> RequestState | None:
+    """Return the request that waits for an answer about its record."""
     request = state.requests.get(event.purpose.request_id)
-    if request is None:
-        return
-    verdict = runs.judge_record(state, request, event, out)
-    if verdict is True:
-        start(state, request, event.at, out)
+    if request is None or request.stage is not Stage.RECORDING:
+        return None
+    return request
+
+
+def after_record(state: State, request: RequestState, verdict, at: float, out) -> None:
+    """Start, replay or refuse a call by its record."""
+    if verdict is runs.Verdict.WAIT:
         return
-    state.runs.by_request.pop(request.request_id, None)
     if isinstance(verdict, ReplayAnswer):
         del state.requests[request.request_id]
         out.append(verdict)
-        return
-    ran = runs.ran_of(verdict)
-    give_up(state, request, verdict, ran, "record", event.at, out, RETRY_AFTER_RECORD_S)
+    elif verdict is not runs.Verdict.START:
+        ran = runs.ran_of(verdict)
+        give_up(state, request, verdict, ran, "record", at, out, RETRY_AFTER_RECORD_S)
+    elif at >= request.deadline_at:
+        give_up(state, request, Reason.DEADLINE, Ran.NO, "record", at, out)
+    else:
+        start(state, request, at, out)
--- a/poplarhoist/decisions/runs.py
+++ b/poplarhoist/decisions/runs.py
@@ -1,11 +1,19 @@
-"""Calls that must not repeat: a create-only record before the run, the answer after it."""
+"""Calls that must not repeat: a create-only record before the run, the answer after it.
+
+A record is claimed before anything is sent to an endpoint. Its nonce tells a writer whose answer
+was lost whether the record is its own, so each write may be sent again without harm. Whatever
+becomes of the call is written into the record, and that write is repeated until it is recorded.
+"""
 
 from __future__ import annotations
 
+import enum
+import hashlib
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
+from poplarhoist import wire
 from poplarhoist.decisions.effects import (
     Count,
     PlatformGet,
@@ -23,115 +31,368 @@
     from poplarhoist.decisions.state import RequestState, State
 
 RUN_PREFIX = "runs/"
-STARTED = "started"
-DONE = "done"
+SHARD_DIGITS = 3
+DIGEST_DIGITS = 40
+ANSWER_BYTES = 900_000
+CLAIM_TRIES = 3
+RETRY_FIRST_S = 0.2
+RETRY_LONGEST_S = 5.0
+DRAIN_WAIT_S = 15.0
+
+
+class RunStage(enum.StrEnum):
+    """What a record says of its call.
+
+    STARTED: it may have run, and its holder may still wait for the answer.
+    DONE: it ran; the answer is recorded, unless it was too large.
+    NOT_RUN: it was certainly not run; a resend may run it.
+    UNKNOWN: its holder does not know whether it ran.
+    """
+
+    STARTED = "started"
+    DONE = "done"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@frozen
+class RunRecord:
+    """The record of a call on the platform.
+
+    Attributes
+    ----------
+    nonce : str
+        Chosen by the entry that wrote it, one for each request.
+    holder, boot : str
+        Name and boot id of that entry.
+    written_at : float
+        Wall time of the write in seconds since 1970.
+    kept : bool
+        Whether ``answer`` holds the answer of a call that is done.
+    """
+
+    nonce: str
+    holder: str
+    boot: str
+    caller: str
+    key: str
+    digest: str
+    stage: RunStage = RunStage.STARTED
+    written_at: float = 0.0
+    answer: str = ""
+    kept: bool = True
+
+
+class Verdict(enum.Enum):
+    """What a call does after an answer of the platform, if it is not over."""
+
+    START = enum.auto()
+    WAIT = enum.auto()
 
 
 @define
 class Run:
-    """A record that this entry created.
+    """A call that this entry has claimed or tries to claim.
 
     Attributes
     ----------
+    expect : int
+        Version that the claim replaces; 0 if there was no record.
     version : int
-        Version of the record; 0 until it is known to be created.
+        Version of the record; 0 until the claim is known to have taken effect.
+    uncertain : bool
+        Whether a claim may have taken effect without this entry's knowing.
+    closing : RunRecord or None
+        The record's last value, to be written until that worked.
+    tries : int
+        Calls of the current step so far.
+    retry_at : float or None
+        When to repeat the last call; None while one is under way or none is needed.
     """
 
     path: str
-    nonce: str
-    digest: str
+    record: RunRecord
+    expect: int = 0
     version: int = 0
-    finish: dict[str, object] | None = None
+    uncertain: bool = False
+    closing: RunRecord | None = None
+    tries: int = 0
+    retry_at: float | None = None
 
 
 @define
 class RunState:
-    """Records by request."""
+    """Claimed calls by request.
+
+    Attributes
+    ----------
+    created : int
+        Claims so far, for nonces.
+    drain_until : float or None
+        How long a graceful stop waits for records; None before it.
+    sweep_at : float or None
+        When to look for old records next.
+    """
 
     by_request: dict[str, Run] = field(factory=dict)
     created: int = 0
+    drain_until: float | None = None
+    sweep_at: float | None = None
+
+
+def record_path(caller: str, key: str) -> str:
+    """Return the path of a record, below its shard."""
+    digest = hashlib.sha256(f"{caller}\0{key}".encode()).hexdigest()[:DIGEST_DIGITS]
+    return f"{RUN_PREFIX}{digest[:SHARD_DIGITS]}/{digest[SHARD_DIGITS:]}"
 
 
 def begin(state: State, request: RequestState, out: list[Effect]) -> None:
-    """Create the record of a call, before anything is sent to an endpoint."""
+    """Claim the record of a call, before anything is sent to an endpoint."""
     state.runs.created += 1
-    nonce = f"{state.boot}/{state.runs.created}"
-    path = f"{RUN_PREFIX}{request.caller}/{request.key}"
-    run = Run(path, nonce, request.digest)
+    record = RunRecord(
+        nonce=f"{state.boot}/{state.runs.created}",
+        holder=state.me.name,
+        boot=state.boot,
+        caller=request.caller,
+        key=request.key,
+        digest=request.digest,
+        written_at=request.arrived_at + state.wall_offset_s,
+    )
+    run = Run(record_path(request.caller, request.key), record)
     state.runs.by_request[request.request_id] = run
-    value = record(state, run, STARTED, "")
-    out.append(PlatformPut(path, value, 0, RunCreate(request.request_id, nonce)))
+    claim(run, request.request_id, out)
 
 
-def record(state: State, run: Run, stage: str, answer: str) -> dict[str, object]:
-    """Return the record's value."""
-    return {
-        "nonce": run.nonce,
-        "holder": state.me.name,
-        "digest": run.digest,
-        "stage": stage,
-        "answer": answer,
-    }
+def claim(run: Run, request_id: str, out: list[Effect]) -> None:
+    """Write the record, if nobody else wrote it since."""
+    run.tries += 1
+    purpose = RunCreate(request_id, run.record.nonce)
+    out.append(PlatformPut(run.path, wire.dump(run.record), run.expect, purpose))
 
 
-def on_created(state: State, event: PlatformAnswered, out: list[Effect]) -> tuple[bool, Reason]:
-    """Return whether the run may start, or else why the request is refused."""
-    run = state.runs.by_request[event.purpose.request_id]
-    if event.status is CallStatus.OK:
-        run.version = event.version
-        return True, Reason.RUN_NOT_RECORDED
-    if event.status is CallStatus.REFUSED:
-        del state.runs.by_request[event.purpose.request_id]
-        return False, Reason.RUN_NOT_RECORDED
-    out.append(PlatformGet(run.path, RunRead(event.purpose.request_id, run.nonce)))
-    return False, Reason.RUN_IN_PROGRESS
+def read_back(run: Run, request_id: str, out: list[Effect]) -> None:
+    """Read the record after a claim whose answer was lost."""
+    out.append(PlatformGet(run.path, RunRead(request_id, run.record.nonce)))
 
 
-def judge_record(state: State, request: RequestState, event: PlatformAnswered, out) -> object:
-    """Compare a record that was read back with this call.
+def on_claimed(
+    state: State, request: RequestState, event: PlatformAnswered, out: list[Effect]
+) -> Verdict | Reason | ReplayAnswer:
+    """Take the end of a claim.
 
     Returns
     -------
-    bool or Reason or ReplayAnswer
-        True if the record is this call's own, an effect if the answer is recorded, or the
-        reason for a refusal.
+    Verdict or Reason or ReplayAnswer
+        Whether to start or wait, or else the reason for a refusal or the recorded answer.
     """
     run = state.runs.by_request[request.request_id]
-    if event.status is not CallStatus.OK:
+    if event.status is CallStatus.OK:
+        run.version = event.version
+        return Verdict.START
+    if event.status is CallStatus.REFUSED:
+        return Reason.RUN_NOT_RECORDED
+    if event.status is CallStatus.CONFLICT and event.value is not None:
+        return judge(state, request, run, event, out)
+    run.uncertain = run.uncertain or event.status is CallStatus.UNKNOWN
+    read_back(run, request.request_id, out)
+    return Verdict.WAIT
+
+
+def on_read(
+    state: State, request: RequestState, event: PlatformAnswered, out: list[Effect]
+) -> Verdict | Reason | ReplayAnswer:
+    """Take a record that was read back after a claim; returns as ``on_claimed``."""
+    run = state.runs.by_request[request.request_id]
+    if event.status is CallStatus.OK:
+        return judge(state, request, run, event, out)
+    if event.status is CallStatus.REFUSED or run.tries >= CLAIM_TRIES:
         return Reason.RUN_NOT_RECORDED
-    value = event.value
-    if value["nonce"] == run.nonce:
+    if event.status is CallStatus.NOT_FOUND:
+        run.expect = 0
+    # The lost claim may still take effect. The same nonce lets only one of the two do so.
+    claim(run, request.request_id, out)
+    return Verdict.WAIT
+
+
+def judge(
+    state: State, request: RequestState, run: Run, event: PlatformAnswered, out: list[Effect]
+) -> Verdict | Reason | ReplayAnswer:
+    """Compare the record that is there with this call."""
+    found = parse_record(event.value)
+    if found is None:
+        out.append(Count("run_record_malformed", ()))
+        return abandon(state, request, Reason.RUN_UNKNOWN)
+    if found.nonce == run.record.nonce:
         run.version = event.version
-        return True
-    if value["digest"] != run.digest:
-        return Reason.KEY_REUSED
-    if value["stage"] == DONE:
-        return ReplayAnswer(request.request_id, value["answer"])
-    holder = value["holder"]
-    if holder == state.me.name or holder in state.members.peers:
-        return Reason.RUN_IN_PROGRESS
-    return Reason.RUN_UNKNOWN
+        return Verdict.START
+    if found.digest != run.record.digest:
+        return abandon(state, request, Reason.KEY_REUSED)
+    if found.stage is RunStage.NOT_RUN:
+        return take_over(run, request, event.version, out)
+    if found.stage is RunStage.DONE:
+        verdict = abandon(state, request, Reason.ANSWER_NOT_KEPT)
+        return ReplayAnswer(request.request_id, found.answer) if found.kept else verdict
+    in_progress = found.stage is RunStage.STARTED and holder_alive(state, found, event.at)
+    reason = Reason.RUN_IN_PROGRESS if in_progress else Reason.RUN_UNKNOWN
+    return abandon(state, request, reason)
+
+
+def parse_record(value: object) -> RunRecord | None:
+    """Return a record's value; None if it is not well formed."""
+    try:
+        return wire.load(value, RunRecord)
+    except Exception:
+        # cattrs raises groups of many kinds; all of them mean the same here.
+        return None
+
+
+def abandon(state: State, request: RequestState, reason: Reason) -> Reason:
+    """Forget a claim that lost to another record."""
+    state.runs.by_request.pop(request.request_id, None)
+    return reason
+
+
+def take_over(run: Run, request: RequestState, version: int, out: list[Effect]) -> Verdict | Reason:
+    """Claim the record of a call that was certainly not run."""
+    if run.tries >= CLAIM_TRIES:
+        return Reason.RUN_NOT_RECORDED
+    run.expect = version
+    claim(run, request.request_id, out)
+    return Verdict.WAIT
+
+
+def holder_alive(state: State, record: RunRecord, at: float) -> bool:
+    """Return whether the process that holds a record still runs."""
+    if record.holder == state.me.name:
+        nonces = (run.record.nonce for run in state.runs.by_request.values())
+        return record.boot == state.boot and record.nonce in nonces
+    peer = state.members.peers.get(record.holder)
+    if peer is None or peer.boot != record.boot:
+        return False
+    return at - peer.heard_at <= state.limits.peer_timeout_s
 
 
 def ran_of(reason: Reason) -> Ran:
     """Return what is known of the execution for a refusal by the record."""
+    if reason is Reason.ANSWER_NOT_KEPT:
+        return Ran.YES
     if reason in (Reason.RUN_IN_PROGRESS, Reason.RUN_UNKNOWN):
         return Ran.UNKNOWN
     return Ran.NO
 
 
-def finish(state: State, request_id: str, answer: str, out: list[Effect]) -> None:
+def finish(state: State, request_id: str, answer: str, at: float, out: list[Effect]) -> None:
     """Record the answer of a call."""
     run = state.runs.by_request.get(request_id)
     if run is None:
         return
-    run.finish = record(state, run, DONE, answer)
-    out.append(Count("run_recorded", ()))
-    purpose = RunFinish(request_id, run.nonce)
-    out.append(PlatformPut(run.path, run.finish, run.version, purpose))
+    kept = len(answer.encode()) <= ANSWER_BYTES
+    if not kept:
+        out.append(Count("run_answer_not_kept", ()))
+    record = evolve(run.record, stage=RunStage.DONE, answer=answer if kept else "", kept=kept)
+    close(state, request_id, record, at, out)
+
+
+def on_refused(state: State, request_id: str, ran: Ran, at: float, out: list[Effect]) -> None:
+    """Record that a call was not run, or that this is unknown, once its caller is told so."""
+    run = state.runs.by_request.get(request_id)
+    if run is None:
+        return
+    if not run.version and not run.uncertain:
+        del state.runs.by_request[request_id]
+        return
+    stage = RunStage.NOT_RUN if ran is Ran.NO else RunStage.UNKNOWN
+    close(state, request_id, evolve(run.record, stage=stage), at, out)
+
+
+def close(state: State, request_id: str, record: RunRecord, at: float, out: list[Effect]) -> None:
+    """Write a record's last value."""
+    run = state.runs.by_request[request_id]
+    run.closing = evolve(record, written_at=at + state.wall_offset_s)
+    run.tries = 0
+    write_closing(run, request_id, out)
+
+
+def write_closing(run: Run, request_id: str, out: list[Effect]) -> None:
+    """Write a record's last value over the latest known version."""
+    run.retry_at = None
+    run.tries += 1
+    expect = run.version or run.expect
+    purpose = RunFinish(request_id, run.record.nonce)
+    out.append(PlatformPut(run.path, wire.dump(run.closing), expect, purpose))
+
+
+def on_finished(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
+    """Forget a call whose last value is recorded; write it again otherwise."""
+    request_id = event.purpose.request_id
+    run = state.runs.by_request.get(request_id)
+    if run is None or run.closing is None:
+        return
+    if event.status is CallStatus.OK:
+        recorded(state, request_id, out)
+    elif event.status is CallStatus.CONFLICT and event.value is not None:
+        on_closing_conflict(state, request_id, event, out)
+    elif event.status is CallStatus.CONFLICT:
+        drop(state, request_id, out)
+    else:
+        run.retry_at = event.at + backoff_s(state, run.tries)
+
+
+def on_closing_conflict(
+    state: State, request_id: str, event: PlatformAnswered, out: list[Effect]
+) -> None:
+    """Settle a last write that met another version of the record."""
+    run = state.runs.by_request[request_id]
+    found = parse_record(event.value)
+    if found is None or found.nonce != run.record.nonce:
+        drop(state, request_id, out)
+    elif found.stage is run.closing.stage:
+        recorded(state, request_id, out)
+    else:
+        run.version = event.version
+        write_closing(run, request_id, out)
+
+
+def recorded(state: State, request_id: str, out: list[Effect]) -> None:
+    """Forget a call whose last value is on the platform."""
+    run = state.runs.by_request.pop(request_id)
+    out.append(Count("run_recorded", (run.closing.stage,)))
+
+
+def drop(state: State, request_id: str, out: list[Effect]) -> None:
+    """Give up the record of a call."""
+    run = state.runs.by_request.pop(request_id)
+    out.append(Count("run_record_lost", (run.closing.stage,)))
+
+
+def backoff_s(state: State, tries: int) -> float:
+    """Return the time until the next try, with jitter, in seconds."""
+    longest_s = min(RETRY_LONGEST_S, RETRY_FIRST_S * 2 ** min(tries, 10))
+    return longest_s * (0.5 + 0.5 * state.random.random())
+
+
+def on_tick(state: State, at: float, out: list[Effect]) -> None:
+    """Repeat last writes that are due; a graceful stop waits for them a bounded time."""
+    runs = state.runs
+    if state.draining and runs.drain_until is None:
+        runs.drain_until = at + DRAIN_WAIT_S
+    over = runs.drain_until is not None and at >= runs.drain_until
+    for request_id, run in list(runs.by_request.items()):
+        if run.closing is None:
+            continue
+        if over:
+            drop(state, request_id, out)
+        elif run.retry_at is not None and at >= run.retry_at:
+            write_closing(run, request_id, out)
 
 
-def on_finished(state: State, event: PlatformAnswered) -> None:
-    """Forget a call whose answer is recorded."""
-    if event.status in (CallStatus.OK, CallStatus.CONFLICT):
-        state.runs.by_request.pop(event.purpose.request_id, None)
+def expired(state: State, at: float) -> list[RequestState]:
+    """Return the requests whose deadline passed before their record was claimed."""
+    late = []
+    for request_id, run in state.runs.by_request.items():
+        request = state.requests.get(request_id)
+        if request is None or run.version or run.closing is not None:
+            continue
+        if at >= request.deadline_at:
+            late.append(request)
+    return late
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -64,11 +64,18 @@
 
 @define
 class State:
-    """State of one entry's decisions; only the reducer changes it."""
+    """State of one entry's decisions; only the reducer changes it.
+
+    Attributes
+    ----------
+    wall_offset_s : float
+        Wall time in seconds since 1970 minus the monotonic time of the events.
+    """
 
     me: Instance
     boot: str
     random: random.Random
+    wall_offset_s: float = 0.0
     limits: Limits = field(factory=Limits)
     services: dict[str, Service] = field(factory=dict)
     config: ConfigState = field(factory=ConfigState)
--- a/poplarhoist/entry/problems.py
+++ b/poplarhoist/entry/problems.py
@@ -27,6 +27,7 @@
     Reason.KEY_REUSED: 422,
     Reason.RUN_IN_PROGRESS: 409,
     Reason.RUN_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 409,
 }
 UNAVAILABLE = 503
 
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -39,6 +39,7 @@
             me=me,
             boot=uuid.uuid4().hex[:12],
             random=random.Random(),
+            wall_offset_s=env.clock.now().timestamp() - env.clock.monotonic(),
             limits=to_limits(site),
             services=to_services(site),
         )
--- a/poplarhoist/models.py
+++ b/poplarhoist/models.py
@@ -233,6 +233,7 @@
     """Whether a refused request was run."""
 
     NO = "no"
+    YES = "yes"
     UNKNOWN = "unknown"
 
 
@@ -261,6 +262,7 @@
     RUN_IN_PROGRESS = "run-in-progress"
     RUN_UNKNOWN = "run-unknown"
     RUN_NOT_RECORDED = "run-not-recorded"
+    ANSWER_NOT_KEPT = "answer-not-kept"
     CALLER_LEFT = "caller-left"
 
 
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -18,8 +18,11 @@
 
     Attributes
     ----------
-    outage, lose_answers, slow_s
-        Faults: refuse all calls; let so many writes take effect without an answer; add seconds.
+    outage, lose_answers, slow_s, hang
+        Faults: refuse all calls; let so many writes take effect without an answer; add seconds;
+        leave all calls without effect or answer.
+    late_writes : list
+        Fault: the next writes get no answer and take effect so many seconds later.
     """
 
     clock: VirtualClock
@@ -28,6 +31,8 @@
     outage: bool = False
     lose_answers: int = 0
     slow_s: float = 0.0
+    hang: bool = False
+    late_writes: list[float] = field(factory=list)
     list_lag_s: float = 0.0
     calls: dict[str, int] = field(factory=dict)
     watchers: list[Callable[[str, int, object], None]] = field(factory=list)
@@ -37,6 +42,11 @@
         self.count("put")
         if self.outage:
             return CallStatus.REFUSED, 0, None
+        if self.hang:
+            return CallStatus.UNKNOWN, 0, None
+        if self.late_writes:
+            self.clock.after(self.late_writes.pop(0), lambda: self.put(path, value, expect))
+            return CallStatus.UNKNOWN, 0, None
         version, current = self.objects.get(path, (0, None))
         if version != expect:
             return CallStatus.CONFLICT, version, current
@@ -66,6 +76,8 @@
         self.count("get")
         if self.outage:
             return CallStatus.REFUSED, 0, None
+        if self.hang:
+            return CallStatus.UNKNOWN, 0, None
         if path not in self.objects:
             return CallStatus.NOT_FOUND, 0, None
         version, value = self.objects[path]
