--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -61,7 +61,7 @@
     store_in_flight: int = 8
     load_s: float = 0.25
     retry_share: float = 0.1
-    retry_burst: float = 10.0
+    retry_burst: float = 32.0
     attempts: int = 4
     run_retention_s: float = 86_400.0
     run_sweep_s: float = 21_600.0
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -6,25 +6,37 @@
 from attrs import define, field
 
 from poplarhoist.decisions.admission import AdmissionState
+from poplarhoist.decisions.board import Board
 from poplarhoist.decisions.grants import GrantState, Held
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import MembershipState
-from poplarhoist.decisions.placement import Board
 from poplarhoist.decisions.quarantine import QuarantineState
 from poplarhoist.decisions.retries import RetryState
 from poplarhoist.decisions.revisions import ConfigState
 from poplarhoist.decisions.routing import RoutingState
 from poplarhoist.decisions.runs import RunState
+from poplarhoist.decisions.turns import TurnState
 from poplarhoist.models import AdapterRef, Instance, Service
 
 
 class Stage(enum.StrEnum):
-    """Where a request stands."""
+    """Where a request stands.
+
+    RECORDING: its record is being created.
+    WAITING: it waits for a grant or for room.
+    RUNNING: an attempt is under way.
+    BACKOFF: it waits before another attempt.
+    CHECKING: it waits to learn whether its endpoint died.
+    ISOLATING: it waits to run alone.
+    """
 
     RECORDING = "recording"
     WAITING = "waiting"
     RUNNING = "running"
+    BACKOFF = "backoff"
+    CHECKING = "checking"
+    ISOLATING = "isolating"
 
 
 @define
@@ -39,6 +51,16 @@
         Number of the latest attempt; 0 before the first.
     repeat : bool
         Whether the request may run again after it may have run.
+    may_have_run : bool
+        Whether an earlier attempt may have run.
+    deadline_at, caller_deadline_at : float
+        Until when it waits for an adapter, and until when its caller waits at all.
+    boot : str
+        Boot id of the endpoint at the latest dispatch; empty if not known.
+    alone : bool
+        Whether the latest attempt runs alone on its endpoint.
+    avoid : set
+        Endpoints that failed it; others are tried first.
     """
 
     request_id: str
@@ -54,9 +76,13 @@
     size: int = 0
     key: str = ""
     repeat: bool = True
+    may_have_run: bool = False
     stage: Stage = Stage.WAITING
     attempt: int = 0
     endpoint: str = ""
+    caller_deadline_at: float = 0.0
+    boot: str = ""
+    alone: bool = False
     dispatched_at: float = 0.0
     held: Held | None = None
     avoid: set[str] = field(factory=set)
@@ -87,6 +113,7 @@
     routing: RoutingState = field(factory=RoutingState)
     retries: RetryState = field(factory=RetryState)
     quarantine: QuarantineState = field(factory=QuarantineState)
+    turns: TurnState = field(factory=TurnState)
     runs: RunState = field(factory=RunState)
     requests: dict[str, RequestState] = field(factory=dict)
     draining: bool = False
