Revisions are put in force whole or not at all, and passed on among entries

Cause: a page that is not well formed raised out of the reducer with the old pages already dropped; a missing page was asked for twice a second for ever; a peer behind got the whole index at every heartbeat from everybody; a fresh entry in an outage knew no peers; a first swap that landed late made its own writer lose to itself; two changes in one page refused each other; old pages stayed for ever.

Ruled out: deleting shared pages by grace alone (a writer that finds a page there may name it while another deletes it), so pages hold their change's id.

--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -20,6 +21,11 @@
 
 INSTANCE_PREFIX = "instances/"
 ENDPOINT_PREFIX = "endpoints/"
+LEAVING_TOLD_S = 5.0
+FLAP_FIRST_S = 1.0
+FLAP_LONGEST_S = 30.0
+FLAP_FORGOTTEN_S = 60.0
+OLD_BOOTS = 4
 
 
 @define
@@ -32,6 +38,16 @@
         When its last message arrived; minus infinity before the first.
     sequence : int
         Number of its last batch that was taken.
+    notice_at : float or None
+        When to tell it of the index in force here; None while it is not behind.
+    old_boots : deque
+        Boot ids of its earlier processes, whose late messages are dropped.
+    silent : bool
+        Whether it was heard before but not lately.
+    trusted_at : float
+        When it counts as live again after it fell silent.
+    flap_s : float
+        How long it had to be heard the last time before it counted as live again.
     """
 
     instance: Instance
@@ -40,6 +56,11 @@
     sequence: int = 0
     revision: int = 0
     draining: bool = False
+    notice_at: float | None = None
+    old_boots: deque[str] = field(factory=lambda: deque(maxlen=OLD_BOOTS))
+    silent: bool = False
+    trusted_at: float = float("-inf")
+    flap_s: float = 0.0
 
 
 @define
@@ -50,24 +71,39 @@
     ----------
     sampled_at : float
         Latest time at which the last report can have been sampled; minus infinity before it.
-    asked_at : float
-        When the poll of the last report that was read here was sent.
     leaving : bool
         Whether the endpoint takes no new work.
+    leaving_at : float
+        When that was learnt last; a report sampled before it does not revoke it.
+    leaving_told : bool
+        Whether a peer told it, who tells the others as well.
     silent_since : float or None
         When polls began to fail; None while they succeed.
+    poll_at : float
+        When the next poll is due; an earlier entry in the heap is stale.
     """
 
     endpoint: Endpoint
     report: EndpointReport | None = None
     sampled_at: float = float("-inf")
     leaving: bool = False
+    leaving_at: float = float("-inf")
+    leaving_told: bool = False
     silent_since: float | None = None
+    poll_at: float = 0.0
 
 
 @define
 class MembershipState:
-    """Peers and endpoints by name, and what is due."""
+    """Peers and endpoints by name, and what is due.
+
+    Attributes
+    ----------
+    cut : bool
+        Whether the platform's lists do not reach this entry.
+    ask_at : float or None
+        When to ask a peer for the lists next; None before the first tick.
+    """
 
     peers: dict[str, Peer] = field(factory=dict)
     endpoints: dict[str, EndpointView] = field(factory=dict)
@@ -76,12 +112,18 @@
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
+    cut: bool = True
+    ask_at: float | None = None
 
 
 def live_entries(state: State, at: float) -> list[str]:
-    """Return the names of the entries heard of lately, this one among them."""
+    """Return the names of the entries heard of lately and steadily, this one among them."""
     oldest = at - state.limits.peer_timeout_s
-    names = [name for name, peer in state.members.peers.items() if peer.heard_at >= oldest]
+    names = [
+        name
+        for name, peer in state.members.peers.items()
+        if peer.heard_at >= oldest and peer.trusted_at <= at
+    ]
     return [*names, state.me.name]
 
 
@@ -106,6 +148,7 @@
 
 def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
     """Take a change of the platform's lists."""
+    state.members.cut = False
     if event.path.startswith(INSTANCE_PREFIX):
         take_instance(state, event, out)
     elif event.path.startswith(ENDPOINT_PREFIX):
@@ -121,7 +164,26 @@
         if state.members.peers.pop(name, None):
             out.append(LogChange("peer-gone", {"peer": name}))
         return
-    instance = wire.load(event.value, Instance)
+    instance = load_member(event.value, Instance, out)
+    if instance is not None:
+        put_instance(state, instance, out)
+
+
+def load_member(value: object, kind: type, out: list[Effect]) -> Instance | Endpoint | None:
+    """Return a member that the platform lists; None if it is not well formed."""
+    try:
+        return wire.load(value, kind)
+    except Exception:
+        # cattrs raises groups of many kinds; the member stays as it was.
+        out.append(Count("member_malformed", (kind.__name__.lower(),)))
+        return None
+
+
+def put_instance(state: State, instance: Instance, out: list[Effect]) -> None:
+    """Add or change a peer."""
+    name = instance.name
+    if name == state.me.name:
+        return
     peer = state.members.peers.get(name)
     if peer is None:
         state.members.peers[name] = Peer(instance)
@@ -140,16 +202,31 @@
             index_for(members, view.endpoint).discard(name)
             out.append(LogChange("endpoint-gone", {"endpoint": name}))
         return
-    endpoint = wire.load(event.value, Endpoint)
+    endpoint = load_member(event.value, Endpoint, out)
+    if endpoint is not None:
+        put_endpoint(state, endpoint, event.at, out)
+
+
+def put_endpoint(state: State, endpoint: Endpoint, at: float, out: list[Effect]) -> None:
+    """Add or change an endpoint."""
+    members = state.members
+    name = endpoint.name
     view = members.endpoints.get(name)
     if view is None:
         view = members.endpoints[name] = EndpointView(endpoint)
-        heapq.heappush(members.poll_due, (event.at, name))
+        schedule_poll(members, name, at)
         out.append(LogChange("endpoint-listed", {"endpoint": name}))
+    index_for(members, view.endpoint).discard(name)
     view.endpoint = endpoint
     index_for(members, endpoint).add(name)
     if endpoint.state is not Liveness.LIVE:
-        mark_leaving(state, name, "platform", out)
+        mark_leaving(state, name, "platform", at, out)
+
+
+def schedule_poll(members: MembershipState, name: str, at: float) -> None:
+    """Make a poll due in place of any earlier one."""
+    members.endpoints[name].poll_at = at
+    heapq.heappush(members.poll_due, (at, name))
 
 
 def index_for(members: MembershipState, endpoint: Endpoint) -> set[str]:
@@ -159,12 +236,25 @@
     return members.services_by_name.setdefault(endpoint.serves, set())
 
 
-def mark_leaving(state: State, name: str, source: str, out: list[Effect]) -> None:
-    """Give an endpoint no new work from now on."""
+def mark_leaving(state: State, name: str, source: str, at: float, out: list[Effect]) -> None:
+    """Give an endpoint no new work from now on.
+
+    Parameters
+    ----------
+    source : str
+        What tells so: ``platform``, ``report``, ``refusal``, or the name of a peer.
+    """
     view = state.members.endpoints.get(name)
-    if view is None or view.leaving:
+    if view is None:
+        return
+    told = source in state.members.peers
+    if not told:
+        view.leaving_at = at
+    if view.leaving:
         return
     view.leaving = True
+    view.leaving_at = at
+    view.leaving_told = told
     out.append(LogChange("endpoint-leaving", {"endpoint": name, "source": source}))
 
 
@@ -176,11 +266,10 @@
     restarted = view.report is not None and view.report.boot != report.boot
     view.report = report
     view.sampled_at = sampled_at
-    view.silent_since = None
-    if report.state is Liveness.LIVE and view.endpoint.state is Liveness.LIVE:
+    if report.state is not Liveness.LIVE:
+        mark_leaving(state, report.endpoint, "report", sampled_at, out)
+    elif view.endpoint.state is Liveness.LIVE and sampled_at > view.leaving_at:
         view.leaving = False
-    elif report.state is not Liveness.LIVE:
-        mark_leaving(state, report.endpoint, "report", out)
     if restarted:
         out.append(LogChange("endpoint-restarted", {"endpoint": report.endpoint}))
     return True
@@ -189,12 +278,22 @@
 def on_reported(state: State, event: EndpointReported, out: list[Effect]) -> bool:
     """Take a report that was polled here and keep it for the peers."""
     sampled_at = event.asked_at - event.report.age_s
+    note_answer(state, event, out)
     if not take_report(state, event.report, sampled_at, out):
         return False
     state.members.fresh_reports[event.report.endpoint] = (event.report, sampled_at)
     return True
 
 
+def note_answer(state: State, event: EndpointReported, out: list[Effect]) -> None:
+    """Note that an endpoint answers polls from here."""
+    view = state.members.endpoints.get(event.report.endpoint)
+    if view is None or view.silent_since is None or event.asked_at < view.silent_since:
+        return
+    view.silent_since = None
+    out.append(LogChange("endpoint-answers", {"endpoint": event.report.endpoint}))
+
+
 def on_silent(state: State, name: str, at: float, out: list[Effect]) -> None:
     """Note that an endpoint does not answer polls."""
     view = state.members.endpoints.get(name)
@@ -213,25 +312,56 @@
     if event.boot == peer.boot and event.sequence < peer.sequence:
         out.append(Count("peer_message_dropped", ("out-of-order",)))
         return False
+    if event.boot in peer.old_boots:
+        out.append(Count("peer_message_dropped", ("old-boot",)))
+        return False
+    if peer.boot and peer.boot != event.boot:
+        peer.old_boots.append(peer.boot)
+        out.append(LogChange("peer-restarted", {"peer": event.sender}))
+    note_heard(peer, event.at, out)
     peer.boot = event.boot
     peer.sequence = event.sequence
     peer.heard_at = event.at
     return True
 
 
-def on_heartbeat(state: State, sender: str, message: Heartbeat, out: list[Effect]) -> None:
+def note_heard(peer: Peer, at: float, out: list[Effect]) -> None:
+    """Let a peer that was silent count as live again, later the more often this happens."""
+    if not peer.silent:
+        return
+    peer.silent = False
+    if at - peer.trusted_at > FLAP_FORGOTTEN_S:
+        peer.flap_s = 0.0
+    peer.flap_s = min(FLAP_LONGEST_S, max(FLAP_FIRST_S, 2 * peer.flap_s))
+    peer.trusted_at = at + peer.flap_s
+    out.append(LogChange("peer-heard-again", {"peer": peer.instance.name}))
+
+
+def note_silent_peers(state: State, at: float, out: list[Effect]) -> None:
+    """Note which peers were not heard lately."""
+    for name, peer in state.members.peers.items():
+        heard = peer.heard_at > float("-inf")
+        if heard and not peer.silent and at - peer.heard_at > state.limits.peer_timeout_s:
+            peer.silent = True
+            out.append(LogChange("peer-silent", {"peer": name}))
+
+
+def on_heartbeat(
+    state: State, sender: str, message: Heartbeat, at: float, out: list[Effect]
+) -> None:
     """Take a peer's sign of life."""
     peer = state.members.peers[sender]
     peer.revision = message.revision
     peer.draining = message.draining
     for name in message.leaving:
-        mark_leaving(state, name, sender, out)
+        mark_leaving(state, name, sender, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Send heartbeats and poll endpoints that are due."""
     if at >= state.members.heartbeat_due:
         state.members.heartbeat_due = at + state.limits.heartbeat_s
+        note_silent_peers(state, at, out)
         send_heartbeats(state, at, out)
     poll_due(state, at, out)
 
@@ -240,7 +370,11 @@
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
     leads = tuple(LeadClaim(base, board.epoch) for base, board in state.boards.items())
-    leaving = tuple(name for name, view in members.endpoints.items() if view.leaving)
+    leaving = tuple(
+        name
+        for name, view in members.endpoints.items()
+        if view.leaving and not view.leaving_told and at - view.leaving_at <= LEAVING_TOLD_S
+    )
     beat = Heartbeat(state.config.revision, state.draining, leads, leaving)
     reports = tuple(
         evolve(report, age_s=at - sampled_at)
@@ -258,12 +392,13 @@
     members = state.members
     entries: list[str] | None = None
     while members.poll_due and members.poll_due[0][0] <= at:
-        _, name = heapq.heappop(members.poll_due)
+        due, name = heapq.heappop(members.poll_due)
         view = members.endpoints.get(name)
-        if view is None:
+        if view is None or view.poll_at != due:
             continue
         entries = entries or live_entries(state, at)
         watched = rank(name, entries)[0] == state.me.name
-        if watched or at - view.sampled_at >= state.limits.report_stale_s:
+        stale = at - view.sampled_at >= state.limits.report_stale_s
+        if watched or stale or view.silent_since is not None:
             out.append(PollEndpoint(name))
-        heapq.heappush(members.poll_due, (at + state.limits.poll_s, name))
+        schedule_poll(members, name, at + state.limits.poll_s)
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -9,7 +9,7 @@
 
 from attrs import frozen
 
-from poplarhoist.models import AdapterRef, EndpointReport, Index
+from poplarhoist.models import AdapterRef, Endpoint, EndpointReport, Index, Instance
 
 
 @frozen
@@ -31,7 +31,7 @@
     leads : tuple
         Base models that the sender leads.
     leaving : tuple
-        Names of endpoints that the sender saw leaving.
+        Names of endpoints that the sender itself saw leaving lately.
     """
 
     revision: int
@@ -264,6 +264,19 @@
     text: str
 
 
+@frozen
+class MembersWanted:
+    """Asks a peer for the lists that the platform does not give."""
+
+
+@frozen
+class MembersCopy:
+    """Answers MembersWanted with the entries and endpoints that the sender knows."""
+
+    instances: tuple[Instance, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
 Message = (
     Heartbeat
     | Reports
@@ -283,4 +296,6 @@
     | IndexNotice
     | PageWanted
     | PageCopy
+    | MembersWanted
+    | MembersCopy
 )
--- a/poplarhoist/decisions/outcomes.py
+++ b/poplarhoist/decisions/outcomes.py
@@ -57,7 +57,7 @@
     """Take what kept the endpoint from running a request out of use, and try again."""
     cause = retries.cause_of(event)
     if cause is RetryCause.LEAVING:
-        membership.mark_leaving(state, event.endpoint, "refusal", out)
+        membership.mark_leaving(state, event.endpoint, "refusal", event.at, out)
     elif cause is RetryCause.NOT_RESIDENT:
         give_grant_back(state, request, event, out)
         out.append(PollEndpoint(event.endpoint))
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -15,6 +15,7 @@
     outcomes,
     placement,
     quarantine,
+    relay,
     requests,
     revisions,
     routing,
@@ -67,6 +68,7 @@
 def on_tick(state: State, event: ev.Tick, out: list[Effect]) -> None:
     """Let every policy do what is due."""
     membership.on_tick(state, event.at, out)
+    relay.on_tick(state, event.at, out)
     revisions.on_tick(state, event.at, out)
     leadership.on_tick(state, event.at, out)
     placement.on_tick(state, event.at, out)
@@ -130,8 +132,8 @@
     """Hand a message to the policy that it concerns."""
     match message:
         case messages.Heartbeat():
-            membership.on_heartbeat(state, sender, message, out)
-            revisions.on_peer_revision(state, sender, message.revision, out)
+            membership.on_heartbeat(state, sender, message, at, out)
+            revisions.on_peer_revision(state, sender, message.revision, at, out)
             for claim in message.leads:
                 leadership.note_epoch(state, claim.base, claim.epoch, sender, at, out)
         case messages.Reports():
@@ -177,7 +179,11 @@
         case messages.PageWanted():
             revisions.on_page_wanted(state, sender, message, out)
         case messages.PageCopy():
-            revisions.on_page_copy(state, message, out)
+            revisions.on_page_copy(state, message, at, out)
+        case messages.MembersWanted():
+            relay.on_wanted(state, sender, out)
+        case messages.MembersCopy():
+            relay.on_copy(state, message, at, out)
 
 
 def on_reported(state: State, event: ev.EndpointReported, out: list[Effect]) -> None:
@@ -238,7 +244,7 @@
     ev.AttemptEnded: outcomes.on_ended,
     ev.PlatformAnswered: on_platform,
     ev.ObjectChanged: on_object,
-    ev.WatchBroken: ignore,
+    ev.WatchBroken: lambda state, event, out: relay.on_watch_broken(state, out),
     ev.PeerSaid: on_peer,
     ev.PeerSilent: ignore,
     ev.EndpointReported: on_reported,
--- /dev/null
+++ b/poplarhoist/decisions/relay.py
@@ -0,0 +1,76 @@
+"""The platform's lists, passed on by peers to an entry that the platform does not reach.
+
+A fresh entry knows its peers from the settings until the platform lists them. What a peer passes
+on is only added: that something is gone is for the platform to say.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from attrs import evolve
+
+from poplarhoist.decisions.effects import LogChange, SendMessage
+from poplarhoist.decisions.membership import Peer, put_endpoint, put_instance
+from poplarhoist.decisions.messages import MembersCopy, MembersWanted
+from poplarhoist.models import Instance, Liveness
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+ASK_FIRST_S = 1.0
+ASK_AGAIN_S = 5.0
+
+
+def seed(state: State, instances: list[Instance]) -> None:
+    """Know peers from the settings before the platform lists them."""
+    for instance in instances:
+        if instance.name != state.me.name:
+            state.members.peers.setdefault(instance.name, Peer(instance))
+
+
+def on_watch_broken(state: State, out: list[Effect]) -> None:
+    """Rely on peers until the platform is heard again."""
+    if not state.members.cut:
+        state.members.cut = True
+        out.append(LogChange("platform-silent", {}))
+
+
+def on_tick(state: State, at: float, out: list[Effect]) -> None:
+    """Ask a peer for the lists while the platform does not give them."""
+    members = state.members
+    if members.ask_at is None or not members.cut:
+        members.ask_at = at + ASK_FIRST_S
+        return
+    if at < members.ask_at:
+        return
+    members.ask_at = at + ASK_AGAIN_S * (0.5 + state.random.random())
+    live = [name for name, peer in sorted(members.peers.items()) if not peer.silent]
+    if live:
+        out.append(SendMessage(state.random.choice(live), MembersWanted()))
+
+
+def on_wanted(state: State, sender: str, out: list[Effect]) -> None:
+    """Give a peer the lists, if this entry has any."""
+    members = state.members
+    if not members.endpoints:
+        return
+    instances = (state.me, *(peer.instance for peer in members.peers.values()))
+    endpoints = tuple(
+        evolve(view.endpoint, state=Liveness.LEAVING) if view.leaving else view.endpoint
+        for view in members.endpoints.values()
+    )
+    out.append(SendMessage(sender, MembersCopy(instances, endpoints)))
+
+
+def on_copy(state: State, message: MembersCopy, at: float, out: list[Effect]) -> None:
+    """Add what is not known here."""
+    if not state.members.cut:
+        return
+    for instance in message.instances:
+        if instance.name not in state.members.peers:
+            put_instance(state, instance, out)
+    for endpoint in message.endpoints:
+        if endpoint.name not in state.members.endpoints:
+            put_endpoint(state, endpoint, at, out)
--- a/poplarhoist/entry/calls.py
+++ b/poplarhoist/entry/calls.py
@@ -5,7 +5,7 @@
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.decisions.membership import ENDPOINT_PREFIX, INSTANCE_PREFIX
-from poplarhoist.decisions.revisions import INDEX_PATH
+from poplarhoist.decisions.pages import INDEX_PATH
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.platform import Listing, Platform
 
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -11,6 +11,8 @@
     "load_ended": ("Loads ended", ("outcome",)),
     "grant_dropped": ("Grants dropped", ("cause",)),
     "page_rejected": ("Configuration pages rejected", ()),
+    "revision_rejected": ("Configuration revisions that are not well formed", ()),
+    "member_malformed": ("Listed members that cannot be read", ("kind",)),
     "peer_message_dropped": ("Messages of peers dropped", ("cause",)),
     "run_recorded": ("Last values recorded of calls that must not repeat", ("stage",)),
     "run_record_lost": ("Last values of such calls that could not be recorded", ("stage",)),
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -11,6 +11,7 @@
 from poplarhoist.context import Environment
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
+from poplarhoist.decisions import relay
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.calls import PlatformCalls
 from poplarhoist.entry.core import Core
@@ -20,7 +21,7 @@
 from poplarhoist.entry.peers import Peers
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.models import Instance
-from poplarhoist.settings.loader import to_limits, to_services
+from poplarhoist.settings.loader import to_instance, to_limits, to_services
 from poplarhoist.settings.models import Site
 
 TICK_S = 0.05
@@ -43,6 +44,7 @@
             limits=to_limits(site),
             services=to_services(site),
         )
+        relay.seed(state, [to_instance(entry) for entry in site.entries])
         self.core = Core(state, env.clock, self.metrics)
         self.platform = HttpPlatform(site.platform, env.clock, self.metrics)
         self.calls = PlatformCalls(self.core, self.platform)
--- a/poplarhoist/models.py
+++ b/poplarhoist/models.py
@@ -213,6 +213,8 @@
         Who made the change.
     recent : tuple
         Ids of the latest changes, so that a writer whose answer was lost finds its own.
+    retired : dict
+        Revision that named a page no more, by the digest of each page that is to be deleted.
     """
 
     revision: int
@@ -221,6 +223,7 @@
     pages: dict[str, str] = field(factory=dict)
     author: str = ""
     recent: tuple[str, ...] = ()
+    retired: dict[str, int] = field(factory=dict)
 
 
 @frozen
--- a/poplarhoist/publish.py
+++ b/poplarhoist/publish.py
@@ -1,28 +1,34 @@
 """Changes of the configuration: new immutable pages, then one conditional swap of the index."""
 
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-import orjson
 import xxhash
 from attrs import define, field
 
 from poplarhoist import wire
 from poplarhoist.decisions.events import CallStatus
-from poplarhoist.decisions.revisions import (
+from poplarhoist.decisions.pages import (
     CALLERS_PAGE,
     CATALOGUE_PREFIX,
     INDEX_PATH,
     PAGE_PREFIX,
     PRESETS_PAGE,
+    MalformedPageError,
     page_digest,
+    page_items,
+    page_text,
+    parse_page,
 )
 from poplarhoist.entry.platform import Answer, Platform
-from poplarhoist.errors import ConflictError, PlatformError, UnsettledError
+from poplarhoist.errors import ConflictError, NotFoundError, PlatformError, UnsettledError
 from poplarhoist.models import Adapter, Caller, Index, Preset
 
 CATALOGUE_PAGES = 64
 RECENT_CHANGES = 64
+RETIRED_REVISIONS = 32
+RETIRED_PAGES = 256
+DELETES_PER_CHANGE = 8
 TRIES = 5
 
 
@@ -38,7 +44,9 @@
     Attributes
     ----------
     pages : dict
-        Data of the pages that were read, by name.
+        Data of the pages that were read, by name, as changed so far.
+    original : dict
+        The same data before any change.
     touched : set
         Names of the pages that were changed.
     preset_chosen : bool
@@ -50,6 +58,7 @@
     platform: Platform
     preset: str
     pages: dict[str, dict] = field(factory=dict)
+    original: dict[str, dict] = field(factory=dict)
     touched: set[str] = field(factory=set)
     preset_chosen: bool = False
 
@@ -68,15 +77,16 @@
         """
         if name in self.pages:
             return self.pages[name]
-        data: dict = {}
+        text = page_text("", {})
         if name in self.index.pages:
             path = PAGE_PREFIX + self.index.pages[name]
             answer = self.platform.get(path)
             if answer.status is not CallStatus.OK:
                 raise PlatformError(f"no answer ({answer.status})", "read-page", path)
-            data = orjson.loads(answer.value)
-        self.pages[name] = data
-        return data
+            text = answer.value
+        self.original[name] = page_items(text)
+        self.pages[name] = page_items(text)
+        return self.pages[name]
 
     def edit(self, name: str) -> dict:
         """Return the data of a page that is going to be changed."""
@@ -118,6 +128,41 @@
         """Return all presets by name."""
         return wire.load(self.page(PRESETS_PAGE), dict[str, Preset])
 
+    def preset_exists(self) -> bool:
+        """Return whether the preset that is to be in force is there."""
+        unchanged = self.preset == self.index.preset and PRESETS_PAGE not in self.touched
+        if not self.preset or unchanged:
+            return True
+        return self.preset in self.presets()
+
+    def changed_pages(self) -> list[str]:
+        """Return the names of the pages that differ from what they were."""
+        return sorted(n for n in self.touched if self.pages[n] != self.original[n])
+
+    def changes(self) -> set[str]:
+        """Return the names of what this change changes."""
+        names = set()
+        for page in self.touched:
+            names |= differences(page, self.original[page], self.pages[page])
+        if self.preset_chosen or self.preset != self.index.preset:
+            names.add("preset")
+        return names
+
+    def changes_since(self, older: "Draft") -> set[str]:
+        """Return the names of what others changed, among the pages that an older draft touched."""
+        names = set()
+        for page in older.touched:
+            names |= differences(page, older.original[page], self.page(page))
+        if self.index.preset != older.index.preset:
+            names.add("preset")
+        return names
+
+
+def differences(page: str, before: dict, after: dict) -> set[str]:
+    """Return the names of the items of a page that differ."""
+    keys = before.keys() | after.keys()
+    return {f"{page}/{key}" for key in keys if before.get(key) != after.get(key)}
+
 
 class Publisher:
     """Makes changes of the configuration on the platform."""
@@ -143,7 +188,7 @@
         return Draft(index, answer.version, self.platform, index.preset)
 
     def change(self, edit: Callable[[Draft], None]) -> Index:
-        """Apply a change and return the index that it made.
+        """Apply a change and return the index that made it, or a later one.
 
         Parameters
         ----------
@@ -155,82 +200,144 @@
         ------
         ConflictError
             If another writer changed the same thing first; nothing is changed then.
+        UnsettledError
+            If it is not known whether the change was accepted.
         PlatformError
-            If the platform does not answer.
+            If the platform does not answer; nothing is changed then.
         """
-        lost_to: Index | None = None
-        touched: set[str] = set()
+        lost: Draft | None = None
+        tried: set[str] = set()
+        status = CallStatus.CONFLICT
         for _ in range(TRIES):
-            draft = self.draft()
-            if lost_to is not None:
-                self.check_race(lost_to, draft, touched)
-            edit(draft)
-            change = uuid.uuid4().hex
-            index = self.new_index(draft, change)
+            try:
+                draft = self.redraft(lost, tried)
+                if tried.intersection(draft.index.recent):
+                    return draft.index
+                edit(draft)
+                index = self.new_index(draft, uuid.uuid4().hex)
+            except PlatformError as error:
+                if status is CallStatus.UNKNOWN:
+                    raise self.unsettled() from error
+                raise
+            tried.add(index.change)
             answer = self.platform.put(INDEX_PATH, wire.dump(index), draft.version)
-            if answer.status is CallStatus.OK or self.settled(answer, change):
-                return index
-            if answer.status is CallStatus.REFUSED:
+            status = answer.status
+            accepted = index if status is CallStatus.OK else self.find(answer, tried)
+            if accepted is not None:
+                return accepted
+            if status is CallStatus.REFUSED:
                 raise PlatformError("refused", "swap-index", INDEX_PATH)
-            lost_to, touched = draft.index, changed_names(draft)
+            if status is CallStatus.CONFLICT:
+                self.delete_pages(set(index.pages.values()) - set(draft.index.pages.values()))
+            lost = draft
+        if status is CallStatus.UNKNOWN:
+            raise self.unsettled()
         raise ConflictError("other writers were faster", "swap-index", INDEX_PATH)
 
-    def check_race(self, before: Index, draft: Draft, touched: set[str]) -> None:
-        """Make sure that the winner of a race changed nothing that this change touches."""
-        names = {n for n, digest in draft.index.pages.items() if before.pages.get(n) != digest}
-        if draft.index.preset != before.preset:
-            names.add("preset")
-        if names & touched:
+    def redraft(self, lost: Draft | None, tried: set[str]) -> Draft:
+        """Read the index, again after a swap that lost."""
+        draft = self.draft()
+        if lost is not None and not tried.intersection(draft.index.recent):
+            self.check_race(lost, draft)
+        return draft
+
+    def check_race(self, lost: Draft, draft: Draft) -> None:
+        """Make sure that the winner of a race changed nothing that this change touches.
+
+        Raises
+        ------
+        ConflictError
+            If it did.
+        """
+        if draft.changes_since(lost) & lost.changes():
             winner = f"{draft.index.author} won with revision {draft.index.revision}"
             raise ConflictError(f"{winner}; nothing of this change was applied", "swap-index")
 
     def new_index(self, draft: Draft, change: str) -> Index:
         """Write the changed pages and return the index that names them."""
+        if not draft.preset_exists():
+            raise NotFoundError("there is no such preset", "check-change", draft.preset)
+        revision = draft.index.revision + 1
         pages = dict(draft.index.pages)
-        for name in sorted(draft.touched):
-            text = orjson.dumps(draft.pages[name], option=orjson.OPT_SORT_KEYS).decode()
-            pages[name] = self.write_page(text)
+        retired = dict(draft.index.retired)
+        for name in draft.changed_pages():
+            if name in pages:
+                retired[pages[name]] = revision
+            pages[name] = self.write_page(name, page_text(change, draft.pages[name]))
+        due = [d for d, at in retired.items() if revision - at >= RETIRED_REVISIONS]
+        for digest in self.delete_pages(due[:DELETES_PER_CHANGE]):
+            del retired[digest]
         return Index(
-            revision=draft.index.revision + 1,
+            revision=revision,
             change=change,
             preset=draft.preset,
             pages=pages,
             author=self.author,
             recent=(*draft.index.recent[1 - RECENT_CHANGES :], change),
+            retired=dict(list(retired.items())[-RETIRED_PAGES:]),
         )
 
-    def write_page(self, text: str) -> str:
-        """Write an immutable page and return its digest."""
+    def write_page(self, name: str, text: str) -> str:
+        """Write an immutable page and return its digest.
+
+        Raises
+        ------
+        PlatformError
+            If the platform does not take it.
+        """
+        try:
+            parse_page(name, text)
+        except MalformedPageError as error:
+            raise PlatformError(str(error), "check-page", name) from error
         digest = page_digest(text)
         path = PAGE_PREFIX + digest
         for _ in range(TRIES):
             answer = self.platform.put(path, text, 0)
+            # No other writer makes this page, so a conflict is an earlier try of this one.
             if answer.status in (CallStatus.OK, CallStatus.CONFLICT):
                 return digest
             if answer.status is CallStatus.REFUSED:
                 break
         raise PlatformError(f"no answer ({answer.status})", "write-page", path)
 
-    def settled(self, answer: Answer, change: str) -> bool:
-        """Return whether a swap took effect although its answer was lost or a conflict."""
+    def delete_pages(self, digests: Iterable[str]) -> list[str]:
+        """Delete pages that no index names; return those that are gone."""
+        gone = []
+        for digest in digests:
+            path = PAGE_PREFIX + digest
+            found = self.platform.get(path)
+            status = found.status
+            if status is CallStatus.OK:
+                status = self.platform.delete(path, found.version).status
+            if status in (CallStatus.OK, CallStatus.NOT_FOUND):
+                gone.append(digest)
+        return gone
+
+    def find(self, answer: Answer, tried: set[str]) -> Index | None:
+        """Return the index of a swap that took effect although its answer does not say so.
+
+        Raises
+        ------
+        UnsettledError
+            If the answer was lost and the index cannot be read back.
+        """
         if answer.status is CallStatus.CONFLICT and answer.value is not None:
-            return change in wire.load(answer.value, Index).recent
-        if answer.status is not CallStatus.UNKNOWN:
-            return False
+            return own_index(answer.value, tried)
         for _ in range(TRIES):
             found = self.platform.get(INDEX_PATH)
             if found.status is CallStatus.OK:
-                return change in wire.load(found.value, Index).recent
-            if found.status is CallStatus.NOT_FOUND:
-                return False
-        raise UnsettledError(
-            "it is not known whether the change was accepted", "read-back", INDEX_PATH
-        )
+                return own_index(found.value, tried)
+            if found.status is CallStatus.NOT_FOUND or answer.status is CallStatus.REFUSED:
+                return None
+        raise self.unsettled()
+
+    def unsettled(self) -> UnsettledError:
+        """Return the error of a change whose fate is not known."""
+        message = "it is not known whether the change was accepted"
+        return UnsettledError(message, "read-back", INDEX_PATH)
 
 
-def changed_names(draft: Draft) -> set[str]:
-    """Return the names of what a draft changes."""
-    names = set(draft.touched)
-    if draft.preset_chosen or draft.preset != draft.index.preset:
-        names.add("preset")
-    return names
+def own_index(value: object, tried: set[str]) -> Index | None:
+    """Return an index if it holds one of some changes; other writers may have followed."""
+    index = wire.load(value, Index)
+    return index if tried.intersection(index.recent) else None
--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -8,10 +8,11 @@
 from poplarhoist import wire
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
+from poplarhoist.decisions import relay
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import ENDPOINT_PREFIX, INSTANCE_PREFIX
+from poplarhoist.decisions.pages import INDEX_PATH
 from poplarhoist.decisions.reducer import reduce
-from poplarhoist.decisions.revisions import INDEX_PATH
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.platform import Answer, token_digest
 from poplarhoist.models import (
@@ -171,6 +172,7 @@
             limits=self.limits,
             services={"booking": Service("booking", BOOKING_ROUTES)},
         )
+        relay.seed(state, [entry.state.me for entry in self.entries.values()])
         entry = self.entries[name] = FakeEntry(state)
         self.platform.write(INSTANCE_PREFIX + name, wire.dump(me))
         self.clock.after(self.latency_s, lambda: self.list_watched(entry))
@@ -515,6 +517,10 @@
         """Write an object if its version is as expected."""
         return Answer(*self.platform.put(path, value, expect))
 
+    def delete(self, path: str, expect: int) -> Answer:
+        """Delete an object if its version is as expected."""
+        return Answer(*self.platform.put(path, None, expect))
+
 
 def _platform_runner(make):
     def run(bench: Bench, entry: FakeEntry, effect) -> None:
