--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -26,6 +26,7 @@
 FLAP_LONGEST_S = 30.0
 FLAP_FORGOTTEN_S = 60.0
 OLD_BOOTS = 4
+OUT_S = 30.0
 
 
 @define
@@ -81,6 +82,8 @@
         When polls began to fail; None while they succeed.
     poll_at : float
         When the next poll is due; an earlier entry in the heap is stale.
+    out, out_until : bool, float
+        Whether it is taken out of use because of wrong answers, and until when.
     """
 
     endpoint: Endpoint
@@ -91,6 +94,8 @@
     leaving_told: bool = False
     silent_since: float | None = None
     poll_at: float = 0.0
+    out: bool = False
+    out_until: float = 0.0
 
 
 @define
@@ -137,7 +142,7 @@
 def usable(state: State, name: str) -> bool:
     """Return whether an endpoint may get new work."""
     view = state.members.endpoints.get(name)
-    return view is not None and not view.leaving and view.silent_since is None
+    return view is not None and not view.leaving and view.silent_since is None and not view.out
 
 
 def known_boot(state: State, endpoint: str) -> str:
@@ -303,6 +308,25 @@
     out.append(LogChange("endpoint-silent", {"endpoint": name}))
 
 
+def take_out(state: State, name: str, cause: str, at: float, out: list[Effect]) -> None:
+    """Take an endpoint that gives wrong answers out of use for a while."""
+    view = state.members.endpoints.get(name)
+    if view is None:
+        return
+    view.out_until = at + OUT_S
+    out.append(Count("endpoint_taken_out", (cause,)))
+    if not view.out:
+        view.out = True
+        out.append(LogChange("endpoint-taken-out", {"endpoint": name, "cause": cause}))
+
+
+def put_back(view: EndpointView, at: float, out: list[Effect]) -> None:
+    """Use an endpoint again whose time out of use is over."""
+    if view.out and at >= view.out_until:
+        view.out = False
+        out.append(LogChange("endpoint-put-back", {"endpoint": view.endpoint.name}))
+
+
 def accept_batch(state: State, event: PeerSaid, out: list[Effect]) -> bool:
     """Return whether a message is in order; messages of an older batch are dropped."""
     peer = state.members.peers.get(event.sender)
@@ -398,6 +422,7 @@
             continue
         entries = entries or live_entries(state, at)
         watched = rank(name, entries)[0] == state.me.name
+        put_back(view, at, out)
         stale = at - view.sampled_at >= state.limits.report_stale_s
         if watched or stale or view.silent_since is not None:
             out.append(PollEndpoint(name))
--- a/poplarhoist/decisions/outcomes.py
+++ b/poplarhoist/decisions/outcomes.py
@@ -26,6 +26,7 @@
     from poplarhoist.decisions.state import State
 
 ANSWERED = (Outcome.COMPLETED, Outcome.FAILED)
+WRONG_ADAPTER = "adapter"
 MAY_HAVE_RUN = (Outcome.BROKEN, Outcome.WRONG)
 
 
@@ -82,6 +83,8 @@
 def after_broken(state: State, request: RequestState, event: AttemptEnded, out) -> None:
     """Try a request again that may have run, if it may repeat and nothing was delivered."""
     request.may_have_run = True
+    if event.outcome is Outcome.WRONG and event.reason == WRONG_ADAPTER:
+        membership.take_out(state, event.endpoint, event.reason, event.at, out)
     if event.delivered or not request.repeat:
         reason = Reason.ENDPOINT_LOST if event.outcome is Outcome.BROKEN else Reason.WRONG_ANSWER
         requests.give_up(state, request, reason, "answer", event.at, out)
--- a/poplarhoist/entry/attempts.py
+++ b/poplarhoist/entry/attempts.py
@@ -4,24 +4,26 @@
 
 import eventlet
 import orjson
-import urllib3
 from attrs import define, field
 from urllib3 import Timeout
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions.events import Outcome
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.endpoints import endpoint_url
-from poplarhoist.entry.http import never_sent
-from poplarhoist.models import Endpoint
+from poplarhoist.entry.http import never_sent, single_use_pool
+from poplarhoist.models import AdapterRef, Endpoint
 from poplarhoist.settings.models import StreamSettings
 
 EVENT_END = b"\n\n"
 LAST_EVENT = b"data: [DONE]\n\n"
 READ_BYTES = 65536
+DATA_FIELD = b"data:"
 RESUME_TRIES = 3
 PASSED_HEADERS = ("content-type",)
+WRONG_REQUEST = "request"
+WRONG_ADAPTER = "adapter"
 
 
 @define
@@ -34,6 +36,10 @@
         Path at the endpoint.
     stream : bool
         Whether the answer is passed on event by event.
+    model : str
+        The model as the caller named it; empty for a service call.
+    running : Attempt or None
+        The attempt under way.
     """
 
     request_id: str
@@ -42,6 +48,8 @@
     body: bytes
     headers: dict[str, str] = field(factory=dict)
     stream: bool = False
+    model: str = ""
+    running: "Attempt | None" = None
 
 
 @define
@@ -83,11 +91,14 @@
         self.settings = settings
         self.work = work
         self.effect = effect
-        self.endpoint: Endpoint = core.state.members.endpoints[effect.endpoint].endpoint
+        view = core.state.members.endpoints.get(effect.endpoint)
+        self.endpoint: Endpoint | None = view.endpoint if view else None
         self.stream_id = f"{work.request_id}.{effect.attempt}"
-        self.pool = urllib3.PoolManager(retries=False, maxsize=1)
+        self.pool = single_use_pool()
         self.result = Result(Outcome.BROKEN)
         self.offset = 0
+        self.stalls = 0
+        self.cancelled = False
 
     def headers(self) -> dict[str, str]:
         """Return the headers of the request to the endpoint."""
@@ -117,26 +128,39 @@
     def whole(self) -> Result:
         """Run the request and return the whole answer."""
         response = self.begin()
-        if response is None:
-            return self.result
-        try:
-            self.result.body = response.read()
-        except HTTPError as error:
-            return self.broken(str(error))
-        self.result.size = len(self.result.body)
+        if response is not None:
+            self.read_whole(response)
         return self.result
 
+    def read_whole(self, response) -> None:
+        """Read an answer that is not streamed, and make sure that it is whole."""
+        try:
+            body = response.read()
+            if self.result.outcome is Outcome.COMPLETED:
+                self.check_body(body)
+        except WrongAnswer as error:
+            self.result = Result(Outcome.WRONG, str(error))
+        except (HTTPError, orjson.JSONDecodeError) as error:
+            self.broken(type(error).__name__)
+        else:
+            self.result.body = body
+            self.result.size = len(body)
+
     def begin(self):
         """Send the request and judge the head of the answer; None if the attempt is over."""
-        work = self.work
+        if self.endpoint is None:
+            self.result = Result(Outcome.NOT_SENT, "gone")
+            return None
         try:
-            response = self.open(work.method, work.path, work.body, self.settings.first_byte_s)
+            response = self.send()
         except HTTPError as error:
             if never_sent(error):
                 self.result = Result(Outcome.NOT_SENT, "connect")
             else:
                 self.broken(type(error).__name__)
             return None
+        if response is None:
+            return None
         if response.headers.get("X-Ran") == "no":
             self.result = Result(Outcome.REFUSED, refusal_reason(response))
             return None
@@ -150,10 +174,21 @@
         self.result = Result(outcome, status=response.status, headers=passed(response))
         return response
 
-    def broken(self, reason: str) -> Result:
+    def send(self):
+        """Send the request; a stream whose connection stays silent is opened again by its id."""
+        work = self.work
+        if not work.stream:
+            return self.open(work.method, work.path, work.body, self.settings.first_byte_s)
+        try:
+            return self.open(work.method, work.path, work.body, self.settings.gap_s)
+        except ReadTimeoutError as error:
+            tries = max(1, round(self.settings.first_byte_s / self.settings.gap_s))
+            return self.resume(type(error).__name__, tries)
+
+    def broken(self, reason: str) -> None:
         """Note that the endpoint stopped answering."""
-        self.result = Result(Outcome.BROKEN, reason, delivered=self.result.delivered)
-        return self.result
+        outcome = Outcome.CANCELLED if self.cancelled else Outcome.BROKEN
+        self.result = Result(outcome, reason, delivered=self.result.delivered)
 
     def check(self, response) -> None:
         """Make sure that an answer is for this request, adapter and version.
@@ -164,10 +199,27 @@
             If it is not.
         """
         if response.headers.get("X-Request-Id") != self.work.request_id:
-            raise WrongAnswer("request id")
+            raise WrongAnswer(WRONG_REQUEST)
         ref = self.effect.ref
         if ref is not None and response.headers.get("X-Adapter") != str(ref):
-            raise WrongAnswer("adapter")
+            raise WrongAnswer(WRONG_ADAPTER)
+
+    def check_body(self, body: bytes) -> None:
+        """Make sure that the body of a model's answer is whole and names the right model.
+
+        Raises
+        ------
+        WrongAnswer
+            If it names another model.
+        orjson.JSONDecodeError
+            If it was cut off.
+        """
+        ref = self.effect.ref
+        if ref is None:
+            return
+        data = orjson.loads(body)
+        if not names_model(data, ref, self.work.model):
+            raise WrongAnswer(WRONG_ADAPTER)
 
     def events(self, response) -> Iterator[bytes]:
         """Yield whole events until the last one, resuming over new connections."""
@@ -178,14 +230,20 @@
                     if data.endswith(LAST_EVENT):
                         return
                 reason = "ended early"
+            except WrongAnswer as error:
+                response.close()
+                self.result = Result(Outcome.WRONG, str(error), delivered=self.result.delivered)
+                return
             except HTTPError as error:
                 reason = type(error).__name__
             response.close()
-            response = self.resume(reason)
+            self.stalls += 1
+            response = self.resume(reason, RESUME_TRIES)
 
     def read_events(self, response) -> Iterator[bytes]:
         """Yield whole events of one connection and count them."""
         rest = b""
+        checked = False
         chunks = response.stream(READ_BYTES, decode_content=False)
         while chunk := self.next_chunk(chunks):
             data = rest + chunk
@@ -194,11 +252,33 @@
                 rest = data
                 continue
             data, rest = data[:end], data[end:]
+            if not checked:
+                self.check_event(data)
+                checked = True
             self.offset += data.count(EVENT_END)
+            self.stalls = 0
             self.result.size += len(data)
             self.result.delivered = True
             yield data
 
+    def check_event(self, data: bytes) -> None:
+        """Make sure that the first event of a connection names the right model.
+
+        Raises
+        ------
+        WrongAnswer
+            If it names another one.
+        """
+        first = data[: data.find(EVENT_END)]
+        if self.effect.ref is None or not first.startswith(DATA_FIELD):
+            return
+        try:
+            event = orjson.loads(first.removeprefix(DATA_FIELD))
+        except orjson.JSONDecodeError:
+            return
+        if not names_model(event, self.effect.ref, self.work.model):
+            raise WrongAnswer(WRONG_ADAPTER)
+
     def next_chunk(self, chunks: Iterator[bytes]) -> bytes:
         """Return the next chunk of a connection; empty at its end.
 
@@ -210,10 +290,12 @@
         with eventlet.Timeout(self.settings.gap_s, StreamStalled()):
             return next(chunks, b"")
 
-    def resume(self, reason: str):
+    def resume(self, reason: str, tries: int):
         """Open the stream again where it stopped; None if the endpoint cannot."""
         path = f"/v1/streams/{self.stream_id}?offset={self.offset}"
-        for _ in range(RESUME_TRIES):
+        for _ in range(tries if self.stalls <= RESUME_TRIES else 0):
+            if self.cancelled:
+                break
             try:
                 response = self.open("GET", path, None, self.settings.gap_s)
                 if response.status == 200:
@@ -231,16 +313,31 @@
 
     def cancel(self) -> None:
         """Stop the stream at the endpoint; it ends by itself if that fails."""
+        self.cancelled = True
+        if self.endpoint is None or self.effect.ref is None:
+            return
+        pool = single_use_pool()
+        url = f"{endpoint_url(self.endpoint)}/v1/streams/{self.stream_id}"
+        timeout = Timeout(connect=self.settings.connect_s, read=self.settings.gap_s)
         try:
-            self.open("DELETE", f"/v1/streams/{self.stream_id}", None, self.settings.gap_s).close()
+            pool.request("DELETE", url, headers=self.headers(), redirect=False, timeout=timeout)
         except HTTPError:
-            return
+            self.core.metrics.count("cancel_failed")
+        finally:
+            pool.clear()
 
     def close(self) -> None:
         """Drop the connection."""
         self.pool.clear()
 
 
+def names_model(data: object, ref: AdapterRef, asked: str) -> bool:
+    """Return whether an answer names the adapter version, or no model at all."""
+    if not isinstance(data, dict):
+        return False
+    return data.get("model") in (None, str(ref), ref.adapter, asked)
+
+
 def refusal_reason(response) -> str:
     """Return the endpoint's reason for a refusal."""
     try:
--- /dev/null
+++ b/poplarhoist/entry/callers.py
@@ -0,0 +1,179 @@
+"""What callers send: model calls and calls of plain services, read and checked."""
+
+import hashlib
+import hmac
+import uuid
+from urllib.parse import quote
+
+import eventlet
+import orjson
+import xxhash
+from werkzeug.exceptions import BadRequest, RequestTimeout
+from werkzeug.wrappers import Request, Response
+
+from poplarhoist.decisions import events as ev
+from poplarhoist.entry import problems
+from poplarhoist.entry.attempts import Work
+from poplarhoist.entry.core import Core
+from poplarhoist.entry.platform import token_digest
+from poplarhoist.entry.serving import Serving
+from poplarhoist.entry.web import bearer, json_response
+from poplarhoist.models import Caller, Ran, Reason, Refusal
+from poplarhoist.settings.models import Site
+
+DEFAULT_DEADLINE_S = 30.0
+DEADLINE_HEADER = "X-Deadline-Seconds"
+KEY_HEADER = "Idempotency-Key"
+KEY_CHARACTERS = 255
+PREFIX_BYTES = 256
+DOT_SEGMENTS = (".", "..")
+
+
+class CallerDoor:
+    """Takes the requests of callers."""
+
+    def __init__(self, core: Core, site: Site) -> None:
+        self.core = core
+        self.read_s = site.doors.read_s
+        self.serving = Serving(core, site)
+
+    def models(self, request: Request) -> Response:
+        """List the adapters that the caller may use."""
+        caller = self.find_caller(token_digest(bearer(request)))
+        if caller is None:
+            return problems.response("", Refusal(Reason.UNKNOWN_CALLER, Ran.NO, "admit"))
+        adapters = self.core.state.config.adapters_by_name.values()
+        data = [
+            {"id": adapter.name, "object": "model", "created": 0, "owned_by": adapter.base}
+            for adapter in adapters
+            if "*" in adapter.callers or caller.name in adapter.callers
+        ]
+        return json_response({"object": "list", "data": data})
+
+    def find_caller(self, digest: str) -> Caller | None:
+        """Return the caller with a token's digest; the time taken tells nothing of the token."""
+        caller = self.core.state.config.callers_by_digest.get(digest)
+        if caller is None or not hmac.compare_digest(caller.token_sha256, digest):
+            return None
+        return caller
+
+    def complete(self, request: Request) -> Response:
+        """Serve a model call."""
+        body = self.read_body(request)
+        data = parse_body(body)
+        request_id = uuid.uuid4().hex
+        work = Work(
+            request_id=request_id,
+            method="POST",
+            path=request.path,
+            body=body,
+            headers={"Content-Type": "application/json"},
+            stream=bool(data.get("stream")),
+            model=data["model"],
+        )
+        event = ev.RequestArrived(
+            at=self.core.at(),
+            request_id=request_id,
+            token_sha256=token_digest(bearer(request)),
+            target=data["model"],
+            deadline_s=deadline_s(request),
+            digest=hashlib.sha256(request.path.encode() + body).hexdigest(),
+            prefix=xxhash.xxh64_intdigest(prompt_start(data)),
+            size=len(body),
+        )
+        return self.serving.run(work, event, request)
+
+    def service(self, request: Request, name: str, path: str) -> Response:
+        """Serve a call of a plain service."""
+        path = service_path(path)
+        body = self.read_body(request)
+        request_id = uuid.uuid4().hex
+        headers = {"Content-Type": request.headers.get("Content-Type", "application/octet-stream")}
+        key = idempotency_key(request)
+        if key:
+            headers[KEY_HEADER] = key
+        query = f"?{request.query_string.decode('latin-1')}" if request.query_string else ""
+        work = Work(request_id, request.method, f"/call{path}{query}", body, headers)
+        content = f"{request.method} {name}{path}{query}\n".encode() + body
+        event = ev.RequestArrived(
+            at=self.core.at(),
+            request_id=request_id,
+            token_sha256=token_digest(bearer(request)),
+            target=name,
+            deadline_s=deadline_s(request),
+            digest=hashlib.sha256(content).hexdigest(),
+            size=len(body),
+            service=True,
+            method=request.method,
+            path=path,
+            key=key,
+        )
+        return self.serving.run(work, event, request)
+
+    def read_body(self, request: Request) -> bytes:
+        """Return the body, which has to arrive whole within a bounded time.
+
+        Raises
+        ------
+        HTTPException
+            If it is too large, too slow or broken off.
+        """
+        try:
+            with eventlet.Timeout(self.read_s, RequestTimeout("the body came too slowly")):
+                body = request.get_data(cache=False)
+        except (OSError, ValueError) as error:
+            raise BadRequest(f"the body broke off: {error}") from error
+        if request.content_length is not None and len(body) != request.content_length:
+            raise BadRequest("the body is shorter than announced")
+        return body
+
+
+def service_path(path: str) -> str:
+    """Return the path of a service call as it goes to the service.
+
+    Raises
+    ------
+    BadRequest
+        If a part of the path would lead out of it.
+    """
+    if any(part in DOT_SEGMENTS for part in path.split("/")):
+        raise BadRequest("the path must not hold dot segments")
+    return "/" + quote(path)
+
+
+def idempotency_key(request: Request) -> str:
+    """Return the key of a call that must not repeat; empty if none."""
+    key = request.headers.get(KEY_HEADER, "")
+    if len(key) > KEY_CHARACTERS or not key.isprintable() or not key.isascii():
+        raise BadRequest(f"{KEY_HEADER} must be at most {KEY_CHARACTERS} printable characters")
+    return key
+
+
+def deadline_s(request: Request) -> float:
+    """Return how many seconds the caller is ready to wait for the first byte."""
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return DEFAULT_DEADLINE_S
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0.0 < seconds < float("inf"):
+        raise BadRequest(f"{DEADLINE_HEADER} must be a positive number of seconds, got {text!r}")
+    return seconds
+
+
+def parse_body(body: bytes) -> dict:
+    """Return the JSON object that a caller sent."""
+    try:
+        data = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadRequest(f"the body is not JSON: {error}") from error
+    if not isinstance(data, dict) or not isinstance(data.get("model"), str):
+        raise BadRequest("the body must be an object with a model name")
+    return data
+
+
+def prompt_start(data: dict) -> bytes:
+    """Return the start of the prompt, for prefix affinity."""
+    return orjson.dumps(data.get("messages", data.get("prompt")))[:PREFIX_BYTES]
--- a/poplarhoist/entry/endpoints.py
+++ b/poplarhoist/entry/endpoints.py
@@ -9,7 +9,7 @@
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.http import ShortLivedPool, never_sent
+from poplarhoist.entry.http import ShortLivedPool, never_sent, single_use_pool
 from poplarhoist.models import Endpoint, EndpointReport
 
 POLL_TIMEOUT_S = 1.0
@@ -42,9 +42,7 @@
             return
         asked_at = self.core.at()
         try:
-            timeout = Timeout(total=POLL_TIMEOUT_S)
-            answer = self.pool.request("GET", endpoint_url(endpoint) + "/report", timeout=timeout)
-            report = wire.load(orjson.loads(answer.data), EndpointReport)
+            report = self.read_report(endpoint)
         except HTTPError as error:
             refused = never_sent(error)
             self.core.submit(ev.EndpointSilent(self.core.at(), effect.endpoint, refused))
@@ -55,6 +53,18 @@
             return
         self.core.submit(ev.EndpointReported(self.core.at(), asked_at, report))
 
+    def read_report(self, endpoint: Endpoint) -> EndpointReport:
+        """Return an endpoint's report, read over a new connection if the kept one is silent."""
+        url = endpoint_url(endpoint) + "/report"
+        timeout = Timeout(total=POLL_TIMEOUT_S)
+        try:
+            answer = self.pool.request("GET", url, timeout=timeout)
+        except HTTPError as error:
+            if never_sent(error):
+                raise
+            answer = self.pool.request("GET", url, timeout=timeout)
+        return wire.load(orjson.loads(answer.data), EndpointReport)
+
     def order(self, effect: fx.SendOrder) -> None:
         """Send an order and tell how it ended."""
         outcome, reason = self.send_order(effect)
@@ -74,11 +84,12 @@
             "replaces": str(effect.replaces) if effect.replaces else None,
         }
         try:
-            answer = self.pool.request(
+            answer = single_use_pool().request(
                 "POST",
                 endpoint_url(endpoint) + "/orders",
                 body=orjson.dumps(data),
-                headers={"Content-Type": "application/json"},
+                headers={"Content-Type": "application/json", "Connection": "close"},
+                redirect=False,
                 timeout=Timeout(total=self.core.state.limits.order_s + ORDER_MARGIN_S),
             )
             result = orjson.loads(answer.data)
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -12,6 +12,11 @@
 POOL_SIZE = 16
 
 
+def single_use_pool() -> urllib3.PoolManager:
+    """Return a pool for one request over a connection of its own."""
+    return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+
+
 class ShortLivedPool:
     """A pool whose kept-alive connections are dropped before they can have gone silent."""
 
--- a/poplarhoist/entry/peers.py
+++ b/poplarhoist/entry/peers.py
@@ -11,86 +11,126 @@
 from poplarhoist.decisions import events as ev
 from poplarhoist.decisions.messages import Message
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.http import ShortLivedPool
+from poplarhoist.entry.http import ShortLivedPool, never_sent
+from poplarhoist.models import Instance
 
 PEER_PATH = "/peer"
 PEER_KEY_HEADER = "X-Peer-Key"
 SEND_TIMEOUT_S = 1.0
+SEND_TRIES = 2
 BATCH_LIMIT = 256
+BATCH_BYTES = 262_144
 BACKLOG_LIMIT = 4096
+IDLE_S = 5.0
+PEER_BODY_BYTES = 4_000_000
 
 
 class Outbox:
-    """Messages for one peer, sent in order by one green thread."""
+    """Messages for one peer, sent in order by one green thread that ends when the peer is gone."""
 
     def __init__(self, peers: "Peers", name: str) -> None:
         self.peers = peers
         self.name = name
         self.messages: list[Message] = []
         self.filled = Event()
-        self.sequence = 0
-        eventlet.spawn_n(self.run)
+        self.thread = eventlet.spawn(self.run)
 
     def put(self, message: Message) -> None:
         """Queue a message; the oldest ones are dropped if the peer takes none."""
         self.messages.append(message)
-        del self.messages[:-BACKLOG_LIMIT]
+        dropped = len(self.messages) - BACKLOG_LIMIT
+        if dropped > 0:
+            del self.messages[:dropped]
+            self.peers.core.metrics.count("peer_message_dropped", ("backlog",), dropped)
         if not self.filled.ready():
             self.filled.send()
 
     def run(self) -> None:
-        """Send batches until the process ends."""
-        while True:
-            self.filled.wait()
+        """Send batches until the peer is gone."""
+        while self.name in self.peers.core.state.members.peers:
+            with eventlet.Timeout(IDLE_S, False):
+                self.filled.wait()
             self.filled = Event()
             while self.messages:
-                batch, self.messages = self.messages[:BATCH_LIMIT], self.messages[BATCH_LIMIT:]
-                self.peers.send(self, batch)
+                self.peers.send(self.name, self.take_batch())
+        self.peers.forget(self)
+
+    def take_batch(self) -> list[object]:
+        """Return the next messages as JSON data, as many as fit a batch; at least one."""
+        batch: list[object] = []
+        size = 0
+        for data in wire.dump_messages(self.messages[:BATCH_LIMIT]):
+            size += len(orjson.dumps(data))
+            if batch and size > BATCH_BYTES:
+                break
+            batch.append(data)
+        del self.messages[: len(batch)]
+        return batch
 
 
 class Peers:
-    """Outboxes by peer, and the door for batches of peers."""
+    """Outboxes by peer, and the door for batches of peers.
+
+    Batches of all peers share one sequence, so that a peer that is gone and listed again does not
+    take new batches for old ones.
+    """
 
     def __init__(self, core: Core, key: str) -> None:
         self.core = core
         self.key = key
         self.outboxes: dict[str, Outbox] = {}
+        self.sequence = 0
         self.pool = ShortLivedPool(core.clock)
         core.on(fx.SendMessage, self.put)
 
     def put(self, effect: fx.SendMessage) -> None:
-        """Queue a message for a peer."""
+        """Queue a message for a peer; drop it if the peer is gone."""
+        if effect.peer not in self.core.state.members.peers:
+            self.core.metrics.count("peer_message_dropped", ("peer-gone",))
+            return
         outbox = self.outboxes.get(effect.peer)
         if outbox is None:
             outbox = self.outboxes[effect.peer] = Outbox(self, effect.peer)
         outbox.put(effect.message)
 
-    def send(self, outbox: Outbox, batch: list[Message]) -> None:
+    def forget(self, outbox: Outbox) -> None:
+        """Drop the outbox of a peer that is gone."""
+        if self.outboxes.get(outbox.name) is outbox:
+            del self.outboxes[outbox.name]
+
+    def send(self, name: str, batch: list[object]) -> None:
         """Send one batch; a failure is told to the decisions, and the batch is dropped."""
-        peer = self.core.state.members.peers.get(outbox.name)
+        peer = self.core.state.members.peers.get(name)
         if peer is None:
             return
-        outbox.sequence += 1
+        self.sequence += 1
         body = orjson.dumps(
             {
                 "sender": self.core.state.me.name,
                 "boot": self.core.state.boot,
-                "sequence": outbox.sequence,
-                "messages": wire.dump_messages(batch),
+                "sequence": self.sequence,
+                "messages": batch,
             }
         )
-        url = f"http://{peer.instance.host}:{peer.instance.port}{PEER_PATH}"
-        headers = {"Content-Type": "application/json", PEER_KEY_HEADER: self.key}
+        delivered = self.deliver(peer.instance, body)
         crossing = peer.instance.place.region != self.core.state.me.place.region
-        try:
-            timeout = Timeout(total=SEND_TIMEOUT_S)
-            answer = self.pool.request("POST", url, body=body, headers=headers, timeout=timeout)
-            delivered = answer.status == 200
-        except HTTPError:
-            delivered = False
         self.core.metrics.count("peer_bytes", ("yes" if crossing else "no",), len(body))
         if not delivered:
-            self.core.submit(ev.PeerSilent(self.core.at(), outbox.name))
+            self.core.submit(ev.PeerSilent(self.core.at(), name))
+
+    def deliver(self, instance: Instance, body: bytes) -> bool:
+        """Send a batch, once more over a new connection if the kept one stays silent."""
+        url = f"http://{instance.host}:{instance.port}{PEER_PATH}"
+        headers = {"Content-Type": "application/json", PEER_KEY_HEADER: self.key}
+        timeout = Timeout(total=SEND_TIMEOUT_S)
+        for _ in range(SEND_TRIES):
+            try:
+                answer = self.pool.request("POST", url, body=body, headers=headers, timeout=timeout)
+                return answer.status == 200
+            except HTTPError as error:
+                if never_sent(error):
+                    return False
+        return False
 
     def receive(self, data: bytes) -> None:
         """Take a batch of a peer.
--- a/poplarhoist/entry/problems.py
+++ b/poplarhoist/entry/problems.py
@@ -4,7 +4,6 @@
 
 import orjson
 from werkzeug.exceptions import HTTPException
-from werkzeug.exceptions import Unauthorized as Unauthorized
 from werkzeug.wrappers import Response
 
 from poplarhoist.models import Ran, Reason, Refusal
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import socket
 import uuid
 
 import eventlet
@@ -20,6 +21,7 @@
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import Peers
 from poplarhoist.entry.platform import HttpPlatform
+from poplarhoist.entry.protocol import BoundedProtocol
 from poplarhoist.models import Instance
 from poplarhoist.settings.loader import to_instance, to_limits, to_services
 from poplarhoist.settings.models import Site
@@ -27,6 +29,7 @@
 TICK_S = 0.05
 BACKLOG = 512
 HEADER_BYTES = 16384
+SEND_BUFFER_BYTES = 65536
 STOP_GRACE_S = 0.2
 
 
@@ -58,6 +61,8 @@
         """Listen, and begin to follow the platform."""
         me = self.core.state.me
         listener = eventlet.listen((me.host, me.port), backlog=BACKLOG)
+        # Bounds what a caller that does not read can make this entry hold.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.server = eventlet.spawn(
             eventlet.wsgi.server,
             listener,
@@ -65,6 +70,7 @@
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
+            protocol=BoundedProtocol,
             max_size=self.site.doors.connections,
             socket_timeout=self.site.doors.read_s,
             url_length_limit=HEADER_BYTES,
--- /dev/null
+++ b/poplarhoist/entry/web.py
@@ -0,0 +1,30 @@
+"""Small helpers for requests and responses of the entry's interfaces."""
+
+import hmac
+
+import orjson
+from werkzeug.exceptions import Unauthorized
+from werkzeug.wrappers import Request, Response
+
+
+def bearer(request: Request) -> str:
+    """Return the token that a request carries; empty if none."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    return token.strip() if scheme.lower() == "bearer" else ""
+
+
+def require_key(given: str, key: str) -> None:
+    """Compare a shared key in constant time.
+
+    Raises
+    ------
+    Unauthorized
+        If it is another one.
+    """
+    if not hmac.compare_digest(given.encode(), key.encode()):
+        raise Unauthorized("wrong or missing key")
+
+
+def json_response(data: object, status: int = 200) -> Response:
+    """Return a JSON response."""
+    return Response(orjson.dumps(data), status, content_type="application/json")
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -84,11 +84,22 @@
 
 @frozen
 class StreamSettings:
-    """Times of requests to endpoints, in seconds."""
+    """Times of requests to endpoints, in seconds.
+
+    Attributes
+    ----------
+    first_byte_s : float
+        Longest time until an answer begins.
+    gap_s : float
+        Longest time between two parts of a stream before it is opened again.
+    whole_s : float
+        Longest time of a streamed answer.
+    """
 
     connect_s: float = field(default=1.0, validator=POSITIVE)
     first_byte_s: float = field(default=30.0, validator=POSITIVE)
     gap_s: float = field(default=2.0, validator=POSITIVE)
+    whole_s: float = field(default=600.0, validator=POSITIVE)
 
 
 @frozen
--- a/poplarhoist/standins/engine.py
+++ b/poplarhoist/standins/engine.py
@@ -313,6 +313,7 @@
                 "loads": self.loads,
                 "crashes": self.crashes,
                 "violations": self.violations,
+                "running": len(self.batcher.running) + len(self.batcher.waiting),
                 "steps": self.batcher.steps,
                 "tokens": self.batcher.filled,
                 "batch": self.endpoint.batch,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -44,9 +44,11 @@
     """A factory of sites that run as separate processes; all are ended after the test."""
     sites = []
 
-    def start(**options) -> RunningSite:
+    def start(relays=(), **options) -> RunningSite:
         site = RunningSite(SiteFile(tmp_path / f"site{len(sites)}.toml", **options))
         sites.append(site)
+        for reader, target in relays:
+            site.relay(reader, target)
         site.start()
         return site
 
--- a/tests/site.py
+++ b/tests/site.py
@@ -17,6 +17,7 @@
 from poplarhoist.models import Adapter, Caller, Index, Preset, VersionState
 from poplarhoist.publish import Draft, Publisher
 from poplarhoist.settings.models import PlatformSettings
+from tests.relay import Relay
 
 ROOT = Path(__file__).resolve().parent.parent
 PEER_KEY = "peer-key-of-tests"
@@ -77,6 +78,7 @@
         checks_fencing: bool = True,
         loads_per_s: float = 20.0,
         regions: tuple[tuple[str, str], ...] = (("r1", "r1-a"),),
+        read_s: float = 20.0,
         extra: str = "",
     ) -> None:
         ports = iter(free_ports(entries + engines + 2))
@@ -88,7 +90,7 @@
         lines = [
             'name = "test"',
             f'[platform]\nhost = "127.0.0.1"\nport = {self.platform_port}',
-            f'[doors]\npeer_key = "{PEER_KEY}"\noperator_key = "{OPERATOR_KEY}"',
+            f'[doors]\npeer_key = "{PEER_KEY}"\noperator_key = "{OPERATOR_KEY}"\nread_s = {read_s}',
             f"[store]\nloads_per_s = {loads_per_s}\nload_s = 0.1",
         ]
         for number, (name, port) in enumerate(self.entry_ports.items()):
@@ -123,6 +125,7 @@
     def __init__(self, file: SiteFile) -> None:
         self.file = file
         self.processes: dict[str, subprocess.Popen] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
 
     def spawn(self, name: str, program: str, *args: str) -> subprocess.Popen:
         """Start a program of the product."""
@@ -135,7 +138,7 @@
     def start(self) -> None:
         """Start every process and wait until the entries are ready."""
         settings = str(self.file.path)
-        self.spawn("platform", "standin", "platform", "--settings", settings)
+        self.spawn("platform", "standin", "platform", "--settings", self.settings_of("platform"))
         for name in self.file.engine_ports:
             self.start_engine(name)
         self.spawn("booking-1", "standin", "service", "--settings", settings, "--name", "booking-1")
@@ -154,7 +157,26 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry."""
-        self.spawn(name, "entry", "--settings", str(self.file.path), "--name", name)
+        self.spawn(name, "entry", "--settings", self.settings_of(name), "--name", name)
+
+    def relay(self, reader: str, target: str) -> Relay:
+        """Put a relay before a process, for those whose settings a process reads.
+
+        Entries find the platform by their own settings, and endpoints and each other by the
+        platform's.
+        """
+        relay = self.relays[(reader, target)] = Relay(self.port_of(target))
+        return relay
+
+    def settings_of(self, name: str) -> str:
+        """Return the settings file for a process, with the relays before others."""
+        text = self.file.path.read_text()
+        for (reader, target), relay in self.relays.items():
+            if reader == name:
+                text = text.replace(f"port = {self.port_of(target)}\n", f"port = {relay.port}\n")
+        path = self.file.path.with_suffix(f".{name}.toml")
+        path.write_text(text)
+        return str(path)
 
     def wait_ready(self, name: str) -> None:
         """Wait until an entry takes requests."""
@@ -237,6 +259,8 @@
 
     def stop(self) -> None:
         """End every process."""
+        for relay in self.relays.values():
+            relay.close()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,183 @@
+"""Whole answers and silent connections, with real processes."""
+
+import json
+import socket
+import threading
+import time
+
+import pytest
+
+from poplarhoist.models import Preset
+from tests.site import TOKEN, wait_until
+
+GAP = "[streams]\ngap_s = 0.5\n"
+FIRST_TOKEN_S = 0.38
+
+
+def words(text: str) -> list[str]:
+    """Return the tokens of a streamed answer; it must be whole."""
+    events = [line.removeprefix("data: ") for line in text.split("\n\n") if line]
+    assert events[-1] == "[DONE]", text[-300:]
+    return [json.loads(event)["choices"][0]["text"] for event in events[:-1]]
+
+
+def whole(tokens: int, ref: str = "plans@1") -> list[str]:
+    return [f" {ref}:{index}" for index in range(tokens)]
+
+
+def counted(site, entry: str, line: str) -> float:
+    text = site.call(entry, "/metrics", method="GET").read().decode()
+    values = [row.split()[1] for row in text.splitlines() if row.startswith(line)]
+    return float(values[0]) if values else 0.0
+
+
+def warm(site, entry: str = "entry-1") -> None:
+    assert site.complete(entry, tokens=1).status == 200
+
+
+def test_a_stream_is_passed_on_at_once_and_resumed_over_a_new_connection(running_site):
+    site = running_site(entries=1, engines=1, extra=GAP)
+    warm(site)
+    asked_at = time.monotonic()
+    answer = site.complete("entry-1", tokens=300, stream=True)
+    text = answer.read1().decode()
+    assert time.monotonic() - asked_at < FIRST_TOKEN_S
+    for _ in range(2):
+        site.control("engine-1", silence=True)
+        resumed = counted(site, "entry-1", 'poplarhoist_stream_resumed_total{result="yes"}')
+        while counted(site, "entry-1", 'poplarhoist_stream_resumed_total{result="yes"}') == resumed:
+            text += answer.read1().decode()
+    text += answer.read().decode()
+    assert words(text) == whole(300)
+
+
+def test_a_silent_connection_before_the_first_byte_is_replaced(running_site):
+    site = running_site([("platform", "engine-1")], entries=1, engines=1, extra=GAP)
+    warm(site)
+    relay = site.relays["platform", "engine-1"]
+    site.publish(lambda draft: draft.put_preset(Preset("ordinary", max_wait_s=20.0)))
+    streams = [site.complete("entry-1", tokens=200, stream=True) for _ in range(8)]
+    late = []
+
+    def ask() -> None:
+        late.append(words(site.complete("entry-1", tokens=5, stream=True).read().decode()))
+
+    thread = threading.Thread(target=ask)
+    opened = relay.opened
+    thread.start()
+    wait_until(lambda: relay.opened > opened)
+    relay.silence()
+    asked_at = time.monotonic()
+    assert [words(stream.read().decode()) for stream in streams] == [whole(200)] * 8
+    thread.join()
+    assert late == [whole(5)]
+    assert time.monotonic() - asked_at < 20.0
+
+
+@pytest.mark.parametrize(("tokens", "kind"), [(400, "stream"), (400, "whole")])
+def test_an_engine_that_restarts_during_an_answer(running_site, tokens, kind):
+    site = running_site(entries=1, engines=2, extra=GAP)
+    for _ in range(2):
+        warm(site)
+    answer = None
+    if kind == "stream":
+        answer = site.complete("entry-1", tokens=tokens, stream=True)
+        text = answer.read1().decode()
+    else:
+        got = []
+        thread = threading.Thread(
+            target=lambda: got.append(site.complete("entry-1", tokens=tokens).json())
+        )
+        thread.start()
+    states = {name: site.state(name) for name in site.file.engine_ports}
+    wait_until(lambda: any(site.state(n)["tokens"] > states[n]["tokens"] for n in states))
+    used = [n for n in states if site.state(n)["tokens"] > states[n]["tokens"]][0]
+    site.control(used, restart=True)
+    if kind == "stream":
+        text += answer.read().decode()
+        assert "[DONE]" not in text
+        last = [block for block in text.split("\n\n") if block][-1]
+        assert last.startswith("event: error\n")
+        problem = json.loads(last.partition("data: ")[2])["error"]
+        assert (problem["reason"], problem["ran"]) == ("endpoint-lost", "unknown")
+    else:
+        thread.join()
+        assert got[0]["choices"][0]["text"] == "".join(whole(tokens))
+
+
+@pytest.mark.parametrize(
+    ("fault", "taken_out"), [({"wrong_adapter": 1}, 1.0), ({"wrong_request": 1}, 0.0)]
+)
+@pytest.mark.parametrize("stream", [False, True])
+def test_an_answer_for_somebody_else_is_thrown_away(running_site, fault, taken_out, stream):
+    site = running_site(entries=1, engines=2, extra=GAP)
+    warm(site)
+    loaded = [name for name in site.file.engine_ports if site.state(name)["slots"]]
+    for name in loaded:
+        site.control(name, **fault)
+    answer = site.complete("entry-1", tokens=5, stream=stream)
+    text = answer.read().decode()
+    assert answer.status == 200, text
+    assert "another" not in text
+    got = words(text) if stream else [json.loads(text)["choices"][0]["text"]]
+    assert "".join(got) == "".join(whole(5))
+    assert counted(site, "entry-1", 'poplarhoist_attempt_ended_total{outcome="wrong"}') == 1
+    line = 'poplarhoist_endpoint_taken_out_total{cause="adapter"}'
+    assert counted(site, "entry-1", line) == taken_out
+
+
+def raw_request(site, entry: str, body: dict, receive_bytes: int = 0) -> socket.socket:
+    """Send a request over a socket of its own."""
+    connection = socket.socket()
+    if receive_bytes:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    connection.connect(("127.0.0.1", site.file.entry_ports[entry]))
+    data = json.dumps(body).encode()
+    head = (
+        f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    connection.sendall(head.encode() + data)
+    return connection
+
+
+@pytest.mark.parametrize("leaves", ["during a stream", "before the answer", "stops reading"])
+def test_a_caller_that_leaves_holds_no_engine(running_site, leaves):
+    site = running_site(entries=1, engines=1, extra=GAP, read_s=2.0)
+    warm(site)
+    stream = leaves != "before the answer"
+    body = {"model": "plans", "prompt": "x", "max_tokens": 4000, "stream": stream}
+    receive_bytes = 2048 if leaves == "stops reading" else 0
+    connection = raw_request(site, "entry-1", body, receive_bytes)
+    if stream:
+        assert b"200 OK" in connection.recv(1024)
+    wait_until(lambda: site.state("engine-1")["running"] == 1)
+    if leaves != "stops reading":
+        connection.close()
+    wait_until(lambda: site.state("engine-1")["running"] == 0, 25.0, "the engine is free")
+    wait_until(lambda: site.status("entry-1")["requests"] == 0)
+    assert site.state("engine-1")["tokens"] < 4000
+    connection.close()
+
+
+def test_kept_connections_that_go_silent_are_replaced(running_site):
+    relays = [("entry-1", "platform"), ("platform", "engine-1"), ("platform", "entry-2")]
+    site = running_site(relays, entries=2, engines=1)
+    warm(site)
+    opened = {key: relay.opened for key, relay in site.relays.items()}
+    for relay in site.relays.values():
+        relay.silence()
+    silenced_at = time.monotonic()
+    index = site.publish(lambda draft: draft.put_preset(Preset("peak")))
+    wait_until(lambda: site.status("entry-1")["revision"] == index.revision, 6.0)
+    booked = site.call("entry-1", "/services/booking/book", {"a": 1}, Idempotency_Key="k1")
+    if booked.status != 201:
+        assert booked.json()["ran"] == "no"
+        booked = site.call("entry-1", "/services/booking/book", {"a": 1}, Idempotency_Key="k1")
+    assert booked.status == 201
+    assert site.complete("entry-1", tokens=2).status == 200
+    wait_until(lambda: site.status("entry-1")["endpoints"]["engine-1"]["report_age_s"] < 1.0, 6.0)
+    wait_until(lambda: site.status("entry-2")["peers"]["entry-1"]["silent_s"] < 1.0, 6.0)
+    assert time.monotonic() - silenced_at < 20.0
+    for key, relay in site.relays.items():
+        assert relay.opened > opened[key], key
