--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -41,6 +41,8 @@
     run_retention_s, run_sweep_s : float
         Time for which the record of a call that must not repeat is kept, and time in which the
         entries together look through all records for old ones.
+    lead_missing_s : float
+        Requests wait so long for a base model of which no lead is heard.
     caller_queue_share : float
         Share of the queue that one caller may fill.
     crossing_bytes_per_s : float
@@ -65,5 +67,6 @@
     attempts: int = 4
     run_retention_s: float = 86_400.0
     run_sweep_s: float = 21_600.0
+    lead_missing_s: float = 6.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -82,8 +82,9 @@
         When polls began to fail; None while they succeed.
     poll_at : float
         When the next poll is due; an earlier entry in the heap is stale.
-    out, out_until : bool, float
-        Whether it is taken out of use because of wrong answers, and until when.
+    out, out_until, out_told : bool, float, bool
+        Whether it is taken out of use because of wrong answers, until when, and whether a peer
+        told it.
     """
 
     endpoint: Endpoint
@@ -96,6 +97,7 @@
     poll_at: float = 0.0
     out: bool = False
     out_until: float = 0.0
+    out_told: bool = False
 
 
 @define
@@ -108,6 +110,8 @@
         Whether the platform's lists do not reach this entry.
     ask_at : float or None
         When to ask a peer for the lists next; None before the first tick.
+    changed_endpoints, joined : set
+        Endpoints and peers of which the leads have not yet taken a change.
     """
 
     peers: dict[str, Peer] = field(factory=dict)
@@ -116,6 +120,8 @@
     services_by_name: dict[str, set[str]] = field(factory=dict)
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
+    changed_endpoints: set[str] = field(factory=set)
+    joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
     cut: bool = True
     ask_at: float | None = None
@@ -139,6 +145,14 @@
     )
 
 
+def is_gone(state: State, name: str) -> bool:
+    """Return whether the platform lists another entry as gone, or not at all."""
+    if name == state.me.name:
+        return False
+    peer = state.members.peers.get(name)
+    return peer is None or peer.instance.state is Liveness.GONE
+
+
 def usable(state: State, name: str) -> bool:
     """Return whether an endpoint may get new work."""
     view = state.members.endpoints.get(name)
@@ -192,6 +206,7 @@
     peer = state.members.peers.get(name)
     if peer is None:
         state.members.peers[name] = Peer(instance)
+        state.members.joined.add(name)
         out.append(LogChange("peer-listed", {"peer": name}))
     else:
         peer.instance = instance
@@ -201,6 +216,7 @@
     """Add, change or remove an endpoint."""
     name = event.path.removeprefix(ENDPOINT_PREFIX)
     members = state.members
+    members.changed_endpoints.add(name)
     if event.value is None:
         view = members.endpoints.pop(name, None)
         if view is not None:
@@ -260,6 +276,7 @@
     view.leaving = True
     view.leaving_at = at
     view.leaving_told = told
+    state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-leaving", {"endpoint": name, "source": source}))
 
 
@@ -271,6 +288,8 @@
     restarted = view.report is not None and view.report.boot != report.boot
     view.report = report
     view.sampled_at = sampled_at
+    if view.silent_since is not None or view.leaving:
+        state.members.changed_endpoints.add(report.endpoint)
     if report.state is not Liveness.LIVE:
         mark_leaving(state, report.endpoint, "report", sampled_at, out)
     elif view.endpoint.state is Liveness.LIVE and sampled_at > view.leaving_at:
@@ -296,6 +315,7 @@
     if view is None or view.silent_since is None or event.asked_at < view.silent_since:
         return
     view.silent_since = None
+    state.members.changed_endpoints.add(event.report.endpoint)
     out.append(LogChange("endpoint-answers", {"endpoint": event.report.endpoint}))
 
 
@@ -305,6 +325,7 @@
     if view is None or view.silent_since is not None:
         return
     view.silent_since = at
+    state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-silent", {"endpoint": name}))
 
 
@@ -314,16 +335,19 @@
     if view is None:
         return
     view.out_until = at + OUT_S
-    out.append(Count("endpoint_taken_out", (cause,)))
+    out.append(Count("endpoint_taken_out", ("peer" if cause in state.members.peers else cause,)))
     if not view.out:
         view.out = True
+        view.out_told = cause in state.members.peers
+        state.members.changed_endpoints.add(name)
         out.append(LogChange("endpoint-taken-out", {"endpoint": name, "cause": cause}))
 
 
-def put_back(view: EndpointView, at: float, out: list[Effect]) -> None:
+def put_back(state: State, view: EndpointView, at: float, out: list[Effect]) -> None:
     """Use an endpoint again whose time out of use is over."""
     if view.out and at >= view.out_until:
         view.out = False
+        state.members.changed_endpoints.add(view.endpoint.name)
         out.append(LogChange("endpoint-put-back", {"endpoint": view.endpoint.name}))
 
 
@@ -379,6 +403,9 @@
     peer.draining = message.draining
     for name in message.leaving:
         mark_leaving(state, name, sender, at, out)
+    for name in message.distrusted:
+        if name in state.members.endpoints and not state.members.endpoints[name].out:
+            take_out(state, name, sender, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
@@ -393,13 +420,18 @@
 def send_heartbeats(state: State, at: float, out: list[Effect]) -> None:
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
-    leads = tuple(LeadClaim(base, board.epoch) for base, board in state.boards.items())
+    leads = tuple(
+        LeadClaim(base, board.epoch, board.loading) for base, board in state.boards.items()
+    )
     leaving = tuple(
         name
         for name, view in members.endpoints.items()
         if view.leaving and not view.leaving_told and at - view.leaving_at <= LEAVING_TOLD_S
     )
-    beat = Heartbeat(state.config.revision, state.draining, leads, leaving)
+    distrusted = tuple(
+        name for name, view in members.endpoints.items() if view.out and not view.out_told
+    )
+    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, distrusted)
     reports = tuple(
         evolve(report, age_s=at - sampled_at)
         for report, sampled_at in members.fresh_reports.values()
@@ -422,7 +454,7 @@
             continue
         entries = entries or live_entries(state, at)
         watched = rank(name, entries)[0] == state.me.name
-        put_back(view, at, out)
+        put_back(state, view, at, out)
         stale = at - view.sampled_at >= state.limits.report_stale_s
         if watched or stale or view.silent_since is not None:
             out.append(PollEndpoint(name))
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -14,10 +14,17 @@
 
 @frozen
 class LeadClaim:
-    """Says that the sender leads a base model under an epoch."""
+    """Says that the sender leads a base model under an epoch.
+
+    Attributes
+    ----------
+    loading : bool
+        Whether the base model needs a share of the weight store now.
+    """
 
     base: str
     epoch: int
+    loading: bool = False
 
 
 @frozen
@@ -32,12 +39,15 @@
         Base models that the sender leads.
     leaving : tuple
         Names of endpoints that the sender itself saw leaving lately.
+    distrusted : tuple
+        Names of endpoints that gave the sender itself wrong answers lately.
     """
 
     revision: int
     draining: bool = False
     leads: tuple[LeadClaim, ...] = ()
     leaving: tuple[str, ...] = ()
+    distrusted: tuple[str, ...] = ()
 
 
 @frozen
@@ -90,12 +100,22 @@
 
 @frozen
 class Grant:
-    """Lets the receiver dispatch an adapter version to an endpoint."""
+    """Lets the receiver dispatch an adapter version to an endpoint.
+
+    Attributes
+    ----------
+    number : int
+        Grows with each grant of one epoch, so that late or repeated messages are told apart.
+    boot : str
+        Boot id of the receiver that is meant.
+    """
 
     base: str
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+    boot: str = ""
 
 
 @frozen
@@ -106,6 +126,7 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
 
 
 @frozen
@@ -116,6 +137,15 @@
     epoch: int
     ref: AdapterRef
     endpoint: str
+    number: int = 0
+
+
+@frozen
+class LeadReleased:
+    """Says that the sender gave up a base model's lease, which is free to take."""
+
+    base: str
+    epoch: int
 
 
 @frozen
@@ -285,6 +315,7 @@
     | Grant
     | Recall
     | Returned
+    | LeadReleased
     | GatherGrants
     | HeldGrants
     | SuspectNotice
--- a/poplarhoist/decisions/revisions.py
+++ b/poplarhoist/decisions/revisions.py
@@ -58,6 +58,8 @@
         Text of each page in force, by digest, for peers that cannot reach the platform.
     items_by_page : dict
         What each page in force holds, by the page's name.
+    changed : set
+        Adapters on the pages that the last revision changed.
     """
 
     index: Index | None = None
@@ -72,6 +74,7 @@
     adapters_by_name: dict[str, Adapter] = field(factory=dict)
     callers_by_digest: dict[str, Caller] = field(factory=dict)
     presets_by_name: dict[str, Preset] = field(factory=dict)
+    changed: set[str] = field(factory=set)
 
     @property
     def revision(self) -> int:
@@ -218,8 +221,10 @@
     for name in changed:
         for adapter in old_pages.get(name, {}):
             config.adapters_by_name.pop(adapter, None)
+    config.changed.clear()
     for name in sorted(changed):
         config.adapters_by_name.update(config.items_by_page.get(name, {}))
+        config.changed.update(config.items_by_page.get(name, {}))
 
 
 def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -9,6 +9,7 @@
     "endpoint_death": ("Requests that were running when their endpoint died", ()),
     "isolation": ("Steps of requests that may only run alone", ("step",)),
     "load_ended": ("Loads ended", ("outcome",)),
+    "intent_write_failed": ("Writes of intents without success", ("status",)),
     "grant_dropped": ("Grants dropped", ("cause",)),
     "page_rejected": ("Configuration pages rejected", ()),
     "revision_rejected": ("Configuration revisions that are not well formed", ()),
