--- a/poplarhoist/decisions/effects.py
+++ b/poplarhoist/decisions/effects.py
@@ -89,6 +89,13 @@
     deleted: bool = False
 
 
+@frozen
+class SuspectWrite:
+    """Purpose: write down or delete what is known of a suspect."""
+
+    digest: str
+
+
 Purpose = (
     LeaseRead
     | LeaseWrite
@@ -100,6 +107,7 @@
     | RunRead
     | RunFinish
     | RunSweep
+    | SuspectWrite
 )
 
 
--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -6,24 +6,29 @@
 import math
 from typing import TYPE_CHECKING
 
+from poplarhoist.decisions import lead_grants
 from poplarhoist.decisions.board import (
     Board,
     EngineBoard,
     Slot,
     SlotState,
     is_cleared,
+    is_usable,
     want,
 )
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
+from poplarhoist.decisions.membership import is_silent
 from poplarhoist.decisions.messages import Recall
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
+    from poplarhoist.models import AdapterRef
 
 CLEAN_AHEAD = 2
 DRAINS_PER_ENGINE = 2
-VICTIMS_LOOKED_AT = 16
+STAY_S = 0.5
+VICTIMS_LOOKED_AT = 32
 REPLICA_DISCOUNT = 2.0
 
 
@@ -39,11 +44,17 @@
 
 def add_victim(board: Board, engine: EngineBoard, slot: Slot) -> None:
     """Let a resident slot be found when room is needed."""
-    heapq.heappush(board.victims, (worth(board, slot), engine.name, slot.ref))
-    replicas = board.engines_by_ref.get(slot.ref, ())
-    if len(replicas) > 1:
-        for name in replicas:
-            heapq.heappush(board.victims, (worth(board, slot), name, slot.ref))
+    key = worth(board, slot)
+    for name in sorted(board.engines_by_ref.get(slot.ref, ())):
+        push_victim(board, key, name, slot.ref)
+
+
+def push_victim(board: Board, key: float, name: str, ref: AdapterRef) -> None:
+    """Put a slot into the heap, once; a key that has grown is corrected when it comes up."""
+    pair = (name, ref)
+    if board.victim_keys.get(pair, float("inf")) > key:
+        board.victim_keys[pair] = key
+        heapq.heappush(board.victims, (key, name, ref))
 
 
 def may_load(state: State, engine: EngineBoard, at: float) -> bool:
@@ -61,11 +72,11 @@
         return
     if len(engine.slots) < engine.capacity:
         board.ready_free[engine.name] = None
-    elif clean_slot(board, engine, at) is not None:
+    elif clean_slot(board, engine) is not None:
         board.ready_clean[engine.name] = None
 
 
-def clean_slot(board: Board, engine: EngineBoard, at: float) -> Slot | None:
+def clean_slot(board: Board, engine: EngineBoard) -> Slot | None:
     """Return the slot of an engine that can be replaced at once and is missed least."""
     found = [
         slot
@@ -83,20 +94,27 @@
     needed : int
         Slots for loads that requests wait for; some more are drained ahead of need.
     """
-    slots = [slot_of(board, pair) for pair in board.draining if serves_loads(board, pair)]
-    promised = sum(slot.promised for slot in slots)
+    missing = needed - promised(board)
+    pairs = [pair for pair in sorted(board.draining) if serves_loads(board, pair)]
+    slots = [slot_of(board, pair) for pair in pairs]
     spare = sorted((slot for slot in slots if not slot.promised), key=lambda s: worth(board, s))
-    for slot in spare[: max(0, needed - promised)]:
+    for slot in spare[: max(0, missing)]:
         promise(board, slot)
-        promised += 1
-    while promised < needed:
-        found = find_victim(board)
+        missing -= 1
+    while missing > 0:
+        found = find_victim(state, board, at)
         if found is None:
             return
         engine, slot = found
         drain_slot(state, board, engine, slot, at, out)
         promise(board, slot)
-        promised += 1
+        missing -= 1
+
+
+def promised(board: Board) -> int:
+    """Return how many slots drain for loads that requests wait for."""
+    pairs = (pair for pair in board.draining if serves_loads(board, pair))
+    return sum(slot_of(board, pair).promised for pair in pairs)
 
 
 def drain_ahead(state: State, board: Board, at: float, out: list[Effect]) -> None:
@@ -104,12 +122,27 @@
     draining = sum(1 for pair in board.draining if serves_loads(board, pair))
     missing = CLEAN_AHEAD - draining - len(board.ready_free)
     for _ in range(missing):
-        found = find_victim(board, idle=True)
+        found = find_victim(state, board, at, idle=True)
         if found is None:
             return
         drain_slot(state, board, *found, at, out)
 
 
+def drain_for_replica(state: State, board: Board, ref, at: float, out: list[Effect]) -> None:
+    """Drain a slot for a further replica if it is worth less than the replica would be."""
+    if any(serves_loads(board, pair) for pair in board.draining):
+        return
+    found = find_victim(state, board, at, spare=ref)
+    if found is None:
+        return
+    engine, slot = found
+    replicas = len(board.engines_by_ref.get(ref, ()))
+    if board.score(slot.ref, at) < board.score(ref, at) / (replicas + 1):
+        drain_slot(state, board, engine, slot, at, out)
+    else:
+        add_victim(board, engine, slot)
+
+
 def promise(board: Board, slot: Slot) -> None:
     """Keep a draining slot for a load that requests wait for."""
     slot.promised = True
@@ -128,38 +161,55 @@
     return board.engines[name].slots[ref]
 
 
-def find_victim(board: Board, idle: bool = False) -> tuple[EngineBoard, Slot] | None:
+def find_victim(
+    state: State,
+    board: Board,
+    at: float,
+    idle: bool = False,
+    spare: AdapterRef | None = None,
+) -> tuple[EngineBoard, Slot] | None:
     """Return the resident slot that is missed least, on an engine that can drain one.
 
     Parameters
     ----------
     idle : bool
         Whether only slots that nobody holds will do.
+    spare : AdapterRef or None
+        Engines that hold this adapter version are passed over.
     """
     put_back = []
     found = None
     while board.victims and found is None and len(put_back) < VICTIMS_LOOKED_AT:
         key, name, ref = heapq.heappop(board.victims)
+        if board.victim_keys.get((name, ref)) != key:
+            continue
+        del board.victim_keys[(name, ref)]
         engine = board.engines.get(name)
         slot = engine.slots.get(ref) if engine else None
         if slot is None or slot.state is not SlotState.RESIDENT:
             continue
         current = worth(board, slot)
         if current > key:
-            heapq.heappush(board.victims, (current, name, ref))
-        elif may_drain(engine, slot) and not (idle and not is_cleared(board, slot)):
+            push_victim(board, current, name, ref)
+        elif spare in engine.slots or (idle and not is_cleared(board, slot)):
+            put_back.append((current, name, ref))
+        elif may_drain(state, engine, slot, at):
             found = (engine, slot)
         else:
             put_back.append((current, name, ref))
-    for entry in put_back:
-        heapq.heappush(board.victims, entry)
+    for current, name, ref in put_back:
+        push_victim(board, current, name, ref)
     return found
 
 
-def may_drain(engine: EngineBoard, slot: Slot) -> bool:
+def may_drain(state: State, engine: EngineBoard, slot: Slot, at: float) -> bool:
     """Return whether a slot may be drained now."""
     if not engine.in_use or not engine.settled or slot.ref in engine.suspended:
         return False
+    if at - slot.loaded_at < STAY_S or at < engine.retry_at - STAY_S:
+        return False
+    if any(is_silent(state, name, at) for name in slot.holders):
+        return False
     draining = sum(1 for other in engine.slots.values() if other.state is SlotState.DRAINING)
     return draining < DRAINS_PER_ENGINE
 
@@ -179,9 +229,24 @@
         recall(board, engine, slot, at, out)
 
 
+def revive(state: State, board: Board, ref, at: float, out: list[Effect]) -> bool:
+    """Use a draining slot of a wanted adapter version again instead of loading it elsewhere."""
+    for name in sorted(board.engines_by_ref.get(ref, ())):
+        engine = board.engines[name]
+        slot = engine.slots[ref]
+        if slot.state is not SlotState.DRAINING or not slot.promised:
+            continue
+        slot.promised = False
+        if engine.settled and is_usable(engine, slot):
+            lead_grants.grant_waiting(state, board, engine, slot, at, out)
+            return True
+    return False
+
+
 def keep_slot(board: Board, engine: EngineBoard, slot: Slot, at: float) -> None:
-    """Use a draining slot again."""
+    """Use a draining slot again; its recalled holders need new grants."""
     slot.state = SlotState.RESIDENT
+    slot.granted_at = float("-inf")
     slot.since = at
     slot.cleared_at = None
     slot.clean = False
--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -16,12 +16,15 @@
     want,
 )
 from poplarhoist.decisions.effects import PollEndpoint, SendMessage
-from poplarhoist.decisions.membership import is_gone
+from poplarhoist.decisions.membership import is_gone, is_silent
 from poplarhoist.decisions.messages import Grant, Returned
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
+    from poplarhoist.models import AdapterRef
+
+GRANT_AGAIN_S = 1.0
 
 
 def grant(state: State, board: Board, engine: EngineBoard, slot: Slot, entry, at, out) -> bool:
@@ -33,19 +36,20 @@
         evictions.refresh(state, board, engine, at)
     if slot.state is not SlotState.RESIDENT:
         return False
+    if entry in slot.holders and at - slot.granted_at < GRANT_AGAIN_S:
+        return True
+    slot.granted_at = at
+    out.append(SendMessage(entry, make_grant(state, board, engine, slot.ref, entry)))
+    return True
+
+
+def make_grant(state: State, board: Board, engine: EngineBoard, ref: AdapterRef, entry: str):
+    """Note an entry as a holder of a slot, and return the grant for it."""
     board.grant_count += 1
-    slot.holders[entry] = board.grant_count
+    engine.slots[ref].holders[entry] = board.grant_count
     peer = state.members.peers.get(entry)
-    message = Grant(
-        board.base,
-        board.epoch,
-        slot.ref,
-        engine.name,
-        board.grant_count,
-        peer.boot if peer else state.boot,
-    )
-    out.append(SendMessage(entry, message))
-    return True
+    boot = peer.boot if peer else state.boot
+    return Grant(board.base, board.epoch, ref, engine.name, board.grant_count, boot)
 
 
 def grant_waiting(state: State, board: Board, engine: EngineBoard, slot: Slot, at, out) -> None:
@@ -67,6 +71,10 @@
             continue
         slot.recalled_at = at
         release_gone(state, engine, slot, at)
+        if engine.reserved_at is None and any(is_silent(state, n, at) for n in slot.holders):
+            evictions.keep_slot(board, engine, slot, at)
+            grant_waiting(state, board, engine, slot, at, out)
+            continue
         if slot.cleared_at is None and is_cleared(board, slot):
             slot.cleared_at = at
         if slot.cleared_at is not None:
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -27,6 +27,7 @@
 FLAP_FORGOTTEN_S = 60.0
 OLD_BOOTS = 4
 OUT_S = 30.0
+PAUSED_S = 1.0
 
 
 @define
@@ -85,6 +86,8 @@
     out, out_until, out_told : bool, float, bool
         Whether it is taken out of use because of wrong answers, until when, and whether a peer
         told it.
+    unsure_since : float or None
+        When this entry was paused, if no poll sent since then was answered; None otherwise.
     """
 
     endpoint: Endpoint
@@ -98,6 +101,7 @@
     out: bool = False
     out_until: float = 0.0
     out_told: bool = False
+    unsure_since: float | None = None
 
 
 @define
@@ -110,6 +114,8 @@
         Whether the platform's lists do not reach this entry.
     ask_at : float or None
         When to ask a peer for the lists next; None before the first tick.
+    last_event_at : float
+        When the last event of any kind was handled.
     changed_endpoints, joined : set
         Endpoints and peers of which the leads have not yet taken a change.
     """
@@ -120,6 +126,7 @@
     services_by_name: dict[str, set[str]] = field(factory=dict)
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
+    last_event_at: float = float("-inf")
     changed_endpoints: set[str] = field(factory=set)
     joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
@@ -138,6 +145,24 @@
     return [*names, state.me.name]
 
 
+def is_silent(state: State, name: str, at: float) -> bool:
+    """Return whether another entry is listed but was not heard of lately."""
+    peer = state.members.peers.get(name)
+    if peer is None or is_gone(state, name):
+        return False
+    return at - peer.heard_at > state.limits.peer_timeout_s
+
+
+def candidates(state: State, at: float) -> list[str]:
+    """Return the entries that may take a lease now."""
+    peers = state.members.peers
+    return [
+        name
+        for name in live_entries(state, at)
+        if name == state.me.name or not peers[name].draining
+    ]
+
+
 def rank(key: str, names: list[str]) -> list[str]:
     """Order names by rendezvous hash for a key, the best first."""
     return sorted(
@@ -156,7 +181,25 @@
 def usable(state: State, name: str) -> bool:
     """Return whether an endpoint may get new work."""
     view = state.members.endpoints.get(name)
-    return view is not None and not view.leaving and view.silent_since is None and not view.out
+    if view is None or view.leaving or view.out:
+        return False
+    return view.silent_since is None and view.unsure_since is None
+
+
+def note_pause(state: State, at: float, out: list[Effect]) -> None:
+    """Ask every endpoint again if this entry was paused: what it knows is old.
+
+    Messages that waited meanwhile are old too, so only an own poll sent now tells whether an
+    endpoint still takes work.
+    """
+    paused_s = at - state.members.last_event_at
+    state.members.last_event_at = at
+    if not PAUSED_S <= paused_s < float("inf"):
+        return
+    out.append(LogChange("entry-was-paused", {"seconds": round(paused_s, 3)}))
+    for name, view in state.members.endpoints.items():
+        view.unsure_since = at
+        out.append(PollEndpoint(name))
 
 
 def known_boot(state: State, endpoint: str) -> str:
@@ -303,6 +346,9 @@
     """Take a report that was polled here and keep it for the peers."""
     sampled_at = event.asked_at - event.report.age_s
     note_answer(state, event, out)
+    view = state.members.endpoints.get(event.report.endpoint)
+    if view is not None and view.unsure_since is not None and event.asked_at >= view.unsure_since:
+        view.unsure_since = None
     if not take_report(state, event.report, sampled_at, out):
         return False
     state.members.fresh_reports[event.report.endpoint] = (event.report, sampled_at)
@@ -417,12 +463,17 @@
     poll_due(state, at, out)
 
 
+def lead_claim(state: State, base: str) -> LeadClaim:
+    """Return what to say of a base model that this entry leads."""
+    board = state.boards[base]
+    version = state.leadership.by_base[base].version
+    return LeadClaim(base, board.epoch, board.loading, version)
+
+
 def send_heartbeats(state: State, at: float, out: list[Effect]) -> None:
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
-    leads = tuple(
-        LeadClaim(base, board.epoch, board.loading) for base, board in state.boards.items()
-    )
+    leads = tuple(lead_claim(state, base) for base in state.boards)
     leaving = tuple(
         name
         for name, view in members.endpoints.items()
@@ -431,7 +482,8 @@
     distrusted = tuple(
         name for name, view in members.endpoints.items() if view.out and not view.out_told
     )
-    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, distrusted)
+    marks = {base: told.number for base, told in state.holdings.told.items()}
+    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, marks, distrusted)
     reports = tuple(
         evolve(report, age_s=at - sampled_at)
         for report, sampled_at in members.fresh_reports.values()
@@ -453,9 +505,10 @@
         if view is None or view.poll_at != due:
             continue
         entries = entries or live_entries(state, at)
+        unsure = view.silent_since is not None or view.unsure_since is not None
         watched = rank(name, entries)[0] == state.me.name
         put_back(state, view, at, out)
         stale = at - view.sampled_at >= state.limits.report_stale_s
-        if watched or stale or view.silent_since is not None:
+        if watched or stale or unsure:
             out.append(PollEndpoint(name))
         schedule_poll(members, name, at + state.limits.poll_s)
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -7,7 +7,7 @@
 
 import enum
 
-from attrs import frozen
+from attrs import field, frozen
 
 from poplarhoist.models import AdapterRef, Endpoint, EndpointReport, Index, Instance
 
@@ -20,11 +20,14 @@
     ----------
     loading : bool
         Whether the base model needs a share of the weight store now.
+    version : int
+        Version of the lease object as the sender last wrote it.
     """
 
     base: str
     epoch: int
     loading: bool = False
+    version: int = 0
 
 
 @frozen
@@ -39,6 +42,8 @@
         Base models that the sender leads.
     leaving : tuple
         Names of endpoints that the sender itself saw leaving lately.
+    holdings : dict
+        Number of the sender's last ``Holdings`` by base model.
     distrusted : tuple
         Names of endpoints that gave the sender itself wrong answers lately.
     """
@@ -47,6 +52,7 @@
     draining: bool = False
     leads: tuple[LeadClaim, ...] = ()
     leaving: tuple[str, ...] = ()
+    holdings: dict[str, int] = field(factory=dict)
     distrusted: tuple[str, ...] = ()
 
 
@@ -180,6 +186,25 @@
     orders_open: bool = False
 
 
+@frozen
+class Holdings:
+    """Tells an entry that may lead next of the grants that the sender holds.
+
+    Attributes
+    ----------
+    number : int
+        Grows by one with each message of a base model, so that a missed one is noticed.
+    full : bool
+        Whether ``added`` names all pairs; else it names those since the last message.
+    """
+
+    base: str
+    number: int
+    full: bool
+    added: tuple[GrantPair, ...] = ()
+    removed: tuple[GrantPair, ...] = ()
+
+
 @frozen
 class SuspectNotice:
     """Tells of a request that was running when endpoints died.
@@ -247,13 +272,20 @@
 
 @frozen
 class IsolationGrant:
-    """Lets the receiver run a suspect alone on an endpoint that was emptied for it."""
+    """Lets the receiver run a suspect alone on an endpoint that was emptied for it.
+
+    Attributes
+    ----------
+    grant : Grant
+        The grant under which it runs.
+    boot : str
+        Boot id of the endpoint.
+    """
 
     base: str
     epoch: int
     request_id: str
-    ref: AdapterRef
-    endpoint: str
+    grant: Grant
     boot: str
 
 
@@ -318,6 +350,7 @@
     | LeadReleased
     | GatherGrants
     | HeldGrants
+    | Holdings
     | SuspectNotice
     | KnownSuspects
     | TrialNotice
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -8,9 +8,11 @@
 from poplarhoist.decisions import (
     admission,
     grants,
+    holdings,
     intents,
     isolation,
     leadership,
+    load_views,
     membership,
     messages,
     outcomes,
@@ -19,14 +21,15 @@
     relay,
     requests,
     revisions,
-    routing,
     runs,
+    suspect_store,
     sweeping,
     turns,
 )
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.decisions.effects import Effect
+from poplarhoist.decisions.intentbook import orders_open
 from poplarhoist.decisions.state import State
 
 
@@ -46,13 +49,23 @@
         What the shell is to do, in order.
     """
     out: list[Effect] = []
+    note_time(state, event.at, out)
     leadership.expire(state, event.at, out)
+    membership.note_pause(state, event.at, out)
     HANDLERS[type(event)](state, event, out)
     if state.quarantine.fresh_convictions:
         requests.refuse_convicted(state, event.at, out)
     return deliver_to_self(state, event.at, out)
 
 
+def note_time(state: State, at: float, out: list[Effect]) -> None:
+    """Give up idle grants after a pause: a lead that nobody told of may have recalled them."""
+    if at - state.last_event_at > state.limits.lease_use_s:
+        out.append(fx.LogChange("entry-was-paused", {"seconds": at - state.last_event_at}))
+        grants.give_up_all(state, out)
+    state.last_event_at = at
+
+
 def deliver_to_self(state: State, at: float, out: list[Effect]) -> list[Effect]:
     """Handle messages to this entry, and those that follow from them."""
     effects: list[Effect] = []
@@ -74,6 +87,7 @@
     leadership.on_tick(state, event.at, out)
     placement.on_tick(state, event.at, out)
     grants.on_tick(state, event.at, out)
+    holdings.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
     runs.on_tick(state, event.at, out)
     sweeping.on_tick(state, event.at, out)
@@ -81,16 +95,16 @@
     isolation.on_tick(state, event.at, out)
     turns.on_tick(state, event.at, out)
     admission.on_tick(state, event.at, out)
-    stop_when_idle(state, out)
+    stop_when_idle(state, event.at, out)
 
 
-def stop_when_idle(state: State, out: list[Effect]) -> None:
+def stop_when_idle(state: State, at: float, out: list[Effect]) -> None:
     """Stop a draining entry once nothing is left to do."""
     if not state.draining or state.stopped:
         return
     if state.requests or state.runs.by_request or state.boards or state.grants.by_ref:
         return
-    if state.leadership.open_orders or leadership.releasing(state):
+    if orders_open(state.leadership.open_orders, at) or leadership.releasing(state):
         return
     state.stopped = True
     out.append(fx.Stop())
@@ -100,6 +114,7 @@
     """Take a change of an object on the platform."""
     revisions.on_object(state, event, out)
     membership.on_object(state, event, out)
+    quarantine.on_object(state, event, out)
 
 
 def on_platform(state: State, event: ev.PlatformAnswered, out: list[Effect]) -> None:
@@ -115,6 +130,8 @@
         intents.on_written(state, event, out)
     elif isinstance(purpose, fx.IntentsRead):
         intents.on_read(state, event, out)
+    elif isinstance(purpose, fx.SuspectWrite):
+        suspect_store.on_written(state, event)
     elif isinstance(purpose, fx.PageRead):
         revisions.on_page_read(state, event, out)
     elif isinstance(purpose, fx.RunCreate):
@@ -131,9 +148,13 @@
     """Take a message from another entry."""
     peer = state.members.peers.get(event.sender)
     started = peer is not None and peer.boot != event.boot
+    oldest = event.at - state.limits.peer_timeout_s
+    returned = peer is not None and not started and peer.heard_at < oldest
     if membership.accept_batch(state, event, out):
         if started:
             quarantine.tell_newcomer(state, event.sender, event.at, out)
+        elif returned:
+            quarantine.tell_all(state, event.sender, out)
         handle_message(state, event.sender, event.message, event.at, out)
 
 
@@ -142,11 +163,10 @@
     match message:
         case messages.Heartbeat():
             membership.on_heartbeat(state, sender, message, at, out)
+            holdings.on_marks(state, sender, message.holdings)
             revisions.on_peer_revision(state, sender, message.revision, at, out)
             for claim in message.leads:
-                if claim.loading:
-                    state.leadership.loading_heard[claim.base] = at
-                leadership.note_epoch(state, claim.base, claim.epoch, sender, at, out)
+                leadership.on_claim(state, sender, claim, at, out)
         case messages.Reports():
             for report in message.reports:
                 take_report(state, report, at - report.age_s, at, out)
@@ -169,10 +189,12 @@
             leadership.on_lead_released(state, sender, message, at)
         case messages.GatherGrants():
             if leadership.note_epoch(state, message.base, message.epoch, sender, at, out):
-                grants.gather(state, sender, message, out)
+                grants.gather(state, sender, message, at, out)
                 isolation.tell_lead(state, message.base, at, out)
         case messages.HeldGrants():
             placement.on_held(state, sender, message, at, out)
+        case messages.Holdings():
+            holdings.on_message(state, sender, message)
         case messages.SuspectNotice():
             quarantine.on_notice(state, message, at, out)
         case messages.KnownSuspects():
@@ -221,7 +243,7 @@
     """Tell the policies of a report that is newer than the last."""
     if boot and boot != report.boot:
         grants.drop_endpoint(state, report.endpoint, out)
-    routing.on_report(state, report)
+    load_views.on_report(state, report, sampled_at)
     placement.on_report(state, report, sampled_at, at, out, polled)
     requests.pump_endpoint(state, report.endpoint, at, out)
 
--- a/poplarhoist/decisions/state.py
+++ b/poplarhoist/decisions/state.py
@@ -7,7 +7,9 @@
 
 from poplarhoist.decisions.admission import AdmissionState
 from poplarhoist.decisions.board import Board
+from poplarhoist.decisions.crossing import CrossingState
 from poplarhoist.decisions.grants import GrantState, Held
+from poplarhoist.decisions.holdings import HoldingsState
 from poplarhoist.decisions.leadership import LeadershipState
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.decisions.membership import MembershipState
@@ -16,6 +18,7 @@
 from poplarhoist.decisions.revisions import ConfigState
 from poplarhoist.decisions.routing import RoutingState
 from poplarhoist.decisions.runs import RunState
+from poplarhoist.decisions.suspect_store import SuspectStore
 from poplarhoist.decisions.turns import TurnState
 from poplarhoist.models import AdapterRef, Instance, Service
 
@@ -109,12 +112,16 @@
     leadership: LeadershipState = field(factory=LeadershipState)
     boards: dict[str, Board] = field(factory=dict)
     grants: GrantState = field(factory=GrantState)
+    holdings: HoldingsState = field(factory=HoldingsState)
     admission: AdmissionState = field(factory=AdmissionState)
+    crossing: CrossingState = field(factory=CrossingState)
     routing: RoutingState = field(factory=RoutingState)
     retries: RetryState = field(factory=RetryState)
     quarantine: QuarantineState = field(factory=QuarantineState)
+    suspect_store: SuspectStore = field(factory=SuspectStore)
     turns: TurnState = field(factory=TurnState)
     runs: RunState = field(factory=RunState)
     requests: dict[str, RequestState] = field(factory=dict)
+    last_event_at: float = float("inf")
     draining: bool = False
     stopped: bool = False
--- a/poplarhoist/entry/endpoints.py
+++ b/poplarhoist/entry/endpoints.py
@@ -9,7 +9,12 @@
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.http import ShortLivedPool, never_sent, single_use_pool
+from poplarhoist.entry.http import (
+    ShortLivedPool,
+    never_sent,
+    nothing_listens,
+    single_use_pool,
+)
 from poplarhoist.models import Endpoint, EndpointReport
 
 POLL_TIMEOUT_S = 1.0
@@ -44,7 +49,7 @@
         try:
             report = self.read_report(endpoint)
         except HTTPError as error:
-            refused = never_sent(error)
+            refused = nothing_listens(error)
             self.core.submit(ev.EndpointSilent(self.core.at(), effect.endpoint, refused))
             return
         except Exception:
--- a/poplarhoist/replay/bench.py
+++ b/poplarhoist/replay/bench.py
@@ -14,6 +14,7 @@
 from poplarhoist.decisions.pages import INDEX_PATH
 from poplarhoist.decisions.reducer import reduce
 from poplarhoist.decisions.state import State
+from poplarhoist.decisions.suspect_store import SUSPECT_PREFIX
 from poplarhoist.entry.platform import Answer, token_digest
 from poplarhoist.models import (
     Adapter,
@@ -36,10 +37,11 @@
 
 TICK_S = 0.05
 CALL_TIMEOUT_S = 2.0
+TOKEN_BYTES = 200
 TOKEN = "token"
 CALLER = "caller"
 BOOKING_ROUTES = (Route("POST", "/book", False), Route("GET", "/free", True))
-WATCHED = (INDEX_PATH, INSTANCE_PREFIX, ENDPOINT_PREFIX)
+WATCHED = (INDEX_PATH, INSTANCE_PREFIX, ENDPOINT_PREFIX, SUSPECT_PREFIX)
 
 
 @define
@@ -137,6 +139,7 @@
         self.services: dict[str, FakeService] = {}
         self.entries: dict[str, FakeEntry] = {}
         self.asked: dict[str, Asked] = {}
+        self.reduce = reduce
         self.checks: list[Callable[[Bench], None]] = []
         self.hooks: list[Callable[[FakeEntry, object], None]] = []
         self.cut: set[frozenset[str]] = set()
@@ -225,7 +228,7 @@
         if entry.paused:
             entry.held.append(lambda: self.submit(entry, make))
             return
-        for effect in reduce(entry.state, event):
+        for effect in self.reduce(entry.state, event):
             self.effect(entry, effect)
         for check in self.checks:
             check(self)
@@ -367,6 +370,7 @@
                 endpoint=effect.endpoint,
                 outcome=outcome,
                 reason=reason,
+                size=asked.tokens * TOKEN_BYTES if outcome is ev.Outcome.COMPLETED else 0,
                 record="answer" if effect.ref is None else "",
             ),
         )
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -20,11 +20,12 @@
 
     Attributes
     ----------
-    outage, lose_answers, slow_s, hang
+    outage, lose_answers, slow_s, late_writes, late_s, faulty_path, hang
         Faults: refuse all calls; let so many writes take effect without an answer; add seconds;
-        leave all calls without effect or answer.
-    late_writes : list
-        Fault: the next writes get no answer and take effect so many seconds later.
+        let so many writes have no answer and arrive only after some seconds; lost answers and
+        late writes concern paths with this prefix; leave all calls without effect or answer.
+    delayed_writes : list
+        Fault: the next writes get no answer and take effect so many seconds later each.
     """
 
     clock: VirtualClock
@@ -33,8 +34,11 @@
     outage: bool = False
     lose_answers: int = 0
     slow_s: float = 0.0
+    late_writes: int = 0
+    late_s: float = 0.0
+    faulty_path: str = ""
     hang: bool = False
-    late_writes: list[float] = field(factory=list)
+    delayed_writes: list[float] = field(factory=list)
     list_lag_s: float = 0.0
     calls: dict[str, int] = field(factory=dict)
     watchers: list[Callable[[str, int, object], None]] = field(factory=list)
@@ -46,14 +50,18 @@
             return CallStatus.REFUSED, 0, None
         if self.hang:
             return CallStatus.UNKNOWN, 0, None
-        if self.late_writes:
-            self.clock.after(self.late_writes.pop(0), lambda: self.put(path, value, expect))
+        if self.delayed_writes:
+            self.clock.after(self.delayed_writes.pop(0), lambda: self.put(path, value, expect))
+            return CallStatus.UNKNOWN, 0, None
+        if self.late_writes > 0 and path.startswith(self.faulty_path):
+            self.late_writes -= 1
+            self.clock.after(self.late_s, lambda: self.put(path, value, expect))
             return CallStatus.UNKNOWN, 0, None
         version, current = self.objects.get(path, (0, None))
         if version != expect:
             return CallStatus.CONFLICT, version, current
         written = self.write(path, value)
-        if self.lose_answers > 0:
+        if self.lose_answers > 0 and path.startswith(self.faulty_path):
             self.lose_answers -= 1
             return CallStatus.UNKNOWN, 0, None
         return CallStatus.OK, written, None
@@ -168,8 +176,8 @@
     ----------
     violations : list
         What must never happen, such as an eviction of an adapter in use.
-    fail_loads, report_lag_s, silent
-        Faults: so many of the next loads fail; age of the reports; polls get no answer.
+    fail_loads, bad_refs, report_lag_s, silent
+        Faults: so many of the next loads fail; loads of these fail; age of the reports; polls get no answer.
     """
 
     endpoint: Endpoint
@@ -189,6 +197,7 @@
     samples: deque[tuple[float, EndpointReport]] = field(factory=deque)
     report_lag_s: float = 0.0
     fail_loads: int = 0
+    bad_refs: set[str] = field(factory=set)
     violations: list[str] = field(factory=list)
     steps: int = 0
     filled: int = 0
@@ -319,8 +328,8 @@
         if boot != self.boot:
             done(OrderOutcome.UNKNOWN, "restarted")
             return
-        if not worked or self.fail_loads > 0:
-            self.fail_loads -= 1 if worked else 0
+        if not worked or self.fail_loads > 0 or ref in self.bad_refs:
+            self.fail_loads -= 1 if worked and self.fail_loads > 0 else 0
             del self.slots[ref]
             done(OrderOutcome.FAILED, "store")
             return
--- a/tests/site.py
+++ b/tests/site.py
@@ -158,7 +158,8 @@
 
     def start_entry(self, name: str) -> None:
         """Start an entry."""
-        self.spawn(name, "entry", "--settings", self.settings_of(name), "--name", name)
+        args = ("--settings", self.settings_of(name), "--name", name, "--json-logs")
+        self.spawn(name, "entry", *args)
 
     def relay(self, reader: str, target: str) -> Relay:
         """Put a relay before a process, for those whose settings a process reads.
--- a/tests/test_runs.py
+++ b/tests/test_runs.py
@@ -113,7 +113,7 @@
 
 
 def late(*seconds):
-    return lambda bench: bench.platform.late_writes.extend(seconds)
+    return lambda bench: bench.platform.delayed_writes.extend(seconds)
 
 
 def hang(bench):
@@ -163,7 +163,7 @@
 @pytest.mark.parametrize("late_s", [3.0, 5.01])
 def test_an_outage_after_a_lost_create_leaves_no_block(late_s):
     bench = site()
-    bench.platform.late_writes.append(late_s)
+    bench.platform.delayed_writes.append(late_s)
     first = bench.book("entry-1", KEY)
     bench.run(1.0)
     bench.platform.outage = True
