--- a/tests/site.py
+++ b/tests/site.py
@@ -26,7 +26,9 @@
 READY_S = 20.0
 FIRST_PORT, LAST_PORT = 10240, 32000
 PORTS = random.Random()
-CONTROL = urllib3.PoolManager(retries=urllib3.Retry(connect=8, read=0, backoff_factor=0.05))
+CONTROL = urllib3.PoolManager(
+    retries=urllib3.Retry(connect=8, read=0, backoff_factor=0.05), headers={"Connection": "close"}
+)
 POOL = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=32)
 
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,6 +12,7 @@
 
 GAP = "[streams]\ngap_s = 0.5\n"
 FIRST_TOKEN_S = 0.38
+RESUMED = 'poplarhoist_stream_resumed_total{result="yes"}'
 
 
 def words(text: str) -> list[str]:
@@ -39,16 +40,17 @@
     site = running_site(entries=1, engines=1, extra=GAP)
     warm(site)
     asked_at = time.monotonic()
-    answer = site.complete("entry-1", tokens=300, stream=True)
+    answer = site.complete("entry-1", tokens=600, stream=True)
     text = answer.read1().decode()
     assert time.monotonic() - asked_at < FIRST_TOKEN_S
-    for _ in range(2):
+    for number in (1, 2):
         site.control("engine-1", silence=True)
-        resumed = counted(site, "entry-1", 'poplarhoist_stream_resumed_total{result="yes"}')
-        while counted(site, "entry-1", 'poplarhoist_stream_resumed_total{result="yes"}') == resumed:
-            text += answer.read1().decode()
+        while counted(site, "entry-1", RESUMED) < number:
+            part = answer.read1().decode()
+            assert part, "the stream ended before it was resumed"
+            text += part
     text += answer.read().decode()
-    assert words(text) == whole(300)
+    assert words(text) == whole(600)
 
 
 def test_a_silent_connection_before_the_first_byte_is_replaced(running_site):
