--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -77,6 +77,8 @@
         Whether the endpoint takes no new work.
     leaving_at : float
         When that was learnt last; a report sampled before it does not revoke it.
+    leaving_since : float
+        When that was learnt first.
     leaving_told : bool
         Whether a peer told it, who tells the others as well.
     silent_since : float or None
@@ -95,6 +97,7 @@
     sampled_at: float = float("-inf")
     leaving: bool = False
     leaving_at: float = float("-inf")
+    leaving_since: float = float("-inf")
     leaving_told: bool = False
     silent_since: float | None = None
     poll_at: float = 0.0
@@ -317,7 +320,7 @@
     if view.leaving:
         return
     view.leaving = True
-    view.leaving_at = at
+    view.leaving_at = view.leaving_since = at
     view.leaving_told = told
     state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-leaving", {"endpoint": name, "source": source}))
@@ -477,7 +480,7 @@
     leaving = tuple(
         name
         for name, view in members.endpoints.items()
-        if view.leaving and not view.leaving_told and at - view.leaving_at <= LEAVING_TOLD_S
+        if view.leaving and not view.leaving_told and at - view.leaving_since <= LEAVING_TOLD_S
     )
     distrusted = tuple(
         name for name, view in members.endpoints.items() if view.out and not view.out_told
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,252 @@
+"""Who takes part: joins, leaves, pauses, cuts and flapping, with bounded messages."""
+
+import eventlet
+import pytest
+from attrs import evolve
+
+from poplarhoist import wire
+from poplarhoist.decisions import effects as fx
+from poplarhoist.decisions import events as ev
+from poplarhoist.decisions import membership, relay
+from poplarhoist.decisions.membership import ENDPOINT_PREFIX, INSTANCE_PREFIX
+from poplarhoist.decisions.messages import Heartbeat
+from poplarhoist.decisions.state import State
+from poplarhoist.entry.core import Core
+from poplarhoist.entry.metrics import Metrics
+from poplarhoist.entry.peers import IDLE_S, Peers
+from poplarhoist.models import Liveness, Place, Preset
+from poplarhoist.replay.bench import RUNNERS, Bench
+from poplarhoist.replay.clock import VirtualClock
+
+PLACES = (Place("r1", "r1-a"), Place("r2", "r2-a"))
+SOON_S = 6.0
+
+
+def site(entries: int = 4, **options) -> Bench:
+    bench = Bench(entries=entries, engines=2, places=PLACES, **options)
+    bench.configure()
+    bench.run(5.0)
+    return bench
+
+
+def members(bench: Bench, name: str) -> membership.MembershipState:
+    return bench.entries[name].state.members
+
+
+def live(bench: Bench, name: str) -> set[str]:
+    return set(membership.live_entries(bench.entries[name].state, bench.clock.seconds))
+
+
+def sent(bench: Bench, kind: type) -> list:
+    """Return the list that gets every message of a kind from now on."""
+    messages = []
+    send = bench.send_message
+
+    def note(self, entry, effect):
+        if isinstance(effect.message, kind):
+            messages.append((entry.state.me.name, effect.peer, effect.message))
+        send(entry, effect)
+
+    RUNNERS[fx.SendMessage] = note
+    return messages
+
+
+@pytest.fixture(autouse=True)
+def restore_runners():
+    kept = dict(RUNNERS)
+    yield
+    RUNNERS.clear()
+    RUNNERS.update(kept)
+
+
+def test_all_entries_are_replaced_one_after_another():
+    bench = site()
+    asked = []
+    for number in range(1, 5):
+        name = f"entry-{number}"
+        place = bench.entries[name].state.me.place
+        bench.drain(name)
+        other = f"entry-{number % 4 + 1}"
+        asked += [bench.ask(other, f"a{number}"), bench.book(other, f"key {number}")]
+        bench.run(20.0)
+        assert bench.entries[name].stopped
+        bench.add_entry(name, place)
+        bench.run(SOON_S)
+    assert all(item.completed for item in asked)
+    for name in bench.entries:
+        assert live(bench, name) == set(bench.entries)
+        assert not any(peer.draining for peer in members(bench, name).peers.values())
+    assert bench.violations() == []
+
+
+def test_a_region_that_is_cut_for_an_hour_and_healed():
+    bench = site()
+    near, far = ("entry-1", "entry-3"), ("entry-2", "entry-4")
+    bench.cut |= {frozenset((a, b)) for a in near for b in far}
+    for name in far:
+        bench.entries[name].watching = False
+    bench.run(10.0)
+    index = bench.publisher().change(lambda draft: draft.put_preset(Preset("peak")))
+    bench.run(3600.0)
+    assert live(bench, "entry-1") == set(near)
+    assert live(bench, "entry-2") == set(far)
+    assert bench.ask("entry-2", "a1").refusal is None
+    bench.cut.clear()
+    bench.run(SOON_S)
+    assert {e.state.config.revision for e in bench.entries.values()} == {index.revision}
+    assert live(bench, "entry-1") == set(bench.entries)
+    assert bench.violations() == []
+
+
+def test_a_peer_that_flaps_counts_as_live_only_after_longer_and_longer():
+    bench = site()
+    waits = []
+    for _ in range(4):
+        bench.pause("entry-2")
+        bench.run(3.0)
+        assert "entry-2" not in live(bench, "entry-1")
+        bench.resume("entry-2")
+        heard_at = bench.clock.seconds
+        while "entry-2" not in live(bench, "entry-1"):
+            bench.run(0.1)
+        waits.append(bench.clock.seconds - heard_at)
+    assert waits == sorted(waits) and waits[-1] > 2 * waits[0]
+    assert waits[-1] <= membership.FLAP_LONGEST_S + 1.0
+
+
+@pytest.mark.parametrize(
+    ("sender", "boot", "sequence", "cause"),
+    [
+        ("entry-9", "x", 1, "unknown-sender"),
+        ("entry-2", "", 0, "out-of-order"),
+        ("entry-2", "old", 10**9, "old-boot"),
+    ],
+)
+def test_messages_that_come_late_or_from_strangers_are_dropped(sender, boot, sequence, cause):
+    bench = site()
+    bench.kill("entry-2", listed=True)
+    old = bench.entries["entry-2"].state.boot
+    bench.add_entry("entry-2", PLACES[1])
+    bench.run(SOON_S)
+    boot = {"old": old, "": bench.entries["entry-2"].state.boot}.get(boot, boot)
+    entry = bench.entries["entry-1"]
+    beat = Heartbeat(10**6, True)
+    bench.submit(entry, lambda at: ev.PeerSaid(at, sender, boot, sequence, beat))
+    assert entry.counts[("peer_message_dropped", (cause,))] == 1
+    assert members(bench, "entry-1").peers["entry-2"].boot == bench.entries["entry-2"].state.boot
+    assert not members(bench, "entry-1").peers["entry-2"].draining
+
+
+def test_heartbeats_do_not_grow_with_endpoints_that_left():
+    bench = site()
+    bench.leave("engine-1")
+    bench.run(1.0)
+    assert all(members(bench, name).endpoints["engine-1"].leaving for name in bench.entries)
+    bench.run(30.0)
+    beats = sent(bench, Heartbeat)
+    bench.run(2.0)
+    assert beats and not any(message.leaving for _, _, message in beats)
+
+
+@pytest.mark.parametrize("lag_s", [0.0, 2.0])
+def test_a_refusal_because_of_leaving_is_not_revoked_by_older_reports(lag_s):
+    bench = site()
+    fake = bench.engines["engine-1"]
+    fake.report_lag_s = lag_s
+    bench.run(5.0)
+    state = bench.entries["entry-1"].state
+    fake.state = Liveness.LEAVING
+    membership.mark_leaving(state, "engine-1", "refusal", bench.clock.seconds, [])
+    for _ in range(100):
+        bench.run(0.1)
+        assert not membership.usable(state, "engine-1")
+    fake.state = Liveness.LIVE
+    bench.run(lag_s + 3.0)
+    assert membership.usable(state, "engine-1")
+
+
+def test_a_silent_endpoint_comes_back_and_others_do_not_speak_for_it():
+    bench = site()
+    bench.engines["engine-1"].silent = True
+    bench.run(SOON_S)
+    states = [entry.state for entry in bench.entries.values()]
+    assert not any(membership.usable(state, "engine-1") for state in states)
+    report = members(bench, "entry-1").endpoints["engine-1"].report
+    out = []
+    membership.take_report(states[0], evolve(report, age_s=0.0), bench.clock.seconds, out)
+    assert not membership.usable(states[0], "engine-1")
+    bench.engines["engine-1"].silent = False
+    bench.run(3.0)
+    assert all(membership.usable(state, "engine-1") for state in states)
+
+
+def test_an_endpoint_listed_again_is_polled_no_more_than_before():
+    bench = site(entries=1)
+    value = bench.platform.objects[ENDPOINT_PREFIX + "engine-1"][1]
+    polls = []
+    RUNNERS[fx.PollEndpoint] = lambda self, entry, effect: polls.append(effect.endpoint)
+    for _ in range(5):
+        bench.platform.write(ENDPOINT_PREFIX + "engine-1", None)
+        bench.run(0.1)
+        assert "engine-1" not in members(bench, "entry-1").endpoints
+        bench.platform.write(ENDPOINT_PREFIX + "engine-1", value)
+        bench.run(0.1)
+    polls.clear()
+    bench.run(10.0)
+    assert polls.count("engine-1") <= 10.0 / bench.limits.poll_s + 1
+
+
+def test_an_endpoint_with_wrong_answers_is_out_of_use_everywhere_for_a_while():
+    bench = site()
+    state = bench.entries["entry-1"].state
+    membership.take_out(state, "engine-1", "adapter", bench.clock.seconds, [])
+    bench.run(1.0)
+    states = [entry.state for entry in bench.entries.values()]
+    assert not any(membership.usable(state, "engine-1") for state in states)
+    bench.run(2 * membership.OUT_S + 2.0)
+    assert all(membership.usable(state, "engine-1") for state in states)
+
+
+@pytest.mark.parametrize("value", [{}, {"name": 1}, [], "x"])
+def test_malformed_members_change_nothing(value):
+    bench = site()
+    known = set(members(bench, "entry-1").endpoints), set(members(bench, "entry-1").peers)
+    bench.platform.write(ENDPOINT_PREFIX + "engine-1", value)
+    bench.platform.write(INSTANCE_PREFIX + "entry-2", value)
+    bench.run(1.0)
+    assert known == (set(members(bench, "entry-1").endpoints), set(members(bench, "entry-1").peers))
+
+
+def test_the_outbox_of_a_peer_that_is_gone_ends():
+    bench = site(entries=2)
+    me, peer = (bench.entries[name].state.me for name in ("entry-1", "entry-2"))
+    state = State(me, "boot", bench.random)
+    relay.seed(state, [peer])
+    core = Core(state, VirtualClock(), Metrics())
+    peers = Peers(core, "key")
+    peers.deliver = lambda instance, body: True
+    peers.put(fx.SendMessage("entry-2", Heartbeat(1)))
+    outbox = peers.outboxes["entry-2"]
+    eventlet.sleep(0)
+    state.members.peers.clear()
+    peers.put(fx.SendMessage("entry-2", Heartbeat(1)))
+    with eventlet.Timeout(IDLE_S + 5.0):
+        outbox.thread.wait()
+    assert peers.outboxes == {}
+    count = core.metrics.counters["peer_message_dropped"].labels("peer-gone")
+    assert count._value.get() == 1.0
+
+
+def test_batches_stay_under_the_size_that_a_peer_takes():
+    bench = site(entries=2)
+    state = State(bench.entries["entry-1"].state.me, "boot", bench.random)
+    relay.seed(state, [bench.entries["entry-2"].state.me])
+    peers = Peers(Core(state, VirtualClock(), Metrics()), "key")
+    bodies = []
+    peers.deliver = lambda instance, body: bodies.append(body) or True
+    copy = wire.load_messages([{"type": "PageCopy", "digest": "d", "text": "x" * 100_000}])[0]
+    for _ in range(20):
+        peers.put(fx.SendMessage("entry-2", copy))
+    eventlet.sleep(0)
+    assert len(bodies) == 10
+    assert max(len(body) for body in bodies) < 300_000
