--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -9,11 +9,10 @@
 import xxhash
 from attrs import define, evolve, field
 
-from poplarhoist import wire
 from poplarhoist.decisions.effects import Count, LogChange, PollEndpoint, SendMessage
-from poplarhoist.decisions.events import EndpointReported, ObjectChanged, PeerSaid
+from poplarhoist.decisions.events import EndpointReported, PeerSaid
 from poplarhoist.decisions.messages import Heartbeat, LeadClaim, Reports
-from poplarhoist.models import Endpoint, EndpointKind, EndpointReport, Instance, Liveness
+from poplarhoist.models import Endpoint, EndpointReport, Instance, Liveness
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
@@ -27,7 +26,6 @@
 FLAP_FORGOTTEN_S = 60.0
 OLD_BOOTS = 4
 OUT_S = 30.0
-PAUSED_S = 1.0
 
 
 @define
@@ -117,8 +115,6 @@
         Whether the platform's lists do not reach this entry.
     ask_at : float or None
         When to ask a peer for the lists next; None before the first tick.
-    last_event_at : float
-        When the last event of any kind was handled.
     changed_endpoints, joined : set
         Endpoints and peers of which the leads have not yet taken a change.
     """
@@ -129,7 +125,6 @@
     services_by_name: dict[str, set[str]] = field(factory=dict)
     poll_due: list[tuple[float, str]] = field(factory=list)
     heartbeat_due: float = 0.0
-    last_event_at: float = float("-inf")
     changed_endpoints: set[str] = field(factory=set)
     joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
@@ -189,17 +184,12 @@
     return view.silent_since is None and view.unsure_since is None
 
 
-def note_pause(state: State, at: float, out: list[Effect]) -> None:
-    """Ask every endpoint again if this entry was paused: what it knows is old.
+def ask_all(state: State, at: float, out: list[Effect]) -> None:
+    """Ask every endpoint again after a pause of this entry: what it knows is old.
 
     Messages that waited meanwhile are old too, so only an own poll sent now tells whether an
     endpoint still takes work.
     """
-    paused_s = at - state.members.last_event_at
-    state.members.last_event_at = at
-    if not PAUSED_S <= paused_s < float("inf"):
-        return
-    out.append(LogChange("entry-was-paused", {"seconds": round(paused_s, 3)}))
     for name, view in state.members.endpoints.items():
         view.unsure_since = at
         out.append(PollEndpoint(name))
@@ -211,98 +201,12 @@
     return view.report.boot if view and view.report else ""
 
 
-def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Take a change of the platform's lists."""
-    state.members.cut = False
-    if event.path.startswith(INSTANCE_PREFIX):
-        take_instance(state, event, out)
-    elif event.path.startswith(ENDPOINT_PREFIX):
-        take_endpoint(state, event, out)
-
-
-def take_instance(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Add, change or remove a peer."""
-    name = event.path.removeprefix(INSTANCE_PREFIX)
-    if name == state.me.name:
-        return
-    if event.value is None:
-        if state.members.peers.pop(name, None):
-            out.append(LogChange("peer-gone", {"peer": name}))
-        return
-    instance = load_member(event.value, Instance, out)
-    if instance is not None:
-        put_instance(state, instance, out)
-
-
-def load_member(value: object, kind: type, out: list[Effect]) -> Instance | Endpoint | None:
-    """Return a member that the platform lists; None if it is not well formed."""
-    try:
-        return wire.load(value, kind)
-    except Exception:
-        # cattrs raises groups of many kinds; the member stays as it was.
-        out.append(Count("member_malformed", (kind.__name__.lower(),)))
-        return None
-
-
-def put_instance(state: State, instance: Instance, out: list[Effect]) -> None:
-    """Add or change a peer."""
-    name = instance.name
-    if name == state.me.name:
-        return
-    peer = state.members.peers.get(name)
-    if peer is None:
-        state.members.peers[name] = Peer(instance)
-        state.members.joined.add(name)
-        out.append(LogChange("peer-listed", {"peer": name}))
-    else:
-        peer.instance = instance
-
-
-def take_endpoint(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Add, change or remove an endpoint."""
-    name = event.path.removeprefix(ENDPOINT_PREFIX)
-    members = state.members
-    members.changed_endpoints.add(name)
-    if event.value is None:
-        view = members.endpoints.pop(name, None)
-        if view is not None:
-            index_for(members, view.endpoint).discard(name)
-            out.append(LogChange("endpoint-gone", {"endpoint": name}))
-        return
-    endpoint = load_member(event.value, Endpoint, out)
-    if endpoint is not None:
-        put_endpoint(state, endpoint, event.at, out)
-
-
-def put_endpoint(state: State, endpoint: Endpoint, at: float, out: list[Effect]) -> None:
-    """Add or change an endpoint."""
-    members = state.members
-    name = endpoint.name
-    view = members.endpoints.get(name)
-    if view is None:
-        view = members.endpoints[name] = EndpointView(endpoint)
-        schedule_poll(members, name, at)
-        out.append(LogChange("endpoint-listed", {"endpoint": name}))
-    index_for(members, view.endpoint).discard(name)
-    view.endpoint = endpoint
-    index_for(members, endpoint).add(name)
-    if endpoint.state is not Liveness.LIVE:
-        mark_leaving(state, name, "platform", at, out)
-
-
 def schedule_poll(members: MembershipState, name: str, at: float) -> None:
     """Make a poll due in place of any earlier one."""
     members.endpoints[name].poll_at = at
     heapq.heappush(members.poll_due, (at, name))
 
 
-def index_for(members: MembershipState, endpoint: Endpoint) -> set[str]:
-    """Return the set of names that serve the same model or service."""
-    if endpoint.kind is EndpointKind.ENGINE:
-        return members.engines_by_base.setdefault(endpoint.serves, set())
-    return members.services_by_name.setdefault(endpoint.serves, set())
-
-
 def mark_leaving(state: State, name: str, source: str, at: float, out: list[Effect]) -> None:
     """Give an endpoint no new work from now on.
 
--- a/poplarhoist/decisions/relay.py
+++ b/poplarhoist/decisions/relay.py
@@ -11,7 +11,8 @@
 from attrs import evolve
 
 from poplarhoist.decisions.effects import LogChange, SendMessage
-from poplarhoist.decisions.membership import Peer, put_endpoint, put_instance
+from poplarhoist.decisions.listing import put_endpoint, put_instance
+from poplarhoist.decisions.membership import Peer
 from poplarhoist.decisions.messages import MembersCopy, MembersWanted
 from poplarhoist.models import Instance, Liveness
 
