--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,6 +12,7 @@
 from poplarhoist.entry.http import nothing_listens
 from poplarhoist.models import Ran, Reason
 from poplarhoist.replay.bench import Bench
+from poplarhoist.standins.engine import POISON as POISON_PROMPT
 
 POISON = "poison"
 MOST_LOST = 2
@@ -231,6 +232,17 @@
     assert ask_poison(bench, "new-1").refusal.reason is Reason.QUARANTINED
 
 
+def test_deleting_the_object_lifts_a_conviction():
+    bench = site()
+    ask_poison(bench, "entry-1")
+    bench.run(15.0)
+    bench.platform.write(store.SUSPECT_PREFIX + POISON, None)
+    bench.run(1.0)
+    asked = [bench.ask(name, "a0", digest=POISON) for name in bench.entries]
+    bench.run(5.0)
+    assert all(item.completed for item in asked)
+
+
 def test_suspects_are_written_down_as_soon_as_the_platform_is_back():
     bench = site()
     bench.platform.outage = True
@@ -294,3 +306,17 @@
         pool.request("GET", url)
     assert nothing_listens(refused.value)
     assert not nothing_listens(urllib3.exceptions.ConnectTimeoutError("timed out"))
+
+
+def test_entries_and_engines_as_processes(running_site):
+    site = running_site(entries=2, engines=3)
+    site.ctl("adapter", "create", "drafts", "--base", "base", "--wait-s", "6")
+    site.ctl("version", "publish", "drafts", "3", "--wait-s", "6")
+    body = {"model": "drafts", "prompt": POISON_PROMPT, "max_tokens": 3}
+    first = site.call("entry-1", "/v1/completions", body)
+    assert (first.status, first.json()["ran"]) == (422, "unknown"), first.json()
+    again = site.call("entry-2", "/v1/completions", body)
+    assert (again.status, again.json()["ran"]) == (422, "no"), again.json()
+    crashed = [site.state(name)["crashes"] for name in site.file.engine_ports]
+    assert sum(crashed) == MOST_LOST
+    assert site.complete("entry-2", "drafts", tokens=2).status == 200
