--- a/poplarhoist/decisions/limits.py
+++ b/poplarhoist/decisions/limits.py
@@ -38,6 +38,9 @@
         Retries allowed at once on top of that.
     attempts : int
         Attempts of one request at most.
+    run_retention_s, run_sweep_s : float
+        Time for which the record of a call that must not repeat is kept, and time in which the
+        entries together look through all records for old ones.
     lead_missing_s : float
         Requests wait so long for a base model of which no lead is heard.
     caller_queue_share : float
@@ -64,6 +67,8 @@
     retry_share: float = 0.1
     retry_burst: float = 32.0
     attempts: int = 4
+    run_retention_s: float = 86_400.0
+    run_sweep_s: float = 21_600.0
     lead_missing_s: float = 6.0
     caller_queue_share: float = 0.5
     crossing_bytes_per_s: float = 1_875_000.0
--- a/poplarhoist/decisions/membership.py
+++ b/poplarhoist/decisions/membership.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from typing import TYPE_CHECKING
 
 import xxhash
 from attrs import define, evolve, field
 
-from poplarhoist import wire
 from poplarhoist.decisions.effects import Count, LogChange, PollEndpoint, SendMessage
-from poplarhoist.decisions.events import EndpointReported, ObjectChanged, PeerSaid
+from poplarhoist.decisions.events import EndpointReported, PeerSaid
 from poplarhoist.decisions.messages import Heartbeat, LeadClaim, Reports
-from poplarhoist.models import Endpoint, EndpointKind, EndpointReport, Instance, Liveness
+from poplarhoist.models import Endpoint, EndpointReport, Instance, Liveness
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
@@ -20,6 +20,12 @@
 
 INSTANCE_PREFIX = "instances/"
 ENDPOINT_PREFIX = "endpoints/"
+LEAVING_TOLD_S = 5.0
+FLAP_FIRST_S = 1.0
+FLAP_LONGEST_S = 30.0
+FLAP_FORGOTTEN_S = 60.0
+OLD_BOOTS = 4
+OUT_S = 30.0
 
 
 @define
@@ -32,6 +38,16 @@
         When its last message arrived; minus infinity before the first.
     sequence : int
         Number of its last batch that was taken.
+    notice_at : float or None
+        When to tell it of the index in force here; None while it is not behind.
+    old_boots : deque
+        Boot ids of its earlier processes, whose late messages are dropped.
+    silent : bool
+        Whether it was heard before but not lately.
+    trusted_at : float
+        When it counts as live again after it fell silent.
+    flap_s : float
+        How long it had to be heard the last time before it counted as live again.
     """
 
     instance: Instance
@@ -40,6 +56,11 @@
     sequence: int = 0
     revision: int = 0
     draining: bool = False
+    notice_at: float | None = None
+    old_boots: deque[str] = field(factory=lambda: deque(maxlen=OLD_BOOTS))
+    silent: bool = False
+    trusted_at: float = float("-inf")
+    flap_s: float = 0.0
 
 
 @define
@@ -50,12 +71,21 @@
     ----------
     sampled_at : float
         Latest time at which the last report can have been sampled; minus infinity before it.
-    asked_at : float
-        When the poll of the last report that was read here was sent.
     leaving : bool
         Whether the endpoint takes no new work.
+    leaving_at : float
+        When that was learnt last; a report sampled before it does not revoke it.
+    leaving_since : float
+        When that was learnt first.
+    leaving_told : bool
+        Whether a peer told it, who tells the others as well.
     silent_since : float or None
         When polls began to fail; None while they succeed.
+    poll_at : float
+        When the next poll is due; an earlier entry in the heap is stale.
+    out, out_until, out_told : bool, float, bool
+        Whether it is taken out of use because of wrong answers, until when, and whether a peer
+        told it.
     unsure_since : float or None
         When this entry was paused, if no poll sent since then was answered; None otherwise.
     """
@@ -64,7 +94,14 @@
     report: EndpointReport | None = None
     sampled_at: float = float("-inf")
     leaving: bool = False
+    leaving_at: float = float("-inf")
+    leaving_since: float = float("-inf")
+    leaving_told: bool = False
     silent_since: float | None = None
+    poll_at: float = 0.0
+    out: bool = False
+    out_until: float = 0.0
+    out_told: bool = False
     unsure_since: float | None = None
 
 
@@ -74,6 +111,10 @@
 
     Attributes
     ----------
+    cut : bool
+        Whether the platform's lists do not reach this entry.
+    ask_at : float or None
+        When to ask a peer for the lists next; None before the first tick.
     changed_endpoints, joined : set
         Endpoints and peers of which the leads have not yet taken a change.
     """
@@ -87,12 +128,18 @@
     changed_endpoints: set[str] = field(factory=set)
     joined: set[str] = field(factory=set)
     fresh_reports: dict[str, tuple[EndpointReport, float]] = field(factory=dict)
+    cut: bool = True
+    ask_at: float | None = None
 
 
 def live_entries(state: State, at: float) -> list[str]:
-    """Return the names of the entries heard of lately, this one among them."""
+    """Return the names of the entries heard of lately and steadily, this one among them."""
     oldest = at - state.limits.peer_timeout_s
-    names = [name for name, peer in state.members.peers.items() if peer.heard_at >= oldest]
+    names = [
+        name
+        for name, peer in state.members.peers.items()
+        if peer.heard_at >= oldest and peer.trusted_at <= at
+    ]
     return [*names, state.me.name]
 
 
@@ -132,7 +179,7 @@
 def usable(state: State, name: str) -> bool:
     """Return whether an endpoint may get new work."""
     view = state.members.endpoints.get(name)
-    if view is None or view.leaving:
+    if view is None or view.leaving or view.out:
         return False
     return view.silent_since is None and view.unsure_since is None
 
@@ -154,69 +201,31 @@
     return view.report.boot if view and view.report else ""
 
 
-def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Take a change of the platform's lists."""
-    if event.path.startswith(INSTANCE_PREFIX):
-        take_instance(state, event, out)
-    elif event.path.startswith(ENDPOINT_PREFIX):
-        take_endpoint(state, event, out)
-
+def schedule_poll(members: MembershipState, name: str, at: float) -> None:
+    """Make a poll due in place of any earlier one."""
+    members.endpoints[name].poll_at = at
+    heapq.heappush(members.poll_due, (at, name))
 
-def take_instance(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Add, change or remove a peer."""
-    name = event.path.removeprefix(INSTANCE_PREFIX)
-    if name == state.me.name:
-        return
-    if event.value is None:
-        if state.members.peers.pop(name, None):
-            out.append(LogChange("peer-gone", {"peer": name}))
-        return
-    instance = wire.load(event.value, Instance)
-    peer = state.members.peers.get(name)
-    if peer is None:
-        state.members.peers[name] = Peer(instance)
-        state.members.joined.add(name)
-        out.append(LogChange("peer-listed", {"peer": name}))
-    else:
-        peer.instance = instance
 
+def mark_leaving(state: State, name: str, source: str, at: float, out: list[Effect]) -> None:
+    """Give an endpoint no new work from now on.
 
-def take_endpoint(state: State, event: ObjectChanged, out: list[Effect]) -> None:
-    """Add, change or remove an endpoint."""
-    name = event.path.removeprefix(ENDPOINT_PREFIX)
-    members = state.members
-    members.changed_endpoints.add(name)
-    if event.value is None:
-        view = members.endpoints.pop(name, None)
-        if view is not None:
-            index_for(members, view.endpoint).discard(name)
-            out.append(LogChange("endpoint-gone", {"endpoint": name}))
-        return
-    endpoint = wire.load(event.value, Endpoint)
-    view = members.endpoints.get(name)
-    if view is None:
-        view = members.endpoints[name] = EndpointView(endpoint)
-        heapq.heappush(members.poll_due, (event.at, name))
-        out.append(LogChange("endpoint-listed", {"endpoint": name}))
-    view.endpoint = endpoint
-    index_for(members, endpoint).add(name)
-    if endpoint.state is not Liveness.LIVE:
-        mark_leaving(state, name, "platform", out)
-
-
-def index_for(members: MembershipState, endpoint: Endpoint) -> set[str]:
-    """Return the set of names that serve the same model or service."""
-    if endpoint.kind is EndpointKind.ENGINE:
-        return members.engines_by_base.setdefault(endpoint.serves, set())
-    return members.services_by_name.setdefault(endpoint.serves, set())
-
-
-def mark_leaving(state: State, name: str, source: str, out: list[Effect]) -> None:
-    """Give an endpoint no new work from now on."""
+    Parameters
+    ----------
+    source : str
+        What tells so: ``platform``, ``report``, ``refusal``, or the name of a peer.
+    """
     view = state.members.endpoints.get(name)
-    if view is None or view.leaving:
+    if view is None:
+        return
+    told = source in state.members.peers
+    if not told:
+        view.leaving_at = at
+    if view.leaving:
         return
     view.leaving = True
+    view.leaving_at = view.leaving_since = at
+    view.leaving_told = told
     state.members.changed_endpoints.add(name)
     out.append(LogChange("endpoint-leaving", {"endpoint": name, "source": source}))
 
@@ -231,11 +240,10 @@
     view.sampled_at = sampled_at
     if view.silent_since is not None or view.leaving:
         state.members.changed_endpoints.add(report.endpoint)
-    view.silent_since = None
-    if report.state is Liveness.LIVE and view.endpoint.state is Liveness.LIVE:
+    if report.state is not Liveness.LIVE:
+        mark_leaving(state, report.endpoint, "report", sampled_at, out)
+    elif view.endpoint.state is Liveness.LIVE and sampled_at > view.leaving_at:
         view.leaving = False
-    elif report.state is not Liveness.LIVE:
-        mark_leaving(state, report.endpoint, "report", out)
     if restarted:
         out.append(LogChange("endpoint-restarted", {"endpoint": report.endpoint}))
     return True
@@ -244,6 +252,7 @@
 def on_reported(state: State, event: EndpointReported, out: list[Effect]) -> bool:
     """Take a report that was polled here and keep it for the peers."""
     sampled_at = event.asked_at - event.report.age_s
+    note_answer(state, event, out)
     view = state.members.endpoints.get(event.report.endpoint)
     if view is not None and view.unsure_since is not None and event.asked_at >= view.unsure_since:
         view.unsure_since = None
@@ -253,6 +262,16 @@
     return True
 
 
+def note_answer(state: State, event: EndpointReported, out: list[Effect]) -> None:
+    """Note that an endpoint answers polls from here."""
+    view = state.members.endpoints.get(event.report.endpoint)
+    if view is None or view.silent_since is None or event.asked_at < view.silent_since:
+        return
+    view.silent_since = None
+    state.members.changed_endpoints.add(event.report.endpoint)
+    out.append(LogChange("endpoint-answers", {"endpoint": event.report.endpoint}))
+
+
 def on_silent(state: State, name: str, at: float, out: list[Effect]) -> None:
     """Note that an endpoint does not answer polls."""
     view = state.members.endpoints.get(name)
@@ -263,6 +282,28 @@
     out.append(LogChange("endpoint-silent", {"endpoint": name}))
 
 
+def take_out(state: State, name: str, cause: str, at: float, out: list[Effect]) -> None:
+    """Take an endpoint that gives wrong answers out of use for a while."""
+    view = state.members.endpoints.get(name)
+    if view is None:
+        return
+    view.out_until = at + OUT_S
+    out.append(Count("endpoint_taken_out", ("peer" if cause in state.members.peers else cause,)))
+    if not view.out:
+        view.out = True
+        view.out_told = cause in state.members.peers
+        state.members.changed_endpoints.add(name)
+        out.append(LogChange("endpoint-taken-out", {"endpoint": name, "cause": cause}))
+
+
+def put_back(state: State, view: EndpointView, at: float, out: list[Effect]) -> None:
+    """Use an endpoint again whose time out of use is over."""
+    if view.out and at >= view.out_until:
+        view.out = False
+        state.members.changed_endpoints.add(view.endpoint.name)
+        out.append(LogChange("endpoint-put-back", {"endpoint": view.endpoint.name}))
+
+
 def accept_batch(state: State, event: PeerSaid, out: list[Effect]) -> bool:
     """Return whether a message is in order; messages of an older batch are dropped."""
     peer = state.members.peers.get(event.sender)
@@ -272,25 +313,59 @@
     if event.boot == peer.boot and event.sequence < peer.sequence:
         out.append(Count("peer_message_dropped", ("out-of-order",)))
         return False
+    if event.boot in peer.old_boots:
+        out.append(Count("peer_message_dropped", ("old-boot",)))
+        return False
+    if peer.boot and peer.boot != event.boot:
+        peer.old_boots.append(peer.boot)
+        out.append(LogChange("peer-restarted", {"peer": event.sender}))
+    note_heard(peer, event.at, out)
     peer.boot = event.boot
     peer.sequence = event.sequence
     peer.heard_at = event.at
     return True
 
 
-def on_heartbeat(state: State, sender: str, message: Heartbeat, out: list[Effect]) -> None:
+def note_heard(peer: Peer, at: float, out: list[Effect]) -> None:
+    """Let a peer that was silent count as live again, later the more often this happens."""
+    if not peer.silent:
+        return
+    peer.silent = False
+    if at - peer.trusted_at > FLAP_FORGOTTEN_S:
+        peer.flap_s = 0.0
+    peer.flap_s = min(FLAP_LONGEST_S, max(FLAP_FIRST_S, 2 * peer.flap_s))
+    peer.trusted_at = at + peer.flap_s
+    out.append(LogChange("peer-heard-again", {"peer": peer.instance.name}))
+
+
+def note_silent_peers(state: State, at: float, out: list[Effect]) -> None:
+    """Note which peers were not heard lately."""
+    for name, peer in state.members.peers.items():
+        heard = peer.heard_at > float("-inf")
+        if heard and not peer.silent and at - peer.heard_at > state.limits.peer_timeout_s:
+            peer.silent = True
+            out.append(LogChange("peer-silent", {"peer": name}))
+
+
+def on_heartbeat(
+    state: State, sender: str, message: Heartbeat, at: float, out: list[Effect]
+) -> None:
     """Take a peer's sign of life."""
     peer = state.members.peers[sender]
     peer.revision = message.revision
     peer.draining = message.draining
     for name in message.leaving:
-        mark_leaving(state, name, sender, out)
+        mark_leaving(state, name, sender, at, out)
+    for name in message.distrusted:
+        if name in state.members.endpoints and not state.members.endpoints[name].out:
+            take_out(state, name, sender, at, out)
 
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Send heartbeats and poll endpoints that are due."""
     if at >= state.members.heartbeat_due:
         state.members.heartbeat_due = at + state.limits.heartbeat_s
+        note_silent_peers(state, at, out)
         send_heartbeats(state, at, out)
     poll_due(state, at, out)
 
@@ -306,9 +381,16 @@
     """Send a heartbeat and fresh reports to every listed peer."""
     members = state.members
     leads = tuple(lead_claim(state, base) for base in state.boards)
-    leaving = tuple(name for name, view in members.endpoints.items() if view.leaving)
+    leaving = tuple(
+        name
+        for name, view in members.endpoints.items()
+        if view.leaving and not view.leaving_told and at - view.leaving_since <= LEAVING_TOLD_S
+    )
+    distrusted = tuple(
+        name for name, view in members.endpoints.items() if view.out and not view.out_told
+    )
     marks = {base: told.number for base, told in state.holdings.told.items()}
-    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, marks)
+    beat = Heartbeat(state.config.revision, state.draining, leads, leaving, marks, distrusted)
     reports = tuple(
         evolve(report, age_s=at - sampled_at)
         for report, sampled_at in members.fresh_reports.values()
@@ -325,12 +407,15 @@
     members = state.members
     entries: list[str] | None = None
     while members.poll_due and members.poll_due[0][0] <= at:
-        _, name = heapq.heappop(members.poll_due)
+        due, name = heapq.heappop(members.poll_due)
         view = members.endpoints.get(name)
-        if view is None:
+        if view is None or view.poll_at != due:
             continue
         entries = entries or live_entries(state, at)
-        watched = rank(name, entries)[0] == state.me.name or view.unsure_since is not None
-        if watched or at - view.sampled_at >= state.limits.report_stale_s:
+        unsure = view.silent_since is not None or view.unsure_since is not None
+        watched = rank(name, entries)[0] == state.me.name
+        put_back(state, view, at, out)
+        stale = at - view.sampled_at >= state.limits.report_stale_s
+        if watched or stale or unsure:
             out.append(PollEndpoint(name))
-        heapq.heappush(members.poll_due, (at + state.limits.poll_s, name))
+        schedule_poll(members, name, at + state.limits.poll_s)
--- a/poplarhoist/decisions/outcomes.py
+++ b/poplarhoist/decisions/outcomes.py
@@ -20,13 +20,14 @@
 from poplarhoist.decisions.quarantine import Doubt
 from poplarhoist.decisions.retries import RetryCause
 from poplarhoist.decisions.state import RequestState, Stage
-from poplarhoist.models import Reason
+from poplarhoist.models import Ran, Reason
 
 if TYPE_CHECKING:
     from poplarhoist.decisions.effects import Effect
     from poplarhoist.decisions.state import State
 
 ANSWERED = (Outcome.COMPLETED, Outcome.FAILED)
+WRONG_ADAPTER = "adapter"
 MAY_HAVE_RUN = (Outcome.BROKEN, Outcome.WRONG)
 
 
@@ -44,7 +45,9 @@
         isolation.ended(state, request, event.outcome, out)
     if event.outcome in ANSWERED or event.outcome is Outcome.CANCELLED:
         if event.outcome in ANSWERED:
-            runs.finish(state, request.request_id, event.record, out)
+            runs.finish(state, request.request_id, event.record, event.at, out)
+        else:
+            runs.on_refused(state, request.request_id, Ran.UNKNOWN, event.at, out)
         del state.requests[event.request_id]
     elif event.outcome in MAY_HAVE_RUN:
         after_broken(state, request, event, out)
@@ -57,7 +60,7 @@
     """Take what kept the endpoint from running a request out of use, and try again."""
     cause = retries.cause_of(event)
     if cause is RetryCause.LEAVING:
-        membership.mark_leaving(state, event.endpoint, "refusal", out)
+        membership.mark_leaving(state, event.endpoint, "refusal", event.at, out)
     elif cause is RetryCause.NOT_RESIDENT:
         give_grant_back(state, request, event, out)
         out.append(PollEndpoint(event.endpoint))
@@ -82,6 +85,8 @@
 def after_broken(state: State, request: RequestState, event: AttemptEnded, out) -> None:
     """Try a request again that may have run, if it may repeat and nothing was delivered."""
     request.may_have_run = True
+    if event.outcome is Outcome.WRONG and event.reason == WRONG_ADAPTER:
+        membership.take_out(state, event.endpoint, event.reason, event.at, out)
     if event.delivered or not request.repeat:
         reason = Reason.ENDPOINT_LOST if event.outcome is Outcome.BROKEN else Reason.WRONG_ANSWER
         requests.give_up(state, request, reason, "answer", event.at, out)
--- a/poplarhoist/decisions/residency.py
+++ b/poplarhoist/decisions/residency.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from poplarhoist.decisions import ahead, holdings, intents, orders
+from poplarhoist.decisions import ahead, holdings, intents, membership, orders
 from poplarhoist.decisions.board import (
     Board,
     EngineBoard,
@@ -93,7 +93,7 @@
     engine.region = view.endpoint.place.region
     if not view.endpoint.checks_fencing:
         board.intents.needed = True
-    available = not view.leaving and view.silent_since is None
+    available = membership.usable(state, engine.name)
     if engine.available and not available:
         engine.available = False
         leave(board, engine, at)
--- a/poplarhoist/entry/problems.py
+++ b/poplarhoist/entry/problems.py
@@ -4,7 +4,6 @@
 
 import orjson
 from werkzeug.exceptions import HTTPException
-from werkzeug.exceptions import Unauthorized as Unauthorized
 from werkzeug.wrappers import Response
 
 from poplarhoist.models import Ran, Reason, Refusal
@@ -27,6 +26,7 @@
     Reason.KEY_REUSED: 422,
     Reason.RUN_IN_PROGRESS: 409,
     Reason.RUN_UNKNOWN: 409,
+    Reason.ANSWER_NOT_KEPT: 409,
 }
 UNAVAILABLE = 503
 
