--- a/poplarhoist/decisions/effects.py
+++ b/poplarhoist/decisions/effects.py
@@ -81,6 +81,14 @@
     nonce: str
 
 
+@frozen
+class RunSweep:
+    """Purpose: list a shard of records, or read or delete the old one at ``path``."""
+
+    path: str = ""
+    deleted: bool = False
+
+
 @frozen
 class SuspectWrite:
     """Purpose: write down or delete what is known of a suspect."""
@@ -98,6 +106,7 @@
     | RunCreate
     | RunRead
     | RunFinish
+    | RunSweep
     | SuspectWrite
 )
 
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import socket
 import uuid
 
 import eventlet
@@ -12,6 +13,7 @@
 from poplarhoist.context import Environment
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
+from poplarhoist.decisions import relay
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.calls import PlatformCalls
 from poplarhoist.entry.core import Core
@@ -21,13 +23,15 @@
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import Peers
 from poplarhoist.entry.platform import HttpPlatform
+from poplarhoist.entry.protocol import BoundedProtocol
 from poplarhoist.models import Instance
-from poplarhoist.settings.loader import to_limits, to_services
+from poplarhoist.settings.loader import to_instance, to_limits, to_services
 from poplarhoist.settings.models import Site
 
 TICK_S = 0.05
 BACKLOG = 512
 HEADER_BYTES = 16384
+SEND_BUFFER_BYTES = 65536
 STOP_GRACE_S = 0.2
 
 
@@ -41,9 +45,11 @@
             me=me,
             boot=uuid.uuid4().hex[:12],
             random=random.Random(),
+            wall_offset_s=env.clock.now().timestamp() - env.clock.monotonic(),
             limits=to_limits(site),
             services=to_services(site),
         )
+        relay.seed(state, [to_instance(entry) for entry in site.entries])
         self.core = Core(state, env.clock, self.metrics)
         self.platform = HttpPlatform(site.platform, env.clock, self.metrics)
         self.calls = PlatformCalls(self.core, self.platform)
@@ -57,6 +63,8 @@
         """Listen, and begin to follow the platform."""
         me = self.core.state.me
         listener = eventlet.listen((me.host, me.port), backlog=BACKLOG)
+        # Bounds what a caller that does not read can make this entry hold.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.server = eventlet.spawn(
             eventlet.wsgi.server,
             self.stoppable(listener),
@@ -64,6 +72,7 @@
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
+            protocol=BoundedProtocol,
             max_size=self.site.doors.connections,
             socket_timeout=self.site.doors.read_s,
             url_length_limit=HEADER_BYTES,
--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -20,10 +20,12 @@
 
     Attributes
     ----------
-    outage, lose_answers, slow_s, late_writes, late_s, faulty_path
+    outage, lose_answers, slow_s, late_writes, late_s, faulty_path, hang
         Faults: refuse all calls; let so many writes take effect without an answer; add seconds;
         let so many writes have no answer and arrive only after some seconds; lost answers and
-        late writes concern paths with this prefix.
+        late writes concern paths with this prefix; leave all calls without effect or answer.
+    delayed_writes : list
+        Fault: the next writes get no answer and take effect so many seconds later each.
     """
 
     clock: VirtualClock
@@ -35,6 +37,8 @@
     late_writes: int = 0
     late_s: float = 0.0
     faulty_path: str = ""
+    hang: bool = False
+    delayed_writes: list[float] = field(factory=list)
     list_lag_s: float = 0.0
     calls: dict[str, int] = field(factory=dict)
     watchers: list[Callable[[str, int, object], None]] = field(factory=list)
@@ -44,6 +48,11 @@
         self.count("put")
         if self.outage:
             return CallStatus.REFUSED, 0, None
+        if self.hang:
+            return CallStatus.UNKNOWN, 0, None
+        if self.delayed_writes:
+            self.clock.after(self.delayed_writes.pop(0), lambda: self.put(path, value, expect))
+            return CallStatus.UNKNOWN, 0, None
         if self.late_writes > 0 and path.startswith(self.faulty_path):
             self.late_writes -= 1
             self.clock.after(self.late_s, lambda: self.put(path, value, expect))
@@ -77,6 +86,8 @@
         self.count("get")
         if self.outage:
             return CallStatus.REFUSED, 0, None
+        if self.hang:
+            return CallStatus.UNKNOWN, 0, None
         if path not in self.objects:
             return CallStatus.NOT_FOUND, 0, None
         version, value = self.objects[path]
