--- a/poplarhoist/decisions/evictions.py
+++ b/poplarhoist/decisions/evictions.py
@@ -96,7 +96,8 @@
     missing = needed - promised(board)
     pairs = [pair for pair in sorted(board.draining) if serves_loads(board, pair)]
     slots = [slot_of(board, pair) for pair in pairs]
-    spare = sorted((slot for slot in slots if not slot.promised), key=lambda s: worth(board, s))
+    free = (slot for slot in slots if not slot.promised and not goes_first(board, slot.ref))
+    spare = sorted(free, key=lambda s: worth(board, s))
     for slot in spare[: max(0, missing)]:
         promise(board, slot)
         missing -= 1
@@ -191,7 +192,11 @@
         current = worth(board, slot)
         if current > key:
             push_victim(board, current, name, ref)
-        elif spare in engine.slots or (idle and not is_cleared(board, slot)):
+        elif (
+            goes_first(board, ref)
+            or spare in engine.slots
+            or (idle and not is_cleared(board, slot))
+        ):
             put_back.append((current, name, ref))
         elif may_drain(state, engine, slot, at):
             found = (engine, slot)
@@ -202,6 +207,15 @@
     return found
 
 
+def goes_first(board: Board, ref: AdapterRef) -> bool:
+    """Return whether requests wait for a resident adapter since before any wanted load's."""
+    demand = board.demand.get(ref)
+    first = board.wanted.first()
+    if demand is None or first is None or not demand.waiting_by_entry:
+        return False
+    return demand.urgency() <= board.wanted.keys_by_ref[first]
+
+
 def may_drain(state: State, engine: EngineBoard, slot: Slot, at: float) -> bool:
     """Return whether a slot may be drained now."""
     if not engine.in_use or not engine.settled or slot.ref in engine.suspended:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -221,3 +221,18 @@
     ]
     assert len(late_s) >= 10
     assert max(late_s) < 1.5 and min(late_s) > -2.5
+
+
+def test_callers_that_wait_for_busy_engines_cause_no_endless_recalls():
+    bench = site(engines=2, slots=2, batch=2)
+    recalls = []
+
+    def hook(entry, item):
+        if isinstance(item, fx.SendMessage) and isinstance(item.message, messages.Recall):
+            recalls.append(bench.clock.seconds)
+
+    bench.hooks.append(hook)
+    ask_often(bench, ENTRIES, [f"a{n}" for n in range(6)], 10.0, 0.03, tokens=30)
+    bench.run(10.0)
+    loads = bench.limits.store_loads_per_s * 20.0
+    assert len(recalls) <= loads * len(ENTRIES)
