--- /dev/null
+++ b/poplarhoist/decisions/listing.py
@@ -0,0 +1,109 @@
+"""The platform's lists of entries and endpoints, taken into what this entry knows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from poplarhoist import wire
+from poplarhoist.decisions.effects import Count, LogChange
+from poplarhoist.decisions.events import ObjectChanged
+from poplarhoist.decisions.membership import (
+    ENDPOINT_PREFIX,
+    INSTANCE_PREFIX,
+    EndpointView,
+    MembershipState,
+    Peer,
+    mark_leaving,
+    schedule_poll,
+)
+from poplarhoist.models import Endpoint, EndpointKind, Instance, Liveness
+
+if TYPE_CHECKING:
+    from poplarhoist.decisions.effects import Effect
+    from poplarhoist.decisions.state import State
+
+
+def on_object(state: State, event: ObjectChanged, out: list[Effect]) -> None:
+    """Take a change of the platform's lists."""
+    state.members.cut = False
+    if event.path.startswith(INSTANCE_PREFIX):
+        take_instance(state, event, out)
+    elif event.path.startswith(ENDPOINT_PREFIX):
+        take_endpoint(state, event, out)
+
+
+def take_instance(state: State, event: ObjectChanged, out: list[Effect]) -> None:
+    """Add, change or remove a peer."""
+    name = event.path.removeprefix(INSTANCE_PREFIX)
+    if name == state.me.name:
+        return
+    if event.value is None:
+        if state.members.peers.pop(name, None):
+            out.append(LogChange("peer-gone", {"peer": name}))
+        return
+    instance = load_member(event.value, Instance, out)
+    if instance is not None:
+        put_instance(state, instance, out)
+
+
+def load_member(value: object, kind: type, out: list[Effect]) -> Instance | Endpoint | None:
+    """Return a member that the platform lists; None if it is not well formed."""
+    try:
+        return wire.load(value, kind)
+    except Exception:
+        # cattrs raises groups of many kinds; the member stays as it was.
+        out.append(Count("member_malformed", (kind.__name__.lower(),)))
+        return None
+
+
+def put_instance(state: State, instance: Instance, out: list[Effect]) -> None:
+    """Add or change a peer."""
+    name = instance.name
+    if name == state.me.name:
+        return
+    peer = state.members.peers.get(name)
+    if peer is None:
+        state.members.peers[name] = Peer(instance)
+        state.members.joined.add(name)
+        out.append(LogChange("peer-listed", {"peer": name}))
+    else:
+        peer.instance = instance
+
+
+def take_endpoint(state: State, event: ObjectChanged, out: list[Effect]) -> None:
+    """Add, change or remove an endpoint."""
+    name = event.path.removeprefix(ENDPOINT_PREFIX)
+    members = state.members
+    members.changed_endpoints.add(name)
+    if event.value is None:
+        view = members.endpoints.pop(name, None)
+        if view is not None:
+            index_for(members, view.endpoint).discard(name)
+            out.append(LogChange("endpoint-gone", {"endpoint": name}))
+        return
+    endpoint = load_member(event.value, Endpoint, out)
+    if endpoint is not None:
+        put_endpoint(state, endpoint, event.at, out)
+
+
+def put_endpoint(state: State, endpoint: Endpoint, at: float, out: list[Effect]) -> None:
+    """Add or change an endpoint."""
+    members = state.members
+    name = endpoint.name
+    view = members.endpoints.get(name)
+    if view is None:
+        view = members.endpoints[name] = EndpointView(endpoint)
+        schedule_poll(members, name, at)
+        out.append(LogChange("endpoint-listed", {"endpoint": name}))
+    index_for(members, view.endpoint).discard(name)
+    view.endpoint = endpoint
+    index_for(members, endpoint).add(name)
+    if endpoint.state is not Liveness.LIVE:
+        mark_leaving(state, name, "platform", at, out)
+
+
+def index_for(members: MembershipState, endpoint: Endpoint) -> set[str]:
+    """Return the set of names that serve the same model or service."""
+    if endpoint.kind is EndpointKind.ENGINE:
+        return members.engines_by_base.setdefault(endpoint.serves, set())
+    return members.services_by_name.setdefault(endpoint.serves, set())
--- a/poplarhoist/decisions/messages.py
+++ b/poplarhoist/decisions/messages.py
@@ -9,7 +9,7 @@
 
 from attrs import field, frozen
 
-from poplarhoist.models import AdapterRef, EndpointReport, Index
+from poplarhoist.models import AdapterRef, Endpoint, EndpointReport, Index, Instance
 
 
 @frozen
@@ -41,9 +41,11 @@
     leads : tuple
         Base models that the sender leads.
     leaving : tuple
-        Names of endpoints that the sender saw leaving.
+        Names of endpoints that the sender itself saw leaving lately.
     holdings : dict
         Number of the sender's last ``Holdings`` by base model.
+    distrusted : tuple
+        Names of endpoints that gave the sender itself wrong answers lately.
     """
 
     revision: int
@@ -51,6 +53,7 @@
     leads: tuple[LeadClaim, ...] = ()
     leaving: tuple[str, ...] = ()
     holdings: dict[str, int] = field(factory=dict)
+    distrusted: tuple[str, ...] = ()
 
 
 @frozen
@@ -323,6 +326,19 @@
     text: str
 
 
+@frozen
+class MembersWanted:
+    """Asks a peer for the lists that the platform does not give."""
+
+
+@frozen
+class MembersCopy:
+    """Answers MembersWanted with the entries and endpoints that the sender knows."""
+
+    instances: tuple[Instance, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
 Message = (
     Heartbeat
     | Reports
@@ -344,4 +360,6 @@
     | IndexNotice
     | PageWanted
     | PageCopy
+    | MembersWanted
+    | MembersCopy
 )
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -12,16 +12,19 @@
     intents,
     isolation,
     leadership,
+    listing,
     load_views,
     membership,
     messages,
     outcomes,
     placement,
     quarantine,
+    relay,
     requests,
     revisions,
     runs,
     suspect_store,
+    sweeping,
     turns,
 )
 from poplarhoist.decisions import effects as fx
@@ -86,12 +89,15 @@
 def on_tick(state: State, event: ev.Tick, out: list[Effect]) -> None:
     """Let every policy do what is due."""
     membership.on_tick(state, event.at, out)
+    relay.on_tick(state, event.at, out)
     revisions.on_tick(state, event.at, out)
     leadership.on_tick(state, event.at, out)
     placement.on_tick(state, event.at, out)
     grants.on_tick(state, event.at, out)
     holdings.on_tick(state, event.at, out)
     requests.on_tick(state, event.at, out)
+    runs.on_tick(state, event.at, out)
+    sweeping.on_tick(state, event.at, out)
     outcomes.on_tick(state, event.at, out)
     isolation.on_tick(state, event.at, out)
     turns.on_tick(state, event.at, out)
@@ -114,7 +120,7 @@
 def on_object(state: State, event: ev.ObjectChanged, out: list[Effect]) -> None:
     """Take a change of an object on the platform."""
     revisions.on_object(state, event, out)
-    membership.on_object(state, event, out)
+    listing.on_object(state, event, out)
     quarantine.on_object(state, event, out)
 
 
@@ -140,7 +146,9 @@
     elif isinstance(purpose, fx.RunRead):
         requests.on_run_read(state, event, out)
     elif isinstance(purpose, fx.RunFinish):
-        runs.on_finished(state, event)
+        runs.on_finished(state, event, out)
+    elif isinstance(purpose, fx.RunSweep):
+        sweeping.on_answer(state, event, out)
 
 
 def on_peer(state: State, event: ev.PeerSaid, out: list[Effect]) -> None:
@@ -161,9 +169,9 @@
     """Hand a message to the policy that it concerns."""
     match message:
         case messages.Heartbeat():
-            membership.on_heartbeat(state, sender, message, out)
+            membership.on_heartbeat(state, sender, message, at, out)
             holdings.on_marks(state, sender, message.holdings)
-            revisions.on_peer_revision(state, sender, message.revision, out)
+            revisions.on_peer_revision(state, sender, message.revision, at, out)
             for claim in message.leads:
                 leadership.on_claim(state, sender, claim, at, out)
         case messages.Reports():
@@ -213,7 +221,11 @@
         case messages.PageWanted():
             revisions.on_page_wanted(state, sender, message, out)
         case messages.PageCopy():
-            revisions.on_page_copy(state, message, out)
+            revisions.on_page_copy(state, message, at, out)
+        case messages.MembersWanted():
+            relay.on_wanted(state, sender, out)
+        case messages.MembersCopy():
+            relay.on_copy(state, message, at, out)
 
 
 def on_reported(state: State, event: ev.EndpointReported, out: list[Effect]) -> None:
@@ -274,7 +286,7 @@
     ev.AttemptEnded: outcomes.on_ended,
     ev.PlatformAnswered: on_platform,
     ev.ObjectChanged: on_object,
-    ev.WatchBroken: ignore,
+    ev.WatchBroken: lambda state, event, out: relay.on_watch_broken(state, out),
     ev.PeerSaid: on_peer,
     ev.PeerSilent: ignore,
     ev.EndpointReported: on_reported,
--- a/poplarhoist/decisions/requests.py
+++ b/poplarhoist/decisions/requests.py
@@ -285,6 +285,7 @@
         retry_after_s = max(expected_s or 0.0, RETRY_AFTER_ENDPOINT_S)
     if request.may_have_run:
         ran = Ran.UNKNOWN
+    runs.on_refused(state, request.request_id, ran, at, out)
     refuse(out, request.request_id, Refusal(reason, ran, step, request.endpoint, retry_after_s))
 
 
@@ -320,6 +321,8 @@
 
 def on_tick(state: State, at: float, out: list[Effect]) -> None:
     """Refuse what waited too long, and look for room for the rest."""
+    for request in runs.expired(state, at):
+        give_up(state, request, Reason.RUN_NOT_RECORDED, "record", at, out, RETRY_AFTER_RECORD_S)
     for request in admission.expired(state, at):
         stop_waiting(state, request, Reason.DEADLINE, at, out)
     for request in admission.without_lead(state, at):
@@ -334,30 +337,38 @@
 
 
 def on_run_created(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Start a call whose record was created."""
-    request = state.requests.get(event.purpose.request_id)
-    if request is None:
-        return
-    created, reason = runs.on_created(state, event, out)
-    if created:
-        start(state, request, event.at, out)
-    elif reason is Reason.RUN_NOT_RECORDED:
-        give_up(state, request, reason, "record", event.at, out, RETRY_AFTER_RECORD_S)
+    """Go on with a call whose record was claimed, or was not."""
+    request = recording(state, event)
+    if request is not None:
+        after_record(state, request, runs.on_claimed(state, request, event, out), event.at, out)
 
 
 def on_run_read(state: State, event: PlatformAnswered, out: list[Effect]) -> None:
-    """Start, replay or refuse a call by the record that was read back."""
+    """Go on with a call whose record was read back."""
+    request = recording(state, event)
+    if request is not None:
+        after_record(state, request, runs.on_read(state, request, event, out), event.at, out)
+
+
+def recording(state: State, event: PlatformAnswered) -> RequestState | None:
+    """Return the request that waits for an answer about its record."""
     request = state.requests.get(event.purpose.request_id)
-    if request is None:
-        return
-    verdict = runs.judge_record(state, request, event, out)
-    if verdict is True:
-        start(state, request, event.at, out)
+    if request is None or request.stage is not Stage.RECORDING:
+        return None
+    return request
+
+
+def after_record(state: State, request: RequestState, verdict, at: float, out) -> None:
+    """Start, replay or refuse a call by its record."""
+    if verdict is runs.Verdict.WAIT:
         return
-    state.runs.by_request.pop(request.request_id, None)
     if isinstance(verdict, ReplayAnswer):
         del state.requests[request.request_id]
         out.append(verdict)
-        return
-    ran = runs.ran_of(verdict)
-    give_up(state, request, verdict, "record", event.at, out, RETRY_AFTER_RECORD_S, ran)
+    elif verdict is not runs.Verdict.START:
+        ran = runs.ran_of(verdict)
+        give_up(state, request, verdict, "record", at, out, RETRY_AFTER_RECORD_S, ran)
+    elif at >= request.deadline_at:
+        give_up(state, request, Reason.DEADLINE, "record", at, out)
+    else:
+        start(state, request, at, out)
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -2,30 +2,36 @@
 
 import random
 import signal
+import socket
 import uuid
 
 import eventlet
 import eventlet.wsgi
 import structlog
+from eventlet.greenio import GreenSocket
 
 from poplarhoist.context import Environment
 from poplarhoist.decisions import effects as fx
 from poplarhoist.decisions import events as ev
+from poplarhoist.decisions import relay
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.calls import PlatformCalls
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.doors import Doors
 from poplarhoist.entry.endpoints import EndpointCalls
+from poplarhoist.entry.listener import StoppableListener
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import Peers
 from poplarhoist.entry.platform import HttpPlatform
+from poplarhoist.entry.protocol import BoundedProtocol
 from poplarhoist.models import Instance
-from poplarhoist.settings.loader import to_limits, to_services
+from poplarhoist.settings.loader import to_instance, to_limits, to_services
 from poplarhoist.settings.models import Site
 
 TICK_S = 0.05
 BACKLOG = 512
 HEADER_BYTES = 16384
+SEND_BUFFER_BYTES = 65536
 STOP_GRACE_S = 0.2
 
 
@@ -39,9 +45,11 @@
             me=me,
             boot=uuid.uuid4().hex[:12],
             random=random.Random(),
+            wall_offset_s=env.clock.now().timestamp() - env.clock.monotonic(),
             limits=to_limits(site),
             services=to_services(site),
         )
+        relay.seed(state, [to_instance(entry) for entry in site.entries])
         self.core = Core(state, env.clock, self.metrics)
         self.platform = HttpPlatform(site.platform, env.clock, self.metrics)
         self.calls = PlatformCalls(self.core, self.platform)
@@ -55,13 +63,16 @@
         """Listen, and begin to follow the platform."""
         me = self.core.state.me
         listener = eventlet.listen((me.host, me.port), backlog=BACKLOG)
+        # Bounds what a caller that does not read can make this entry hold.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.server = eventlet.spawn(
             eventlet.wsgi.server,
-            listener,
+            self.stoppable(listener),
             self.doors,
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
+            protocol=BoundedProtocol,
             max_size=self.site.doors.connections,
             socket_timeout=self.site.doors.read_s,
             url_length_limit=HEADER_BYTES,
@@ -79,9 +90,22 @@
         """Begin a graceful stop."""
         self.core.submit(ev.DrainAsked(self.core.at()))
 
+    def stoppable(self, listener: GreenSocket) -> StoppableListener:
+        """Return a listener that a graceful stop closes."""
+        self.listener = StoppableListener(listener)
+        return self.listener
+
     def stop(self, effect: fx.Stop) -> None:
         """End once the answers that are being written are out."""
-        eventlet.spawn_after(STOP_GRACE_S, self.stopped.send)
+        eventlet.spawn_n(self.close)
+
+    def close(self) -> None:
+        """Refuse new connections, answer the requests that have come, and end."""
+        self.listener.stop()
+        eventlet.sleep(STOP_GRACE_S)
+        self.listener.release()
+        self.server.wait()
+        self.stopped.send()
 
     def run(self) -> None:
         """Serve until a graceful stop is through."""
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -84,11 +84,22 @@
 
 @frozen
 class StreamSettings:
-    """Times of requests to endpoints, in seconds."""
+    """Times of requests to endpoints, in seconds.
+
+    Attributes
+    ----------
+    first_byte_s : float
+        Longest time until an answer begins.
+    gap_s : float
+        Longest time between two parts of a stream before it is opened again.
+    whole_s : float
+        Longest time of a streamed answer.
+    """
 
     connect_s: float = field(default=1.0, validator=POSITIVE)
     first_byte_s: float = field(default=30.0, validator=POSITIVE)
     gap_s: float = field(default=2.0, validator=POSITIVE)
+    whole_s: float = field(default=600.0, validator=POSITIVE)
 
 
 @frozen
@@ -130,6 +141,8 @@
     retry_share: float = field(default=DEFAULTS.retry_share, validator=SHARE)
     retry_burst: float = field(default=DEFAULTS.retry_burst, validator=validators.ge(0.0))
     attempts: int = field(default=DEFAULTS.attempts, validator=validators.ge(1))
+    lead_missing_s: float = field(default=DEFAULTS.lead_missing_s, validator=POSITIVE)
+    crossing_price_s: float = field(default=DEFAULTS.crossing_price_s, validator=validators.ge(0.0))
     caller_queue_share: float = field(default=DEFAULTS.caller_queue_share, validator=SHARE)
 
 
