--- a/poplarhoist/replay/fakes.py
+++ b/poplarhoist/replay/fakes.py
@@ -202,6 +202,7 @@
     steps: int = 0
     filled: int = 0
     crashes: int = 0
+    poisoned: int = 0
     stepping: bool = False
     started: set[str] = field(factory=set)
     left_at: float = float("inf")
@@ -241,6 +242,7 @@
         while self.waiting and len(self.running) < self.endpoint.batch:
             self.running.append(self.waiting.popleft())
         if any(job.poison for job in self.running):
+            self.poisoned += 1
             self.crash()
             return
         self.steps += 1
--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -4,7 +4,8 @@
 from poplarhoist.models import Ran
 from poplarhoist.replay.bench import Asked, Bench, FakeEntry
 
-IN_FORCE_S = 6.0
+LEASE_SLACK_S = 0.2
+ENGINES_LOST_TO_ONE_CONTENT = 2
 
 
 class Invariants:
@@ -18,6 +19,7 @@
         self.completions: dict[str, set[int]] = {}
         self.allowed_versions: dict[str, set[int]] = {}
         self.checked: set[str] = set()
+        self.most_poisoned = ENGINES_LOST_TO_ONE_CONTENT
         bench.checks.append(self.check)
         bench.hooks.append(self.observe)
 
@@ -50,6 +52,9 @@
         self.check_leads()
         for entry in bench.entries.values():
             self.check_revision(entry)
+        poisoned = sum(engine.poisoned for engine in bench.engines.values())
+        if poisoned > self.most_poisoned:
+            self.report(f"one content crashed {poisoned} engines")
         for key, runs in bench.services["booking-1"].runs_by_key.items():
             if runs > 1:
                 self.report(f"key {key} ran {runs} times")
@@ -65,8 +70,11 @@
             if not entry.alive or entry.paused or entry.stopped:
                 continue
             for base in entry.state.boards:
-                if now < entry.state.leadership.by_base[base].mine_until:
+                until = entry.state.leadership.by_base[base].mine_until
+                if now < until:
                     acting.setdefault(base, []).append(name)
+                elif now > until + LEASE_SLACK_S:
+                    self.report(f"{name} leads {base} after its lease")
         for base, names in acting.items():
             if len(names) > 1:
                 self.report(f"{base} is led by {names}")
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -251,6 +251,11 @@
     scene.bench.platform.lose_answers += 3
 
 
+def lose_service_answers(scene: Scene, entry: FakeEntry) -> None:
+    """Let the next calls of the plain service run without an answer."""
+    scene.bench.services["booking-1"].lose_answers += 2
+
+
 def pause_entry(scene: Scene, entry: FakeEntry) -> None:
     """Pause the entry at which the step happens, past its lease."""
     name = entry.state.me.name
@@ -299,19 +304,26 @@
 
 
 def silence(scene: Scene, entry: FakeEntry) -> None:
-    """Let polls of an engine go without an answer, and cut the entry off from its peers."""
+    """Let an engine's polls, the entry's peers and its watch go silent."""
     bench, me = scene.bench, entry.state.me.name
     bench.engines["engine-1"].silent = True
     pairs = {frozenset((me, other)) for other in bench.entries if other != me}
     bench.cut |= pairs
+    entry.watching = False
 
     def heal() -> None:
         bench.engines["engine-1"].silent = False
         bench.cut -= pairs
+        entry.watching = True
+        # What is published now arrives before what the silent watch still has to tell.
+        race_operators(scene, entry)
 
     later(scene, FAULT_S, heal)
 
 
+# With these, the entry that saw an engine die may be unable to tell anybody.
+UNWITNESSED = {"lease-lapsed", "long-pause", "entry-killed", "silent-connection"}
+
 FAULTS: dict[str, Callable[[Scene, FakeEntry], None]] = {
     "popularity-shift": shift_popularity,
     "engine-restart": restart_engine,
@@ -321,6 +333,7 @@
     "platform-down": platform_down,
     "platform-slow": platform_slow,
     "answer-lost": lose_answers,
+    "service-answer-lost": lose_service_answers,
     "lease-lapsed": pause_entry,
     "long-pause": pause_long,
     "entry-killed": kill_entry,
@@ -385,6 +398,7 @@
     """
     skip %= max(1, occurrences(step, checks_fencing, seed))
     scene = make_scene(checks_fencing, seed)
+    scene.invariants.most_poisoned += len(UNWITNESSED.intersection(faults)) * times
     strike(scene, step, faults, skip, times)
     work(scene)
     scene.bench.run(WORK_S + SETTLE_S)
