--- a/tests/measured_site.py
+++ b/tests/measured_site.py
@@ -1,13 +1,19 @@
 """Starts sites as separate processes and measures them: ``python -m tests.measured_site``."""
 
+import os
 import sys
 import tempfile
+import time
 from pathlib import Path
 
+from attrs import frozen
+from tabulate import tabulate
+
 from poplarhoist.replay.shapes import SHAPES_BY_NAME
-from tests.site import TOKEN, RunningSite, SiteFile, published, wait_until
+from tests.site import POOL, TOKEN, RunningSite, SiteFile, published, wait_until
 
 LONG_S = 3600.0
+IDLE_S = 8.0
 ADAPTERS = 3000
 
 
@@ -85,6 +91,63 @@
         site.stop()
 
 
+def idle(folder: Path) -> None:
+    """Measure what control costs an entry that serves nobody, for growing numbers of entries."""
+    rows = []
+    for entries in (3, 6, 9, 18):
+        file = SiteFile(folder / f"site{entries}.toml", entries=entries, engines=12, slots=16)
+        site = MeasuredSite(file)
+        try:
+            site.start()
+            time.sleep(IDLE_S / 2)
+            before = {name: idle_costs(site, name) for name in file.entry_ports}
+            time.sleep(IDLE_S)
+            after = {name: idle_costs(site, name) for name in file.entry_ports}
+        finally:
+            site.stop()
+        for role in (False, True):
+            names = [name for name in before if before[name].leads is role]
+            rows.append([entries, "lead" if role else "entry", *mean_costs(before, after, names)])
+    heads = ["entries", "role", "processor %", "sent kB/s", "resident MB"]
+    print(tabulate(rows, heads, floatfmt=".2f"))
+
+
+@frozen
+class IdleCosts:
+    """What a process has used so far: processor seconds, bytes sent to peers, resident bytes."""
+
+    leads: bool
+    processor_s: float
+    sent_bytes: float
+    resident_bytes: int
+
+
+def idle_costs(site: MeasuredSite, name: str) -> IdleCosts:
+    """Read what an entry has used so far."""
+    pid = site.processes[name].pid
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    url = f"http://127.0.0.1:{site.file.entry_ports[name]}/metrics"
+    lines = POOL.request("GET", url).data.decode().splitlines()
+    sent = [line for line in lines if line.startswith("poplarhoist_peer_bytes_total")]
+    return IdleCosts(
+        leads=bool(site.status(name)["leads"]),
+        processor_s=ticks / os.sysconf("SC_CLK_TCK"),
+        sent_bytes=sum(float(line.split()[-1]) for line in sent),
+        resident_bytes=pages * os.sysconf("SC_PAGE_SIZE"),
+    )
+
+
+def mean_costs(before: dict, after: dict, names: list[str]) -> list[float]:
+    """Return the mean costs of some entries over the idle time."""
+    count = max(1, len(names))
+    processor = sum(after[n].processor_s - before[n].processor_s for n in names) / count
+    sent = sum(after[n].sent_bytes - before[n].sent_bytes for n in names) / count
+    resident = sum(after[n].resident_bytes for n in names) / count
+    return [100 * processor / IDLE_S, sent / IDLE_S / 1000, resident / 1e6]
+
+
 def load_options(shape) -> list[str]:
     """Return the options that make the load tool send a shape's traces."""
     options = {
@@ -100,6 +163,8 @@
     with tempfile.TemporaryDirectory() as folder:
         if args[:1] == ["overhead"]:
             overhead(Path(folder))
+        elif args[:1] == ["idle"]:
+            idle(Path(folder))
         else:
             replays(Path(folder), *args)
 
