--- a/tests/site.py
+++ b/tests/site.py
@@ -232,10 +232,10 @@
         data = {"model": model, "prompt": "ramp", "max_tokens": tokens, **body}
         return self.call(entry, "/v1/completions", data)
 
-    def control(self, name: str, path: str = "/control", **faults) -> None:
+    def control(self, name: str, where: str = "/control", **faults) -> None:
         """Set fault switches of a stand-in."""
         port = self.port_of(name)
-        url = f"http://127.0.0.1:{port}{path}"
+        url = f"http://127.0.0.1:{port}{where}"
         assert CONTROL.request("POST", url, json=faults).status == 200
 
     def state(self, name: str) -> dict:
