--- a/poplarhoist/ctl/operator.py
+++ b/poplarhoist/ctl/operator.py
@@ -1,4 +1,4 @@
-"""One operator's session with a site: answers, changes, and calls to entries."""
+"""What one operator does with a site: answers, changes, and calls to entries."""
 
 import getpass
 from collections.abc import Callable, Sequence
@@ -123,7 +123,7 @@
         raise NotFoundError(f"no such entry; expected one of {known}", "find-entry", name)
 
     def ask(self, entry: EntrySettings, method: str, path: str, **fields: object) -> dict:
-        """Call an entry's operators' door.
+        """Call an entry's operators' interface.
 
         Raises
         ------
@@ -131,7 +131,7 @@
             If the entry does not answer or refuses.
         """
         url = f"http://{entry.host}:{entry.port}{path}"
-        headers = {"Authorization": f"Bearer {self.site.doors.operator_key}"}
+        headers = {"Authorization": f"Bearer {self.site.interfaces.operator_key}"}
         try:
             answer = self.pool.request(method, url, headers=headers, fields=fields or None)
         except HTTPError as error:
--- a/poplarhoist/decisions/board.py
+++ b/poplarhoist/decisions/board.py
@@ -11,7 +11,7 @@
 
 from poplarhoist.decisions.budget import Budget
 from poplarhoist.decisions.effects import OrderKind
-from poplarhoist.decisions.intentbook import IntentBook, Shadow
+from poplarhoist.decisions.intentbook import IntentBook, Suspension
 from poplarhoist.decisions.loadqueue import LoadQueue
 from poplarhoist.models import AdapterRef
 
@@ -106,7 +106,7 @@
     fenced_at : float or None
         When the engine confirmed the epoch of this lead, or the intents were read if it does
         not check epochs.
-    ghosts : dict
+    lost_holders : dict
         Holders, as in ``Slot``, of grants for adapter versions that it lost.
     suspended : set
         Adapter versions that a late order of an earlier lead may still load or evict.
@@ -131,7 +131,7 @@
     fence_sent_at: float = float("-inf")
     retry_at: float = float("-inf")
     failures: int = 0
-    ghosts: dict[AdapterRef, dict[str, int]] = field(factory=dict)
+    lost_holders: dict[AdapterRef, dict[str, int]] = field(factory=dict)
     suspended: set[AdapterRef] = field(factory=set)
     reserved_at: float | None = None
     returned_at: float = float("-inf")
@@ -202,7 +202,7 @@
         Loads that nobody waits for, or that relieve a full engine.
     ready_free, ready_clean : dict
         Names of the engines that may load now, with a free slot or a clean one.
-    shadows : dict
+    suspensions : dict
         What late orders may still do, by the order's id.
     draining : set
         Engine and adapter version of each draining slot.
@@ -234,7 +234,7 @@
     gather_sent_at: float = float("-inf")
     budget: Budget = field(factory=Budget)
     intents: IntentBook = field(factory=IntentBook)
-    shadows: dict[str, Shadow] = field(factory=dict)
+    suspensions: dict[str, Suspension] = field(factory=dict)
     orders: dict[str, Order] = field(factory=dict)
     order_count: int = 0
     grant_count: int = 0
@@ -277,7 +277,7 @@
 
 def add_slot(board: Board, engine: EngineBoard, slot: Slot) -> None:
     """Put an adapter version on an engine."""
-    slot.holders.update(engine.ghosts.pop(slot.ref, {}))
+    slot.holders.update(engine.lost_holders.pop(slot.ref, {}))
     engine.slots[slot.ref] = slot
     board.engines_by_ref.setdefault(slot.ref, set()).add(engine.name)
 
@@ -288,7 +288,7 @@
     if slot is None:
         return
     if slot.holders:
-        engine.ghosts[ref] = slot.holders
+        engine.lost_holders[ref] = slot.holders
     board.draining.discard((engine.name, ref))
     names = board.engines_by_ref[ref]
     names.discard(engine.name)
--- a/poplarhoist/decisions/intentbook.py
+++ b/poplarhoist/decisions/intentbook.py
@@ -41,7 +41,7 @@
 
 
 @define
-class Shadow:
+class Suspension:
     """Adapter versions on an engine that a late order may still load or evict.
 
     Attributes
--- a/poplarhoist/decisions/intents.py
+++ b/poplarhoist/decisions/intents.py
@@ -22,7 +22,7 @@
     SendOrder,
 )
 from poplarhoist.decisions.events import CallStatus, OrderAnswered, OrderOutcome, PlatformAnswered
-from poplarhoist.decisions.intentbook import Intent, OpenOrder, Shadow
+from poplarhoist.decisions.intentbook import Intent, OpenOrder, Suspension
 from poplarhoist.decisions.membership import is_gone
 from poplarhoist.models import AdapterRef
 
@@ -158,19 +158,19 @@
 
 def inherit(state: State, board: Board, intent: Intent) -> None:
     """Leave alone what an order of an earlier lead may still load or evict."""
-    if intent.order_id in board.shadows:
+    if intent.order_id in board.suspensions:
         return
     board.intents.open_by_id[intent.order_id] = intent
     refs = frozenset(AdapterRef.parse(text) for text in (intent.load, intent.replaces) if text)
-    cast_shadow(board, Shadow(intent.order_id, intent.endpoint, refs, intent.holder, intent.boot))
+    suspend(board, Suspension(intent.order_id, intent.endpoint, refs, intent.holder, intent.boot))
 
 
-def cast_shadow(board: Board, shadow: Shadow) -> None:
+def suspend(board: Board, suspension: Suspension) -> None:
     """Begin to leave adapter versions on an engine alone."""
-    board.shadows[shadow.order_id] = shadow
-    engine = board.engines.get(shadow.endpoint)
+    board.suspensions[suspension.order_id] = suspension
+    engine = board.engines.get(suspension.endpoint)
     if engine is not None:
-        engine.suspended |= shadow.refs
+        engine.suspended |= suspension.refs
 
 
 def confirm(state: State, board: Board, nonce: str, at: float, out: list[Effect]) -> None:
@@ -213,16 +213,16 @@
     )
 
 
-def shadow_order(state: State, board: Board, order: Order, at: float) -> None:
+def suspend_order(state: State, board: Board, order: Order, at: float) -> None:
     """Leave alone what an own order may still do that was given up on."""
     if order.kind is not OrderKind.LOAD or not order.sent:
         close(board, order.order_id)
         return
     refs = frozenset(ref for ref in (order.ref, order.replaces) if ref is not None)
-    shadow = Shadow(order.order_id, order.endpoint, refs, state.me.name, state.boot)
+    suspension = Suspension(order.order_id, order.endpoint, refs, state.me.name, state.boot)
     if order.answered:
-        shadow.until = at + state.limits.order_s
-    cast_shadow(board, shadow)
+        suspension.until = at + state.limits.order_s
+    suspend(board, suspension)
 
 
 def note_answered(state: State, event: OrderAnswered) -> None:
@@ -233,70 +233,74 @@
     if order is not None:
         order.until = until
     for board in state.boards.values():
-        shadow = board.shadows.get(event.order_id)
-        if shadow is not None:
-            shadow.until = until
+        suspension = board.suspensions.get(event.order_id)
+        if suspension is not None:
+            suspension.until = until
 
 
 def on_held(state: State, board: Board, sender: str, orders_open: bool, at: float) -> None:
     """Note that an entry says whether orders of its own are still under way."""
     peer = state.members.peers.get(sender)
     boot = peer.boot if peer else ""
-    for shadow in board.shadows.values():
-        if shadow.holder != sender or shadow.until is not None or sender == state.me.name:
+    for suspension in board.suspensions.values():
+        if suspension.holder != sender or suspension.until is not None or sender == state.me.name:
             continue
-        if boot != shadow.boot:
-            shadow.until = at + state.limits.order_s
+        if boot != suspension.boot:
+            suspension.until = at + state.limits.order_s
         elif not orders_open:
-            shadow.until = at
+            suspension.until = at
 
 
 def unsettled_holders(state: State, board: Board) -> set[str]:
     """Return the listed entries that have not ended their orders yet."""
-    names = {shadow.holder for shadow in board.shadows.values() if shadow.until is None}
+    names = {
+        suspension.holder for suspension in board.suspensions.values() if suspension.until is None
+    }
     return {name for name in names if name in state.members.peers}
 
 
 def settle_gone(state: State, board: Board, at: float, out: list[Effect]) -> None:
     """Note senders that the platform lists as gone, and poll engines that are to be settled."""
-    for shadow in list(board.shadows.values()):
-        if shadow.until is None and is_ended(state, shadow):
-            shadow.until = at + state.limits.order_s
-        if shadow.until is None or at <= shadow.until:
+    for suspension in list(board.suspensions.values()):
+        if suspension.until is None and is_ended(state, suspension):
+            suspension.until = at + state.limits.order_s
+        if suspension.until is None or at <= suspension.until:
             continue
-        engine = board.engines.get(shadow.endpoint)
+        engine = board.engines.get(suspension.endpoint)
         if engine is None:
-            del board.shadows[shadow.order_id]
-            close(board, shadow.order_id)
+            del board.suspensions[suspension.order_id]
+            close(board, suspension.order_id)
         elif at - engine.asked_at >= state.limits.recall_again_s:
             engine.asked_at = at
             out.append(PollEndpoint(engine.name))
 
 
-def is_ended(state: State, shadow: Shadow) -> bool:
+def is_ended(state: State, suspension: Suspension) -> bool:
     """Return whether the sender of an order can no longer send it, though it may be late."""
-    if shadow.holder != state.me.name:
-        return is_gone(state, shadow.holder)
-    return shadow.boot != state.boot or shadow.order_id not in state.leadership.open_orders
+    if suspension.holder != state.me.name:
+        return is_gone(state, suspension.holder)
+    return suspension.boot != state.boot or suspension.order_id not in state.leadership.open_orders
 
 
 def settle(board: Board, engine: EngineBoard, sampled_at: float) -> set[AdapterRef]:
-    """End shadows by a report; return the adapter versions that are free again."""
+    """End suspensions by a report; return the adapter versions that are free again."""
     ended = [
-        shadow
-        for shadow in board.shadows.values()
-        if shadow.endpoint == engine.name and shadow.until is not None and sampled_at > shadow.until
+        suspension
+        for suspension in board.suspensions.values()
+        if suspension.endpoint == engine.name
+        and suspension.until is not None
+        and sampled_at > suspension.until
     ]
     if not ended:
         return set()
     before = set(engine.suspended)
-    for shadow in ended:
-        del board.shadows[shadow.order_id]
-        close(board, shadow.order_id)
+    for suspension in ended:
+        del board.suspensions[suspension.order_id]
+        close(board, suspension.order_id)
     engine.suspended = {
         ref
-        for shadow in board.shadows.values()
-        if shadow.endpoint == engine.name
-        for ref in shadow.refs
+        for suspension in board.suspensions.values()
+        if suspension.endpoint == engine.name
+        for ref in suspension.refs
     }
     return before - engine.suspended
--- a/poplarhoist/decisions/lead_grants.py
+++ b/poplarhoist/decisions/lead_grants.py
@@ -97,14 +97,14 @@
     if engine is None:
         return
     slot = engine.slots.get(message.ref)
-    holders = slot.holders if slot else engine.ghosts.get(message.ref, {})
+    holders = slot.holders if slot else engine.lost_holders.get(message.ref, {})
     if sender not in holders or message.number < holders[sender]:
         return
     del holders[sender]
     engine.returned_at = at
     if slot is None:
         if not holders:
-            del engine.ghosts[message.ref]
+            del engine.lost_holders[message.ref]
         return
     if slot.state is SlotState.DRAINING and slot.cleared_at is None and is_cleared(board, slot):
         slot.cleared_at = at
--- a/poplarhoist/decisions/orders.py
+++ b/poplarhoist/decisions/orders.py
@@ -175,7 +175,7 @@
         return
     loaded = order.ref in resident
     if not order.answered and not loaded:
-        intents.shadow_order(state, board, order, at)
+        intents.suspend_order(state, board, order, at)
     if order.replaces is not None and order.replaces in resident and not loaded:
         keep_victim(board, engine, order, at)
     close_load(state, board, order, loaded, False, at, out)
@@ -201,4 +201,4 @@
         return
     engine.order = None
     board.orders.pop(order.order_id, None)
-    intents.shadow_order(state, board, order, at)
+    intents.suspend_order(state, board, order, at)
--- a/poplarhoist/decisions/placement.py
+++ b/poplarhoist/decisions/placement.py
@@ -150,7 +150,7 @@
             residency.reconcile(state, board, engine, report, sampled_at, at, out)
             pump(state, board, at, out)
         else:
-            residency.take_hearsay(state, board, engine, report, out)
+            residency.take_passed_on(state, board, engine, report, out)
 
 
 def on_order(state: State, event: OrderAnswered, out: list[Effect]) -> None:
--- a/poplarhoist/decisions/residency.py
+++ b/poplarhoist/decisions/residency.py
@@ -72,7 +72,7 @@
         if slot is not None:
             slot.holders.setdefault(sender, 0)
         elif engine.settled:
-            engine.ghosts.setdefault(pair.ref, {}).setdefault(sender, 0)
+            engine.lost_holders.setdefault(pair.ref, {}).setdefault(sender, 0)
         else:
             slot = Slot(pair.ref, SlotState.RESIDENT, at, {sender: 0}, inherited=True)
             add_slot(board, engine, slot)
@@ -85,8 +85,8 @@
     if engine is None:
         engine = board.engines[name] = EngineBoard(name)
         board.unfenced.add(name)
-        shadows = (s for s in board.shadows.values() if s.endpoint == name)
-        engine.suspended = {ref for shadow in shadows for ref in shadow.refs}
+        suspensions = (s for s in board.suspensions.values() if s.endpoint == name)
+        engine.suspended = {ref for suspension in suspensions for ref in suspension.refs}
     view = state.members.endpoints[name]
     board.capacity += view.endpoint.slots - engine.capacity
     engine.capacity = view.endpoint.slots
@@ -184,7 +184,7 @@
     engine.boot = report.boot
 
 
-def take_hearsay(state: State, board: Board, engine: EngineBoard, report: EndpointReport, out):
+def take_passed_on(state: State, board: Board, engine: EngineBoard, report: EndpointReport, out):
     """Read an engine's report here when what a peer read does not fit the board."""
     changing = {SlotState.LOADING, SlotState.REPLACING}
     held = {str(ref) for ref, slot in engine.slots.items() if slot.state not in changing}
--- a/poplarhoist/demo/site.py
+++ b/poplarhoist/demo/site.py
@@ -37,7 +37,7 @@
     ports = iter(free_ports(len(ENTRIES) + len(ENGINES) + 2))
     parts = [
         f'name = "demo"\n[platform]\nhost = "{HOST}"\nport = {next(ports)}',
-        '[doors]\npeer_key = "key-of-the-demo"\noperator_key = "operator-of-the-demo"',
+        '[interfaces]\npeer_key = "key-of-the-demo"\noperator_key = "operator-of-the-demo"',
         "[store]\nloads_per_s = 8.0\nload_s = 0.1",
         '[[services]]\nname = "booking"',
         'routes = [{ method = "POST", path = "/crews", repeat = false }]',
--- a/poplarhoist/entry/callers.py
+++ b/poplarhoist/entry/callers.py
@@ -29,12 +29,12 @@
 DOT_SEGMENTS = (".", "..")
 
 
-class CallerDoor:
+class CallerInterface:
     """Takes the requests of callers."""
 
     def __init__(self, core: Core, site: Site) -> None:
         self.core = core
-        self.read_s = site.doors.read_s
+        self.read_s = site.interfaces.read_s
         self.serving = Serving(core, site)
 
     def models(self, request: Request) -> Response:
--- a/poplarhoist/entry/doors.py
+++ b/poplarhoist/entry/interfaces.py
@@ -8,9 +8,9 @@
 from werkzeug.wrappers import Request, Response
 
 from poplarhoist.entry import problems
-from poplarhoist.entry.callers import CallerDoor
+from poplarhoist.entry.callers import CallerInterface
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.operators import OperatorDoor
+from poplarhoist.entry.operators import OperatorInterface
 from poplarhoist.entry.peers import PEER_BODY_BYTES, PEER_KEY_HEADER, PEER_PATH, Peers
 from poplarhoist.entry.web import require_key
 from poplarhoist.settings.models import Site
@@ -18,15 +18,15 @@
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
 
-class Doors:
+class Interfaces:
     """Routes requests to those who take them."""
 
     def __init__(self, core: Core, site: Site, peers: Peers) -> None:
         self.core = core
         self.site = site
         self.peers = peers
-        callers = CallerDoor(core, site)
-        operators = OperatorDoor(core, site.doors.operator_key)
+        callers = CallerInterface(core, site)
+        operators = OperatorInterface(core, site.interfaces.operator_key)
         rules = [
             Rule("/v1/completions", methods=["POST"], endpoint=callers.complete),
             Rule("/v1/chat/completions", methods=["POST"], endpoint=callers.complete),
@@ -47,7 +47,7 @@
         # The server ends a chunked body itself; without this it would be read as empty.
         environ["wsgi.input_terminated"] = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "")
         request = Request(environ)
-        request.max_content_length = self.site.doors.body_bytes
+        request.max_content_length = self.site.interfaces.body_bytes
         try:
             call, arguments = self.map.bind_to_environ(environ).match()
             response = call(request, **arguments)
@@ -80,7 +80,7 @@
 
     def peer(self, request: Request) -> Response:
         """Take a batch of another entry."""
-        require_key(request.headers.get(PEER_KEY_HEADER, ""), self.site.doors.peer_key)
+        require_key(request.headers.get(PEER_KEY_HEADER, ""), self.site.interfaces.peer_key)
         request.max_content_length = PEER_BODY_BYTES
         try:
             self.peers.receive(request.get_data())
--- a/poplarhoist/entry/operators.py
+++ b/poplarhoist/entry/operators.py
@@ -11,7 +11,7 @@
 from poplarhoist.entry.web import bearer, json_response, require_key
 
 
-class OperatorDoor:
+class OperatorInterface:
     """Takes the requests of operators, who hold a shared key."""
 
     def __init__(self, core: Core, key: str) -> None:
--- a/poplarhoist/entry/peers.py
+++ b/poplarhoist/entry/peers.py
@@ -69,7 +69,7 @@
 
 
 class Peers:
-    """Outboxes by peer, and the door for batches of peers.
+    """Outboxes by peer, and the interface for batches of peers.
 
     Batches of all peers share one sequence, so that a peer that is gone and listed again does not
     take new batches for old ones.
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -17,8 +17,8 @@
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.calls import PlatformCalls
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.doors import Doors
 from poplarhoist.entry.endpoints import EndpointCalls
+from poplarhoist.entry.interfaces import Interfaces
 from poplarhoist.entry.listener import StoppableListener
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import Peers
@@ -36,7 +36,7 @@
 
 
 class EntryServer:
-    """One entry: decisions, clients and doors."""
+    """One entry: decisions, clients and interfaces."""
 
     def __init__(self, site: Site, me: Instance, env: Environment) -> None:
         self.site = site
@@ -54,8 +54,8 @@
         self.platform = HttpPlatform(site.platform, env.clock, self.metrics)
         self.calls = PlatformCalls(self.core, self.platform)
         self.endpoints = EndpointCalls(self.core)
-        self.peers = Peers(self.core, site.doors.peer_key)
-        self.doors = Doors(self.core, site, self.peers)
+        self.peers = Peers(self.core, site.interfaces.peer_key)
+        self.interfaces = Interfaces(self.core, site, self.peers)
         self.stopped = eventlet.event.Event()
         self.core.on(fx.Stop, self.stop)
 
@@ -68,13 +68,13 @@
         self.server = eventlet.spawn(
             eventlet.wsgi.server,
             self.stoppable(listener),
-            self.doors,
+            self.interfaces,
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
             protocol=BoundedProtocol,
-            max_size=self.site.doors.connections,
-            socket_timeout=self.site.doors.read_s,
+            max_size=self.site.interfaces.connections,
+            socket_timeout=self.site.interfaces.read_s,
             url_length_limit=HEADER_BYTES,
         )
         eventlet.spawn(self.tick)
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -103,7 +103,7 @@
 
 
 @frozen
-class DoorSettings:
+class InterfaceSettings:
     """Bounds on what callers and peers may send.
 
     Attributes
@@ -152,7 +152,7 @@
 
     name: str = field(validator=NAME)
     platform: PlatformSettings
-    doors: DoorSettings
+    interfaces: InterfaceSettings
     entries: tuple[EntrySettings, ...]
     endpoints: tuple[EndpointSettings, ...] = ()
     services: tuple[ServiceSettings, ...] = ()
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -62,7 +62,7 @@
 
 def break_intents(patch) -> None:
     """Forget the orders that earlier leads may still have under way."""
-    patch.setattr(intents, "cast_shadow", nothing)
+    patch.setattr(intents, "suspend", nothing)
 
 
 def break_record(patch) -> None:
--- a/tests/site.py
+++ b/tests/site.py
@@ -93,7 +93,7 @@
         lines = [
             'name = "test"',
             f'[platform]\nhost = "127.0.0.1"\nport = {self.platform_port}',
-            f'[doors]\npeer_key = "{PEER_KEY}"\noperator_key = "{OPERATOR_KEY}"\nread_s = {read_s}',
+            f'[interfaces]\npeer_key = "{PEER_KEY}"\noperator_key = "{OPERATOR_KEY}"\nread_s = {read_s}',
             f"[store]\nloads_per_s = {loads_per_s}\nload_s = 0.1",
         ]
         for number, (name, port) in enumerate(self.entry_ports.items()):
--- a/tests/test_doors.py
+++ b/tests/test_interfaces.py
@@ -21,12 +21,12 @@
 from poplarhoist.decisions.state import State
 from poplarhoist.entry.callers import KEY_CHARACTERS
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.doors import Doors
+from poplarhoist.entry.interfaces import Interfaces
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import PEER_KEY_HEADER, Peers
 from poplarhoist.models import Instance, Place
 from poplarhoist.replay.bench import TOKEN, Bench
-from poplarhoist.settings.models import DoorSettings, PlatformSettings, Site
+from poplarhoist.settings.models import InterfaceSettings, PlatformSettings, Site
 from tests.site import POOL, RunningSite, SiteFile, wait_until
 from tests.site import TOKEN as SITE_TOKEN
 
@@ -38,7 +38,7 @@
 
 
 def make_client() -> tuple[Client, State]:
-    """Return a client of the doors of an entry that knows a caller and a peer."""
+    """Return a client of the interfaces of an entry that knows a caller and a peer."""
     bench = Bench(entries=1, engines=1)
     bench.configure()
     state = State(ME, "boot", random.Random(0), services={})
@@ -51,12 +51,12 @@
             event = {"at": 1.0, "sender": "entry-1", "boot": "b", "sequence": 1}
             message = wire.load_messages([take])[0]
             reduce(state, PeerSaid(**event, message=message))
-    doors = DoorSettings(PEER_KEY, OPERATOR_KEY, body_bytes=BODY_BYTES)
-    site = Site("test", PlatformSettings("-", 1), doors, ())
+    interfaces = InterfaceSettings(PEER_KEY, OPERATOR_KEY, body_bytes=BODY_BYTES)
+    site = Site("test", PlatformSettings("-", 1), interfaces, ())
     core = Core(state, SystemClock(), Metrics())
     for kind in (*core.runners, *EFFECTS):
         core.runners.setdefault(kind, lambda effect: None)
-    return Client(Doors(core, site, Peers(core, PEER_KEY))), state
+    return Client(Interfaces(core, site, Peers(core, PEER_KEY))), state
 
 
 EFFECTS = (fx.PlatformGet, fx.PlatformPut, fx.PollEndpoint, fx.SendOrder, fx.PlatformList)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -35,7 +35,7 @@
         ("plans@9", TOKEN, 404, "unknown-version"),
     ],
 )
-def test_refusals_at_the_door(running_site, model, token, status, reason):
+def test_refusals_at_admission(running_site, model, token, status, reason):
     site = running_site(entries=1, engines=1)
     body = {"model": model, "prompt": "x"}
     answer = site.call("entry-1", "/v1/completions", body, Authorization=f"Bearer {token}")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,7 +20,7 @@
 [platform]
 host = "127.0.0.1"
 port = 4000
-[doors]
+[interfaces]
 peer_key = "peer-key-0"
 operator_key = "operator-key-0"
 [timings]
@@ -97,8 +97,8 @@
     keys = [str(error).rpartition("@ ")[2] for error in raised.value.exceptions]
     assert keys == [
         "platform.port",
-        "doors.peer_key",
-        "doors.operator_key",
+        "interfaces.peer_key",
+        "interfaces.operator_key",
         "endpoints[0].kind",
         "endpoints[0].colour",
     ]
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,8 +9,8 @@
 from poplarhoist.models import Endpoint, EndpointKind, Place
 from poplarhoist.replay.clock import VirtualClock
 from poplarhoist.settings.models import (
-    DoorSettings,
     EntrySettings,
+    InterfaceSettings,
     PlatformSettings,
     Site,
     StoreSettings,
@@ -260,7 +260,7 @@
     site = Site(
         "t",
         PlatformSettings("127.0.0.1", 1),
-        DoorSettings("peer-key", "operator"),
+        InterfaceSettings("peer-key", "operator"),
         (EntrySettings("entry-1", "r1", "r1-a", "127.0.0.1", 2),),
     )
     return Client(PlatformStandin(site, SystemClock()).app)
@@ -383,7 +383,7 @@
     assert client.get("/control/state").json["runs_by_key"] == ({"k": 1} if runs else {})
 
 
-class Door:
+class Interface:
     """An application that listens on loopback, and raw requests to it."""
 
     def __init__(self) -> None:
@@ -413,28 +413,28 @@
 
 
 def test_a_cut_connection_carries_no_byte():
-    door = Door()
-    assert door.send(door.connect(), "/lost") == b""
-    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
+    interface = Interface()
+    assert interface.send(interface.connect(), "/lost") == b""
+    assert interface.send(interface.connect(), "/ok").startswith(b"HTTP/1.1 200")
 
 
 def test_open_connections_go_silent_while_new_ones_work():
-    door = Door()
-    old = door.connect()
-    assert door.send(old, "/ok")
-    door.app.connections.silence()
-    assert door.send(old, "/ok", wait_s=0.2) is None
-    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
+    interface = Interface()
+    old = interface.connect()
+    assert interface.send(old, "/ok")
+    interface.app.connections.silence()
+    assert interface.send(old, "/ok", wait_s=0.2) is None
+    assert interface.send(interface.connect(), "/ok").startswith(b"HTTP/1.1 200")
 
 
 def test_a_restart_refuses_connections_and_ends_open_ones():
-    door = Door()
-    old = door.connect()
-    assert door.send(old, "/ok")
-    door.listener.restart(0.1)
+    interface = Interface()
+    old = interface.connect()
+    assert interface.send(old, "/ok")
+    interface.listener.restart(0.1)
     assert old.recv(4096) == b""
     with pytest.raises(ConnectionRefusedError):
-        door.connect()
-    while not door.listener.is_open:
+        interface.connect()
+    while not interface.listener.is_open:
         eventlet.sleep(0.01)
-    assert door.send(door.connect(), "/ok").startswith(b"HTTP/1.1 200")
+    assert interface.send(interface.connect(), "/ok").startswith(b"HTTP/1.1 200")
