Remove what nothing used: an event, a counter, an error, a class and a function

Cause: read once more as a whole. The event FirstByte was never submitted; the counter endpoint_bytes was declared and stood on the operators' page as something to watch, but was never counted; EndpointError, Counted and answer_text had no user. Ruled out: merging the look-alikes of ctl/arguments and of the intents' two answers, which are declarations, or branch on different outcomes. Conclusion: no behaviour changed.

--- a/poplarhoist/decisions/events.py
+++ b/poplarhoist/decisions/events.py
@@ -95,15 +95,6 @@
     request_id: str
 
 
-@frozen
-class FirstByte:
-    """The first byte of an answer was passed on to the caller."""
-
-    at: float
-    request_id: str
-    attempt: int
-
-
 @frozen
 class AttemptEnded:
     """An attempt at an endpoint ended.
@@ -234,7 +225,6 @@
     Tick
     | RequestArrived
     | CallerLeft
-    | FirstByte
     | AttemptEnded
     | PlatformAnswered
     | ObjectChanged
--- a/poplarhoist/decisions/reducer.py
+++ b/poplarhoist/decisions/reducer.py
@@ -276,7 +276,6 @@
     ev.CallerLeft: lambda state, event, out: requests.on_left(
         state, event.request_id, event.at, out
     ),
-    ev.FirstByte: ignore,
     ev.AttemptEnded: outcomes.on_ended,
     ev.PlatformAnswered: on_platform,
     ev.ObjectChanged: on_object,
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -23,7 +23,6 @@
     "run_swept": ("Old records deleted", ()),
     "platform_call": ("Calls to the platform", ("kind", "status")),
     "peer_bytes": ("Bytes sent to peers", ("crossing",)),
-    "endpoint_bytes": ("Bytes exchanged with endpoints", ("crossing",)),
     "cancel_failed": ("Streams that could not be cancelled at their endpoint", ()),
     "endpoint_taken_out": ("Endpoints taken out of use for a while", ("cause",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
--- a/poplarhoist/errors.py
+++ b/poplarhoist/errors.py
@@ -34,10 +34,6 @@
     """The platform's service did not do what was asked."""
 
 
-class EndpointError(PoplarhoistError):
-    """An endpoint could not be reached or broke its answer off."""
-
-
 class UnsettledError(PlatformError):
     """It is not known whether a change took effect."""
 
--- a/poplarhoist/load/slopes.py
+++ b/poplarhoist/load/slopes.py
@@ -12,7 +12,7 @@
 from poplarhoist.load.sampling import Sample, Sampler
 
 MEASURED_S = 10.0
-REQUEST_EVENTS = ("RequestArrived", "FirstByte", "AttemptEnded", "CallerLeft")
+REQUEST_EVENTS = ("RequestArrived", "AttemptEnded", "CallerLeft")
 MILLISECONDS = 1e-3
 KILOBYTES = 1e-3
 
--- a/poplarhoist/models.py
+++ b/poplarhoist/models.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from attrs import define, field, frozen
+from attrs import field, frozen
 
 
 @frozen(cache_hash=True, order=True)
@@ -289,11 +289,3 @@
     step: str = ""
     endpoint: str = ""
     retry_after_s: float = 0.0
-
-
-@define
-class Counted:
-    """A counter's name and labels, as the decisions ask for it."""
-
-    name: str
-    labels: dict[str, str] = field(factory=dict)
--- a/poplarhoist/standins/answers.py
+++ b/poplarhoist/standins/answers.py
@@ -62,9 +62,3 @@
 def head(answer: Answer, kind: str) -> dict[str, object]:
     """Return what every part of an answer starts with."""
     return {"id": answer.request_id, "object": kind, "created": 0, "model": answer.ref}
-
-
-def answer_text(data: bytes) -> str:
-    """Return the text of a whole answer."""
-    choice = orjson.loads(data)["choices"][0]
-    return choice["message"]["content"] if "message" in choice else choice["text"]
