--- a/poplarhoist/cli/common.py
+++ b/poplarhoist/cli/common.py
@@ -2,39 +2,16 @@
 
 import logging
 import sys
-import warnings
 from collections.abc import Callable, Sequence
 from contextlib import redirect_stderr, redirect_stdout
 
 import defopt
 import structlog
 
+from poplarhoist.cli.outcome import guarded
 from poplarhoist.context import Environment
-from poplarhoist.errors import (
-    ConflictError,
-    EntryError,
-    NotFoundError,
-    PlatformError,
-    PoplarhoistError,
-    SettingsError,
-    UnsettledError,
-)
 from poplarhoist.status import ExitStatus
 
-STATUS_BY_ERROR = {
-    SettingsError: ExitStatus.USAGE,
-    ConflictError: ExitStatus.CONFLICT,
-    PlatformError: ExitStatus.UNAVAILABLE,
-    EntryError: ExitStatus.UNAVAILABLE,
-    NotFoundError: ExitStatus.NOT_FOUND,
-    UnsettledError: ExitStatus.UNSETTLED,
-}
-
-
-def quiet_eventlet() -> None:
-    """Filter the one warning by which eventlet says that it is deprecated."""
-    warnings.filterwarnings("ignore", message=r"(?s).*Eventlet is deprecated.*")
-
 
 def parse(commands: object, args: Sequence[str], program: str) -> object:
     """Return the command that the arguments describe.
@@ -55,29 +32,13 @@
     env: Environment,
 ) -> ExitStatus:
     """Parse arguments, execute the command and turn errors into lines for people."""
-    try:
+
+    def call() -> ExitStatus:
         with redirect_stdout(env.stdout), redirect_stderr(env.stderr):
             command = parse(commands, args, program)
         return execute(command, env)
-    except SystemExit as stop:
-        return ExitStatus.OK if not stop.code else ExitStatus.USAGE
-    except KeyboardInterrupt:
-        return ExitStatus.INTERRUPTED
-    except ExceptionGroup as group:
-        for error in group.exceptions:
-            env.fail(program, str(error))
-        return status_of(group.exceptions[0])
-    except PoplarhoistError as error:
-        env.fail(program, str(error))
-        return status_of(error)
-    except OSError as error:
-        env.fail(program, str(error))
-        return ExitStatus.ERROR
-
 
-def status_of(error: BaseException) -> ExitStatus:
-    """Return the exit status for an error."""
-    return STATUS_BY_ERROR.get(type(error), ExitStatus.ERROR)
+    return guarded(program, env, call)
 
 
 def configure_logs(json_lines: bool, level: int = logging.INFO) -> None:
--- a/poplarhoist/cli/demo.py
+++ b/poplarhoist/cli/demo.py
@@ -1,6 +1,7 @@
 """``poplarhoist-demo``: a whole site in one process, and what happens on it as a short story."""
 
-from poplarhoist.cli.common import configure_logs, quiet_eventlet, run
+from poplarhoist.cli.common import configure_logs, run
+from poplarhoist.cli.outcome import quiet_eventlet
 
 quiet_eventlet()
 
--- a/poplarhoist/cli/entry.py
+++ b/poplarhoist/cli/entry.py
@@ -1,6 +1,7 @@
 """``poplarhoist-entry``: runs one entry."""
 
-from poplarhoist.cli.common import configure_logs, quiet_eventlet, run
+from poplarhoist.cli.common import configure_logs, run
+from poplarhoist.cli.outcome import quiet_eventlet
 
 quiet_eventlet()
 
--- a/poplarhoist/cli/load.py
+++ b/poplarhoist/cli/load.py
@@ -1,6 +1,7 @@
 """``poplarhoist-load``: replays traces through the decisions, and loads running sites."""
 
-from poplarhoist.cli.common import quiet_eventlet, run
+from poplarhoist.cli.common import run
+from poplarhoist.cli.outcome import quiet_eventlet
 
 quiet_eventlet()
 
--- /dev/null
+++ b/poplarhoist/cli/outcome.py
@@ -0,0 +1,55 @@
+"""How programs end: errors as lines for people, and exit statuses."""
+
+import warnings
+from collections.abc import Callable
+
+from poplarhoist.context import Environment
+from poplarhoist.errors import (
+    ConflictError,
+    EntryError,
+    NotFoundError,
+    PlatformError,
+    PoplarhoistError,
+    SettingsError,
+    UnsettledError,
+)
+from poplarhoist.status import ExitStatus
+
+STATUS_BY_ERROR = {
+    SettingsError: ExitStatus.USAGE,
+    ConflictError: ExitStatus.CONFLICT,
+    PlatformError: ExitStatus.UNAVAILABLE,
+    EntryError: ExitStatus.UNAVAILABLE,
+    NotFoundError: ExitStatus.NOT_FOUND,
+    UnsettledError: ExitStatus.UNSETTLED,
+}
+
+
+def quiet_eventlet() -> None:
+    """Filter the one warning by which eventlet says that it is deprecated."""
+    warnings.filterwarnings("ignore", message=r"(?s).*Eventlet is deprecated.*")
+
+
+def guarded(program: str, env: Environment, call: Callable[[], ExitStatus]) -> ExitStatus:
+    """Make a call and turn its errors into lines for people."""
+    try:
+        return call()
+    except SystemExit as stop:
+        return ExitStatus.OK if not stop.code else ExitStatus.USAGE
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+    except ExceptionGroup as group:
+        for error in group.exceptions:
+            env.fail(program, str(error))
+        return status_of(group.exceptions[0])
+    except PoplarhoistError as error:
+        env.fail(program, str(error))
+        return status_of(error)
+    except OSError as error:
+        env.fail(program, str(error))
+        return ExitStatus.ERROR
+
+
+def status_of(error: BaseException) -> ExitStatus:
+    """Return the exit status for an error."""
+    return STATUS_BY_ERROR.get(type(error), ExitStatus.ERROR)
--- a/poplarhoist/cli/standin.py
+++ b/poplarhoist/cli/standin.py
@@ -1,6 +1,7 @@
 """``poplarhoist-standin``: runs stand-ins of the platform, the engines and the services."""
 
-from poplarhoist.cli.common import quiet_eventlet, run
+from poplarhoist.cli.common import run
+from poplarhoist.cli.outcome import quiet_eventlet
 
 quiet_eventlet()
 
--- a/poplarhoist/clock.py
+++ b/poplarhoist/clock.py
@@ -32,3 +32,11 @@
     def sleep(self, seconds: float) -> None:
         """Let time pass."""
         time.sleep(seconds)
+
+
+class SuspendAwareClock(SystemClock):
+    """A clock that goes on while the machine is suspended, so that a pause can be noticed."""
+
+    def monotonic(self) -> float:
+        """Return seconds since the machine's start, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/poplarhoist/decisions/gateway/asking.py
@@ -0,0 +1,203 @@
+"""Asks the leads of engines for adapters, and tells them what is used."""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import Count
+from poplarhoist.decisions.gateway import leads
+from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
+from poplarhoist.decisions.gateway.limits import ASK_AGAIN_S, ASK_TRIES, SILENT_S, USE_S
+from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
+from poplarhoist.decisions.gateway.models import AdapterKey
+from poplarhoist.decisions.gateway.routing import required_version
+from poplarhoist.decisions.gateway.state import (
+    AskState,
+    EndpointView,
+    GatewayState,
+    RequestState,
+)
+
+# Seconds for which an engine's word that it lacks an adapter goes into a question.
+ABSENT_FRESH_S = 1.0
+# Seconds added to the time at which an adapter is expected; a request that comes too early is
+# turned away by the engine and costs a repeat.
+READY_MARGIN_S = 0.01
+# Seconds for which an engine whose lead does not answer gets no new adapters from here.
+NO_ORDERS_S = 1.0
+# Entries at which messages about use go at their plain pace; more entries send more rarely, so
+# that the messages of one entry do not grow with their number.
+PLAIN_PACE_ENTRIES = 12
+
+
+def ask(state: GatewayState, request: RequestState, engine: str, at: float, out: list) -> None:
+    """Ask for a request's adapter at an engine; the request waits."""
+    key = request.prompt.key
+    request.asked = engine
+    request.ready_at = float("inf")
+    known = state.asks.get((engine, key))
+    if known is not None:
+        known.waiters.add(request.request_id)
+        known.version = max(known.version, required_version(state, key, at))
+        view = state.endpoints[engine]
+        settle(state, known, view, at)
+        return
+    version = required_version(state, key, at)
+    question = AskState(engine, key, version, request.route.priority, at)
+    question.waiters.add(request.request_id)
+    state.asks[engine, key] = question
+    out.append(
+        LogRequest(
+            "waits",
+            request.request_id,
+            {
+                "caller_id": request.caller_id,
+                "adapter": str(key),
+                "version": version,
+                "engine": engine,
+                "lead": leads.holder_of(state, engine),
+            },
+        )
+    )
+    send(state, question, at, out)
+
+
+def send(state: GatewayState, question: AskState, at: float, out: list) -> None:
+    """Send a question to the lead of its engine, or see to it that there is one."""
+    question.sent_at = at
+    lead = leads.holder_of(state, question.engine)
+    if not lead or leads.is_silent(state, lead, at):
+        leads.claim(state, question.engine, at, out)
+        return
+    view = state.endpoints.get(question.engine)
+    absent_at = view.absent_at.get(question.key, float("-inf")) if view else float("-inf")
+    key = question.key
+    message = Ask(
+        question.engine,
+        key.model,
+        key.adapter,
+        question.version,
+        question.priority,
+        at - absent_at < ABSENT_FRESH_S,
+    )
+    out.append(SendPeer(lead, message))
+
+
+def withdraw(state: GatewayState, request: RequestState) -> None:
+    """Take a request out of its question."""
+    question = state.asks.get((request.asked, request.prompt.key))
+    if question is not None:
+        question.waiters.discard(request.request_id)
+        if not question.waiters:
+            del state.asks[question.engine, question.key]
+    request.asked = ""
+    request.ready_at = float("inf")
+
+
+def on_view(state: GatewayState, message: View, at: float, out: list) -> set[str]:
+    """Take the word of an engine's lead; return the requests to be placed anew."""
+    view = state.endpoints.get(message.engine)
+    if view is None:
+        return set()
+    view.view = message
+    view.view_at = at
+    view.held = {parse(text): version for text, version in message.held.items()}
+    anew: set[str] = set()
+    for question in [q for q in state.asks.values() if q.engine == message.engine]:
+        if not settle(state, question, view, at) and message.full:
+            anew |= question.waiters
+    return anew
+
+
+def settle(state: GatewayState, question: AskState, view: EndpointView, at: float) -> bool:
+    """Tell those who wait when their adapter is there; return whether that is known."""
+    message = view.view
+    if message is None or at - view.view_at > ASK_AGAIN_S:
+        return False
+    text = str(question.key)
+    held = message.held.get(text)
+    if held is not None and held >= question.version:
+        wait_s = 0.0
+    elif text in message.coming:
+        wait_s = message.coming[text] + READY_MARGIN_S
+    else:
+        return False
+    for request_id in question.waiters:
+        request = state.requests.get(request_id)
+        if request is not None:
+            request.ready_at = min(request.ready_at, view.view_at + wait_s)
+    return True
+
+
+def parse(text: str) -> AdapterKey:
+    """Read the text form of an adapter."""
+    model, _, adapter = text.partition("/")
+    return AdapterKey(model, adapter)
+
+
+def on_not_lead(state: GatewayState, sender: str, message: NotLead, at: float, out: list) -> None:
+    """Learn that an entry does not lead an engine, though the store's record may name it."""
+    if leads.holder_of(state, message.engine) == sender:
+        leads.claim(state, message.engine, at, out)
+
+
+def on_tick(state: GatewayState, at: float, out: list) -> set[str]:
+    """Ask again; return the requests to be placed anew as their engine's lead is silent."""
+    anew: set[str] = set()
+    for question in list(state.asks.values()):
+        waits = [state.requests.get(request_id) for request_id in question.waiters]
+        if all(request is None or request.ready_at < float("inf") for request in waits):
+            continue
+        if at - question.sent_at < ASK_AGAIN_S:
+            continue
+        question.tries += 1
+        if question.tries > ASK_TRIES:
+            give_up(state, question, at, out)
+            anew |= question.waiters
+            continue
+        send(state, question, at, out)
+    return anew
+
+
+def give_up(state: GatewayState, question: AskState, at: float, out: list) -> None:
+    """Take the lead of an engine for silent."""
+    question.tries = 0
+    view = state.endpoints.get(question.engine)
+    if view is not None:
+        view.no_orders_until = at + NO_ORDERS_S
+    lead = leads.holder_of(state, question.engine)
+    known = state.entries.get(lead)
+    if known is not None and lead != state.me and at - view_age(view) > ASK_AGAIN_S * ASK_TRIES:
+        known.silent_until = at + SILENT_S
+        leads.log_silent(lead, question.engine, at, view, out)
+        out.append(Count("lead_silent"))
+    send(state, question, at, out)
+
+
+def view_age(view: EndpointView | None) -> float:
+    """Return when a lead last spoke of an engine."""
+    return view.view_at if view is not None else float("-inf")
+
+
+def tell_use(state: GatewayState, at: float, out: list) -> None:
+    """Tell the leads what this entry has at their engines, where it changed."""
+    pace_s = USE_S * max(1.0, len(state.entries) / PLAIN_PACE_ENTRIES)
+    for name, view in state.endpoints.items():
+        if at - view.use_sent_at < pace_s:
+            continue
+        lead = leads.holder_of(state, name)
+        if not lead:
+            continue
+        current = use_of(name, view)
+        quiet = not current.running and not current.used
+        if quiet and (view.use_sent is None or not view.use_sent.running):
+            continue
+        view.use_sent = current
+        view.use_sent_at = at
+        view.used.clear()
+        out.append(SendPeer(lead, current))
+
+
+def use_of(name: str, view: EndpointView) -> Use:
+    """Return what this entry has at an engine."""
+    running = {str(key): count for key, count in view.running_by_key.items()}
+    used = tuple(sorted(str(key) for key in view.used))
+    return Use(name, running, used, sum(view.unread_tokens.values()))
--- /dev/null
+++ b/poplarhoist/decisions/gateway/books.py
@@ -0,0 +1,370 @@
+"""The books of an engine's places, and the orders that its lead gives.
+
+Orders go out one at a time, each bound to the number of orders that the engine has accepted, so
+that a lost order which arrives late cannot be carried out on top of newer ones. A place counts as
+taken for everything that holds one now or may do so later: adapters held, coming and leaving, and
+orders without an answer.
+"""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import Count, LogChange
+from poplarhoist.decisions.gateway import evicting
+from poplarhoist.decisions.gateway.asking import parse
+from poplarhoist.decisions.gateway.configuration import service_spec
+from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
+from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportRead
+from poplarhoist.decisions.gateway.limits import (
+    COMING_LIMIT,
+    FETCH_S,
+    LATE_ORDER_S,
+    REPORT_LAG_S,
+    USE_STALE_S,
+    WARM_ADAPTERS,
+    WARM_S,
+)
+from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
+from poplarhoist.decisions.gateway.models import AdapterKey, EngineProfile, EngineReport
+from poplarhoist.decisions.gateway.state import (
+    Book,
+    Coming,
+    GatewayState,
+    Ghost,
+    Held,
+    OpenOrder,
+    Want,
+)
+
+# Seconds after which an adapter that should be there, but is not, is expected again.
+LATE_LOAD_S = 0.06
+# Seconds after a load within which an engine's word that it lacks the adapter means "not yet".
+JUST_LOADED_S = 1.0
+# Seconds between two reports of an engine with an adapter that makes way.
+LEAVING_REPORT_S = 0.4
+# Seconds for which an adapter that nobody got is wanted.
+WANT_S = 3.0
+# Seconds after which a base model that was ordered is looked for in a report.
+MODEL_REPORT_S = 0.4
+
+
+def profile(state: GatewayState, engine: str) -> EngineProfile | None:
+    """Return what an engine offers."""
+    view = state.endpoints.get(engine)
+    spec = service_spec(state, view.record.service) if view is not None else None
+    return spec.engine if spec is not None else None
+
+
+def on_ask(state: GatewayState, sender: str, message: Ask, at: float, out: list) -> None:
+    """Take a question for an adapter."""
+    book = state.books.get(message.engine)
+    if book is None:
+        out.append(SendPeer(sender, NotLead(message.engine)))
+        return
+    key = AdapterKey(message.model, message.adapter)
+    held = book.held.get(key)
+    if held is not None and message.absent:
+        if at - held.since < JUST_LOADED_S:
+            # The load takes longer than expected.
+            del book.held[key]
+            book.coming[key] = Coming(held.version, at + LATE_LOAD_S, 1)
+        elif at - held.since > REPORT_LAG_S:
+            doubt(book, at, "absent", out)
+            del book.held[key]
+    if key in book.held and book.held[key].version >= message.version:
+        book.held[key].used_at = at
+    else:
+        want = book.wants.setdefault(key, Want(message.version, message.priority, at))
+        want.version = max(want.version, message.version)
+        want.priority = min(want.priority, message.priority)
+        want.entries.add(sender)
+        step(state, book, at, out)
+    # Also where nothing is known yet: the asker learns that its question arrived.
+    send_view(state, book, sender, at, out)
+
+
+def on_use(state: GatewayState, sender: str, message: Use, at: float, out: list) -> None:
+    """Take what an entry has at an engine."""
+    book = state.books.get(message.engine)
+    if book is None:
+        return
+    book.uses[sender] = (message, at)
+    for text in (*message.used, *message.running):
+        held = book.held.get(parse(text))
+        if held is not None:
+            held.used_at = at
+    step(state, book, at, out)
+    if sender != state.me:
+        send_view(state, book, sender, at, out)
+
+
+def view_of(state: GatewayState, book: Book, at: float) -> View:
+    """Return what the others need to know of an engine."""
+    fresh = [
+        use
+        for entry, (use, heard_at) in book.uses.items()
+        if entry != state.me and at - heard_at < USE_STALE_S
+    ]
+    own = state.endpoints[book.engine]
+    stuck = at < book.usable_at or not book.synced or book.unplaced_since is not None
+    return View(
+        engine=book.engine,
+        held={str(key): held.version for key, held in book.held.items()}
+        | {model: 1 for model in book.models},
+        coming={str(key): max(0.0, c.due_at - at) for key, c in book.coming.items()},
+        running=sum(sum(use.running.values()) for use in fresh) + len(own.running),
+        prefill_tokens=sum(use.prefill_tokens for use in fresh) + sum(own.unread_tokens.values()),
+        full=stuck,
+    )
+
+
+def send_view(state: GatewayState, book: Book, entry: str, at: float, out: list) -> None:
+    """Tell an entry about an engine."""
+    out.append(SendPeer(entry, view_of(state, book, at)))
+
+
+def tell_wanting(state: GatewayState, book: Book, key: AdapterKey, at: float, out: list) -> None:
+    """Tell those who want an adapter about the engine."""
+    want = book.wants.get(key)
+    for entry in sorted(want.entries) if want is not None else ():
+        send_view(state, book, entry, at, out)
+
+
+def doubt(book: Book, at: float, cause: str, out: list) -> None:
+    """Ask for a report before the next order, once the report can show the latest one."""
+    book.synced = False
+    book.report_due_at = at + REPORT_LAG_S
+    out.append(LogChange("places-in-doubt", {"engine": book.engine, "cause": cause}))
+
+
+def on_tick(state: GatewayState, at: float, out: list) -> None:
+    """Move on what is due at the engines that this entry leads."""
+    for book in list(state.books.values()):
+        if book.engine not in state.endpoints:
+            continue
+        for key, coming in list(book.coming.items()):
+            if at >= coming.due_at:
+                arrive(book, key, coming, at)
+        book.ghosts = [ghost for ghost in book.ghosts if ghost.until > at]
+        for key in [key for key, want in book.wants.items() if at - want.since > WANT_S]:
+            del book.wants[key]
+        want_report(state, book, at, out)
+        step(state, book, at, out)
+
+
+def arrive(book: Book, key: AdapterKey, coming: Coming, at: float) -> None:
+    """Take an adapter for held whose time has come."""
+    del book.coming[key]
+    book.held[key] = Held(coming.version, at, at)
+    note_warm(book, key)
+    want = book.wants.get(key)
+    if want is not None and want.version <= coming.version:
+        del book.wants[key]
+
+
+def note_warm(book: Book, key: AdapterKey) -> None:
+    """Remember that an engine has had an adapter."""
+    book.warm.pop(key, None)
+    book.warm[key] = None
+    while len(book.warm) > WARM_ADAPTERS:
+        del book.warm[next(iter(book.warm))]
+
+
+def want_report(state: GatewayState, book: Book, at: float, out: list) -> None:
+    """Read the engine's report where the books are in doubt or something makes way."""
+    needed = not book.synced or bool(book.leaving) or at < book.model_due_at + 2.0
+    if needed and at >= book.report_due_at and at - book.report_asked_at >= REPORT_LAG_S:
+        book.report_asked_at = at
+        out.append(ReadReport(state.endpoints[book.engine].record))
+
+
+def on_report(state: GatewayState, event: ReportRead, out: list) -> None:
+    """Take an engine's report into its books."""
+    book = state.books.get(event.engine)
+    if book is None:
+        return
+    report = event.report
+    if report is None or book.open is not None:
+        book.report_due_at = event.at + REPORT_LAG_S
+        return
+    if report.born != book.born:
+        restart(book, report)
+    elif report.orders < book.orders:
+        book.report_due_at = event.at + REPORT_LAG_S
+        return
+    take_report(state, book, report, event.at, out)
+    step(state, book, event.at, out)
+
+
+def restart(book: Book, report: EngineReport) -> None:
+    """Begin new books for a new run of an engine; orders of before may yet arrive."""
+    book.born = report.born
+    book.orders = 0
+    book.held.clear()
+    book.coming.clear()
+    book.leaving.clear()
+    book.models.clear()
+
+
+def take_report(state: GatewayState, book: Book, report: EngineReport, at: float, out) -> None:
+    """Replace the books by what an engine reports."""
+    was_synced = book.synced
+    book.synced = True
+    book.orders = report.orders
+    book.models = {key.model for key in report.held if not key.adapter}
+    adapters = {key: version for key, version in report.held.items() if key.adapter}
+    for key, version in adapters.items():
+        known = book.held.get(key)
+        if known is None:
+            book.held[key] = Held(version, at, at)
+            note_warm(book, key)
+        else:
+            known.version = version
+    for key in [key for key in book.held if key not in adapters]:
+        just = at - book.held[key].since < REPORT_LAG_S * 2
+        if not just and key not in report.coming:
+            del book.held[key]
+    for key, version in report.coming.items():
+        if key not in book.held:
+            book.coming.setdefault(key, Coming(version, at + FETCH_S))
+    book.leaving = {key: since for key, since in book.leaving.items() if key in adapters}
+    for key in book.leaving:
+        book.held.pop(key, None)
+    book.ghosts = [ghost for ghost in book.ghosts if ghost.expected >= book.orders]
+    book.report_due_at = at + LEAVING_REPORT_S
+    if not was_synced:
+        fields = {"engine": book.engine, "orders": book.orders, "held": len(book.held)}
+        out.append(LogChange("places-known", fields))
+        for key in list(book.wants):
+            tell_wanting(state, book, key, at, out)
+
+
+def places_taken(book: Book) -> int:
+    """Return the places that are or may be taken."""
+    keys = set(book.held) | set(book.coming) | set(book.leaving)
+    keys.update(ghost.key for ghost in book.ghosts if ghost.key.adapter)
+    return len(keys)
+
+
+def step(state: GatewayState, book: Book, at: float, out: list) -> None:
+    """Give the next order, if one is due and none is open."""
+    if book.open is not None or not book.synced or at < book.usable_at:
+        return
+    view = state.endpoints.get(book.engine)
+    offers = profile(state, book.engine)
+    if view is None or offers is None or view.record.leaving:
+        return
+    missing = [name for name in offers.models_by_name if name not in book.models]
+    if missing:
+        if at >= book.model_due_at + MODEL_REPORT_S * 2:
+            book.model_due_at = at + MODEL_REPORT_S
+            book.report_due_at = at + MODEL_REPORT_S
+            order(state, book, OrderKind.LOAD, AdapterKey(missing[0]), 0, at, out)
+        return
+    places = min(offers.places, adapter_room(offers))
+    wants = sorted(book.wants.items(), key=lambda item: (item[1].priority, item[1].since))
+    book.unplaced_since = None if not wants else book.unplaced_since
+    for key, want in wants:
+        if key in book.coming or key in book.leaving:
+            continue
+        if len(book.coming) >= COMING_LIMIT:
+            break
+        announced = state.versions.get(key)
+        version = max(want.version, announced.version if announced else 0)
+        if key in book.held or places_taken(book) < places:
+            order(state, book, OrderKind.LOAD, key, version, at, out)
+            return
+        victim = evicting.victim(state, book, at)
+        if victim is not None:
+            order(state, book, OrderKind.UNLOAD, victim, 0, at, out)
+            return
+        if book.unplaced_since is None:
+            book.unplaced_since = at
+            tell_wanting(state, book, key, at, out)
+        break
+    else:
+        book.unplaced_since = None
+    stale = evicting.outdated(state, book, at)
+    if stale is not None:
+        kind, key, version = stale
+        order(state, book, kind, key, version, at, out)
+
+
+def adapter_room(offers: EngineProfile) -> int:
+    """Return how many adapters fit into an engine's memory beside its base models."""
+    models = offers.models_by_name.values()
+    size_mb = max((model.adapter_mb for model in models), default=0.0)
+    left_mb = offers.memory_mb - sum(model.size_mb for model in models)
+    return int(left_mb // size_mb) if size_mb > 0 else offers.places
+
+
+def order(state: GatewayState, book: Book, kind, key: AdapterKey, version: int, at, out) -> None:
+    """Give an order."""
+    state.order_number += 1
+    record = state.endpoints[book.engine].record
+    book.open = OpenOrder(state.order_number, kind is OrderKind.LOAD, key, version, book.orders)
+    out.append(SendOrder(record, state.order_number, kind, key, book.epoch, book.orders, version))
+    fields = {
+        "engine": book.engine,
+        "order": kind,
+        "adapter": str(key),
+        "version": version,
+        "epoch": book.epoch,
+        "expected": book.orders,
+        "taken": places_taken(book),
+        "warm": key in book.warm,
+    }
+    out.append(LogChange("order", fields))
+
+
+def on_order(state: GatewayState, event: OrderEnded, out: list) -> None:
+    """Take the answer to an order, or its absence."""
+    book = state.books.get(event.engine)
+    out.append(Count("order_ended", (event.status,)))
+    if book is None or book.open is None or book.open.number != event.number:
+        return
+    given = book.open
+    book.open = None
+    match event.status:
+        case OrderStatus.DONE | OrderStatus.ACCEPTED:
+            carry_out(state, book, given, event.status, event.at, out)
+        case OrderStatus.FENCED:
+            del state.books[event.engine]
+            fields = {"engine": event.engine, "epoch": book.epoch, "cause": "fenced"}
+            out.append(LogChange("lead-lost", fields))
+            return
+        case OrderStatus.UNKNOWN:
+            if given.load:
+                ghost = Ghost(given.key, given.expected, event.at + LATE_ORDER_S)
+                book.ghosts.append(ghost)
+            doubt(book, event.at, event.status, out)
+            for key in list(book.wants):
+                tell_wanting(state, book, key, event.at, out)
+        case _:
+            doubt(book, event.at, event.status, out)
+    step(state, book, event.at, out)
+
+
+def carry_out(state, book: Book, given: OpenOrder, status: OrderStatus, at, out) -> None:
+    """Enter an order that an engine took."""
+    key = given.key
+    if not key.adapter:
+        if status is OrderStatus.ACCEPTED:
+            book.orders += 1
+        doubt(book, at, "model", out)
+        return
+    if given.load:
+        if status is OrderStatus.ACCEPTED:
+            book.orders += 1
+            load_s = WARM_S if key in book.warm and key not in book.held else FETCH_S
+            book.held.pop(key, None)
+            book.coming[key] = Coming(given.version or 1, at + load_s)
+        else:
+            book.held[key] = Held(given.version or 1, at, at)
+            book.wants.pop(key, None)
+        tell_wanting(state, book, key, at, out)
+        return
+    book.orders += 1
+    book.held.pop(key, None)
+    if status is OrderStatus.ACCEPTED:
+        book.leaving[key] = at
+        book.report_due_at = at + LEAVING_REPORT_S
--- /dev/null
+++ b/poplarhoist/decisions/gateway/configuration.py
@@ -0,0 +1,54 @@
+"""Which configuration is in force, and which route a request takes."""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import LogChange
+from poplarhoist.decisions.gateway.events import ConfigurationSeen
+from poplarhoist.decisions.gateway.models import Route, ServiceSpec
+from poplarhoist.decisions.gateway.state import GatewayState
+
+
+def on_seen(state: GatewayState, event: ConfigurationSeen, out: list) -> None:
+    """Take a newer configuration; never go back within the life of a process."""
+    new = event.configuration
+    old = state.configuration
+    if old is not None and new.version <= old.version:
+        return
+    state.configuration = new
+    by_host: dict[str, list[Route]] = {}
+    for route in new.routes:
+        by_host.setdefault(route.host, []).append(route)
+    for routes in by_host.values():
+        routes.sort(key=lambda route: -len(route.prefix))
+    state.routes_by_host = by_host
+    before = old.version if old is not None else 0
+    out.append(
+        LogChange(
+            "configuration", {"version": new.version, "before": before, "routes": len(new.routes)}
+        )
+    )
+
+
+def find_route(state: GatewayState, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of a path."""
+    name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
+    for route in state.routes_by_host.get(name, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def choose_service(state: GatewayState, route: Route) -> str:
+    """Return the service that a request goes to, by the weights of the route."""
+    targets = route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [target.weight for target in targets]
+    return state.random.choices([target.service for target in targets], weights)[0]
+
+
+def service_spec(state: GatewayState, service: str) -> ServiceSpec | None:
+    """Return what the configuration says of a service."""
+    if state.configuration is None:
+        return None
+    return state.configuration.services_by_name.get(service)
--- /dev/null
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -0,0 +1,56 @@
+"""Requests that crash the endpoints that run them.
+
+A request that was running at an endpoint when it crashed is counted by its content. After the
+third crash it is refused everywhere, so that it cannot take down a whole service.
+"""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import LogChange
+from poplarhoist.decisions.gateway.effects import SendPeer
+from poplarhoist.decisions.gateway.messages import Crashed
+from poplarhoist.decisions.gateway.state import GatewayState
+
+# Crashes after which a content is refused; the retries that the platform allows after that.
+CRASH_LIMIT = 3
+# Seconds within which a broken answer and the crash of its endpoint belong together; an engine
+# that crashed is missed after three heartbeat intervals.
+RELATED_S = 6.0
+# Contents that are remembered; bounds the memory that a flood of broken answers takes.
+KEPT = 512
+
+
+def on_broken(state: GatewayState, content: str, endpoint: str, at: float) -> None:
+    """Remember that an answer broke off."""
+    if not content:
+        return
+    recent = state.broken.setdefault(endpoint, [])
+    recent.append((at, content))
+    del recent[:-KEPT]
+
+
+def on_crashed(state: GatewayState, endpoint: str, at: float, out: list) -> None:
+    """Count the requests that were running when an endpoint crashed, and tell the others."""
+    for broken_at, content in state.broken.pop(endpoint, ()):
+        if at - broken_at <= RELATED_S and note(state, content, endpoint, out):
+            for entry in state.entries:
+                if entry != state.me:
+                    out.append(SendPeer(entry, Crashed(content, endpoint)))
+
+
+def note(state: GatewayState, content: str, endpoint: str, out: list) -> bool:
+    """Count a crash; return whether it is news."""
+    endpoints = state.crashes.setdefault(content, set())
+    if endpoint in endpoints:
+        return False
+    endpoints.add(endpoint)
+    while len(state.crashes) > KEPT:
+        del state.crashes[next(iter(state.crashes))]
+    if len(endpoints) == CRASH_LIMIT:
+        out.append(LogChange("content-refused", {"content": content, "crashes": CRASH_LIMIT}))
+    return True
+
+
+def refused(state: GatewayState, content: str) -> bool:
+    """Return whether a request crashed too many endpoints to be run again."""
+    return len(state.crashes.get(content, ())) >= CRASH_LIMIT
--- /dev/null
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -0,0 +1,140 @@
+"""Which endpoints there are and which of them may get requests."""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import LogChange
+from poplarhoist.decisions.gateway import crashes
+from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
+from poplarhoist.decisions.gateway.limits import AVOID_MAX_S, AVOID_S, RETURN_S
+from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
+from poplarhoist.decisions.gateway.state import EndpointView, GatewayState
+
+# Seconds for which the lead's word on an engine's adapters goes before the engine's record,
+# which is written once in a heartbeat interval and read some hundred milliseconds later.
+VIEW_FRESH_S = 2.5
+# Weight of the latest result in the moving share of failures; some ten results decide.
+ERROR_WEIGHT = 0.1
+
+
+def on_seen(state: GatewayState, event: EndpointSeen, out: list) -> None:
+    """Take a new or changed record."""
+    record = event.record
+    view = state.endpoints.get(record.name)
+    if view is None:
+        view = EndpointView(record, event.at, held=dict(record.held or {}))
+        state.endpoints[record.name] = view
+        regroup(state)
+        log_endpoint("endpoint-new", record, out)
+        return
+    before = view.record
+    view.record = record
+    view.missing_since = None
+    if record.born != before.born:
+        crashes.on_crashed(state, record.name, event.at, out)
+        forget(view)
+        log_endpoint("endpoint-restarted", record, out)
+    if record.leaving and not before.leaving:
+        log_endpoint("endpoint-leaving", record, out)
+    if (before.service, before.leaving) != (record.service, record.leaving):
+        regroup(state)
+    if event.at - view.view_at > VIEW_FRESH_S:
+        view.held = dict(record.held or {})
+
+
+def on_removed(state: GatewayState, event: EndpointRemoved, out: list) -> None:
+    """Drop an endpoint, or wait for it if the store itself was away."""
+    view = state.endpoints.get(event.name)
+    if view is None:
+        return
+    if state.store_away or event.at - state.store_back_at < RETURN_S:
+        if view.missing_since is None:
+            view.missing_since = event.at
+            log_endpoint("endpoint-missing", view.record, out)
+        return
+    drop(state, event.name, event.at, out)
+
+
+def on_listed(state: GatewayState, event: EndpointsListed, out: list) -> None:
+    """Take the whole list of records."""
+    for name in [name for name in state.endpoints if name not in event.names]:
+        on_removed(state, EndpointRemoved(event.at, name), out)
+    if not state.listed:
+        state.listed = True
+        out.append(LogChange("endpoints-listed", {"count": len(event.names)}))
+
+
+def on_tick(state: GatewayState, at: float, out: list) -> None:
+    """Drop endpoints that stayed missing after the store's return."""
+    if state.store_away:
+        return
+    for name, view in list(state.endpoints.items()):
+        if view.missing_since is None:
+            continue
+        if at - max(view.missing_since, state.store_back_at) >= RETURN_S:
+            drop(state, name, at, out)
+
+
+def drop(state: GatewayState, name: str, at: float, out: list) -> None:
+    """Forget an endpoint; requests under way there go on."""
+    view = state.endpoints.pop(name)
+    crashes.on_crashed(state, name, at, out)
+    state.books.pop(name, None)
+    for asked in [asked for asked in state.asks if asked[0] == name]:
+        del state.asks[asked]
+    regroup(state)
+    log_endpoint("endpoint-gone", view.record, out)
+
+
+def forget(view: EndpointView) -> None:
+    """Forget what held for an earlier run of an endpoint."""
+    view.held = dict(view.record.held or {})
+    view.view = None
+    view.view_at = float("-inf")
+    view.parts.clear()
+    view.failures = 0
+    view.error_rate = 0.0
+
+
+def regroup(state: GatewayState) -> None:
+    """Sort the endpoints that may get requests by service."""
+    groups: dict[str, list[str]] = {}
+    for name, view in state.endpoints.items():
+        if not view.record.leaving:
+            groups.setdefault(view.record.service, []).append(name)
+    for names in groups.values():
+        names.sort()
+    state.endpoints_by_service = groups
+    state.rankings.clear()
+
+
+def log_endpoint(change: str, record: EndpointRecord, out: list) -> None:
+    """Log what became of an endpoint."""
+    fields = {"endpoint": record.name, "service": record.service, "zone": record.zone}
+    out.append(LogChange(change, fields))
+
+
+def usable(state: GatewayState, service: str, avoid: set[str], at: float) -> list[EndpointView]:
+    """Return the endpoints of a service, those in trouble only if there are no others."""
+    views = [state.endpoints[name] for name in state.endpoints_by_service.get(service, ())]
+    fresh = [view for view in views if view.record.name not in avoid]
+    sound = [view for view in fresh if view.avoid_until <= at]
+    return sound or fresh
+
+
+def note_trouble(view: EndpointView, at: float) -> None:
+    """Avoid an endpoint for a while, longer with each failure in a row."""
+    view.failures += 1
+    view.avoid_until = at + min(AVOID_MAX_S, AVOID_S * view.failures)
+
+
+def note_result(view: EndpointView, failed: bool) -> None:
+    """Count an answer of an endpoint."""
+    view.error_rate += ERROR_WEIGHT * (float(failed) - view.error_rate)
+    if not failed:
+        view.failures = 0
+
+
+def note_absent(view: EndpointView, key: AdapterKey, at: float) -> None:
+    """Note that an engine said that it does not have an adapter."""
+    view.held.pop(key, None)
+    view.absent_at[key] = at
--- /dev/null
+++ b/poplarhoist/decisions/gateway/evicting.py
@@ -0,0 +1,52 @@
+"""Which adapters make way at an engine, and which are replaced by a newer version."""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.gateway.effects import OrderKind
+from poplarhoist.decisions.gateway.limits import IDLE_S, USE_STALE_S
+from poplarhoist.decisions.gateway.models import AdapterKey
+from poplarhoist.decisions.gateway.state import Book, GatewayState
+
+# Seconds since its last use within which an outdated adapter is fetched anew rather than dropped.
+STILL_USED_S = 3.0
+# Share of the time allowed for a new version after which it is ordered though the old one runs;
+# the engine lets the runs end first.
+FORCE_SHARE = 0.5
+
+
+def running(state: GatewayState, book: Book, key: AdapterKey, at: float) -> int:
+    """Return the requests of all entries for an adapter at an engine, as far as known."""
+    text = str(key)
+    count = state.endpoints[book.engine].running_by_key.get(key, 0)
+    for entry, (use, heard_at) in book.uses.items():
+        if entry != state.me and at - heard_at < USE_STALE_S:
+            count += use.running.get(text, 0)
+    return count
+
+
+def victim(state: GatewayState, book: Book, at: float) -> AdapterKey | None:
+    """Return the idle adapter that was used least recently; None if all are in use."""
+    idle = [
+        (held.used_at, key)
+        for key, held in book.held.items()
+        if key.adapter
+        and key not in book.wants
+        and at - held.used_at >= IDLE_S
+        and running(state, book, key, at) == 0
+    ]
+    return min(idle, default=(0.0, None))[1]
+
+
+def outdated(state: GatewayState, book: Book, at: float):
+    """Return the order that a newer version calls for, as kind, adapter and version."""
+    for key, held in book.held.items():
+        announced = state.versions.get(key)
+        if announced is None or held.version >= announced.version:
+            continue
+        busy = running(state, book, key, at) > 0
+        if busy and at - announced.at < state.limits.version_s * FORCE_SHARE:
+            continue
+        if busy or at - held.used_at < STILL_USED_S:
+            return OrderKind.LOAD, key, announced.version
+        return OrderKind.UNLOAD, key, 0
+    return None
--- /dev/null
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -0,0 +1,190 @@
+"""Who gives orders to an engine.
+
+Each engine has one lead, written in the store with an epoch that only grows; different entries
+lead different engines, so that losing one entry stops new adapters at few of them. A lead keeps
+its engine until another entry claims it: one that could not reach it, or found it gone. The
+engine refuses orders of an earlier epoch. A claimer waits out the time in which orders of two
+entries must not alternate, unless the earlier lead was itself.
+"""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.effects import LogChange
+from poplarhoist.decisions.gateway.effects import Claim
+from poplarhoist.decisions.gateway.events import CallStatus, ClaimEnded, EntrySeen, LeadSeen
+from poplarhoist.decisions.gateway.hashing import weight
+from poplarhoist.decisions.gateway.state import (
+    Book,
+    EndpointView,
+    EntryView,
+    GatewayState,
+    LeadRecord,
+)
+
+# Seconds after the start before engines are claimed; entries that start together register first.
+START_S = 1.5
+# Seconds between two claims of one engine by one entry, and the spread of those that fail.
+CLAIM_AGAIN_S = 1.0
+# Seconds on top of the time in which orders of two entries must not alternate; covers an order
+# of the earlier lead that is still on its way.
+LEASE_MARGIN_S = 0.3
+# Separates an entry's name from what tells its processes apart.
+BOOT_MARK = "#"
+
+
+def holder_of(state: GatewayState, engine: str) -> str:
+    """Return the name of the entry that leads an engine; empty if none."""
+    record = state.leads.get(engine)
+    return record.holder.partition(BOOT_MARK)[0] if record else ""
+
+
+def mine(state: GatewayState) -> str:
+    """Return what this process writes as holder."""
+    return f"{state.me}{BOOT_MARK}{state.boot}"
+
+
+def is_silent(state: GatewayState, entry: str, at: float) -> bool:
+    """Return whether an entry is gone or did not answer lately."""
+    if entry == state.me:
+        return False
+    known = state.entries.get(entry)
+    return known is None or known.silent_until > at
+
+
+def on_entry(state: GatewayState, event: EntrySeen, out: list) -> None:
+    """Take note of another entry, or of its end."""
+    if not event.host:
+        if state.entries.pop(event.name, None) is not None:
+            out.append(LogChange("entry-left", {"peer": event.name}))
+        return
+    known = state.entries.get(event.name)
+    if known is None or (known.host, known.port) != (event.host, event.port):
+        out.append(LogChange("entry-known", {"peer": event.name, "host": event.host}))
+    state.entries[event.name] = EntryView(event.name, event.host, event.port, event.zone)
+
+
+def on_lead(state: GatewayState, event: LeadSeen, out: list) -> None:
+    """Take the store's word on who leads an engine."""
+    known = state.leads.get(event.engine)
+    if known is not None and known.revision >= event.revision:
+        return
+    state.leads[event.engine] = LeadRecord(event.holder, event.epoch, event.revision)
+    pending = state.claims.get(event.engine)
+    if event.holder == mine(state):
+        if pending is not None and pending[0] == event.epoch:
+            begin(state, event.engine, event.epoch, event.at, out)
+        return
+    book = state.books.get(event.engine)
+    if book is not None and book.epoch < event.epoch:
+        del state.books[event.engine]
+        fields = {"engine": event.engine, "epoch": event.epoch, "holder": event.holder}
+        out.append(LogChange("lead-lost", fields))
+
+
+def preferred(state: GatewayState, engine: str, at: float) -> str:
+    """Return the entry that should claim an engine that nobody leads: one that is near it.
+
+    Each load takes two orders, one after the other; between regions they take eight times as long.
+    """
+    zone = state.endpoints[engine].record.zone
+    region = state.regions.get(zone)
+
+    def order(name: str) -> tuple[bool, bool, int]:
+        at_zone = state.entries[name].zone
+        near = state.regions.get(at_zone) == region
+        return near, at_zone == zone, weight(name, engine)
+
+    names = [name for name in state.entries if not is_silent(state, name, at)]
+    return max(names, key=order, default="")
+
+
+def on_tick(state: GatewayState, at: float, out: list) -> None:
+    """Claim engines that nobody leads, if it is this entry's turn."""
+    if state.draining_since is not None or at - state.started_at < START_S or not state.listed:
+        return
+    for engine, view in state.endpoints.items():
+        if engine in state.books or view.record.leaving or not is_engine(state, view):
+            continue
+        record = state.leads.get(engine)
+        holder = holder_of(state, engine)
+        if (
+            holder == state.me
+            or (record is None or not holder or holder not in state.entries)
+            and preferred(state, engine, at) == state.me
+        ):
+            claim(state, engine, at, out)
+
+
+def is_engine(state: GatewayState, view: EndpointView) -> bool:
+    """Return whether an endpoint holds adapters."""
+    if state.configuration is None:
+        return False
+    spec = state.configuration.services_by_name.get(view.record.service)
+    return spec is not None and spec.engine is not None
+
+
+def claim(state: GatewayState, engine: str, at: float, out: list) -> None:
+    """Try to become the lead of an engine."""
+    if engine in state.books or at < state.claim_wait_until.get(engine, float("-inf")):
+        return
+    if state.draining_since is not None or state.store_away:
+        return
+    view = state.endpoints.get(engine)
+    if view is None or not is_engine(state, view):
+        return
+    record = state.leads.get(engine) or LeadRecord("", 0, 0)
+    pending = state.claims.get(engine)
+    epoch = max(record.epoch, pending[0] if pending else 0) + 1
+    state.claims[engine] = (epoch, at)
+    state.claim_wait_until[engine] = at + CLAIM_AGAIN_S * (1.0 + state.random.random())
+    out.append(Claim(engine, epoch, record.revision, mine(state)))
+
+
+def on_claim(state: GatewayState, event: ClaimEnded, out: list) -> None:
+    """Take the answer to a claim."""
+    pending = state.claims.get(event.engine)
+    if pending is None or pending[0] != event.epoch:
+        return
+    if event.status is CallStatus.OK:
+        known = state.leads.get(event.engine)
+        if known is not None and known.revision > event.revision:
+            return
+        begin(state, event.engine, event.epoch, event.at, out)
+        state.leads[event.engine] = LeadRecord(mine(state), event.epoch, event.revision)
+    else:
+        fields = {"engine": event.engine, "epoch": event.epoch, "status": event.status}
+        out.append(LogChange("claim-failed", fields))
+
+
+def begin(state: GatewayState, engine: str, epoch: int, at: float, out: list) -> None:
+    """Begin to lead an engine; orders start once those of the earlier lead are far enough back."""
+    before = state.leads.get(engine)
+    earlier = before.holder.partition(BOOT_MARK)[0] if before else ""
+    state.claims.pop(engine, None)
+    if engine not in state.endpoints:
+        return
+    known = state.books.get(engine)
+    if known is not None and known.epoch >= epoch:
+        return
+    wait_s = 0.0
+    if earlier not in ("", state.me):
+        wait_s = state.limits.lease_s + LEASE_MARGIN_S
+    state.books[engine] = Book(engine, epoch, at + wait_s, report_due_at=at)
+    fields = {"engine": engine, "epoch": epoch, "before": earlier, "usable_in_s": wait_s}
+    out.append(LogChange("lead-begun", fields))
+
+
+def release_all(state: GatewayState, out: list) -> None:
+    """Give up the lead of all engines, so that others claim them at once."""
+    for engine, book in list(state.books.items()):
+        record = state.leads.get(engine)
+        del state.books[engine]
+        if record is not None:
+            out.append(Claim(engine, book.epoch, record.revision, ""))
+            out.append(LogChange("lead-released", {"engine": engine, "epoch": book.epoch}))
+
+
+def log_silent(lead: str, engine: str, at: float, view: EndpointView | None, out: list) -> None:
+    """Log that a lead does not answer."""
+    age = round(at - view.view_at, 2) if view is not None and view.view is not None else None
+    out.append(LogChange("lead-silent", {"peer": lead, "engine": engine, "view_age_s": age}))
--- /dev/null
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -0,0 +1,78 @@
+"""Figures of the gateway's decisions, each with its unit and where it comes from."""
+
+from attrs import frozen
+
+
+@frozen
+class GatewayLimits:
+    """Settings of the decisions; the site's bounds replace the defaults.
+
+    Attributes
+    ----------
+    stop_s : float
+        Longest graceful stop; the platform kills the process then.
+    retry_ratio, retry_slack, retry_window_s : float
+        Repeats that a service may get over all entries in a window: a share of its requests, and
+        a number on top.
+    lease_s : float
+        Time within which two entries must not order the same engine by turns.
+    version_s : float
+        Time after which no request may begin on an older version than the announced one.
+    stable_s : float
+        Time after which a lost dependency counts as back for good.
+    engines_check_epochs : bool
+        Whether engines refuse orders of an earlier lead.
+    """
+
+    stop_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    lease_s: float = 3.0
+    version_s: float = 5.0
+    stable_s: float = 4.0
+    engines_check_epochs: bool = True
+
+
+# Share of the retry budget that is used; the rest covers entries that cannot count each other.
+RETRY_SAFETY = 0.8
+# Seconds; a listed endpoint may be missing this long after the store's return (store contract).
+RETURN_S = 2.0
+# Seconds without a tick after which this process counts as paused; ticks come every 25 ms.
+PAUSED_S = 1.0
+# Prompt tokens that an engine reads in a second; sheet of the deployment.
+PREFILL_TOKENS_PER_S = 38700.0
+# Seconds that one decoding step takes and that each running request adds; sheet and site file.
+STEP_S = 0.0055
+# Seconds added to a request that runs in another region; round trip between regions.
+CROSS_REGION_S = 0.06
+# Seconds from an order to the use of an adapter; sheet. Engines keep recent ones in memory.
+FETCH_S = 0.25
+WARM_S = 0.025
+# Adapters that an engine keeps in its memory; site file.
+WARM_ADAPTERS = 48
+# Adapters that may be on their way to one engine; protocol of the engines.
+COMING_LIMIT = 4
+# Seconds; an engine's report is up to this old; protocol of the engines.
+REPORT_LAG_S = 0.3
+# Seconds until a late order can no longer arrive; engines carry lost orders out for up to 12 s.
+LATE_ORDER_S = 12.5
+# Seconds after which an unanswered question to another entry is sent again, and how often
+# before that entry counts as silent; twice the longest round trip and a scheduling delay.
+ASK_AGAIN_S = 0.2
+ASK_TRIES = 4
+# Seconds for which a silent entry is not asked again.
+SILENT_S = 5.0
+# Seconds between two messages about the use of one engine; costs bytes between zones.
+USE_S = 0.5
+# Seconds for which a message about the use of an engine holds.
+USE_STALE_S = 4.0
+# Seconds of backlog at the engines that hold an adapter above which another engine gets it.
+SPILL_S = 0.6
+# Seconds of backlog by which that engine must be better; covers the fetch.
+SPILL_GAIN_S = 0.4
+# Seconds for which an endpoint that failed to connect or broke off is avoided.
+AVOID_S = 1.0
+AVOID_MAX_S = 4.0
+# Seconds for which an adapter must be unused before it makes way for another one.
+IDLE_S = 0.15
--- /dev/null
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -0,0 +1,197 @@
+"""Which endpoint a request goes to.
+
+An adapter has one home over all engines of both regions: the first sound engine of its ranking,
+by hash. Its fetch from the weight store is paid once, and its prompts are read once. Another
+engine gets it only when the backlog at those that hold it would cost callers more than a fetch.
+This answers loads with a few hot adapters and a long tail of cold ones.
+"""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from poplarhoist.decisions.gateway.endpoints import usable
+from poplarhoist.decisions.gateway.hashing import weight
+from poplarhoist.decisions.gateway.limits import (
+    CROSS_REGION_S,
+    PREFILL_TOKENS_PER_S,
+    SPILL_GAIN_S,
+    SPILL_S,
+    STEP_S,
+    USE_STALE_S,
+)
+from poplarhoist.decisions.gateway.models import AdapterKey, Prompt
+from poplarhoist.decisions.gateway.state import EndpointView, GatewayState, RequestState
+
+# Seconds for which the load that an endpoint told with an answer counts.
+TOLD_FRESH_S = 1.0
+# Seconds that one more running request at an engine adds to the time of the others, for a
+# stream of usual length; from the step time by batch size of the sheet.
+RUNNING_S = STEP_S * 2
+# Cost of one request already at a plain service, in requests, for an endpoint in another zone
+# or region; a crossing costs less than a request's work time.
+CROSS_ZONE_LOAD = 0.2
+CROSS_REGION_LOAD = 2.5
+# Requests that an endpoint's moving share of failures counts as.
+ERROR_LOAD = 20.0
+# Seconds for which a prompt part is taken to stay in an engine's memory.
+PART_KEPT_S = 15.0
+# Parts remembered by engine; bounds memory.
+PARTS_KEPT = 4096
+
+
+@frozen
+class Choice:
+    """The endpoint for a request, and whether it has the adapter."""
+
+    endpoint: EndpointView
+    ready: bool
+
+
+def ranking(state: GatewayState, service: str, key: AdapterKey) -> list[str]:
+    """Return the engines of a service in the order in which they are homes of an adapter."""
+    known = state.rankings.get((service, key))
+    if known is None:
+        names = state.endpoints_by_service.get(service, ())
+        known = sorted(names, key=lambda name: -weight(str(key), name))
+        state.rankings[service, key] = known
+    return known
+
+
+def required_version(state: GatewayState, key: AdapterKey, at: float) -> int:
+    """Return the version below which no request may begin; 0 for any.
+
+    An announced version is required only after a while, so that engines can fetch it meanwhile.
+    """
+    announced = state.versions.get(key)
+    if announced is None or at - announced.at < state.limits.version_s * 0.4:
+        return 0
+    return announced.version
+
+
+def holds(view: EndpointView, key: AdapterKey, version: int) -> bool:
+    """Return whether an engine is believed to have an adapter in a version or a newer one."""
+    held = view.held.get(key)
+    return held is not None and held >= version
+
+
+def has_model(view: EndpointView, model: str) -> bool:
+    """Return whether an engine has a base model."""
+    return AdapterKey(model) in view.held
+
+
+def unread_tokens(view: EndpointView, prompt: Prompt, at: float) -> int:
+    """Return the prompt tokens that an engine would have to read."""
+    unread = prompt.tokens - sum(part.tokens for part in prompt.parts)
+    missing = False
+    for part in prompt.parts:
+        seen_at = view.parts.get((prompt.key, part.name), float("-inf"))
+        missing = missing or at - seen_at > PART_KEPT_S
+        if missing:
+            unread += part.tokens
+    return max(0, unread)
+
+
+def note_sent(view: EndpointView, prompt: Prompt, at: float) -> None:
+    """Remember the parts of a prompt that an engine is about to read."""
+    for part in prompt.parts:
+        view.parts[prompt.key, part.name] = at
+    while len(view.parts) > PARTS_KEPT:
+        del view.parts[next(iter(view.parts))]
+
+
+def backlog_s(view: EndpointView, at: float) -> float:
+    """Return how long a new request would wait at an engine before it is read."""
+    unread = sum(view.unread_tokens.values())
+    running = len(view.running)
+    if view.view is not None and at - view.view_at < USE_STALE_S:
+        told = view.view
+        sent = view.use_sent
+        unread += max(0, told.prefill_tokens - (sent.prefill_tokens if sent else 0))
+        running += max(0, told.running - (sum(sent.running.values()) if sent else 0))
+    if at - view.told_at < TOLD_FRESH_S:
+        running = max(running, view.told_load)
+    return unread / PREFILL_TOKENS_PER_S + running * RUNNING_S
+
+
+def crossing_s(state: GatewayState, view: EndpointView) -> float:
+    """Return the time that the way to an endpoint and back takes beyond that within a region."""
+    if state.regions.get(view.record.zone) == state.regions.get(state.zone):
+        return 0.0
+    return CROSS_REGION_S
+
+
+def cost_s(state: GatewayState, view: EndpointView, prompt: Prompt, at: float) -> float:
+    """Return the expected time to the first byte at an engine that has the adapter."""
+    reading = unread_tokens(view, prompt, at) / PREFILL_TOKENS_PER_S
+    trouble = view.error_rate * SPILL_S * 2
+    return backlog_s(view, at) + reading + crossing_s(state, view) + trouble
+
+
+def choose_engine(state: GatewayState, request: RequestState, at: float) -> Choice | None:
+    """Return the engine for a model request; None if none has the base model."""
+    prompt = request.prompt
+    views = [
+        view
+        for view in usable(state, request.service, request.avoid, at)
+        if has_model(view, prompt.key.model)
+    ]
+    if not views:
+        return None
+    costs = {view.record.name: cost_s(state, view, prompt, at) for view in views}
+    if not prompt.key.adapter:
+        return Choice(min(views, key=lambda view: costs[view.record.name]), True)
+    version = required_version(state, prompt.key, at)
+    ready = [view for view in views if holds(view, prompt.key, version)]
+    best = min(ready, key=lambda view: costs[view.record.name], default=None)
+    if best is not None and costs[best.record.name] < SPILL_S:
+        return Choice(best, True)
+    home = choose_home(state, request, views, costs, at)
+    if best is None:
+        return Choice(home, False)
+    gain = costs[best.record.name] - costs[home.record.name]
+    if home in ready or gain < SPILL_GAIN_S:
+        return Choice(best, True)
+    return Choice(home, False)
+
+
+def choose_home(state: GatewayState, request: RequestState, views, costs, at: float):
+    """Return the engine that is to get an adapter: the first of the ranking that is not busy."""
+    by_name = {view.record.name: view for view in views}
+    order = [
+        by_name[name]
+        for name in ranking(state, request.service, request.prompt.key)
+        if name in by_name
+    ]
+    open_ = [view for view in order if not is_full(view, at)] or order
+    mean = sum(costs.values()) / len(costs)
+    for view in open_:
+        if costs[view.record.name] <= max(SPILL_S, 1.5 * mean):
+            return view
+    return min(open_, key=lambda view: costs[view.record.name])
+
+
+def is_full(view: EndpointView, at: float) -> bool:
+    """Return whether an engine cannot get another adapter now."""
+    if at < view.no_orders_until:
+        return True
+    return view.view is not None and view.view.full and at - view.view_at < 1.0
+
+
+def choose_plain(state: GatewayState, request: RequestState, at: float) -> EndpointView | None:
+    """Return the least loaded endpoint of a plain service."""
+    views = usable(state, request.service, request.avoid, at)
+    if not views:
+        return None
+    entries = max(1, len(state.entries))
+
+    def load(view: EndpointView) -> float:
+        told = view.told_load if at - view.told_at < TOLD_FRESH_S else 0
+        running = max(len(view.running) * min(entries, 3), told)
+        away = 0.0
+        if view.record.zone != state.zone:
+            away = CROSS_REGION_LOAD if crossing_s(state, view) else CROSS_ZONE_LOAD
+        return running + away + view.error_rate * ERROR_LOAD
+
+    lowest = min(load(view) for view in views)
+    return state.random.choice([view for view in views if load(view) <= lowest + 1e-9])
--- /dev/null
+++ b/poplarhoist/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The shell around the gateway's decisions: sockets in, calls out, no policy."""
--- /dev/null
+++ b/poplarhoist/gateway/engines.py
@@ -0,0 +1,77 @@
+"""Sends orders to engines and reads their reports."""
+
+import eventlet
+import structlog
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.effects import ReadReport, SendOrder
+from poplarhoist.entry.http import never_sent
+from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.gateway.interfaces import Dialect
+from poplarhoist.gateway.sockets import socket_options
+
+# Seconds until an order or a question counts as unanswered; an engine answers in milliseconds,
+# and twice the way between regions and back is 0.12.
+ORDER_S = 0.6
+
+
+class EngineCalls:
+    """Runs the effects that concern engines; each call has a connection of its own."""
+
+    def __init__(self, core: DecisionLoop, dialect: Dialect, holder: str) -> None:
+        self.core = core
+        self.dialect = dialect
+        self.holder = holder
+        core.on(SendOrder, lambda effect: eventlet.spawn_n(self.order, effect))
+        core.on(ReadReport, lambda effect: eventlet.spawn_n(self.report, effect))
+
+    def call(self, record, method: str, path: str, headers, body: bytes | None):
+        """Make a call and return the answer."""
+        pool = HTTPConnectionPool(
+            record.host, record.port, maxsize=1, socket_options=socket_options(ORDER_S)
+        )
+        try:
+            return pool.request(
+                method,
+                path,
+                body=body,
+                headers=dict(headers),
+                timeout=Timeout(total=ORDER_S),
+                retries=False,
+                redirect=False,
+            )
+        finally:
+            pool.close()
+
+    def order(self, effect: SendOrder) -> None:
+        """Send an order and tell how it ended."""
+        path, headers, body = self.dialect.order_request(effect, self.holder)
+        detail = ""
+        try:
+            answer = self.call(effect.engine, "POST", path, headers, body)
+            status = self.dialect.order_status(answer.status)
+            detail = f"{answer.status} {answer.data[:100]!r}"
+        except HTTPError as error:
+            status = ev.OrderStatus.REFUSED if never_sent(error) else ev.OrderStatus.UNKNOWN
+            detail = type(error).__name__
+        fields = {"engine": effect.engine.name, "number": effect.number, "detail": detail}
+        if status not in (ev.OrderStatus.ACCEPTED, ev.OrderStatus.DONE):
+            structlog.get_logger().warning("order-not-taken", status=status, **fields)
+        self.core.submit(ev.OrderEnded(self.core.at(), effect.engine.name, effect.number, status))
+
+    def report(self, effect: ReadReport) -> None:
+        """Read a report and tell what it says."""
+        asked_at = self.core.at()
+        report = None
+        try:
+            headers = self.dialect.report_headers(effect.engine)
+            answer = self.call(effect.engine, "GET", self.dialect.report_path(), headers, None)
+            if answer.status == 200:
+                report = self.dialect.read_report(answer.data)
+        except (HTTPError, ValueError) as error:
+            structlog.get_logger().warning(
+                "report-not-read", engine=effect.engine.name, detail=type(error).__name__
+            )
+        self.core.submit(ev.ReportRead(self.core.at(), asked_at, effect.engine.name, report))
--- /dev/null
+++ b/poplarhoist/gateway/server.py
@@ -0,0 +1,208 @@
+"""Puts a gateway together and runs it."""
+
+import os
+import random
+import signal
+import socket
+import uuid
+from collections.abc import Callable
+
+import eventlet
+import eventlet.wsgi
+import structlog
+from prometheus_client import generate_latest
+
+from poplarhoist.clock import Clock
+from poplarhoist.decisions.effects import Stop
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import leads
+from poplarhoist.decisions.gateway.reducer import ready, reduce
+from poplarhoist.decisions.gateway.state import GatewayState
+from poplarhoist.entry.listener import StoppableListener
+from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.entry.metrics import Metrics
+from poplarhoist.entry.protocol import BoundedProtocol
+from poplarhoist.gateway.callers import PROTOCOL, CallerApplication
+from poplarhoist.gateway.engines import EngineCalls
+from poplarhoist.gateway.following import StoreFollower
+from poplarhoist.gateway.interfaces import Dialect, Store
+from poplarhoist.gateway.logs import BoundedLog
+from poplarhoist.gateway.peers import PeerPort
+from poplarhoist.gateway.settings import Address, GatewaySettings
+
+# Seconds between two looks at what is due; a tenth of an adapter's load.
+TICK_S = 0.025
+# Connections that wait to be accepted; a burst of callers on one entry.
+BACKLOG = 512
+# Bytes that a caller who does not read makes this entry hold.
+SEND_BUFFER_BYTES = 65536
+# Seconds added to the idle time that callers rely on before a connection is closed.
+IDLE_MARGIN_S = 5.0
+# Connections of callers; the descriptors of a machine less those to endpoints.
+CONNECTIONS = 2000
+IDLE_S = 15.0
+REQUEST_EFFECTS = (fx.Dispatch, fx.Refuse, fx.PassFailure)
+
+
+class GatewayProtocol(BoundedProtocol):
+    """Hands itself to the application, which needs the request's target as it was sent."""
+
+    def get_environ(self) -> dict:
+        """Return the environment of a request."""
+        environ = super().get_environ()
+        environ[PROTOCOL] = self
+        # The server ends a chunked body itself.
+        environ["wsgi.input_terminated"] = True
+        return environ
+
+
+class GatewayServer:
+    """One entry as a gateway.
+
+    Parameters
+    ----------
+    read_settings : callable
+        Reads the settings again.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        store: Store,
+        clock: Clock,
+        log: BoundedLog,
+        read_settings: Callable[[], GatewaySettings],
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.store = store
+        self.log = log
+        self.read_settings = read_settings
+        self.metrics = Metrics()
+        state = GatewayState(
+            me=settings.name,
+            boot=uuid.uuid4().hex[:8],
+            zone=settings.zone,
+            regions=settings.regions,
+            random=random.Random(),
+            limits=settings.bounds.limits(),
+            started_at=clock.monotonic(),
+        )
+        self.core = DecisionLoop(state, clock, self.metrics, settings.name, reduce, REQUEST_EFFECTS)
+        self.core.on(fx.LogRequest, self.log_request)
+        self.core.on(Stop, lambda effect: eventlet.spawn_n(self.close))
+        self.follower = StoreFollower(self.core, store)
+        self.engines = EngineCalls(self.core, dialect, leads.mine(state))
+        self.peers = PeerPort(self.core, settings.host, settings.listen.inner_port)
+        self.stopped = eventlet.event.Event()
+
+    def log_request(self, effect: fx.LogRequest) -> None:
+        """Log a decision that touches a request."""
+        self.core.log.info(effect.decision, request=effect.request_id, **effect.fields)
+
+    def start(self) -> None:
+        """Listen, and follow the store."""
+        callers = Address.parse(self.settings.listen.callers)
+        listener = eventlet.listen((callers.host, callers.port), backlog=BACKLOG)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.listener = StoppableListener(listener)
+        self.server = eventlet.spawn(
+            eventlet.wsgi.server,
+            self.listener,
+            CallerApplication(self.core, self.dialect),
+            log_output=False,
+            debug=False,
+            minimum_chunk_size=1,
+            protocol=GatewayProtocol,
+            max_size=CONNECTIONS,
+            keepalive=IDLE_S + IDLE_MARGIN_S,
+            socket_timeout=IDLE_S + IDLE_MARGIN_S,
+        )
+        ready_at = Address.parse(self.settings.listen.ready)
+        self.serve_status(ready_at.host, ready_at.port)
+        self.serve_status(self.settings.host, self.settings.listen.inner_port)
+        eventlet.spawn(self.peers.run)
+        eventlet.spawn(self.tick)
+        self.follower.start(
+            self.settings.name,
+            self.settings.zone,
+            self.settings.host,
+            self.settings.listen.inner_port,
+        )
+
+    def serve_status(self, host: str, port: int) -> None:
+        """Answer questions for readiness and metrics."""
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            eventlet.listen((host, port)),
+            self.status,
+            log_output=False,
+            debug=False,
+        )
+
+    def status(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answer a question for readiness or metrics."""
+        if environ["PATH_INFO"] == self.dialect.ready_path:
+            is_ready = ready(self.core.state)
+            start_response("200 OK" if is_ready else "503 Service Unavailable", [])
+            return [b"ready\n" if is_ready else b"not ready\n"]
+        if environ["PATH_INFO"] == "/metrics":
+            start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
+            return [generate_latest(self.metrics.registry)]
+        start_response("404 Not Found", [])
+        return [b""]
+
+    def tick(self) -> None:
+        """Tell the decisions that time passes."""
+        while True:
+            try:
+                self.core.submit(ev.Tick(self.core.at()))
+            except Exception:
+                # One policy's fault must not stop the others' time; operators get the cause.
+                self.core.log.exception("tick-failed")
+            eventlet.sleep(TICK_S)
+
+    def reload(self) -> None:
+        """Read the settings again."""
+        try:
+            settings = self.read_settings()
+        except ExceptionGroup as group:
+            # The entry goes on with what it has; the log tells what is wrong.
+            for error in group.exceptions:
+                self.core.log.error("settings-not-read", error=str(error))
+            return
+        self.core.submit(ev.LimitsChanged(self.core.at(), settings.bounds.limits()))
+
+    def drain(self) -> None:
+        """Begin a graceful stop."""
+        self.core.submit(ev.DrainAsked(self.core.at()))
+        eventlet.spawn_n(self.store.unregister, self.settings.name)
+
+    def close(self) -> None:
+        """Refuse new connections, let the last answers out, and end."""
+        self.listener.stop()
+        eventlet.sleep(0.1)
+        self.listener.release()
+        with eventlet.Timeout(0.3, False):
+            self.server.wait()
+        self.stopped.send()
+
+    def run(self) -> None:
+        """Serve until a graceful stop is through."""
+        self.log.start()
+        structlog.get_logger().info(
+            "entry-started",
+            entry=self.settings.name,
+            boot=self.core.state.boot,
+            zone=self.settings.zone,
+            process=os.getpid(),
+        )
+        self.start()
+        signal.signal(signal.SIGTERM, lambda number, frame: eventlet.spawn_n(self.drain))
+        signal.signal(signal.SIGHUP, lambda number, frame: eventlet.spawn_n(self.reload))
+        self.stopped.wait()
+        structlog.get_logger().info("entry-stopped", entry=self.settings.name)
+        self.log.flush()
--- /dev/null
+++ b/poplarhoist/gateway/settings.py
@@ -0,0 +1,123 @@
+"""Settings of one entry that runs as a gateway, read from TOML and checked."""
+
+from pathlib import Path
+
+from attrs import field, frozen
+
+from poplarhoist.decisions.gateway.limits import GatewayLimits
+from poplarhoist.settings.loader import faults, load_file
+
+MS = 0.001
+
+
+@frozen
+class Address:
+    """An address to listen at or to call."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``host:port``.
+
+        Raises
+        ------
+        ValueError
+            If the text has another form.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdigit():
+            raise ValueError(f"{text!r} is not of the form host:port")
+        return cls(host, int(port))
+
+
+@frozen
+class Listening:
+    """Where this entry listens.
+
+    Attributes
+    ----------
+    callers, ready : str
+        As ``host:port``; ``ready`` answers whether the entry takes callers.
+    inner_port : int
+        Datagrams of other entries (UDP), and metrics (TCP).
+    """
+
+    callers: str
+    ready: str
+    inner_port: int
+
+
+@frozen
+class Bounds:
+    """Times and shares that the site sets; the decisions' own limits say what each is for."""
+
+    stop_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    lease_ms: float = 3000.0
+    version_ms: float = 5000.0
+    stable_ms: float = 4000.0
+    engines_check_epochs: bool = False
+
+    def limits(self) -> GatewayLimits:
+        """Return the limits for the decisions."""
+        return GatewayLimits(
+            stop_s=self.stop_s,
+            retry_ratio=self.retry_ratio,
+            retry_slack=self.retry_slack,
+            retry_window_s=self.retry_window_s,
+            lease_s=self.lease_ms * MS,
+            version_s=self.version_ms * MS,
+            stable_s=self.stable_ms * MS,
+            engines_check_epochs=self.engines_check_epochs,
+        )
+
+
+@frozen
+class GatewaySettings:
+    """Everything that one entry is told at its start.
+
+    Attributes
+    ----------
+    store : str
+        Address of the store, as ``host:port``.
+    regions : dict
+        Region by availability zone.
+    """
+
+    name: str
+    zone: str
+    host: str
+    store: str
+    listen: Listening
+    bounds: Bounds = field(factory=Bounds)
+    regions: dict[str, str] = field(factory=dict)
+
+
+def load(path: Path) -> GatewaySettings:
+    """Read the settings of an entry.
+
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, one for each fault of the file.
+    """
+    settings = load_file(path, GatewaySettings)
+    problems = []
+    for name, text in (
+        ("listen.callers", settings.listen.callers),
+        ("listen.ready", settings.listen.ready),
+        ("store", settings.store),
+    ):
+        try:
+            Address.parse(text)
+        except ValueError as error:
+            problems.append(f"{error} @ {name}")
+    if settings.zone not in settings.regions:
+        problems.append(f"{settings.zone!r} is not among the regions @ zone")
+    if problems:
+        raise faults(path, problems)
+    return settings
--- /dev/null
+++ b/poplarhoist/platform/__main__.py
@@ -0,0 +1,47 @@
+"""Runs an entry on the users' platform: ``python -m poplarhoist.platform``."""
+
+from poplarhoist.cli.outcome import guarded, quiet_eventlet
+
+quiet_eventlet()
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import sys
+from pathlib import Path
+
+from poplarhoist.clock import SuspendAwareClock
+from poplarhoist.context import Environment
+from poplarhoist.gateway import logs
+from poplarhoist.gateway.server import GatewayServer
+from poplarhoist.gateway.settings import load
+from poplarhoist.platform.dialect import PlatformDialect
+from poplarhoist.platform.store import ObjectStore
+from poplarhoist.status import ExitStatus
+
+PROGRAM = "poplarhoist.platform"
+SETTINGS_VARIABLE = "POPLARHOIST_BOOT"
+
+
+def serve(env: Environment) -> ExitStatus:
+    """Serve callers until a graceful stop."""
+    path = Path(env.variables.get(SETTINGS_VARIABLE, ""))
+    settings = load(path)
+    clock = SuspendAwareClock()
+    log = logs.BoundedLog(clock)
+    logs.configure(log)
+    store = ObjectStore(settings.store, clock)
+    server = GatewayServer(settings, PlatformDialect(), store, clock, log, lambda: load(path))
+    store.metrics = server.metrics
+    server.run()
+    return ExitStatus.OK
+
+
+def main(env: Environment) -> ExitStatus:
+    """Run the program; its settings are named by the environment, so it takes no arguments."""
+    return guarded(PROGRAM, env, lambda: serve(env))
+
+
+if __name__ == "__main__":
+    sys.exit(main(Environment()))
--- /dev/null
+++ b/poplarhoist/platform/documents.py
@@ -0,0 +1,166 @@
+"""The store's documents, decoded into the product's types.
+
+A document that cannot be read raises ValueError, KeyError or TypeError; the caller logs it.
+"""
+
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    BaseModel,
+    CallerLimits,
+    Configuration,
+    EndpointRecord,
+    EngineProfile,
+    EngineReport,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Target,
+)
+
+MS = 0.001
+KINDS = {
+    "safe": RouteKind.REPEATABLE,
+    "unsafe": RouteKind.ONCE,
+    "streaming": RouteKind.STREAM,
+}
+STATES = ("ready", "draining")
+
+
+def read_configuration(spec: dict) -> Configuration:
+    """Read a whole configuration."""
+    limits = spec.get("limits") or {}
+    defaults = CallerLimits()
+    return Configuration(
+        version=int(spec["version"]),
+        routes=tuple(read_route(route) for route in spec["routes"]),
+        services_by_name={data["name"]: read_service(data) for data in spec["services"]},
+        limits=CallerLimits(
+            head_bytes=limits.get("maxHeaderBytes", defaults.head_bytes),
+            body_bytes=limits.get("maxBodyBytes", defaults.body_bytes),
+            head_s=limits.get("headerTimeoutMs", defaults.head_s / MS) * MS,
+            idle_s=limits.get("idleTimeoutMs", defaults.idle_s / MS) * MS,
+        ),
+    )
+
+
+def read_route(data: dict) -> Route:
+    """Read a route; a weighted split takes the place of the one service."""
+    split = data.get("split")
+    if split:
+        targets = tuple(Target(part["service"], float(part["weight"])) for part in split)
+    else:
+        targets = (Target(data["service"]),)
+    limit_s = data["timeoutMs"] * MS
+    return Route(
+        name=data.get("name", ""),
+        host=data["host"].lower(),
+        prefix=data["pathPrefix"],
+        # A kind that is not known may run once at most.
+        kind=KINDS.get(data.get("routeKind"), RouteKind.ONCE),
+        targets=targets,
+        limit_s=limit_s,
+        objective_s=data.get("targetLatencyMs", data["timeoutMs"]) * MS,
+        gap_s=data.get("gapAimMs", 0) * MS,
+        attempts=max(1, int(data.get("maxAttempts", 1))),
+        priority=int(data.get("priority", 0)),
+        resumable=bool(data.get("resumable", False)),
+    )
+
+
+def read_service(data: dict) -> ServiceSpec:
+    """Read a service."""
+    engine = data.get("engine")
+    return ServiceSpec(
+        name=data["name"],
+        connections=int(data.get("maxConns", 0)),
+        engine=read_profile(engine) if engine else None,
+    )
+
+
+def read_profile(data: dict) -> EngineProfile:
+    """Read what the engines of a service offer."""
+    models = [
+        # ``weightsMb`` is the size of the model here, and the engine's whole memory below.
+        BaseModel(model["name"], float(model["weightsMb"]), float(model.get("adapterMb", 0.0)))
+        for model in data.get("models", ())
+    ]
+    return EngineProfile(
+        batch=int(data.get("slots", 1)),
+        places=int(data.get("adapterSlots", 0)),
+        memory_mb=float(data.get("weightsMb", 0.0)),
+        prompt_tokens=int(data.get("kvCapacity", 0)),
+        loads_per_s=float(data.get("loadsPerS", 0.0)),
+        models_by_name={model.name: model for model in models},
+    )
+
+
+def read_endpoint(name: str, spec: dict) -> EndpointRecord:
+    """Read an endpoint's record.
+
+    Raises
+    ------
+    ValueError
+        If it names a state that is not known; such an endpoint is not to be used.
+    """
+    if spec["state"] not in STATES:
+        raise ValueError(f"state {spec['state']!r}")
+    host, _, port = spec["address"].rpartition(":")
+    service, zone = spec["service"], spec["zone"]
+    if not host or not isinstance(service, str) or not isinstance(zone, str):
+        raise ValueError("address, service or zone cannot be read")
+    models = spec.get("models")
+    at_hand = spec.get("atHand") or {}
+    warm = (*(at_hand.get("inMemory") or ()), *(at_hand.get("onDisk") or ()))
+    return EndpointRecord(
+        name=name,
+        service=service,
+        host=host,
+        port=int(port),
+        zone=zone,
+        slots=int(spec.get("slots") or 0),
+        leaving=spec["state"] == "draining",
+        born=int(spec.get("born") or 0),
+        held=read_held(models) if isinstance(models, list) else None,
+        warm=frozenset(name for name in warm if isinstance(name, str)),
+    )
+
+
+def read_held(models: list) -> dict[AdapterKey, int]:
+    """Read base models and their adapters, named ``adapter@version``."""
+    held = {}
+    for model in models:
+        held[AdapterKey(model["name"])] = int(model.get("version") or 1)
+        for text in model.get("adapters") or ():
+            adapter, version = split_version(text)
+            held[AdapterKey(model["name"], adapter)] = version
+    return held
+
+
+def split_version(text: str) -> tuple[str, int]:
+    """Split ``name@version``; the first version may be left out."""
+    name, _, version = text.partition("@")
+    return name, int(version) if version.isdigit() else 1
+
+
+def read_report(data: dict) -> EngineReport:
+    """Read an engine's report."""
+    coming = {}
+    for text in data.get("coming") or ():
+        # MODEL/NAME@VERSION
+        model, _, rest = text.partition("/")
+        adapter, version = split_version(rest)
+        coming[AdapterKey(model, adapter)] = version
+    return EngineReport(
+        born=int(data.get("born") or 0),
+        orders=int(data["seq"]),
+        busy=bool(data.get("busy")),
+        running=int(data.get("numRunning") or 0),
+        waiting=int(data.get("numWaiting") or 0),
+        held=read_held(data.get("models") or []),
+        coming=coming,
+    )
+
+
+def read_version(spec: dict) -> tuple[str, str, int]:
+    """Read the announcement of an adapter's version."""
+    return spec["model"], spec.get("adapter") or "", int(spec["version"])
--- /dev/null
+++ b/poplarhoist/platform/store.py
@@ -0,0 +1,225 @@
+"""The platform's store: records of each kind as events, registration and claims."""
+
+from collections.abc import Callable, Mapping
+from urllib.parse import quote, urlencode
+
+import orjson
+import structlog
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from poplarhoist.clock import Clock
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.effects import Claim
+from poplarhoist.entry.http import never_sent
+from poplarhoist.entry.metrics import Metrics
+from poplarhoist.gateway.interfaces import Changes, Following
+from poplarhoist.gateway.settings import Address
+from poplarhoist.gateway.sockets import socket_options
+from poplarhoist.platform import documents
+
+CONFIGURATION = "config"
+ENDPOINTS = "servers"
+VERSIONS = "versions"
+# Kinds of the product's own.
+ENTRIES = "poplarhoist-entries"
+LEADS = "poplarhoist-leads"
+CURRENT_CONFIGURATION = "main"
+# Seconds for a call; an answer takes some milliseconds, slow days some hundred.
+CALL_S = 1.5
+# Seconds that a watch waits at most; and how much longer its answer may take.
+WATCH_S = 20.0
+WATCH_MARGIN_S = 2.0
+# Seconds between two reads of changes of endpoints; calls are priced, and endpoints that leave
+# must be known within three seconds.
+ENDPOINT_PAUSE_S = 0.5
+STATUSES = {
+    200: ev.CallStatus.OK,
+    201: ev.CallStatus.OK,
+    409: ev.CallStatus.CONFLICT,
+    429: ev.CallStatus.REFUSED,
+    503: ev.CallStatus.REFUSED,
+}
+GONE_HISTORY = 410
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class ObjectStore:
+    """Speaks the platform's dialect of an object store."""
+
+    followed = (
+        Following(CONFIGURATION),
+        Following(ENDPOINTS, fresh=False, pause_s=ENDPOINT_PAUSE_S),
+        Following(VERSIONS),
+        Following(ENTRIES),
+        Following(LEADS),
+    )
+
+    def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
+        self.clock = clock
+        parsed = Address.parse(address)
+        self.metrics = metrics
+        self.pool = HTTPConnectionPool(
+            parsed.host, parsed.port, maxsize=8, block=False, socket_options=socket_options(CALL_S)
+        )
+        self.decoders: dict[str, Callable] = {
+            CONFIGURATION: configuration_event,
+            ENDPOINTS: endpoint_event,
+            VERSIONS: version_event,
+            ENTRIES: entry_event,
+            LEADS: lead_event,
+        }
+
+    def read_all(self, kind: str) -> Changes:
+        """Read all records of a kind, page by page."""
+        events: list[ev.Event] = []
+        names: set[str] = set()
+        after = ""
+        revision = 0
+        while True:
+            query = f"?{urlencode({'after': after})}" if after else ""
+            status, data = self.call("list", "GET", f"/api/objects/{kind}{query}")
+            if status is not ev.CallStatus.OK:
+                return Changes(status)
+            at = self.clock.monotonic()
+            # The first page's revision: changes during the reading are read again.
+            revision = revision or data["currentRev"]
+            for item in data["items"]:
+                after = item["metadata"]["name"]
+                names.add(after)
+                events += self.decode(kind, item, False, at)
+            if not data.get("truncated") or not data["items"]:
+                break
+        if kind == ENDPOINTS:
+            events.append(ev.EndpointsListed(at, frozenset(names)))
+        return Changes(ev.CallStatus.OK, revision, tuple(events), frozenset(names))
+
+    def watch(self, kind: str, since: int, fresh: bool) -> Changes:
+        """Wait for changes of a kind after a revision."""
+        query = {"watch": since, "waitMs": int(WATCH_S * 1000)}
+        if not fresh:
+            query["allowStale"] = 1
+        path = f"/api/objects/{kind}?{urlencode(query)}"
+        status, data = self.call("watch", "GET", path, timeout_s=WATCH_S + WATCH_MARGIN_S)
+        if status is not ev.CallStatus.OK:
+            return Changes(status, too_old=data == GONE_HISTORY)
+        at = self.clock.monotonic()
+        events: list[ev.Event] = []
+        for change in data["events"]:
+            events += self.decode(kind, change["object"], bool(change.get("tombstone")), at)
+        return Changes(ev.CallStatus.OK, max(since, data["currentRev"]), tuple(events))
+
+    def decode(self, kind: str, item: dict, removed: bool, at: float) -> list[ev.Event]:
+        """Decode a record; one that cannot be read is logged and left out."""
+        name = item["metadata"]["name"]
+        try:
+            return self.decoders[kind](at, name, item, removed)
+        except UNREADABLE as error:
+            log = structlog.get_logger()
+            log.warning("record-unreadable", kind=kind, name=name, detail=repr(error))
+            return []
+
+    def register(self, name: str, zone: str, host: str, port: int) -> ev.CallStatus:
+        """Write where this entry takes messages."""
+        spec = {"host": host, "port": port, "zone": zone}
+        return self.write(ENTRIES, name, spec, None)[0]
+
+    def unregister(self, name: str) -> ev.CallStatus:
+        """Remove this entry's record."""
+        return self.call("delete", "DELETE", object_path(ENTRIES, name))[0]
+
+    def claim(self, claim: Claim) -> tuple[ev.CallStatus, int, Mapping | None]:
+        """Write who leads an engine, if the record has not changed since it was read."""
+        spec = {"holder": claim.holder, "epoch": claim.epoch}
+        status, data = self.write(LEADS, claim.engine, spec, claim.revision)
+        item = data if isinstance(data, dict) else {}
+        if "metadata" not in item:
+            return status, 0, None
+        revision = item["metadata"]["revision"]
+        if status is ev.CallStatus.CONFLICT and isinstance(item.get("spec"), dict):
+            return status, revision, {**item["spec"], "revision": revision}
+        return status, revision, None
+
+    def write(self, kind: str, name: str, spec: dict, revision: int | None):
+        """Create or replace a record; ``revision`` 0 creates only, None takes any."""
+        meta: dict[str, object] = {"name": name}
+        if revision:
+            meta["revision"] = revision
+        body = {"metadata": meta, "spec": spec}
+        if not revision:
+            status, data = self.call("create", "POST", f"/api/objects/{kind}", body)
+            if status is not ev.CallStatus.CONFLICT or revision == 0:
+                return status, data
+        return self.call("put", "PUT", object_path(kind, name), body)
+
+    def call(self, name: str, method: str, path: str, body=None, timeout_s: float = CALL_S):
+        """Make a call; return how it ended and the answer's data, or its code if not usable."""
+        headers = {"Content-Type": "application/json"}
+        data = orjson.dumps(body) if body is not None else None
+        try:
+            answer = self.pool.request(
+                method,
+                path,
+                body=data,
+                headers=headers,
+                timeout=Timeout(connect=CALL_S, read=timeout_s),
+                retries=False,
+                redirect=False,
+            )
+            status = STATUSES.get(answer.status, ev.CallStatus.UNKNOWN)
+            result: object = answer.status
+            if status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
+                result = orjson.loads(answer.data) if answer.data else {}
+        except HTTPError as error:
+            status = ev.CallStatus.REFUSED if never_sent(error) else ev.CallStatus.UNKNOWN
+            result = type(error).__name__
+        except orjson.JSONDecodeError:
+            status, result = ev.CallStatus.UNKNOWN, "not JSON"
+        if self.metrics is not None:
+            self.metrics.count("platform_call", (name, status))
+        if status is not ev.CallStatus.OK:
+            log = structlog.get_logger()
+            log.warning("store-call-failed", call=name, path=path, detail=str(result)[:200])
+        return status, result
+
+
+def object_path(kind: str, name: str) -> str:
+    """Return the path of a record."""
+    return f"/api/objects/{kind}/{quote(name, safe='')}"
+
+
+def configuration_event(at: float, name: str, item: dict, removed: bool) -> list[ev.Event]:
+    """Decode the configuration in force; what the store keeps beside it is not."""
+    if removed or name != CURRENT_CONFIGURATION:
+        return []
+    return [ev.ConfigurationSeen(at, documents.read_configuration(item["spec"]))]
+
+
+def endpoint_event(at: float, name: str, item: dict, removed: bool) -> list[ev.Event]:
+    """Decode an endpoint's record; one that is not readable names no endpoint to use."""
+    if removed:
+        return [ev.EndpointRemoved(at, name)]
+    return [ev.EndpointSeen(at, documents.read_endpoint(name, item["spec"]))]
+
+
+def version_event(at: float, name: str, item: dict, removed: bool) -> list[ev.Event]:
+    """Decode the announcement of a version; announcements are not taken back."""
+    if removed:
+        return []
+    return [ev.VersionSeen(at, *documents.read_version(item["spec"]))]
+
+
+def entry_event(at: float, name: str, item: dict, removed: bool) -> list[ev.Event]:
+    """Decode the record of an entry."""
+    if removed:
+        return [ev.EntrySeen(at, name)]
+    spec = item["spec"]
+    return [ev.EntrySeen(at, name, spec["host"], int(spec["port"]), spec["zone"])]
+
+
+def lead_event(at: float, name: str, item: dict, removed: bool) -> list[ev.Event]:
+    """Decode who leads an engine."""
+    if removed:
+        return []
+    spec, revision = item["spec"], item["metadata"]["revision"]
+    return [ev.LeadSeen(at, name, spec["holder"], int(spec["epoch"]), revision)]
--- a/poplarhoist/settings/loader.py
+++ b/poplarhoist/settings/loader.py
@@ -24,6 +24,7 @@
     ("poll_s", "report_stale_s"),
 )
 H = TypeVar("H", bound=Hashable)
+S = TypeVar("S")
 T = TypeVar("T", EntrySettings, EndpointSettings)
 
 
@@ -35,6 +36,21 @@
     path : Path
         A TOML file.
 
+    Raises
+    ------
+    ExceptionGroup
+        Of SettingsError, one for each fault of the file.
+    """
+    site = load_file(path, Site)
+    problems = cross_check(site)
+    if problems:
+        raise faults(path, problems)
+    return site
+
+
+def load_file(path: Path, kind: type[S]) -> S:
+    """Read a settings file into an attrs class.
+
     Raises
     ------
     ExceptionGroup
@@ -47,13 +63,9 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise faults(path, [str(error)]) from error
     try:
-        site = converter.structure(data, Site)
+        return converter.structure(data, kind)
     except Exception as error:
         raise faults(path, describe(error)) from error
-    problems = cross_check(site)
-    if problems:
-        raise faults(path, problems)
-    return site
 
 
 def faults(path: object, messages: list[str]) -> ExceptionGroup:
