Placing by cost: held, in the engine's memory, cold; homes only with room

Cause: homes by hash alone were full, orders followed one another at the wrong engines; unloading what was still coming was taken for doubt in the books.

--- a/poplarhoist/decisions/gateway/asking.py
+++ b/poplarhoist/decisions/gateway/asking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.effects import Count
-from poplarhoist.decisions.gateway import leads
+from poplarhoist.decisions.gateway import endpoints, leads
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.limits import ASK_AGAIN_S, ASK_TRIES, SILENT_S, USE_S
 from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
@@ -99,10 +99,10 @@
         return set()
     view.view = message
     view.view_at = at
-    view.held = {parse(text): version for text, version in message.held.items()}
+    endpoints.set_held(view, {parse(text): version for text, version in message.held.items()})
     anew: set[str] = set()
     for question in [q for q in state.asks.values() if q.engine == message.engine]:
-        if not settle(state, question, view, at) and message.full:
+        if not settle(state, question, view, at) and message.room <= 0:
             anew |= question.waiters
     return anew
 
--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -43,6 +43,9 @@
 LEAVING_REPORT_S = 0.4
 # Seconds for which an adapter that nobody got is wanted.
 WANT_S = 3.0
+# Orders in a row that an engine may turn away as another one is under way, before its books are
+# in doubt.
+MISMATCHES = 2
 # Seconds after which a base model that was ordered is looked for in a report.
 MODEL_REPORT_S = 0.4
 
@@ -105,7 +108,6 @@
         if entry != state.me and at - heard_at < USE_STALE_S
     ]
     own = state.endpoints[book.engine]
-    stuck = at < book.usable_at or not book.synced or book.unplaced_since is not None
     return View(
         engine=book.engine,
         held={str(key): held.version for key, held in book.held.items()}
@@ -113,10 +115,21 @@
         coming={str(key): max(0.0, c.due_at - at) for key, c in book.coming.items()},
         running=sum(sum(use.running.values()) for use in fresh) + len(own.running),
         prefill_tokens=sum(use.prefill_tokens for use in fresh) + sum(own.unread_tokens.values()),
-        full=stuck,
+        room=room(state, book, at),
     )
 
 
+def room(state: GatewayState, book: Book, at: float) -> int:
+    """Return how many more adapters could be ordered now."""
+    offers = profile(state, book.engine)
+    if offers is None or not book.synced or at < book.usable_at:
+        return 0
+    free = max(0, places(offers) - places_taken(book))
+    idle = len(evicting.idle(state, book, at))
+    pending = sum(1 for key in book.wants if key not in book.coming)
+    return min(free + idle, COMING_LIMIT - len(book.coming)) - pending
+
+
 def send_view(state: GatewayState, book: Book, entry: str, at: float, out: list) -> None:
     """Tell an entry about an engine."""
     out.append(SendPeer(entry, view_of(state, book, at)))
@@ -224,8 +237,11 @@
         if not just and key not in report.coming:
             del book.held[key]
     for key, version in report.coming.items():
+        held = book.held.get(key)
+        if held is not None and at - held.since > REPORT_LAG_S:
+            del book.held[key]
         if key not in book.held:
-            book.coming.setdefault(key, Coming(version, at + FETCH_S))
+            book.coming.setdefault(key, Coming(version, at + LATE_LOAD_S))
     book.leaving = {key: since for key, since in book.leaving.items() if key in adapters}
     for key in book.leaving:
         book.held.pop(key, None)
@@ -260,7 +276,6 @@
             book.report_due_at = at + MODEL_REPORT_S
             order(state, book, OrderKind.LOAD, AdapterKey(missing[0]), 0, at, out)
         return
-    places = min(offers.places, adapter_room(offers))
     wants = sorted(book.wants.items(), key=lambda item: (item[1].priority, item[1].since))
     book.unplaced_since = None if not wants else book.unplaced_since
     for key, want in wants:
@@ -270,7 +285,7 @@
             break
         announced = state.versions.get(key)
         version = max(want.version, announced.version if announced else 0)
-        if key in book.held or places_taken(book) < places:
+        if key in book.held or places_taken(book) < places(offers):
             order(state, book, OrderKind.LOAD, key, version, at, out)
             return
         victim = evicting.victim(state, book, at)
@@ -289,6 +304,11 @@
         order(state, book, kind, key, version, at, out)
 
 
+def places(offers: EngineProfile) -> int:
+    """Return how many adapters an engine may hold at once."""
+    return min(offers.places, adapter_room(offers))
+
+
 def adapter_room(offers: EngineProfile) -> int:
     """Return how many adapters fit into an engine's memory beside its base models."""
     models = offers.models_by_name.values()
@@ -326,6 +346,7 @@
     book.open = None
     match event.status:
         case OrderStatus.DONE | OrderStatus.ACCEPTED:
+            book.mismatches = 0
             carry_out(state, book, given, event.status, event.at, out)
         case OrderStatus.FENCED:
             del state.books[event.engine]
@@ -339,6 +360,13 @@
             doubt(book, event.at, event.status, out)
             for key in list(book.wants):
                 tell_wanting(state, book, key, event.at, out)
+        case OrderStatus.MISMATCH if not given.load and given.key in book.held:
+            # It is still on its way: its load takes longer than expected.
+            held = book.held.pop(given.key)
+            book.coming[given.key] = Coming(held.version, event.at + LATE_LOAD_S * 2)
+            book.mismatches += 1
+            if book.mismatches > MISMATCHES:
+                doubt(book, event.at, event.status, out)
         case _:
             doubt(book, event.at, event.status, out)
     step(state, book, event.at, out)
--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -100,6 +100,11 @@
     message: Message
 
 
+@frozen
+class StopListening:
+    """Close idle connections and take no new ones; answer what was read."""
+
+
 @frozen
 class LogRequest:
     """Log a decision that touches a request."""
@@ -117,6 +122,7 @@
     | SendOrder
     | ReadReport
     | SendPeer
+    | StopListening
     | LogRequest
     | LogChange
     | Count
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,12 @@
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import crashes
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
-from poplarhoist.decisions.gateway.limits import AVOID_MAX_S, AVOID_S, RETURN_S
+from poplarhoist.decisions.gateway.limits import (
+    AVOID_MAX_S,
+    AVOID_S,
+    RETURN_S,
+    WARM_ADAPTERS,
+)
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.state import EndpointView, GatewayState
 
@@ -38,7 +43,7 @@
     if (before.service, before.leaving) != (record.service, record.leaving):
         regroup(state)
     if event.at - view.view_at > VIEW_FRESH_S:
-        view.held = dict(record.held or {})
+        set_held(view, dict(record.held or {}))
 
 
 def on_removed(state: GatewayState, event: EndpointRemoved, out: list) -> None:
@@ -74,6 +79,16 @@
             drop(state, name, at, out)
 
 
+def set_held(view: EndpointView, held: dict[AdapterKey, int]) -> None:
+    """Take what an engine holds, and remember that it has had it."""
+    view.held = held
+    for key in held:
+        view.warm.pop(key, None)
+        view.warm[key] = None
+    while len(view.warm) > WARM_ADAPTERS:
+        del view.warm[next(iter(view.warm))]
+
+
 def drop(state: GatewayState, name: str, at: float, out: list) -> None:
     """Forget an endpoint; requests under way there go on."""
     view = state.endpoints.pop(name)
@@ -91,6 +106,7 @@
     view.view = None
     view.view_at = float("-inf")
     view.parts.clear()
+    view.warm.clear()
     view.failures = 0
     view.error_rate = 0.0
 
--- a/poplarhoist/decisions/gateway/evicting.py
+++ b/poplarhoist/decisions/gateway/evicting.py
@@ -24,17 +24,21 @@
     return count
 
 
-def victim(state: GatewayState, book: Book, at: float) -> AdapterKey | None:
-    """Return the idle adapter that was used least recently; None if all are in use."""
-    idle = [
+def idle(state: GatewayState, book: Book, at: float) -> list[AdapterKey]:
+    """Return the adapters that could make way now, least recently used first."""
+    found = [
         (held.used_at, key)
         for key, held in book.held.items()
-        if key.adapter
-        and key not in book.wants
+        if key not in book.wants
         and at - held.used_at >= IDLE_S
         and running(state, book, key, at) == 0
     ]
-    return min(idle, default=(0.0, None))[1]
+    return [key for _, key in sorted(found)]
+
+
+def victim(state: GatewayState, book: Book, at: float) -> AdapterKey | None:
+    """Return the idle adapter that was used least recently; None if all are in use."""
+    return next(iter(idle(state, book, at)), None)
 
 
 def outdated(state: GatewayState, book: Book, at: float):
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -64,15 +64,12 @@
 # Seconds for which a silent entry is not asked again.
 SILENT_S = 5.0
 # Seconds between two messages about the use of one engine; costs bytes between zones.
-USE_S = 0.5
+USE_S = 0.25
 # Seconds for which a message about the use of an engine holds.
 USE_STALE_S = 4.0
-# Seconds of backlog at the engines that hold an adapter above which another engine gets it.
-SPILL_S = 0.6
-# Seconds of backlog by which that engine must be better; covers the fetch.
-SPILL_GAIN_S = 0.4
 # Seconds for which an endpoint that failed to connect or broke off is avoided.
 AVOID_S = 1.0
 AVOID_MAX_S = 4.0
-# Seconds for which an adapter must be unused before it makes way for another one.
-IDLE_S = 0.15
+# Seconds for which an adapter must be unused before it makes way for another one; covers the time
+# until another entry's message about its use arrives.
+IDLE_S = 0.35
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -33,8 +33,8 @@
         Seconds until it is there, by adapter.
     running, prefill_tokens : int
         Requests of all entries, and prompt tokens that wait to be read.
-    full : bool
-        Whether no place can be freed now.
+    room : int
+        Adapters that could be ordered now: free places, and those of idle adapters.
     """
 
     engine: str
@@ -42,7 +42,7 @@
     coming: dict[str, float]
     running: int
     prefill_tokens: int
-    full: bool = False
+    room: int = 0
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -16,7 +16,7 @@
     requests,
 )
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.effects import SendPeer
+from poplarhoist.decisions.gateway.effects import SendPeer, StopListening
 from poplarhoist.decisions.gateway.limits import PAUSED_S
 from poplarhoist.decisions.gateway.models import AdapterKey
 from poplarhoist.decisions.gateway.state import Announced, GatewayState
@@ -118,14 +118,19 @@
 
 
 def stop_when_done(state: GatewayState, at: float, out: list) -> None:
-    """Stop a draining entry once nobody is sent to it and its requests are answered."""
-    if state.draining_since is None or state.stopped:
+    """Take no more connections once nobody is sent here; end when the grace period is over.
+
+    The shell ends earlier once it has answered what was read.
+    """
+    if state.draining_since is None:
         return
     passed_s = at - state.draining_since
-    done = passed_s >= LEAVE_S and not state.requests
-    if done or passed_s >= state.limits.stop_s - LAST_WORDS_S:
+    if passed_s >= LEAVE_S and not state.listening_ended:
+        state.listening_ended = True
+        out.append(StopListening())
+    if passed_s >= state.limits.stop_s - LAST_WORDS_S and not state.stopped:
         state.stopped = True
-        out.append(LogChange("entry-done", {"open": len(state.requests)}))
+        out.append(LogChange("entry-out-of-time", {"open": len(state.requests)}))
         out.append(Stop())
 
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -26,9 +26,10 @@
 
 # Seconds that an answer needs on its way back; an endpoint gets this much less time.
 ANSWER_S = 0.01
-# Seconds of waiting for an endpoint after which a request is refused, as a share of its objective;
-# a caller who is told early can come back in time.
-WAIT_SHARE = 0.9
+# Share of its objective after which a request is refused for which no endpoint is there, and for
+# which no place is in sight; a caller who is told early can come back in time.
+NO_ENDPOINT_SHARE = 0.1
+WAIT_SHARE = 0.75
 # Seconds after which a caller may find a place where there is none now; an endpoint that restarts
 # is missed for about that long.
 COME_BACK_S = 0.5
@@ -107,7 +108,7 @@
         # Those that failed it may do on another try; there is nobody else.
         request.avoid.clear()
     waited_s = at - request.arrived_at
-    if waited_s < WAIT_SHARE * 0.125 * request.route.objective_s:
+    if waited_s < NO_ENDPOINT_SHARE * request.route.objective_s:
         state.waiting.add(request.request_id)
         return
     refuse(state, request, Refused.NO_ENDPOINT, out)
@@ -350,6 +351,8 @@
             state.waiting.discard(request_id)
         elif at >= request.limit_at - ANSWER_S:
             refuse(state, request, Refused.DEADLINE, out)
+        elif request.asked and request.ready_at == float("inf") and is_hopeless(request, at):
+            refuse(state, request, Refused.NO_PLACE, out)
         elif request.asked:
             if at >= request.ready_at:
                 view = state.endpoints.get(request.asked)
@@ -361,6 +364,11 @@
             place(state, request, at, out)
 
 
+def is_hopeless(request: RequestState, at: float) -> bool:
+    """Return whether a request has waited so long for a place that its caller had better know."""
+    return at - request.arrived_at >= WAIT_SHARE * request.route.objective_s
+
+
 def place_anew(state: GatewayState, request: RequestState, at: float, out: list) -> None:
     """Choose again for a request whose engine is gone or full, if there is a better one."""
     if request.asked in state.endpoints:
@@ -368,7 +376,7 @@
         if choice is None:
             return
         same = choice.endpoint.record.name == request.asked
-        if not choice.ready and (same or routing.is_full(choice.endpoint, at)):
+        if not choice.ready and (same or not routing.has_room(state, choice.endpoint, at)):
             return
     asking.withdraw(state, request)
     place(state, request, at, out)
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -1,9 +1,10 @@
 """Which endpoint a request goes to.
 
 An adapter has one home over all engines of both regions: the first sound engine of its ranking,
-by hash. Its fetch from the weight store is paid once, and its prompts are read once. Another
-engine gets it only when the backlog at those that hold it would cost callers more than a fetch.
-This answers loads with a few hot adapters and a long tail of cold ones.
+by hash, that has room. Its fetch from the weight store is paid once, its prompts are read once, and
+when it made way there it comes back from the engine's memory. Another engine gets it only when the
+backlog at those that hold it would cost callers more than a fetch. This answers loads with a few
+hot adapters and a long tail of cold ones, and heavy days on which all places are in use at times.
 """
 
 from __future__ import annotations
@@ -15,8 +16,6 @@
 from poplarhoist.decisions.gateway.limits import (
     CROSS_REGION_S,
     PREFILL_TOKENS_PER_S,
-    SPILL_GAIN_S,
-    SPILL_S,
     STEP_S,
     USE_STALE_S,
 )
@@ -32,8 +31,21 @@
 # or region; a crossing costs less than a request's work time.
 CROSS_ZONE_LOAD = 0.2
 CROSS_REGION_LOAD = 2.5
+# Seconds that a moving share of failures of one costs an engine.
+ERROR_COST_S = 1.2
 # Requests that an endpoint's moving share of failures counts as.
 ERROR_LOAD = 20.0
+# Costs, in seconds of waiting, of an adapter that is not at an engine: on its way; in the engine's
+# memory; to be fetched from the weight store, which also costs money (a fetch is priced like half
+# a request, and a late request loses more than that).
+COMING_S = 0.1
+WARM_COST_S = 0.06
+COLD_COST_S = 0.6
+# Seconds by which the home of a cold adapter may be busier than the idlest engine.
+HOME_SLACK_S = 0.3
+# Seconds for which a lead's word on what is coming, and on room, holds.
+COMING_FRESH_S = 0.6
+ROOM_FRESH_S = 1.0
 # Seconds for which a prompt part is taken to stay in an engine's memory.
 PART_KEPT_S = 15.0
 # Parts remembered by engine; bounds memory.
@@ -124,7 +136,7 @@
 def cost_s(state: GatewayState, view: EndpointView, prompt: Prompt, at: float) -> float:
     """Return the expected time to the first byte at an engine that has the adapter."""
     reading = unread_tokens(view, prompt, at) / PREFILL_TOKENS_PER_S
-    trouble = view.error_rate * SPILL_S * 2
+    trouble = view.error_rate * ERROR_COST_S
     return backlog_s(view, at) + reading + crossing_s(state, view) + trouble
 
 
@@ -141,41 +153,59 @@
     costs = {view.record.name: cost_s(state, view, prompt, at) for view in views}
     if not prompt.key.adapter:
         return Choice(min(views, key=lambda view: costs[view.record.name]), True)
-    version = required_version(state, prompt.key, at)
-    ready = [view for view in views if holds(view, prompt.key, version)]
-    best = min(ready, key=lambda view: costs[view.record.name], default=None)
-    if best is not None and costs[best.record.name] < SPILL_S:
-        return Choice(best, True)
-    home = choose_home(state, request, views, costs, at)
-    if best is None:
+    return choose_holder(state, request, views, costs, at)
+
+
+def choose_holder(state, request: RequestState, views, costs: dict[str, float], at) -> Choice:
+    """Return the engine at which an adapter costs callers least: held, kept in memory, or cold."""
+    key = request.prompt.key
+    version = required_version(state, key, at)
+    options: list[tuple[float, int, Choice]] = []
+    roomy = []
+    order = ranking(state, request.service, key)
+    for view in views:
+        name = view.record.name
+        rank = order.index(name)
+        if holds(view, key, version):
+            options.append((costs[name], rank, Choice(view, True)))
+        elif is_coming(view, key, at):
+            options.append((costs[name] + COMING_S, rank, Choice(view, False)))
+        elif has_room(state, view, at):
+            roomy.append((rank, view))
+            if key in view.warm:
+                options.append((costs[name] + WARM_COST_S, rank, Choice(view, False)))
+    if roomy:
+        home = cold_home(roomy, costs)
+        rank = order.index(home.record.name)
+        options.append((costs[home.record.name] + COLD_COST_S, rank, Choice(home, False)))
+    if not options:
+        # Nobody has a place now; the request waits at its home.
+        home = min(views, key=lambda view: order.index(view.record.name))
         return Choice(home, False)
-    gain = costs[best.record.name] - costs[home.record.name]
-    if home in ready or gain < SPILL_GAIN_S:
-        return Choice(best, True)
-    return Choice(home, False)
-
-
-def choose_home(state: GatewayState, request: RequestState, views, costs, at: float):
-    """Return the engine that is to get an adapter: the first of the ranking that is not busy."""
-    by_name = {view.record.name: view for view in views}
-    order = [
-        by_name[name]
-        for name in ranking(state, request.service, request.prompt.key)
-        if name in by_name
-    ]
-    open_ = [view for view in order if not is_full(view, at)] or order
-    mean = sum(costs.values()) / len(costs)
-    for view in open_:
-        if costs[view.record.name] <= max(SPILL_S, 1.5 * mean):
-            return view
-    return min(open_, key=lambda view: costs[view.record.name])
+    return min(options, key=lambda option: option[:2])[2]
+
+
+def cold_home(roomy: list[tuple[int, EndpointView]], costs: dict[str, float]) -> EndpointView:
+    """Return the first engine of the ranking that is not much busier than the idlest."""
+    least = min(costs[view.record.name] for _, view in roomy)
+    near = [(rank, view) for rank, view in roomy if costs[view.record.name] <= least + HOME_SLACK_S]
+    return min(near, key=lambda item: item[0])[1]
+
+
+def is_coming(view: EndpointView, key: AdapterKey, at: float) -> bool:
+    """Return whether an adapter is on its way to an engine."""
+    fresh = view.view is not None and at - view.view_at < COMING_FRESH_S
+    return fresh and str(key) in view.view.coming
 
 
-def is_full(view: EndpointView, at: float) -> bool:
-    """Return whether an engine cannot get another adapter now."""
+def has_room(state: GatewayState, view: EndpointView, at: float) -> bool:
+    """Return whether an engine may get another adapter now."""
     if at < view.no_orders_until:
+        return False
+    if view.view is None or at - view.view_at > ROOM_FRESH_S:
         return True
-    return view.view is not None and view.view.full and at - view.view_at < 1.0
+    asked = sum(1 for engine, _ in state.asks if engine == view.record.name)
+    return view.view.room > asked
 
 
 def choose_plain(state: GatewayState, request: RequestState, at: float) -> EndpointView | None:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -39,6 +39,8 @@
         Until when no new adapter is asked for there, as its lead does not answer.
     absent_at : dict
         When the engine last said that it does not have an adapter.
+    warm : dict
+        Adapters that the engine is known to have had, latest last.
     running : set
         This entry's requests there.
     unread_tokens : dict
@@ -68,6 +70,7 @@
     use_sent_at: float = float("-inf")
     no_orders_until: float = float("-inf")
     absent_at: dict[AdapterKey, float] = field(factory=dict)
+    warm: dict[AdapterKey, None] = field(factory=dict)
 
 
 class Stage(enum.StrEnum):
@@ -236,6 +239,7 @@
     uses: dict[str, tuple[Use, float]] = field(factory=dict)
     open: OpenOrder | None = None
     unplaced_since: float | None = None
+    mismatches: int = 0
 
 
 @define
@@ -299,4 +303,5 @@
     store_away: bool = False
     store_back_at: float = float("-inf")
     draining_since: float | None = None
+    listening_ended: bool = False
     stopped: bool = False
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -42,6 +42,8 @@
 # Connections of callers; the descriptors of a machine less those to endpoints.
 CONNECTIONS = 2000
 IDLE_S = 15.0
+# Seconds in which a connection that was accepted last sends its request.
+ACCEPTED_S = 0.1
 REQUEST_EFFECTS = (fx.Dispatch, fx.Refuse, fx.PassFailure)
 
 
@@ -92,7 +94,8 @@
         )
         self.core = DecisionLoop(state, clock, self.metrics, settings.name, reduce, REQUEST_EFFECTS)
         self.core.on(fx.LogRequest, self.log_request)
-        self.core.on(Stop, lambda effect: eventlet.spawn_n(self.close))
+        self.core.on(fx.StopListening, lambda effect: eventlet.spawn_n(self.close))
+        self.core.on(Stop, lambda effect: eventlet.spawn_n(self.end))
         self.follower = StoreFollower(self.core, store)
         self.engines = EngineCalls(self.core, dialect, leads.mine(state))
         self.peers = PeerPort(self.core, settings.host, settings.listen.inner_port)
@@ -182,13 +185,17 @@
         eventlet.spawn_n(self.store.unregister, self.settings.name)
 
     def close(self) -> None:
-        """Refuse new connections, let the last answers out, and end."""
+        """Refuse new connections, close idle ones, and end once what was read is answered."""
         self.listener.stop()
-        eventlet.sleep(0.1)
+        eventlet.sleep(ACCEPTED_S)
         self.listener.release()
-        with eventlet.Timeout(0.3, False):
-            self.server.wait()
-        self.stopped.send()
+        self.server.wait()
+        self.end()
+
+    def end(self) -> None:
+        """End the process."""
+        if not self.stopped.ready():
+            self.stopped.send()
 
     def run(self) -> None:
         """Serve until a graceful stop is through."""
