Tell leads of use at once, keep what was asked for, and wait at engines that have it in memory

Cause: adapters were unloaded before the request that asked for them arrived, and fetched again elsewhere.

--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -15,6 +15,7 @@
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportRead
 from poplarhoist.decisions.gateway.limits import (
+    ASKED_S,
     COMING_LIMIT,
     FETCH_S,
     LATE_ORDER_S,
@@ -74,7 +75,7 @@
             doubt(book, at, "absent", out)
             del book.held[key]
     if key in book.held and book.held[key].version >= message.version:
-        book.held[key].used_at = at
+        book.held[key].used_at = at + ASKED_S
     else:
         want = book.wants.setdefault(key, Want(message.version, message.priority, at))
         want.version = max(want.version, message.version)
@@ -94,7 +95,7 @@
     for text in (*message.used, *message.running):
         held = book.held.get(parse(text))
         if held is not None:
-            held.used_at = at
+            held.used_at = max(held.used_at, at)
     step(state, book, at, out)
     if sender != state.me:
         send_view(state, book, sender, at, out)
@@ -167,9 +168,10 @@
 def arrive(book: Book, key: AdapterKey, coming: Coming, at: float) -> None:
     """Take an adapter for held whose time has come."""
     del book.coming[key]
-    book.held[key] = Held(coming.version, at, at)
-    note_warm(book, key)
     want = book.wants.get(key)
+    kept_until = at + ASKED_S if want is not None else at
+    book.held[key] = Held(coming.version, kept_until, at)
+    note_warm(book, key)
     if want is not None and want.version <= coming.version:
         del book.wants[key]
 
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import crashes
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
@@ -44,6 +46,8 @@
         regroup(state)
     if event.at - view.view_at > VIEW_FRESH_S:
         set_held(view, dict(record.held or {}))
+    else:
+        note_warm(view, record.held or {})
 
 
 def on_removed(state: GatewayState, event: EndpointRemoved, out: list) -> None:
@@ -82,6 +86,11 @@
 def set_held(view: EndpointView, held: dict[AdapterKey, int]) -> None:
     """Take what an engine holds, and remember that it has had it."""
     view.held = held
+    note_warm(view, held)
+
+
+def note_warm(view: EndpointView, held: Iterable[AdapterKey]) -> None:
+    """Remember what an engine has had; it keeps the latest in its memory."""
     for key in held:
         view.warm.pop(key, None)
         view.warm[key] = None
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -64,7 +64,7 @@
 # Seconds for which a silent entry is not asked again.
 SILENT_S = 5.0
 # Seconds between two messages about the use of one engine; costs bytes between zones.
-USE_S = 0.25
+USE_S = 0.1
 # Seconds for which a message about the use of an engine holds.
 USE_STALE_S = 4.0
 # Seconds for which an endpoint that failed to connect or broke off is avoided.
@@ -72,4 +72,6 @@
 AVOID_MAX_S = 4.0
 # Seconds for which an adapter must be unused before it makes way for another one; covers the time
 # until another entry's message about its use arrives.
-IDLE_S = 0.35
+IDLE_S = 0.25
+# Seconds for which an adapter that other entries asked for is kept for their requests.
+ASKED_S = 0.35
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -40,7 +40,9 @@
 # a request, and a late request loses more than that).
 COMING_S = 0.1
 WARM_COST_S = 0.06
-COLD_COST_S = 0.6
+COLD_COST_S = 0.8
+# Seconds until an engine whose places are all in use has one free; requests last two seconds.
+PLACE_WAIT_S = 0.25
 # Seconds by which the home of a cold adapter may be busier than the idlest engine.
 HOME_SLACK_S = 0.3
 # Seconds for which a lead's word on what is coming, and on room, holds.
@@ -170,10 +172,13 @@
             options.append((costs[name], rank, Choice(view, True)))
         elif is_coming(view, key, at):
             options.append((costs[name] + COMING_S, rank, Choice(view, False)))
-        elif has_room(state, view, at):
-            roomy.append((rank, view))
-            if key in view.warm:
-                options.append((costs[name] + WARM_COST_S, rank, Choice(view, False)))
+        else:
+            open_ = has_room(state, view, at)
+            if open_:
+                roomy.append((rank, view))
+            if key in view.warm and at >= view.no_orders_until:
+                wait_s = 0.0 if open_ else place_wait_s(state, view)
+                options.append((costs[name] + WARM_COST_S + wait_s, rank, Choice(view, False)))
     if roomy:
         home = cold_home(roomy, costs)
         rank = order.index(home.record.name)
@@ -192,6 +197,13 @@
     return min(near, key=lambda item: item[0])[1]
 
 
+def place_wait_s(state: GatewayState, view: EndpointView) -> float:
+    """Return how long an adapter would wait for a place at an engine that has none free."""
+    asked = sum(1 for engine, _ in state.asks if engine == view.record.name)
+    behind = max(0, -view.view.room) if view.view is not None else 0
+    return PLACE_WAIT_S * (1 + max(asked, behind))
+
+
 def is_coming(view: EndpointView, key: AdapterKey, at: float) -> bool:
     """Return whether an adapter is on its way to an engine."""
     fresh = view.view is not None and at - view.view_at < COMING_FRESH_S
