--- a/poplarhoist/decisions/gateway/asking.py
+++ b/poplarhoist/decisions/gateway/asking.py
@@ -32,6 +32,7 @@
     """Ask for a request's adapter at an engine; the request waits."""
     key = request.prompt.key
     request.asked = engine
+    request.asked_at = at
     request.ready_at = float("inf")
     known = state.asks.get((engine, key))
     if known is not None:
@@ -102,7 +103,7 @@
     endpoints.set_held(view, {parse(text): version for text, version in message.held.items()})
     anew: set[str] = set()
     for question in [q for q in state.asks.values() if q.engine == message.engine]:
-        if not settle(state, question, view, at) and message.room <= 0:
+        if not settle(state, question, view, at) and message.room < 0:
             anew |= question.waiters
     return anew
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -33,6 +33,9 @@
 # Seconds after which a caller may find a place where there is none now; an endpoint that restarts
 # is missed for about that long.
 COME_BACK_S = 0.5
+# Seconds for which a request stays with the engine that it asked; two engines that are both short
+# of places must not pass it to and fro.
+ANEW_S = 0.2
 # Attempts that no endpoint ran, after which a request is given up.
 ATTEMPT_LIMIT = 6
 # Failures of the endpoint's own that are tried elsewhere where the request may repeat.
@@ -372,6 +375,8 @@
 def place_anew(state: GatewayState, request: RequestState, at: float, out: list) -> None:
     """Choose again for a request whose engine is gone or full, if there is a better one."""
     if request.asked in state.endpoints:
+        if at - request.asked_at < ANEW_S:
+            return
         choice = routing.choose_engine(state, request, at)
         if choice is None:
             return
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -36,15 +36,17 @@
 # Requests that an endpoint's moving share of failures counts as.
 ERROR_LOAD = 20.0
 # Costs, in seconds of waiting, of an adapter that is not at an engine: on its way; in the engine's
-# memory; to be fetched from the weight store, which also costs money (a fetch is priced like half
-# a request, and a late request loses more than that).
+# memory; to be fetched from the weight store at one of its homes, or at another engine. A fetch is
+# priced like half a request, and a late request loses more than that.
 COMING_S = 0.1
 WARM_COST_S = 0.06
-COLD_COST_S = 0.8
+HOME_COST_S = 0.5
+SECOND_HOME_S = 0.25
+COLD_COST_S = 1.2
+# Engines that are homes of an adapter; with two, the less busy one can be chosen.
+HOMES = 2
 # Seconds until an engine whose places are all in use has one free; requests last two seconds.
 PLACE_WAIT_S = 0.25
-# Seconds by which the home of a cold adapter may be busier than the idlest engine.
-HOME_SLACK_S = 0.3
 # Seconds for which a lead's word on what is coming, and on room, holds.
 COMING_FRESH_S = 0.6
 ROOM_FRESH_S = 1.0
@@ -162,46 +164,52 @@
     """Return the engine at which an adapter costs callers least: held, kept in memory, or cold."""
     key = request.prompt.key
     version = required_version(state, key, at)
-    options: list[tuple[float, int, Choice]] = []
-    roomy = []
     order = ranking(state, request.service, key)
+    options: list[tuple[float, int, EndpointView, bool]] = []
     for view in views:
         name = view.record.name
         rank = order.index(name)
         if holds(view, key, version):
-            options.append((costs[name], rank, Choice(view, True)))
+            options.append((costs[name], rank, view, True))
         elif is_coming(view, key, at):
-            options.append((costs[name] + COMING_S, rank, Choice(view, False)))
-        else:
-            open_ = has_room(state, view, at)
-            if open_:
-                roomy.append((rank, view))
-            if key in view.warm and at >= view.no_orders_until:
-                wait_s = 0.0 if open_ else place_wait_s(state, view)
-                options.append((costs[name] + WARM_COST_S + wait_s, rank, Choice(view, False)))
-    if roomy:
-        home = cold_home(roomy, costs)
-        rank = order.index(home.record.name)
-        options.append((costs[home.record.name] + COLD_COST_S, rank, Choice(home, False)))
+            options.append((costs[name] + COMING_S, rank, view, False))
+        elif at >= view.no_orders_until:
+            wait_s = 0.0 if has_room(state, view, at) else place_wait_s(state, view)
+            cost = costs[name] + fetch_cost_s(view, key, rank) + wait_s
+            options.append((cost, rank, view, False))
     if not options:
-        # Nobody has a place now; the request waits at its home.
-        home = min(views, key=lambda view: order.index(view.record.name))
-        return Choice(home, False)
-    return min(options, key=lambda option: option[:2])[2]
+        # No lead answers; the request waits at its home until one does.
+        return Choice(min(views, key=lambda view: order.index(view.record.name)), False)
+    _, _, best, ready = min(options, key=lambda option: option[:2])
+    return Choice(best, ready)
 
 
-def cold_home(roomy: list[tuple[int, EndpointView]], costs: dict[str, float]) -> EndpointView:
-    """Return the first engine of the ranking that is not much busier than the idlest."""
-    least = min(costs[view.record.name] for _, view in roomy)
-    near = [(rank, view) for rank, view in roomy if costs[view.record.name] <= least + HOME_SLACK_S]
-    return min(near, key=lambda item: item[0])[1]
+def fetch_cost_s(view: EndpointView, key: AdapterKey, rank: int) -> float:
+    """Return what it costs, in seconds of waiting, to bring an adapter to an engine.
+
+    It is cheap where the engine is known to have it in memory. Its homes are the first engines of
+    its ranking: there it is likely to be in memory, as all entries prefer them.
+    """
+    if key in view.warm:
+        return WARM_COST_S
+    if rank < HOMES:
+        return HOME_COST_S + rank * SECOND_HOME_S
+    return COLD_COST_S
 
 
 def place_wait_s(state: GatewayState, view: EndpointView) -> float:
     """Return how long an adapter would wait for a place at an engine that has none free."""
-    asked = sum(1 for engine, _ in state.asks if engine == view.record.name)
     behind = max(0, -view.view.room) if view.view is not None else 0
-    return PLACE_WAIT_S * (1 + max(asked, behind))
+    return PLACE_WAIT_S * (1 + asked_since(state, view) + behind)
+
+
+def asked_since(state: GatewayState, view: EndpointView) -> int:
+    """Return the adapters that this entry has asked for since the lead's latest word."""
+    return sum(
+        1
+        for ask in state.asks.values()
+        if ask.engine == view.record.name and ask.sent_at > view.view_at
+    )
 
 
 def is_coming(view: EndpointView, key: AdapterKey, at: float) -> bool:
@@ -216,8 +224,7 @@
         return False
     if view.view is None or at - view.view_at > ROOM_FRESH_S:
         return True
-    asked = sum(1 for engine, _ in state.asks if engine == view.record.name)
-    return view.view.room > asked
+    return view.view.room > asked_since(state, view)
 
 
 def choose_plain(state: GatewayState, request: RequestState, at: float) -> EndpointView | None:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -88,8 +88,8 @@
     ----------
     limit_at, objective_at : float
         When it must have its final answer, and when its first byte should be there.
-    asked : str
-        Engine that is to get its adapter.
+    asked, asked_at : str, float
+        Engine that is to get its adapter, and since when.
     ready_at : float
         When that adapter is expected there.
     runs : int
@@ -114,6 +114,7 @@
     dispatched_at: float = 0.0
     began: bool = False
     asked: str = ""
+    asked_at: float = float("-inf")
     ready_at: float = float("inf")
     last_failure: bool = False
     avoid: set[str] = field(factory=set)
