Tests of the gateway's decisions; questions to leads are asked again within a request's patience

A lead counts as silent after 0.6 s: before, a request for which nobody answered was refused first. Tests play repeats, books against an engine's true count, leads, endpoints.

--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -60,7 +60,7 @@
 # Seconds after which an unanswered question to another entry is sent again, and how often
 # before that entry counts as silent; twice the longest round trip and a scheduling delay.
 ASK_AGAIN_S = 0.2
-ASK_TRIES = 4
+ASK_TRIES = 3
 # Seconds for which a silent entry is not asked again.
 SILENT_S = 5.0
 # Seconds between two messages about the use of one engine; costs bytes between zones.
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -107,6 +107,7 @@
     at = event.at
     books.on_tick(state, at, out)
     requests.on_tick(state, at, out)
+    place_anew(state, asking.on_tick(state, at, out), at, out)
     asking.tell_use(state, at, out)
     stop_when_done(state, at, out)
     if at - state.last_slow_tick_at < SLOW_TICK_S:
@@ -114,7 +115,6 @@
     state.last_slow_tick_at = at
     endpoints.on_tick(state, at, out)
     leads.on_tick(state, at, out)
-    place_anew(state, asking.on_tick(state, at, out), at, out)
 
 
 def stop_when_done(state: GatewayState, at: float, out: list) -> None:
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -126,7 +126,6 @@
     request.attempt += 1
     request.endpoint = view.record.name
     request.dispatched_at = at
-    request.began = False
     view.running.add(request.request_id)
     version = 0
     prompt = request.prompt
@@ -156,7 +155,12 @@
         "view_age_s": round(min(at - view.view_at, 999.0), 2),
     }
     if prompt is not None:
-        fields |= {"adapter": str(prompt.key), "version": version}
+        fields |= {
+            "adapter": str(prompt.key),
+            "version": version,
+            "tokens": prompt.tokens,
+            "unread": view.unread_tokens[request.request_id],
+        }
     out.append(LogRequest("sent", request.request_id, fields))
 
 
@@ -212,6 +216,8 @@
     request = state.requests.get(event.request_id)
     if request is None or request.attempt != event.attempt:
         return
+    if not request.began:
+        request.began_at = event.at
     request.began = True
     view = state.endpoints.get(request.endpoint)
     if view is None:
@@ -329,8 +335,9 @@
         "outcome": event.outcome,
         "status": event.status,
         "took_s": round(event.at - request.arrived_at, 4),
+        "first_s": round(request.began_at - request.arrived_at, 4) if request.began else None,
         "attempt": request.attempt,
-        "late": event.at > request.objective_at,
+        "late": request.began and request.began_at > request.objective_at,
     }
     out.append(LogRequest("answered", request.request_id, fields))
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -113,6 +113,7 @@
     endpoint: str = ""
     dispatched_at: float = 0.0
     began: bool = False
+    began_at: float = 0.0
     asked: str = ""
     asked_at: float = float("-inf")
     ready_at: float = float("inf")
--- /dev/null
+++ b/tests/gateway.py
@@ -0,0 +1,190 @@
+"""A gateway's decisions on a clock of the test's own, with one service of engines and a plain one."""
+
+import random
+
+from attrs import evolve
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.limits import GatewayLimits
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    BaseModel,
+    Configuration,
+    EndpointRecord,
+    EngineProfile,
+    EngineReport,
+    Prompt,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Target,
+)
+from poplarhoist.decisions.gateway.reducer import reduce
+from poplarhoist.decisions.gateway.state import GatewayState
+
+MODEL = AdapterKey("base")
+PROFILE = EngineProfile(64, 8, 1000.0, 232000, 4.0, {"base": BaseModel("base", 600.0, 40.0)})
+REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+
+
+def route(prefix: str, service: str = "models", **changes) -> Route:
+    """Return a route of the test's host."""
+    plain = Route(
+        name=prefix,
+        host="host.test",
+        prefix=prefix,
+        kind=RouteKind.STREAM,
+        targets=(Target(service),),
+        limit_s=6.0,
+        objective_s=1.0,
+        attempts=2,
+    )
+    return evolve(plain, **changes)
+
+
+ROUTES = (
+    route("/stream/"),
+    route("/resume/", resumable=True),
+    route("/once/", "desk", kind=RouteKind.ONCE, attempts=1, limit_s=1.5, objective_s=0.3),
+    route("/read/", "desk", kind=RouteKind.REPEATABLE, limit_s=1.5, objective_s=0.3),
+)
+
+
+def configuration(version: int = 1, routes=ROUTES) -> Configuration:
+    """Return a configuration with the services of the test."""
+    services = {
+        "models": ServiceSpec("models", 300, PROFILE),
+        "desk": ServiceSpec("desk", 100),
+    }
+    return Configuration(version, tuple(routes), services)
+
+
+def engine(number: int, held: tuple[str, ...] = (), **changes) -> EndpointRecord:
+    """Return the record of an engine that holds the base model and some adapters."""
+    holds = {MODEL: 1} | {AdapterKey("base", name): 1 for name in held}
+    plain = EndpointRecord(
+        f"e{number}", "models", "10.0.0.1", 8000 + number, "north-a", 64, born=1, held=holds
+    )
+    return evolve(plain, **changes)
+
+
+def desk(number: int, **changes) -> EndpointRecord:
+    """Return the record of an endpoint of the plain service."""
+    plain = EndpointRecord(f"d{number}", "desk", "10.0.1.1", 8000 + number, "north-a", 6, born=1)
+    return evolve(plain, **changes)
+
+
+class Gateway:
+    """One entry's decisions, and the effects that they had."""
+
+    def __init__(self, name: str = "entry-1", peers: tuple[str, ...] = (), **limits) -> None:
+        self.state = GatewayState(
+            me=name,
+            boot="b1",
+            zone="north-a",
+            regions=REGIONS,
+            random=random.Random(1),
+            limits=GatewayLimits(**limits),
+        )
+        self.at = 0.0
+        self.effects: list = []
+        self.requests = 0
+        for peer in (name, *peers):
+            self.submit(ev.EntrySeen, name=peer, host="10.0.2.1", port=7000, zone="north-a")
+
+    def submit(self, kind, **fields) -> list:
+        """Apply an event now; return its effects."""
+        effects = reduce(self.state, kind(at=self.at, **fields))
+        self.effects += effects
+        return effects
+
+    def configure(self, version: int = 1, routes=ROUTES) -> None:
+        """Take a configuration."""
+        self.submit(ev.ConfigurationSeen, configuration=configuration(version, routes))
+
+    def list(self, *records: EndpointRecord) -> None:
+        """Take the whole list of endpoints."""
+        for record in records:
+            self.submit(ev.EndpointSeen, record=record)
+        self.submit(ev.EndpointsListed, names=frozenset(record.name for record in records))
+
+    def run(self, seconds: float, step_s: float = 0.025) -> list:
+        """Let time pass; return the effects meanwhile."""
+        effects = []
+        ends_at = self.at + seconds
+        while self.at < ends_at - 1e-9:
+            self.at += step_s
+            effects += self.submit(ev.Tick)
+        return effects
+
+    def ask(self, path: str, adapter: str | None = None, **fields) -> tuple[str, list]:
+        """Let a caller's request arrive; return its id and the effects."""
+        self.requests += 1
+        request_id = f"r{self.requests}"
+        prompt = Prompt(AdapterKey("base", adapter), 1000) if adapter is not None else None
+        values = {"deadline_s": 6.0, "prompt": prompt, "host": "host.test", "path": path} | fields
+        effects = self.submit(
+            ev.RequestArrived, request_id=request_id, caller_id=f"c{self.requests}", **values
+        )
+        return request_id, effects
+
+    def end(self, dispatch: fx.Dispatch, outcome: ev.Outcome, **fields) -> list:
+        """Let an attempt end."""
+        return self.submit(
+            ev.AttemptEnded,
+            request_id=dispatch.request_id,
+            attempt=dispatch.attempt,
+            outcome=outcome,
+            **fields,
+        )
+
+    def lead(self, name: str, holder: str = "", epoch: int = 1, revision: int = 1) -> None:
+        """Let the store say who leads an engine; this entry if none is named."""
+        if holder:
+            self.submit(ev.LeadSeen, engine=name, holder=holder, epoch=epoch, revision=revision)
+            return
+        self.state.started_at = self.at - 10.0
+        claims = of(fx.Claim, self.run(0.3))
+        claim = next(claim for claim in claims if claim.engine == name)
+        self.submit(
+            ev.ClaimEnded,
+            engine=name,
+            epoch=claim.epoch,
+            status=ev.CallStatus.OK,
+            revision=revision,
+        )
+
+    def report(
+        self, name: str, held: tuple[str, ...] = (), orders=0, with_model=True, **fields
+    ) -> list:
+        """Let an engine's report be read."""
+        holds = {AdapterKey("base", adapter): 1 for adapter in held}
+        if with_model:
+            holds[MODEL] = 1
+        values = {"held": holds, "coming": {}, "running": 0, "waiting": 0} | fields
+        report = EngineReport(orders=orders, **{"born": 1, "busy": False, **values})
+        return self.submit(ev.ReportRead, asked_at=self.at, engine=name, report=report)
+
+    def hear(self, sender: str, message: messages.Message) -> list:
+        """Let another entry's message arrive."""
+        return self.submit(ev.PeerSaid, sender=sender, message=message)
+
+    def order_ended(self, order: fx.SendOrder, status: ev.OrderStatus) -> list:
+        """Let an order be answered."""
+        return self.submit(
+            ev.OrderEnded, engine=order.engine.name, number=order.number, status=status
+        )
+
+
+def of(kind: type, effects: list) -> list:
+    """Return the effects of a kind."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def one(kind: type, effects: list):
+    """Return the only effect of a kind."""
+    found = of(kind, effects)
+    assert len(found) == 1, found
+    return found[0]
--- /dev/null
+++ b/tests/test_gateway_books.py
@@ -0,0 +1,215 @@
+"""The books of an engine's places: never more than fit, one order at a time, nothing assumed."""
+
+import pytest
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.books import places_taken
+from poplarhoist.decisions.gateway.events import OrderStatus
+from poplarhoist.decisions.gateway.models import AdapterKey
+from tests.gateway import Gateway, engine, of, one
+
+EIGHT = tuple(f"a{number}" for number in range(1, 9))
+
+
+def lead(held: tuple[str, ...] = (), **limits) -> Gateway:
+    """Return an entry that leads an engine and knows its places."""
+    gateway = Gateway(peers=("other",), **limits)
+    gateway.configure()
+    gateway.list(engine(1, held))
+    gateway.lead("e1")
+    gateway.report("e1", held, orders=3)
+    return gateway
+
+
+def ask(adapter: str, **fields) -> messages.Ask:
+    values = {"version": 0, "priority": 1} | fields
+    return messages.Ask("e1", "base", adapter, **values)
+
+
+def key(adapter: str) -> AdapterKey:
+    return AdapterKey("base", adapter)
+
+
+def test_a_load_names_the_count_of_orders_and_the_epoch():
+    gateway = lead()
+    order = one(fx.SendOrder, gateway.hear("other", ask("a1")))
+    assert (order.kind, order.key, order.expected, order.epoch) == ("load", key("a1"), 3, 1)
+
+
+def test_one_order_at_a_time():
+    gateway = lead()
+    first = one(fx.SendOrder, gateway.hear("other", ask("a1")))
+    assert not of(fx.SendOrder, gateway.hear("other", ask("a2")))
+    second = one(fx.SendOrder, gateway.order_ended(first, OrderStatus.ACCEPTED))
+    assert (second.key, second.expected) == (key("a2"), 4)
+
+
+def test_an_idle_adapter_makes_way_the_least_recently_used_first():
+    gateway = lead(EIGHT)
+    gateway.run(1.0)
+    use = messages.Use("e1", {"base/a1": 1}, ("base/a1", "base/a2"))
+    gateway.hear("other", use)
+    gateway.run(0.5)
+    unload = one(fx.SendOrder, gateway.hear("other", ask("b1")))
+    assert (unload.kind, unload.key) == ("unload", key("a3"))
+    load = one(fx.SendOrder, gateway.order_ended(unload, OrderStatus.DONE))
+    assert (load.kind, load.key, load.expected) == ("load", key("b1"), 4)
+
+
+def test_what_is_in_use_anywhere_stays():
+    gateway = lead(EIGHT)
+    gateway.run(1.0)
+    running = {f"base/{name}": 1 for name in EIGHT}
+    gateway.hear("other", messages.Use("e1", running, tuple(running)))
+    gateway.run(0.5)
+    effects = gateway.hear("other", ask("b1"))
+    assert not of(fx.SendOrder, effects)
+    view = [e.message for e in of(fx.SendPeer, effects) if e.peer == "other"][-1]
+    assert view.room < 0
+
+
+def test_an_adapter_stays_for_the_entry_that_asked_for_it():
+    gateway = lead(EIGHT[:7])
+    gateway.run(1.0)
+    load = one(fx.SendOrder, gateway.hear("other", ask("b1")))
+    gateway.order_ended(load, OrderStatus.ACCEPTED)
+    gateway.run(0.5)
+    effects = gateway.hear("other", ask("b2"))
+    assert one(fx.SendOrder, effects).key != key("b1")
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_a_load_without_an_answer_keeps_its_place_until_it_can_no_longer_arrive(late):
+    gateway = lead(EIGHT[:6])
+    gateway.run(1.0)
+    lost = one(fx.SendOrder, gateway.hear("other", ask("b1")))
+    gateway.order_ended(lost, OrderStatus.UNKNOWN)
+    book = gateway.state.books["e1"]
+    assert not book.synced
+    assert places_taken(book) == 7
+    gateway.run(0.5)
+    if late:
+        gateway.report("e1", (*EIGHT[:6], "b1"), orders=4)
+        assert places_taken(book) == 7
+        assert key("b1") in book.held
+    else:
+        gateway.report("e1", EIGHT[:6], orders=3)
+        # It may still be carried out: the place stays taken, and the same order is sent again.
+        assert places_taken(book) == 7
+        again = of(fx.SendOrder, gateway.effects)[-1]
+        assert (again.key, again.expected) == (key("b1"), 3)
+        gateway.order_ended(again, OrderStatus.ACCEPTED)
+        assert places_taken(book) == 7
+
+
+def test_never_more_than_fit_whatever_becomes_of_the_orders():
+    """Plays loads whose orders are lost, late, refused or taken, against an engine's true count."""
+    for seed in range(40):
+        gateway = lead()
+        gateway.state.random.seed(seed)
+        draw = gateway.state.random
+        truth, orders, late = set(), 3, []
+        for number in range(150):
+            effects = gateway.hear("other", ask(f"x{draw.randrange(30)}")) + gateway.run(0.3)
+            for order in of(fx.SendOrder, effects):
+                status = draw.choice(
+                    [OrderStatus.ACCEPTED] * 5 + [OrderStatus.UNKNOWN, OrderStatus.MISMATCH]
+                )
+                if status is OrderStatus.UNKNOWN and draw.random() < 0.5:
+                    late.append((number + draw.randrange(1, 30), order))
+                if status in (OrderStatus.ACCEPTED, OrderStatus.UNKNOWN) and not any(
+                    item[1] is order for item in late
+                ):
+                    orders = carry_out(order, truth, orders)
+                gateway.order_ended(order, status)
+            for item in [item for item in late if item[0] <= number]:
+                late.remove(item)
+                orders = carry_out(item[1], truth, orders)
+            assert len(truth) <= 8, (seed, number)
+            if of(fx.ReadReport, effects):
+                gateway.report("e1", tuple(sorted(truth)), orders=orders)
+
+
+def carry_out(order: fx.SendOrder, truth: set[str], orders: int) -> int:
+    """Do what an engine does with an order; return its count of orders."""
+    if order.expected != orders:
+        return orders
+    if order.kind == "load":
+        truth.add(order.key.adapter)
+    else:
+        truth.discard(order.key.adapter)
+    return orders + 1
+
+
+def test_a_restart_under_the_same_name_empties_the_books_but_not_what_is_on_its_way():
+    gateway = lead(EIGHT[:2])
+    lost = one(fx.SendOrder, gateway.hear("other", ask("b1")))
+    gateway.order_ended(lost, OrderStatus.UNKNOWN)
+    gateway.run(0.5)
+    gateway.report("e1", (), orders=0, born=2)
+    book = gateway.state.books["e1"]
+    assert set(book.held) == set()
+    assert places_taken(book) >= 1
+
+
+def test_an_engine_without_its_base_model_gets_that_first():
+    gateway = lead()
+    book = gateway.state.books["e1"]
+    gateway.report("e1", (), born=2, with_model=False)
+    order = [o for o in of(fx.SendOrder, gateway.effects) if o.key.adapter == ""][-1]
+    assert order.kind == "load"
+    assert book.models == set()
+
+
+@pytest.mark.parametrize(
+    ("in_use", "since_s", "expected"),
+    [(False, 0.5, ("load", 2)), (True, 0.5, None), (True, 3.0, ("load", 2))],
+)
+def test_a_newer_version_replaces_the_old_one_when_it_is_idle_or_overdue(in_use, since_s, expected):
+    gateway = lead(("a1",))
+    gateway.hear("other", messages.Use("e1", {"base/a1": 1} if in_use else {}, ("base/a1",)))
+    gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=2)
+    if in_use and since_s > 1.0:
+        gateway.run(2.0)
+        gateway.hear("other", messages.Use("e1", {"base/a1": 1}, ("base/a1",)))
+    gateway.run(since_s)
+    orders = of(fx.SendOrder, gateway.effects)
+    assert ([(o.kind, o.version) for o in orders][:1] or [None])[0] == expected
+
+
+def test_a_request_does_not_begin_on_an_old_version_after_a_while():
+    gateway = lead(("a1",))
+    gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=2)
+    assert one(fx.Dispatch, gateway.ask("/stream/x", "a1")[1]).version == 0
+    gateway.at += 2.5
+    assert not of(fx.Dispatch, gateway.ask("/stream/x", "a1")[1])
+
+
+def test_a_refusal_for_an_old_epoch_ends_the_lead():
+    gateway = lead()
+    order = one(fx.SendOrder, gateway.hear("other", ask("a1")))
+    gateway.order_ended(order, OrderStatus.FENCED)
+    assert "e1" not in gateway.state.books
+    assert not of(fx.SendOrder, gateway.hear("other", ask("a2")))
+
+
+def test_a_request_goes_out_when_its_adapter_is_there_and_not_before():
+    gateway = lead()
+    _, effects = gateway.ask("/stream/x", "a1")
+    order = one(fx.SendOrder, effects)
+    gateway.order_ended(order, OrderStatus.ACCEPTED)
+    assert not of(fx.Dispatch, gateway.run(0.2))
+    dispatch = one(fx.Dispatch, gateway.run(0.2))
+    assert dispatch.endpoint.name == "e1"
+
+
+def test_an_adapter_that_comes_later_than_expected_is_waited_for_again():
+    gateway = lead()
+    _, effects = gateway.ask("/stream/x", "a1")
+    gateway.order_ended(one(fx.SendOrder, effects), OrderStatus.ACCEPTED)
+    dispatch = one(fx.Dispatch, gateway.run(0.4))
+    assert not of(fx.Dispatch, gateway.end(dispatch, ev.Outcome.NOT_RUN))
+    second = one(fx.Dispatch, gateway.run(0.2))
+    assert second.attempt == 2
--- /dev/null
+++ b/tests/test_gateway_requests.py
@@ -0,0 +1,207 @@
+"""Requests through a gateway: where they go, what is sent again, and what is refused how."""
+
+import pytest
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.events import Outcome
+from poplarhoist.decisions.gateway.models import Refused, Target
+from tests.gateway import ROUTES, Gateway, desk, engine, of, one, route
+
+
+def site(**options) -> Gateway:
+    gateway = Gateway(**options)
+    gateway.configure()
+    gateway.list(engine(1, ("a1",)), engine(2, ("a1",)), desk(1), desk(2), desk(3))
+    return gateway
+
+
+@pytest.mark.parametrize(
+    ("configured", "path", "reason"),
+    [
+        (False, "/stream/x", Refused.NOT_CONFIGURED),
+        (True, "/unknown/x", Refused.NO_ROUTE),
+        (True, "/streams", Refused.NO_ROUTE),
+    ],
+)
+def test_what_has_no_route_is_refused_at_once_as_not_run(configured, path, reason):
+    gateway = Gateway()
+    if configured:
+        gateway.configure()
+        gateway.list(engine(1))
+    _, effects = gateway.ask(path)
+    refusal = one(fx.Refuse, effects)
+    assert (refusal.reason, refusal.ran) == (reason, False)
+
+
+def test_the_longest_prefix_wins_and_the_host_ignores_case_and_port():
+    gateway = site()
+    gateway.configure(2, (*ROUTES, route("/read/deep/", "models")))
+    _, effects = gateway.ask("/read/deep/x", host="HOST.test:80", adapter="a1")
+    assert one(fx.Dispatch, effects).endpoint.service == "models"
+    _, effects = gateway.ask("/read/other")
+    assert one(fx.Dispatch, effects).endpoint.service == "desk"
+
+
+def test_a_split_route_sends_by_weight():
+    gateway = site()
+    targets = (Target("models", 3.0), Target("desk", 1.0))
+    gateway.configure(2, (route("/split/", targets=targets),))
+    services = []
+    for _ in range(200):
+        services.append(one(fx.Dispatch, gateway.ask("/split/x")[1]).endpoint.service)
+    assert 0.65 < services.count("models") / len(services) < 0.85
+
+
+# path, how the first attempt ends, whether bytes were delivered, whether it is sent again
+REPEATS = [
+    ("/once/x", Outcome.NOT_SENT, False, True),
+    ("/once/x", Outcome.NOT_RUN, False, True),
+    ("/once/x", Outcome.BROKEN, False, False),
+    ("/once/x", Outcome.FAILED, False, False),
+    ("/once/x", Outcome.TIMED_OUT, False, False),
+    ("/read/x", Outcome.BROKEN, False, True),
+    ("/read/x", Outcome.FAILED, False, True),
+    ("/read/x", Outcome.TIMED_OUT, False, False),
+    ("/stream/x", Outcome.BROKEN, False, False),
+    ("/stream/x", Outcome.NOT_RUN, False, True),
+    ("/resume/x", Outcome.BROKEN, False, True),
+    ("/resume/x", Outcome.BROKEN, True, True),
+]
+
+
+@pytest.mark.parametrize(("path", "outcome", "delivered", "again"), REPEATS)
+def test_only_what_did_not_run_or_may_run_again_is_sent_again(path, outcome, delivered, again):
+    gateway = site()
+    adapter = None if path in ("/once/x", "/read/x") else "a1"
+    _, effects = gateway.ask(path, adapter)
+    first = one(fx.Dispatch, effects)
+    effects = gateway.end(first, outcome, status=500, delivered=delivered)
+    assert bool(of(fx.Dispatch, effects)) is again
+    if not again and outcome is not Outcome.FAILED:
+        assert one(fx.Refuse, effects).ran
+    if outcome is Outcome.FAILED and not again:
+        assert of(fx.PassFailure, effects)
+    if again:
+        second = one(fx.Dispatch, effects)
+        assert second.endpoint.name != first.endpoint.name or outcome is Outcome.NOT_RUN
+
+
+def test_a_refusal_says_not_run_only_if_no_attempt_may_have_run():
+    gateway = site()
+    _, effects = gateway.ask("/read/x")
+    effects = gateway.end(one(fx.Dispatch, effects), Outcome.BROKEN)
+    effects = gateway.end(one(fx.Dispatch, effects), Outcome.NOT_SENT)
+    for _ in range(20):
+        effects = [e for d in of(fx.Dispatch, effects) for e in gateway.end(d, Outcome.NOT_SENT)]
+        effects += gateway.run(0.025)
+    assert one(fx.Refuse, gateway.effects).ran
+
+
+def test_no_more_endpoints_run_a_request_than_its_route_allows():
+    gateway = site()
+    _, effects = gateway.ask("/read/x")
+    for _ in range(2):
+        effects = gateway.end(one(fx.Dispatch, effects), Outcome.BROKEN)
+    assert not of(fx.Dispatch, effects)
+    assert one(fx.Refuse, effects).ran
+
+
+@pytest.mark.parametrize("entries", [1, 4])
+def test_repeats_keep_within_this_entrys_share_of_the_budget(entries):
+    peers = tuple(f"p{number}" for number in range(entries - 1))
+    gateway = site(peers=peers, retry_ratio=0.2, retry_slack=40.0, retry_window_s=10.0)
+    repeats = 0
+    for _ in range(100):
+        _, effects = gateway.ask("/read/x")
+        while dispatched := of(fx.Dispatch, effects):
+            repeats += dispatched[0].attempt > 1
+            effects = gateway.end(dispatched[0], Outcome.NOT_SENT)
+        gateway.at += 0.05
+    assert 0 < repeats <= 0.2 * 100 + 40.0 / entries
+
+
+def test_an_endpoint_gets_less_time_with_each_attempt():
+    gateway = site()
+    _, effects = gateway.ask("/read/x", deadline_s=1.0)
+    first = one(fx.Dispatch, effects)
+    gateway.at += 0.4
+    second = one(fx.Dispatch, gateway.end(first, Outcome.NOT_SENT))
+    assert first.left_s <= 1.0
+    assert second.left_s <= first.left_s - 0.4
+
+
+def test_the_routes_limit_bounds_what_a_caller_would_wait():
+    gateway = site()
+    _, effects = gateway.ask("/read/x", deadline_s=60.0)
+    assert one(fx.Dispatch, effects).left_s <= 1.5
+
+
+def test_a_request_for_which_nobody_is_there_is_refused_soon_with_a_time_to_return():
+    gateway = Gateway()
+    gateway.configure()
+    gateway.list(engine(1))
+    asked_at = gateway.at
+    _, effects = gateway.ask("/read/x")
+    refusal = one(fx.Refuse, effects + gateway.run(0.3))
+    assert refusal.reason is Refused.NO_ENDPOINT
+    assert refusal.retry_after_s > 0
+    assert not refusal.ran
+    assert gateway.at - asked_at <= 0.31
+
+
+def crash(gateway: Gateway, content: str, number: int) -> None:
+    """Let a request of a content crash a desk that is there for this only."""
+    for name in [name for name in gateway.state.endpoints if name.startswith("d")]:
+        gateway.submit(ev.EndpointRemoved, name=name)
+    gateway.submit(ev.EndpointSeen, record=desk(number))
+    _, effects = gateway.ask("/once/x", content=content)
+    gateway.end(one(fx.Dispatch, effects), Outcome.BROKEN)
+    gateway.submit(ev.EndpointSeen, record=desk(number, born=2))
+
+
+def test_what_crashed_three_endpoints_is_refused_everywhere():
+    gateway = site(peers=("other",))
+    for number in range(10, 13):
+        crash(gateway, "poison", number)
+    told = of(fx.SendPeer, gateway.effects)
+    assert {effect.peer for effect in told} >= {"other"}
+    _, effects = gateway.ask("/once/x", content="poison")
+    refusal = one(fx.Refuse, effects)
+    assert (refusal.reason, refusal.ran) == (Refused.SUSPECT, False)
+    _, effects = gateway.ask("/once/x", content="harmless")
+    assert of(fx.Dispatch, effects)
+
+    other = site()
+    for effect in told:
+        if type(effect.message).__name__ == "Crashed":
+            other.hear("entry-1", effect.message)
+    _, effects = other.ask("/once/x", content="poison")
+    assert one(fx.Refuse, effects).reason is Refused.SUSPECT
+
+
+def test_a_caller_that_leaves_while_it_waits_is_forgotten():
+    gateway = site()
+    request_id, effects = gateway.ask("/stream/x", "cold")
+    assert not of(fx.Dispatch, effects)
+    gateway.submit(ev.CallerLeft, request_id=request_id)
+    assert gateway.state.requests == {}
+    assert not of(fx.Dispatch, gateway.run(2.0))
+
+
+def test_the_configuration_never_goes_back():
+    gateway = site()
+    gateway.configure(7, (route("/new/"),))
+    gateway.configure(3)
+    assert one(fx.Refuse, gateway.ask("/read/x")[1]).reason is Refused.NO_ROUTE
+    assert of(fx.Dispatch, gateway.ask("/new/x", "a1")[1])
+
+
+def test_a_stopping_entry_serves_on_and_stops_listening_when_nobody_is_sent_to_it():
+    gateway = site()
+    gateway.submit(ev.DrainAsked)
+    assert of(fx.Dispatch, gateway.ask("/read/x")[1])
+    assert not of(fx.StopListening, gateway.run(2.0))
+    assert of(fx.StopListening, gateway.run(0.5))
+    assert not of(fx.Stop, gateway.run(4.0))
+    assert of(fx.Stop, gateway.run(1.5))
