Load only what somebody still waits for; replace a version once its runs have ended

Cause 1: questions of requests that had been refused stood for 3 s, so engines loaded adapters that nobody waited for. Cause 2: a replacement of a version in use made the engine turn all other orders away. Orders without an answer are found after 0.35 s, not 0.6.

--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -15,6 +15,7 @@
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportRead
 from poplarhoist.decisions.gateway.limits import (
+    ASK_AGAIN_S,
     ASKED_S,
     COMING_LIMIT,
     FETCH_S,
@@ -42,8 +43,9 @@
 JUST_LOADED_S = 1.0
 # Seconds between two reports of an engine with an adapter that makes way.
 LEAVING_REPORT_S = 0.4
-# Seconds for which an adapter that nobody got is wanted.
-WANT_S = 3.0
+# Seconds for which an adapter is wanted after a question for it; entries whose requests still wait
+# ask again sooner.
+WANT_S = 2.5 * ASK_AGAIN_S
 # Orders in a row that an engine may turn away as another one is under way, before its books are
 # in doubt.
 MISMATCHES = 2
@@ -68,16 +70,18 @@
     held = book.held.get(key)
     if held is not None and message.absent:
         if at - held.since < JUST_LOADED_S:
-            # The load takes longer than expected.
+            # The load takes longer than expected, and the longer the more often that is seen.
             del book.held[key]
-            book.coming[key] = Coming(held.version, at + LATE_LOAD_S, 1)
+            tries = held.tries + 1
+            book.coming[key] = Coming(held.version, at + LATE_LOAD_S * tries, tries)
         elif at - held.since > REPORT_LAG_S:
             doubt(book, at, "absent", out)
             del book.held[key]
     if key in book.held and book.held[key].version >= message.version:
         book.held[key].used_at = at + ASKED_S
     else:
-        want = book.wants.setdefault(key, Want(message.version, message.priority, at))
+        want = book.wants.setdefault(key, Want(message.version, message.priority, at, at))
+        want.asked_at = at
         want.version = max(want.version, message.version)
         want.priority = min(want.priority, message.priority)
         want.entries.add(sender)
@@ -159,7 +163,7 @@
             if at >= coming.due_at:
                 arrive(book, key, coming, at)
         book.ghosts = [ghost for ghost in book.ghosts if ghost.until > at]
-        for key in [key for key, want in book.wants.items() if at - want.since > WANT_S]:
+        for key in [key for key, want in book.wants.items() if at - want.asked_at > WANT_S]:
             del book.wants[key]
         want_report(state, book, at, out)
         step(state, book, at, out)
@@ -170,7 +174,7 @@
     del book.coming[key]
     want = book.wants.get(key)
     kept_until = at + ASKED_S if want is not None else at
-    book.held[key] = Held(coming.version, kept_until, at)
+    book.held[key] = Held(coming.version, kept_until, at, coming.tries)
     note_warm(book, key)
     if want is not None and want.version <= coming.version:
         del book.wants[key]
@@ -287,6 +291,9 @@
             break
         announced = state.versions.get(key)
         version = max(want.version, announced.version if announced else 0)
+        if key in book.held and evicting.running(state, book, key, at):
+            # A replacement would wait for the runs, and hold up all other orders meanwhile.
+            continue
         if key in book.held or places_taken(book) < places(offers):
             order(state, book, OrderKind.LOAD, key, version, at, out)
             return
@@ -363,11 +370,10 @@
             for key in list(book.wants):
                 tell_wanting(state, book, key, event.at, out)
         case OrderStatus.MISMATCH if not given.load and given.key in book.held:
-            # It is still on its way: its load takes longer than expected.
-            held = book.held.pop(given.key)
-            book.coming[given.key] = Coming(held.version, event.at + LATE_LOAD_S * 2)
+            # Its load takes longer than expected, or another order waits for runs to end.
+            book.held[given.key].used_at = event.at
             book.mismatches += 1
-            if book.mismatches > MISMATCHES:
+            if book.mismatches >= MISMATCHES:
                 doubt(book, event.at, event.status, out)
         case _:
             doubt(book, event.at, event.status, out)
--- a/poplarhoist/decisions/gateway/evicting.py
+++ b/poplarhoist/decisions/gateway/evicting.py
@@ -9,9 +9,6 @@
 
 # Seconds since its last use within which an outdated adapter is fetched anew rather than dropped.
 STILL_USED_S = 3.0
-# Share of the time allowed for a new version after which it is ordered though the old one runs;
-# the engine lets the runs end first.
-FORCE_SHARE = 0.5
 
 
 def running(state: GatewayState, book: Book, key: AdapterKey, at: float) -> int:
@@ -47,10 +44,10 @@
         announced = state.versions.get(key)
         if announced is None or held.version >= announced.version:
             continue
-        busy = running(state, book, key, at) > 0
-        if busy and at - announced.at < state.limits.version_s * FORCE_SHARE:
+        if running(state, book, key, at) or at - held.used_at < IDLE_S:
+            # The engine would let the runs end first and take no other order meanwhile.
             continue
-        if busy or at - held.used_at < STILL_USED_S:
+        if at - held.used_at < STILL_USED_S:
             return OrderKind.LOAD, key, announced.version
         return OrderKind.UNLOAD, key, 0
     return None
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -194,19 +194,22 @@
     state: GatewayState, request: RequestState, reason: Refused, out: list, after_s=COME_BACK_S
 ) -> None:
     """Give a request its final answer."""
-    stop_waiting(state, request)
-    release(state, request)
-    state.requests.pop(request.request_id, None)
-    ran = request.runs > 0
-    out.append(Refuse(request.request_id, reason, ran, 0.0 if ran else after_s))
+    at = state.last_event_at
     fields = {
         "caller_id": request.caller_id,
         "reason": reason,
-        "ran": ran,
+        "ran": request.runs > 0,
         "attempt": request.attempt,
         "endpoint": request.endpoint,
         "asked": request.asked,
+        "waited_s": round(at - request.arrived_at, 3),
+        **routing.rooms(state, request, at),
     }
+    stop_waiting(state, request)
+    release(state, request)
+    state.requests.pop(request.request_id, None)
+    ran = request.runs > 0
+    out.append(Refuse(request.request_id, reason, ran, 0.0 if ran else after_s))
     out.append(LogRequest("refused", request.request_id, fields))
     out.append(Count("refused", (reason.name.lower(), request.route.kind)))
 
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -45,6 +45,8 @@
 COLD_COST_S = 1.2
 # Engines that are homes of an adapter; with two, the less busy one can be chosen.
 HOMES = 2
+# Seconds until the runs of an older version have ended at an engine that holds it.
+OLD_VERSION_S = 0.5
 # Seconds until an engine whose places are all in use has one free; requests last two seconds.
 PLACE_WAIT_S = 0.25
 # Seconds for which a lead's word on what is coming, and on room, holds.
@@ -175,6 +177,8 @@
             options.append((costs[name] + COMING_S, rank, view, False))
         elif at >= view.no_orders_until:
             wait_s = 0.0 if has_room(state, view, at) else place_wait_s(state, view)
+            if key in view.held:
+                wait_s += OLD_VERSION_S
             cost = costs[name] + fetch_cost_s(view, key, rank) + wait_s
             options.append((cost, rank, view, False))
     if not options:
@@ -203,6 +207,18 @@
     return PLACE_WAIT_S * (1 + asked_since(state, view) + behind)
 
 
+def rooms(state: GatewayState, request: RequestState, at: float) -> dict[str, object]:
+    """Return what is known of places for a waiting request, for the logs."""
+    if not request.asked:
+        return {}
+    found = {}
+    for name in state.endpoints_by_service.get(request.service, ()):
+        view = state.endpoints[name]
+        told = view.view
+        found[name] = [told.room, round(at - view.view_at, 2)] if told is not None else None
+    return {"rooms": found}
+
+
 def asked_since(state: GatewayState, view: EndpointView) -> int:
     """Return the adapters that this entry has asked for since the lead's latest word."""
     return sum(
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -161,6 +161,7 @@
     version: int
     used_at: float
     since: float
+    tries: int = 0
 
 
 @define
@@ -199,6 +200,7 @@
     version: int
     priority: int
     since: float
+    asked_at: float
     entries: set[str] = field(factory=set)
 
 
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -13,8 +13,8 @@
 from poplarhoist.gateway.sockets import socket_options
 
 # Seconds until an order or a question counts as unanswered; an engine answers in milliseconds,
-# and twice the way between regions and back is 0.12.
-ORDER_S = 0.6
+# a connection and an answer between regions take 0.12.
+ORDER_S = 0.35
 
 
 class EngineCalls:
