--- a/tests/test_gateway_books.py
+++ b/tests/test_gateway_books.py
@@ -203,9 +203,8 @@
     gateway.order_ended(order, OrderStatus.ACCEPTED)
     gateway.hear("other", ask("a1", version=2))
     gateway.hear("other", messages.Use("e1", {}, ("base/a1",)))
-    gateway.run(0.2)
-    gateway.hear("other", ask("a1", version=2))
-    assert [(o.key, o.version) for o in of(fx.SendOrder, gateway.run(0.5))] == [(key("a1"), 2)]
+    effects = gateway.run(0.2) + gateway.hear("other", ask("a1", version=2)) + gateway.run(0.2)
+    assert [(o.key, o.version) for o in of(fx.SendOrder, effects)] == [(key("a1"), 2)]
 
 
 def test_an_order_that_is_turned_away_leaves_the_other_adapters_alone():
