--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,216 @@
+"""The whole path on the platform: a real entry between callers, a store and endpoints."""
+
+import http.client
+import threading
+import time
+
+import pytest
+
+from tests.platform_site import EVENTS, HOST, PlatformSite
+
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = PlatformSite(tmp_path)
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
+def chunks():
+    yield b"one "
+    yield b"two"
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "body", "arrived"),
+    [
+        ("GET", "/read/a%2Fb?x=1&y=%20", None, b""),
+        ("POST", "/once/b", b"POST /once/x HTTP/1.1\r\n\r\n", b"POST /once/x HTTP/1.1\r\n\r\n"),
+        ("POST", "/once/c?", chunks(), b"one two"),
+    ],
+)
+def test_a_request_arrives_as_it_was_sent(site, method, target, body, arrived):
+    reserved = {"X_Hold": "h", "X_Target_Instance": "other", "Kv_From": "x", "X_Pin_Ms": "9"}
+    status, headers, data = site.ask(
+        target, body=body, method=method, X_Own="kept", Keep_Alive="x", **reserved
+    )
+    assert (status, data) == (200, b"done " + arrived)
+    assert headers["X-Response-Seal"] == "s"
+    command, path, sent, got = site.endpoints["d1"].requests[0]
+    assert (command, path, got) == (method, target, arrived)
+    assert sent["x-own"] == "kept"
+    assert sent["x-target-instance"] == "d1"
+    assert 0 < int(sent["x-deadline-ms"]) <= 6000
+    assert not {"x-hold", "kv-from", "x-pin-ms", "keep-alive"} & set(sent)
+
+
+def test_an_adapter_is_loaded_for_a_request_and_its_stream_passed_on(site):
+    status, _, data = site.ask("/stream/x", "a1")
+    assert (status, data) == (200, WHOLE)
+    orders = [o for name in ("e1", "e2") for o in site.endpoints[name].taken]
+    assert [(order["op"], order["adapter"]) for order in orders] == [("load", "a1")]
+
+
+@pytest.mark.parametrize("fault", ["refused", "lost"])
+def test_an_order_that_fails_once_is_made_good(site, fault):
+    for name in ("e1", "e2"):
+        site.endpoints[name].order_faults.append(fault)
+    status, _, data = site.ask("/stream/x", "a1")
+    if status == 503:
+        time.sleep(1.0)
+        status, _, data = site.ask("/stream/x", "a1")
+    assert (status, data) == (200, WHOLE)
+    assert max(len(site.endpoints[name].adapters) for name in ("e1", "e2")) <= 2
+
+
+def test_a_new_version_replaces_the_old_one(site):
+    assert site.ask("/stream/x", "a1")[0] == 200
+    site.store.put("versions", "base.a1", {"model": "base", "adapter": "a1", "version": 2})
+    for name in ("e1", "e2"):
+        site.endpoints[name].newest = 2
+    time.sleep(3.0)
+    assert site.ask("/stream/x", "a1")[0] == 200
+    held = [site.endpoints[name].adapters.get("a1") for name in ("e1", "e2")]
+    assert 2 in held
+
+
+# path, fault, how the answer must end: status, or None for a connection that breaks
+FAULTS = [
+    ("/once/x", "full", 503),
+    ("/once/x", "dropped", 502),
+    ("/once/x", "other-request", 502),
+    ("/once/x", "unsigned", 502),
+    ("/once/x", "short", 502),
+    ("/once/x", "error", 500),
+    ("/read/x", "short", 200),
+    ("/read/x", "dropped", 200),
+    ("/read/x", "error", 200),
+]
+
+
+@pytest.mark.parametrize(("path", "fault", "expected"), FAULTS)
+def test_a_faulty_answer_is_never_passed_on_as_whole(site, path, fault, expected):
+    site.endpoints["d1"].faults = [fault] * (8 if fault == "full" else 1)
+    status, headers, data = site.ask(path)
+    assert status == expected
+    if expected == 200:
+        assert data == b"done "
+    if expected == 503:
+        assert float(headers["Retry-After"]) > 0
+    runs = [request for request in site.endpoints["d1"].requests]
+    if path == "/once/x" and fault != "full":
+        assert len(runs) == 1
+
+
+def test_a_torn_stream_goes_on_at_the_other_engine(site):
+    for name in ("e1", "e2"):
+        site.endpoints[name].adapters["a1"] = 1
+        site.endpoints[name].faults = ["torn"]
+    site.register("e1", "e2")
+    time.sleep(1.0)
+    site.endpoints["e2"].faults = []
+    status, headers, data = site.ask("/resume/x", "a1")
+    assert (status, data) == (200, WHOLE)
+    resumed = [r for name in ("e1", "e2") for r in site.endpoints[name].requests]
+    if len(resumed) > 1:
+        assert resumed[-1][2]["last-event-id"] == "2"
+
+
+def test_a_torn_stream_that_may_not_run_again_does_not_look_complete(site):
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = ["torn"]
+    with pytest.raises(http.client.IncompleteRead):
+        site.ask("/stream/x", "a1")
+    assert sum(len(site.endpoints[name].requests) for name in ("e1", "e2")) == 1
+
+
+def test_the_store_away_and_back_without_its_history(site):
+    site.store.away = True
+    time.sleep(1.5)
+    assert site.ask("/read/x", method="GET")[0] == 200
+    route = {"name": "n", "host": "host.test", "pathPrefix": "/new/", "routeKind": "safe"}
+    route |= {"timeoutMs": 1000, "service": "desk"}
+    site.configure(2, route)
+    site.store.forget()
+    assert site.ask("/new/x", method="GET")[0] == 404
+    site.store.away = False
+    site.wait(lambda: site.ask("/new/x", method="GET")[0] == 200, 5.0)
+    assert site.lines("store-lost")
+    assert site.lines("store-regained")
+
+
+def test_no_caller_is_told_that_there_is_no_route_before_the_first_configuration(tmp_path):
+    site = PlatformSite(tmp_path)
+    try:
+        site.register()
+        site.launch()
+        site.wait(lambda: site.status() == 503)
+        assert site.ask("/read/x", method="GET")[0] == 503
+        site.configure()
+        site.wait(lambda: site.status() == 200)
+        assert site.ask("/none/x", method="GET")[0] == 404
+    finally:
+        site.stop()
+
+
+def test_records_that_cannot_be_read_name_no_endpoint(site):
+    for name, record in (
+        ("x1", {"service": "desk"}),
+        ("x2", {"service": 7, "address": "1.2.3.4:5", "zone": "north-a", "state": "ready"}),
+        ("x3", {"service": "desk", "address": "here", "zone": "north-a", "state": "odd"}),
+        ("x4", "text"),
+    ):
+        site.store.put("servers", name, record)
+    site.wait(lambda: len(site.lines("record-unreadable")) == 4, 5.0)
+    assert {site.ask("/read/x", method="GET")[0] for _ in range(8)} == {200}
+
+
+def test_an_endpoint_that_leaves_gets_nothing_more(site):
+    site.register("d1", state="draining")
+    site.wait(lambda: site.lines("endpoint-leaving") != [], 5.0)
+    assert site.ask("/read/x", method="GET")[0] == 503
+
+
+def test_a_stopping_entry_answers_what_it_has_and_closes_its_connections(site):
+    site.endpoints["d1"].work_s = 1.0
+    results = []
+    slow = threading.Thread(target=lambda: results.append(site.ask("/once/x", body=b"slow")))
+    idle = http.client.HTTPConnection(HOST, site.port, timeout=10)
+    idle.request("GET", "/read/x", headers={"Host": "host.test", "X-Request-Id": "kept"})
+    assert idle.getresponse().read() == b"done "
+    slow.start()
+    time.sleep(0.3)
+    site.term()
+    site.wait(lambda: site.status() == 503, 2.0)
+    idle.request("GET", "/read/x", headers={"Host": "host.test", "X-Request-Id": "last"})
+    answer = idle.getresponse()
+    assert answer.headers["Connection"] == "close"
+    assert answer.read() == b"done "
+    slow.join()
+    assert [(status, data) for status, _, data in results] == [(200, b"done slow")]
+    assert site.process.wait(10) == 0
+
+
+def test_an_endpoint_stops_its_work_when_the_caller_leaves(site):
+    site.endpoints["e1"].work_s = site.endpoints["e2"].work_s = 0.5
+    caller = http.client.HTTPConnection(HOST, site.port, timeout=10)
+    headers = {"Host": "host.test", "X-Request-Id": "left", "X-Model": "base/a1"}
+    caller.request("POST", "/stream/x", headers=headers)
+    caller.getresponse().read(5)
+    caller.close()
+    site.wait(lambda: site.lines("caller-left") != [], 2.0)
+
+
+def test_metrics_and_log_lines_tell_of_a_request(site):
+    assert site.ask("/read/x", method="GET", X_Request_Id="told")[0] == 200
+    site.wait(lambda: site.lines("answered") != [], 2.0)
+    sent = [line for line in site.lines("sent") if line["caller_id"] == "told"]
+    answered = [line for line in site.lines("answered") if line["caller_id"] == "told"]
+    assert sent[0]["endpoint"] == "d1"
+    assert (answered[0]["outcome"], answered[0]["status"]) == ("done", 200)
+    assert site.status("/metrics") == 200
