An answer without a length that ends in a reset is not whole

Cause: eventlet reads a reset as the end of the connection. The socket's peer is asked: after a reset there is none.

--- a/poplarhoist/decisions/gateway/asking.py
+++ b/poplarhoist/decisions/gateway/asking.py
@@ -5,7 +5,13 @@
 from poplarhoist.decisions.effects import Count
 from poplarhoist.decisions.gateway import endpoints, leads
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
-from poplarhoist.decisions.gateway.limits import ASK_AGAIN_S, ASK_TRIES, SILENT_S, USE_S
+from poplarhoist.decisions.gateway.leads import pace
+from poplarhoist.decisions.gateway.limits import (
+    ASK_AGAIN_S,
+    ASK_TRIES,
+    SILENT_S,
+    USE_S,
+)
 from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
 from poplarhoist.decisions.gateway.models import AdapterKey
 from poplarhoist.decisions.gateway.routing import required_version
@@ -23,9 +29,6 @@
 READY_MARGIN_S = 0.01
 # Seconds for which an engine whose lead does not answer gets no new adapters from here.
 NO_ORDERS_S = 1.0
-# Entries at which messages about use go at their plain pace; more entries send more rarely, so
-# that the messages of one entry do not grow with their number.
-PLAIN_PACE_ENTRIES = 12
 
 
 def ask(state: GatewayState, request: RequestState, engine: str, at: float, out: list) -> None:
@@ -180,7 +183,7 @@
 
 def tell_use(state: GatewayState, at: float, out: list) -> None:
     """Tell the leads what this entry has at their engines, where it changed."""
-    pace_s = USE_S * max(1.0, len(state.entries) / PLAIN_PACE_ENTRIES)
+    pace_s = USE_S * pace(state)
     for name, view in state.endpoints.items():
         if at - view.use_sent_at < pace_s:
             continue
--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -14,9 +14,12 @@
 from poplarhoist.decisions.gateway.configuration import service_spec
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportRead
+from poplarhoist.decisions.gateway.leads import pace
 from poplarhoist.decisions.gateway.limits import (
     ASK_AGAIN_S,
     ASKED_S,
+    BUSY_S,
+    BUSY_TOKENS,
     COMING_LIMIT,
     FETCH_S,
     LATE_ORDER_S,
@@ -101,8 +104,12 @@
         if held is not None:
             held.used_at = max(held.used_at, at)
     step(state, book, at, out)
-    if sender != state.me:
-        send_view(state, book, sender, at, out)
+    view = view_of(state, book, at)
+    if view.prefill_tokens >= BUSY_TOKENS and at - book.told_all_at >= BUSY_S * pace(state):
+        book.told_all_at = at
+        out.extend(SendPeer(entry, view) for entry in state.entries)
+    elif sender != state.me:
+        out.append(SendPeer(sender, view))
 
 
 def view_of(state: GatewayState, book: Book, at: float) -> View:
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -13,6 +13,7 @@
 from poplarhoist.decisions.gateway.effects import Claim
 from poplarhoist.decisions.gateway.events import CallStatus, ClaimEnded, EntrySeen, LeadSeen
 from poplarhoist.decisions.gateway.hashing import weight
+from poplarhoist.decisions.gateway.limits import PLAIN_PACE_ENTRIES
 from poplarhoist.decisions.gateway.state import (
     Book,
     EndpointView,
@@ -51,6 +52,11 @@
     return known is None or known.silent_until > at
 
 
+def pace(state: GatewayState) -> float:
+    """Return by how much messages between entries are slowed down for their number."""
+    return max(1.0, len(state.entries) / PLAIN_PACE_ENTRIES)
+
+
 def on_entry(state: GatewayState, event: EntrySeen, out: list) -> None:
     """Take note of another entry, or of its end."""
     if not event.host:
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -40,8 +40,9 @@
 RETURN_S = 2.0
 # Seconds without a tick after which this process counts as paused; ticks come every 25 ms.
 PAUSED_S = 1.0
-# Prompt tokens that an engine reads in a second; sheet of the deployment.
-PREFILL_TOKENS_PER_S = 38700.0
+# Prompt tokens that an engine reads in a second; the sheet's 38,700, less the steps of other
+# requests in between, one after each 2,048 tokens.
+PREFILL_TOKENS_PER_S = 34000.0
 # Seconds that one decoding step takes and that each running request adds; sheet and site file.
 STEP_S = 0.0055
 # Seconds added to a request that runs in another region; round trip between regions.
@@ -65,6 +66,14 @@
 SILENT_S = 5.0
 # Seconds between two messages about the use of one engine; costs bytes between zones.
 USE_S = 0.1
+# Prompt tokens waiting at an engine above which its lead tells all entries, also those that have
+# nothing there and would send more; a fifth of a second of reading.
+BUSY_TOKENS = 8000
+# Seconds between two such messages; with many entries they are sent more rarely.
+BUSY_S = 0.25
+# Entries at which messages go at their plain pace; more entries send more rarely, so that the
+# messages of one entry do not grow with their number.
+PLAIN_PACE_ENTRIES = 12
 # Seconds for which a message about the use of an engine holds.
 USE_STALE_S = 4.0
 # Seconds for which an endpoint that failed to connect or broke off is avoided.
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -24,6 +24,8 @@
 
 # Seconds for which the load that an endpoint told with an answer counts.
 TOLD_FRESH_S = 1.0
+# Seconds by pair of tokens of a prompt; half of what the site files tell for a pair.
+ATTENTION_S = 0.37e-9
 # Seconds that one more running request at an engine adds to the time of the others, for a
 # stream of usual length; from the step time by batch size of the sheet.
 RUNNING_S = STEP_S * 2
@@ -42,7 +44,7 @@
 WARM_COST_S = 0.06
 HOME_COST_S = 0.5
 SECOND_HOME_S = 0.25
-COLD_COST_S = 1.2
+COLD_COST_S = 0.9
 # Engines that are homes of an adapter; with two, the less busy one can be chosen.
 HOMES = 2
 # Seconds until the runs of an older version have ended at an engine that holds it.
@@ -118,6 +120,11 @@
         del view.parts[next(iter(view.parts))]
 
 
+def reading_s(tokens: int) -> float:
+    """Return how long an engine reads a prompt: attention grows with the square of its length."""
+    return tokens / PREFILL_TOKENS_PER_S + ATTENTION_S * tokens * tokens
+
+
 def backlog_s(view: EndpointView, at: float) -> float:
     """Return how long a new request would wait at an engine before it is read."""
     unread = sum(view.unread_tokens.values())
@@ -129,7 +136,7 @@
         running += max(0, told.running - (sum(sent.running.values()) if sent else 0))
     if at - view.told_at < TOLD_FRESH_S:
         running = max(running, view.told_load)
-    return unread / PREFILL_TOKENS_PER_S + running * RUNNING_S
+    return reading_s(unread) + running * RUNNING_S
 
 
 def crossing_s(state: GatewayState, view: EndpointView) -> float:
@@ -141,7 +148,7 @@
 
 def cost_s(state: GatewayState, view: EndpointView, prompt: Prompt, at: float) -> float:
     """Return the expected time to the first byte at an engine that has the adapter."""
-    reading = unread_tokens(view, prompt, at) / PREFILL_TOKENS_PER_S
+    reading = reading_s(unread_tokens(view, prompt, at))
     trouble = view.error_rate * ERROR_COST_S
     return backlog_s(view, at) + reading + crossing_s(state, view) + trouble
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -244,6 +244,7 @@
     open: OpenOrder | None = None
     unplaced_since: float | None = None
     mismatches: int = 0
+    told_all_at: float = float("-inf")
 
 
 @define
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import os
 import socket
 from collections.abc import Iterator
 
@@ -78,6 +79,8 @@
             timeout=min(CONNECT_S, order.left_s),
             socket_options=socket_options(SILENT_S),
         )
+        self.sock: socket.socket | None = None
+        self.peer: socket.socket | None = None
         self.cancelled = False
         self.began = False
 
@@ -108,6 +111,8 @@
             )
             self.result = Result(outcome, type(error).__name__, refused=refused)
             return False
+        # The connection gives its socket to an answer that ends with it.
+        self.sock = self.connection.sock
         self.allow_time()
         return True
 
@@ -141,8 +146,7 @@
         """Let the next read last until the answer must be there; silence alone ends nothing."""
         # The connection sets its own timeout on the socket before it reads a head.
         self.connection.timeout = self.left_s()
-        if self.connection.sock is not None:
-            self.connection.sock.settimeout(self.connection.timeout)
+        self.sock.settimeout(self.connection.timeout)
 
     def broke(self, error: Exception) -> None:
         """Note that the endpoint's answer did not arrive, or not whole."""
@@ -167,6 +171,9 @@
         if 200 <= status < 300 and not self.answer.sealed:
             self.result = Result(Outcome.BROKEN, "answer without signature", status)
             return False
+        if not self.response.chunked and "content-length" not in self.response.headers:
+            # Only the end of the connection ends this answer; its socket is closed by then.
+            self.peer = socket.socket(fileno=os.dup(self.sock.fileno()))
         outcome = Outcome.DONE if status < 500 else Outcome.FAILED
         self.result = Result(outcome, "", status, self.answer.returned)
         return True
@@ -202,6 +209,8 @@
         if self.request.method == "HEAD":
             return b""
         data = self.response.read1(READ_BYTES, decode_content=False)
+        if not data and self.peer is not None and was_reset(self.peer):
+            raise ConnectionResetError
         self.note_began()
         return data
 
@@ -233,11 +242,12 @@
 
     def close(self) -> None:
         """Drop the connection."""
-        sock = self.connection.sock
-        if sock is not None:
+        if self.sock is not None:
             # Fails where the other side was first.
             with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+                self.sock.shutdown(socket.SHUT_RDWR)
+        if self.peer is not None:
+            self.peer.close()
         if self.response is not None:
             self.response.close()
         self.connection.close()
@@ -247,6 +257,19 @@
         eventlet.spawn_n(self.cancel)
 
 
+def was_reset(peer: socket.socket) -> bool:
+    """Return whether a connection that ended was reset; eventlet reads both as its end.
+
+    A connection that was reset has no peer any more; one that the other side closed still has.
+    """
+    try:
+        peer.getpeername()
+        peer.shutdown(socket.SHUT_WR)
+    except OSError:
+        return True
+    return False
+
+
 def last_id(events: bytes) -> str:
     """Return the id of the last of some events; empty if none has one."""
     for line in reversed(events.split(b"\n")):
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -243,6 +244,18 @@
             self.end_headers()
             self.wfile.write(b"short")
             self.close_connection = True
+        elif fault in ("unframed", "reset"):
+            self.send_response_only(200)
+            self.send_header("X-Request-Id", request_id)
+            self.send_header("X-Response-Seal", "s")
+            self.end_headers()
+            self.wfile.write(b"unframed")
+            self.close_connection = True
+            if fault == "reset":
+                time.sleep(0.1)
+                linger = struct.pack("ii", 1, 0)
+                self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                self.connection.close()
         elif fault == "error":
             self.answer(500, b"failed", X_Request_Id=request_id, X_Response_Seal="s")
         elif model:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -86,8 +86,11 @@
     ("/once/x", "other-request", 502),
     ("/once/x", "unsigned", 502),
     ("/once/x", "short", 502),
+    ("/once/x", "reset", 502),
+    ("/once/x", "unframed", 200),
     ("/once/x", "error", 500),
     ("/read/x", "short", 200),
+    ("/read/x", "reset", 200),
     ("/read/x", "dropped", 200),
     ("/read/x", "error", 200),
 ]
@@ -99,7 +102,7 @@
     status, headers, data = site.ask(path)
     assert status == expected
     if expected == 200:
-        assert data == b"done "
+        assert data == (b"unframed" if fault == "unframed" else b"done ")
     if expected == 503:
         assert float(headers["Retry-After"]) > 0
     runs = [request for request in site.endpoints["d1"].requests]
