--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -139,9 +139,9 @@
 
 
 def usable(state: GatewayState, service: str, avoid: set[str], at: float) -> list[EndpointView]:
-    """Return the endpoints of a service, those in trouble only if there are no others."""
+    """Return the endpoints of a service, those in trouble or to avoid only if there are no others."""
     views = [state.endpoints[name] for name in state.endpoints_by_service.get(service, ())]
-    fresh = [view for view in views if view.record.name not in avoid]
+    fresh = [view for view in views if view.record.name not in avoid] or views
     sound = [view for view in fresh if view.avoid_until <= at]
     return sound or fresh
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -107,9 +107,6 @@
 
 def wait_or_refuse(state: GatewayState, request: RequestState, at: float, out: list) -> None:
     """Refuse a request for which no endpoint is there, unless one was lost just now."""
-    if request.avoid and request.attempt:
-        # Those that failed it may do on another try; there is nobody else.
-        request.avoid.clear()
     waited_s = at - request.arrived_at
     if waited_s < NO_ENDPOINT_SHARE * request.route.objective_s:
         state.waiting.add(request.request_id)
