--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -44,7 +44,7 @@
 WARM_COST_S = 0.06
 HOME_COST_S = 0.5
 SECOND_HOME_S = 0.25
-COLD_COST_S = 1.1
+COLD_COST_S = 0.9
 # Engines that are homes of an adapter; with two, the less busy one can be chosen.
 HOMES = 2
 # Seconds until the runs of an older version have ended at an engine that holds it.
