Each entry takes up its own engines again after all lost power; members are followed at a pace

Found by both incidents: refusals for two to four seconds after all entries lost power. Cause: entries that were up first claimed the engines of the others, whose records they had not read yet, and then waited out the lease.

--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -85,6 +85,21 @@
     revision: int
 
 
+@frozen
+class EntriesListed:
+    """All records of entries were read anew; entries not named have none."""
+
+    at: float
+    names: frozenset[str]
+
+
+@frozen
+class LeadsListed:
+    """All records of leads were read."""
+
+    at: float
+
+
 class CallStatus(enum.StrEnum):
     """How a call ended; UNKNOWN leaves open whether it took effect."""
 
@@ -283,7 +298,9 @@
     | EndpointsListed
     | VersionSeen
     | EntrySeen
+    | EntriesListed
     | LeadSeen
+    | LeadsListed
     | ClaimEnded
     | RequestArrived
     | AnswerBegan
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -11,7 +11,14 @@
 
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway.effects import Claim
-from poplarhoist.decisions.gateway.events import CallStatus, ClaimEnded, EntrySeen, LeadSeen
+from poplarhoist.decisions.gateway.events import (
+    CallStatus,
+    ClaimEnded,
+    EntriesListed,
+    EntrySeen,
+    LeadSeen,
+    LeadsListed,
+)
 from poplarhoist.decisions.gateway.hashing import weight
 from poplarhoist.decisions.gateway.limits import PLAIN_PACE_ENTRIES
 from poplarhoist.decisions.gateway.state import (
@@ -69,6 +76,18 @@
     state.entries[event.name] = EntryView(event.name, event.host, event.port, event.zone)
 
 
+def on_entries_listed(state: GatewayState, event: EntriesListed, out: list) -> None:
+    """Take the whole list of entries."""
+    state.entries_listed = True
+    for name in [name for name in state.entries if name not in event.names]:
+        on_entry(state, EntrySeen(event.at, name), out)
+
+
+def on_leads_listed(state: GatewayState, event: LeadsListed, out: list) -> None:
+    """Know that all leads are known."""
+    state.leads_listed = True
+
+
 def on_lead(state: GatewayState, event: LeadSeen, out: list) -> None:
     """Take the store's word on who leads an engine."""
     known = state.leads.get(event.engine)
@@ -105,19 +124,24 @@
 
 
 def on_tick(state: GatewayState, at: float, out: list) -> None:
-    """Claim engines that nobody leads, if it is this entry's turn."""
-    if state.draining_since is not None or at - state.started_at < START_S or not state.listed:
+    """Claim engines that nobody leads, if it is this entry's turn.
+
+    An engine that an entry of the same name led is claimed at once, and by it alone: after all
+    entries lost power together each takes up its engines again, and need not wait for another's
+    orders to be past.
+    """
+    known = state.listed and state.entries_listed and state.leads_listed
+    if state.draining_since is not None or not known:
         return
     for engine, view in state.endpoints.items():
         if engine in state.books or view.record.leaving or not is_engine(state, view):
             continue
-        record = state.leads.get(engine)
         holder = holder_of(state, engine)
-        if (
-            holder == state.me
-            or (record is None or not holder or holder not in state.entries)
-            and preferred(state, engine, at) == state.me
-        ):
+        if holder == state.me:
+            claim(state, engine, at, out)
+        elif holder in state.entries or at - state.started_at < START_S:
+            continue
+        elif preferred(state, engine, at) == state.me:
             claim(state, engine, at, out)
 
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -289,6 +289,8 @@
     endpoints_by_service: dict[str, list[str]] = field(factory=dict)
     rankings: dict[tuple[str, AdapterKey], list[str]] = field(factory=dict)
     listed: bool = False
+    entries_listed: bool = False
+    leads_listed: bool = False
     versions: dict[AdapterKey, Announced] = field(factory=dict)
     entries: dict[str, EntryView] = field(factory=dict)
     leads: dict[str, LeadRecord] = field(factory=dict)
--- a/poplarhoist/gateway/following.py
+++ b/poplarhoist/gateway/following.py
@@ -4,6 +4,7 @@
 
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import Claim
+from poplarhoist.decisions.gateway.leads import pace
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Changes, Following, Store
 
@@ -11,7 +12,10 @@
 # the two seconds after which what is missing at the store counts as gone.
 RETRY_S = 0.2
 RETRY_MAX_S = 1.0
-# Seconds after a read that failed within which others still may hold the store for reachable.
+# Seconds between two reads of changes at most, however many entries there are; endpoints that
+# leave must be known within three seconds.
+PAUSE_MAX_S = 1.2
+# Reads in a row that fail before the store counts as away.
 LOST_AFTER_FAILURES = 2
 
 
@@ -49,7 +53,7 @@
                 self.tell(changes)
                 revision = changes.revision
                 if following.pause_s:
-                    eventlet.sleep(following.pause_s)
+                    eventlet.sleep(min(PAUSE_MAX_S, following.pause_s * pace(self.core.state)))
                 continue
             self.note_failure(following.kind, changes)
             eventlet.sleep(self.spread(wait_s))
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -33,6 +33,9 @@
 # Seconds between two reads of changes of endpoints; calls are priced, and endpoints that leave
 # must be known within three seconds.
 ENDPOINT_PAUSE_S = 0.5
+# Seconds between two reads of changes of entries and leads; when all start together each change
+# would cost a call by every entry.
+MEMBER_PAUSE_S = 0.5
 STATUSES = {
     200: ev.CallStatus.OK,
     201: ev.CallStatus.OK,
@@ -51,8 +54,8 @@
         Following(CONFIGURATION),
         Following(ENDPOINTS, fresh=False, pause_s=ENDPOINT_PAUSE_S),
         Following(VERSIONS),
-        Following(ENTRIES),
-        Following(LEADS),
+        Following(ENTRIES, pause_s=MEMBER_PAUSE_S),
+        Following(LEADS, pause_s=MEMBER_PAUSE_S),
     )
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
@@ -92,6 +95,10 @@
                 break
         if kind == ENDPOINTS:
             events.append(ev.EndpointsListed(at, frozenset(names)))
+        elif kind == ENTRIES:
+            events.append(ev.EntriesListed(at, frozenset(names)))
+        elif kind == LEADS:
+            events.append(ev.LeadsListed(at))
         return Changes(ev.CallStatus.OK, revision, tuple(events), frozenset(names))
 
     def watch(self, kind: str, since: int, fresh: bool) -> Changes:
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -93,6 +93,8 @@
         self.requests = 0
         for peer in (name, *peers):
             self.submit(ev.EntrySeen, name=peer, host="10.0.2.1", port=7000, zone="north-a")
+        self.submit(ev.EntriesListed, names=frozenset((name, *peers)))
+        self.submit(ev.LeadsListed)
 
     def submit(self, kind, **fields) -> list:
         """Apply an event now; return its effects."""
