--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -243,12 +243,11 @@
     out.append(Count("attempt_ended", (event.outcome,)))
     if view is not None:
         judge_endpoint(state, request, view, event, out)
-    if event.outcome in (Outcome.DONE, Outcome.CANCELLED):
+    if request.left or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
         finish(state, request, event, out)
         return
     if event.outcome not in (Outcome.NOT_SENT, Outcome.NOT_RUN):
         request.runs += 1
-    request.last_failure = event.outcome is Outcome.FAILED
     if may_repeat(state, request, event):
         out.append(
             LogRequest(
@@ -354,6 +353,7 @@
     request = state.requests.get(request_id)
     if request is None:
         return
+    request.left = True
     if request.stage is Stage.WAITING:
         stop_waiting(state, request)
         state.requests.pop(request_id, None)
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -117,7 +117,7 @@
     asked: str = ""
     asked_at: float = float("-inf")
     ready_at: float = float("inf")
-    last_failure: bool = False
+    left: bool = False
     avoid: set[str] = field(factory=set)
 
 
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -211,7 +211,7 @@
             reason=result.reason,
         )
         self.core.submit(event)
-        if result.outcome is ev.Outcome.CANCELLED:
+        if self.left or result.outcome is ev.Outcome.CANCELLED:
             self.mailbox.put(None)
 
     def on_left(self) -> None:
@@ -219,7 +219,7 @@
         self.left = True
         self.core.submit(ev.CallerLeft(self.core.at(), self.request.request_id))
         if self.request.running is not None:
-            self.request.running.cancel_later()
+            self.request.running.cancel()
         else:
             self.mailbox.put(None)
 
@@ -279,7 +279,8 @@
         """End the attempt if the caller went away in the middle."""
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            exchange.cancel()
+            exchange.cancelled = True
+            exchange.close()
             exchange.result.outcome = ev.Outcome.CANCELLED
             self.service.end(exchange)
         self.service.finish()
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -9,7 +9,6 @@
 import socket
 from collections.abc import Iterator
 
-import eventlet
 from attrs import define, field
 from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
@@ -236,26 +235,29 @@
             self.broke(EOFError())
 
     def cancel(self) -> None:
-        """Break the connection, so that the endpoint stops its work."""
+        """Break the connection, so that the endpoint stops its work.
+
+        Whoever reads the answer finds its end and closes; two green threads must not close it.
+        """
         self.cancelled = True
-        self.close()
+        self.break_off()
 
-    def close(self) -> None:
-        """Drop the connection."""
+    def break_off(self) -> None:
+        """End the connection in both directions."""
         if self.sock is not None:
             # Fails where the other side was first.
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self.break_off()
         if self.peer is not None:
             self.peer.close()
         if self.response is not None:
             self.response.close()
         self.connection.close()
 
-    def cancel_later(self) -> None:
-        """Break the connection from another green thread than the one that reads."""
-        eventlet.spawn_n(self.cancel)
-
 
 def was_reset(peer: socket.socket) -> bool:
     """Return whether a connection that ended was reset; eventlet reads both as its end.
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -189,6 +189,16 @@
     assert not of(fx.Dispatch, gateway.run(2.0))
 
 
+@pytest.mark.parametrize("outcome", [Outcome.BROKEN, Outcome.NOT_RUN, Outcome.NOT_SENT])
+def test_nothing_is_sent_for_a_caller_that_left_whatever_becomes_of_the_attempt(outcome):
+    gateway = site()
+    request_id, effects = gateway.ask("/resume/x", "a1")
+    gateway.submit(ev.CallerLeft, request_id=request_id)
+    effects = gateway.end(one(fx.Dispatch, effects), outcome) + gateway.run(1.0)
+    assert not of(fx.Dispatch, effects)
+    assert gateway.state.requests == {}
+
+
 def test_the_configuration_never_goes_back():
     gateway = site()
     gateway.configure(7, (route("/new/"),))
