--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.platform_site import EVENTS, HOST, PlatformSite
+from tests.platform_site import PlatformSite
+from tests.platform_standins import EVENTS, HOST
 
 WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
