Calls that the store took and never answers are made again; a lost history is read again at once

Cause: the store was silent while a watch of endpoints was sent; the connection stayed alive, so that only the read timeout of 22 s ended it. Watches of endpoints wait 1.2 s now, and one that fails renews the others. The test fails without the change.

--- a/poplarhoist/gateway/following.py
+++ b/poplarhoist/gateway/following.py
@@ -8,10 +8,10 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Changes, Following, Store
 
-# Seconds between tries while the store does not answer; grows to keep calls few, stays below
-# the two seconds after which what is missing at the store counts as gone.
-RETRY_S = 0.2
-RETRY_MAX_S = 1.0
+# Seconds between tries while the store does not answer; grows to keep calls few, and stays well
+# below the three seconds within which a new configuration is in force.
+RETRY_S = 0.1
+RETRY_MAX_S = 0.6
 # Seconds between two reads of changes at most, however many entries there are; endpoints that
 # leave must be known within three seconds.
 PAUSE_MAX_S = 1.2
@@ -19,6 +19,10 @@
 LOST_AFTER_FAILURES = 2
 
 
+class WatchRenewed(Exception):
+    """A watch is to be started anew."""
+
+
 class StoreFollower:
     """Keeps the decisions up to date with the store."""
 
@@ -26,6 +30,7 @@
         self.core = core
         self.store = store
         self.failures = 0
+        self.watching: dict[str, eventlet.greenthread.GreenThread] = {}
         core.on(Claim, lambda effect: eventlet.spawn_n(self.claim, effect))
 
     def start(self, name: str, zone: str, host: str, port: int) -> None:
@@ -47,7 +52,8 @@
         revision = self.read_all(following)
         wait_s = RETRY_S
         while True:
-            changes = self.store.watch(following.kind, revision, following.fresh)
+            asked_at = self.core.at()
+            changes = self.watch(following, revision)
             if changes.status is ev.CallStatus.OK:
                 wait_s = RETRY_S
                 self.tell(changes)
@@ -56,10 +62,33 @@
                     eventlet.sleep(min(PAUSE_MAX_S, following.pause_s * pace(self.core.state)))
                 continue
             self.note_failure(following.kind, changes)
-            eventlet.sleep(self.spread(wait_s))
-            wait_s = min(RETRY_MAX_S, wait_s * 2)
             if changes.too_old:
+                # The store answers; what was missed must not wait any longer.
                 revision = self.read_all(following)
+                continue
+            if following.guard:
+                self.renew_watches()
+            if self.core.at() - asked_at > RETRY_MAX_S:
+                # The store was there until now: this is the first failure of a new loss.
+                wait_s = RETRY_S
+            eventlet.sleep(self.spread(wait_s))
+            wait_s = min(RETRY_MAX_S, wait_s * 2)
+
+    def watch(self, following: Following, revision: int) -> Changes:
+        """Wait for changes; a watch that is renewed reads as one without an answer."""
+        self.watching[following.kind] = eventlet.getcurrent()
+        try:
+            return self.store.watch(following.kind, revision, following)
+        except WatchRenewed:
+            return Changes(ev.CallStatus.UNKNOWN)
+        finally:
+            self.watching.pop(following.kind, None)
+
+    def renew_watches(self) -> None:
+        """End the watches under way: the store may have forgotten them while it was away."""
+        for kind, thread in list(self.watching.items()):
+            self.core.log.info("watch-renewed", kind=kind)
+            eventlet.kill(thread, WatchRenewed())
 
     def read_all(self, following: Following) -> int:
         """Read all records of a kind; return the revision to follow from."""
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -95,11 +95,17 @@
         Whether reads must be up to date; others are cheaper.
     pause_s : float
         Pause between two reads of changes.
+    wait_s : float
+        How long the store may wait for a change before it answers.
+    guard : bool
+        Whether a read of this kind that fails shows that reads of the others may hang too.
     """
 
     kind: str
     fresh: bool = True
     pause_s: float = 0.0
+    wait_s: float = 20.0
+    guard: bool = False
 
 
 @frozen
@@ -129,7 +135,7 @@
     def read_all(self, kind: str) -> Changes:
         """Read all records of a kind."""
 
-    def watch(self, kind: str, since: int, fresh: bool) -> Changes:
+    def watch(self, kind: str, since: int, following: Following) -> Changes:
         """Wait for changes of a kind after a revision."""
 
     def register(self, name: str, zone: str, host: str, port: int) -> CallStatus:
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -27,9 +27,12 @@
 CURRENT_CONFIGURATION = "main"
 # Seconds for a call; an answer takes some milliseconds, slow days some hundred.
 CALL_S = 1.5
-# Seconds that a watch waits at most; and how much longer its answer may take.
-WATCH_S = 20.0
-WATCH_MARGIN_S = 2.0
+# Seconds by which the answer of a watch may be late.
+WATCH_MARGIN_S = 1.0
+# Seconds that a watch of endpoints waits. The store may take a call and never answer it, with the
+# connection alive; together with the margin and the pause this stays below the three seconds
+# within which an endpoint that leaves must be known.
+ENDPOINT_WAIT_S = 1.2
 # Seconds between two reads of changes of endpoints; calls are priced, and endpoints that leave
 # must be known within three seconds.
 ENDPOINT_PAUSE_S = 0.5
@@ -52,7 +55,9 @@
 
     followed = (
         Following(CONFIGURATION),
-        Following(ENDPOINTS, fresh=False, pause_s=ENDPOINT_PAUSE_S),
+        Following(
+            ENDPOINTS, fresh=False, pause_s=ENDPOINT_PAUSE_S, wait_s=ENDPOINT_WAIT_S, guard=True
+        ),
         Following(VERSIONS),
         Following(ENTRIES, pause_s=MEMBER_PAUSE_S),
         Following(LEADS, pause_s=MEMBER_PAUSE_S),
@@ -101,13 +106,14 @@
             events.append(ev.LeadsListed(at))
         return Changes(ev.CallStatus.OK, revision, tuple(events), frozenset(names))
 
-    def watch(self, kind: str, since: int, fresh: bool) -> Changes:
+    def watch(self, kind: str, since: int, following: Following) -> Changes:
         """Wait for changes of a kind after a revision."""
-        query = {"watch": since, "waitMs": int(WATCH_S * 1000)}
-        if not fresh:
+        query = {"watch": since, "waitMs": int(following.wait_s * 1000)}
+        if not following.fresh:
             query["allowStale"] = 1
         path = f"/api/objects/{kind}?{urlencode(query)}"
-        status, data = self.call("watch", "GET", path, timeout_s=WATCH_S + WATCH_MARGIN_S)
+        timeout_s = following.wait_s + WATCH_MARGIN_S
+        status, data = self.call("watch", "GET", path, timeout_s=timeout_s)
         if status is not ev.CallStatus.OK:
             return Changes(status, too_old=data == GONE_HISTORY)
         at = self.clock.monotonic()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -14,6 +14,7 @@
 HOST = "127.0.0.1"
 BASE = "base"
 EVENTS = 4
+SILENT_S = 40.0
 
 
 class Handler(BaseHTTPRequestHandler):
@@ -84,6 +85,11 @@
         if store.away:
             self.answer(503)
             return
+        if store.silent:
+            # Takes the call and never answers it; the connection stays alive.
+            time.sleep(SILENT_S)
+            self.close_connection = True
+            return
         path, _, query = self.path.partition("?")
         values = dict(part.split("=") for part in query.split("&") if part)
         _, _, kind, *rest = path.strip("/").split("/")
@@ -107,6 +113,7 @@
         self.oldest = 0
         self.away = False
         self.lose_answers = False
+        self.silent = False
         super().__init__(StoreHandler)
 
     def call(self, method: str, kind: str, rest: list[str], values: dict, body):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -9,6 +9,9 @@
 from tests.platform_site import PlatformSite
 from tests.platform_standins import EVENTS, HOST
 
+# Seconds within which a configuration is in force and an endpoint that leaves gets nothing more.
+IN_FORCE_S = 3.0
+LEFT_S = 3.0
 WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
 
 
@@ -143,11 +146,26 @@
     site.store.forget()
     assert site.ask("/new/x", method="GET")[0] == 404
     site.store.away = False
-    site.wait(lambda: site.ask("/new/x", method="GET")[0] == 200, 5.0)
+    site.wait(lambda: site.ask("/new/x", method="GET")[0] == 200, IN_FORCE_S)
     # Lines are queued and written some 50 ms later.
     site.wait(lambda: site.lines("store-lost") and site.lines("store-regained"), 2.0)
 
 
+def test_calls_that_the_store_took_and_never_answers_are_made_again(site):
+    site.store.silent = True
+    # Ends the watches under way, so that new ones are made while the store is silent.
+    site.store.put("servers", "e1", site.endpoints["e1"].record())
+    site.configure(2)
+    time.sleep(2.5)
+    site.store.silent = False
+    time.sleep(3.5)
+    site.register("d1", state="draining")
+    route = {"name": "n", "host": "host.test", "pathPrefix": "/new/", "routeKind": "safe"}
+    site.configure(3, route | {"timeoutMs": 1000, "service": "models"})
+    site.wait(lambda: site.lines("endpoint-leaving") != [], LEFT_S)
+    site.wait(lambda: site.ask("/new/x", method="GET")[0] != 404, IN_FORCE_S)
+
+
 def test_no_caller_is_told_that_there_is_no_route_before_the_first_configuration(tmp_path):
     site = PlatformSite(tmp_path)
     try:
