A change that a watch missed is in force in time: watches of configuration and versions are short

Cause: while the store drops its history a watch may miss a change without being cut; it hung until the next change, up to 20 s. The test fails without the change.

--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -33,6 +33,11 @@
 # connection alive; together with the margin and the pause this stays below the three seconds
 # within which an endpoint that leaves must be known.
 ENDPOINT_WAIT_S = 1.2
+# Seconds that a watch of the configuration and of versions waits. While the store drops its history
+# a watch may miss a change without being cut; the next one shows it. A configuration must be in
+# force within three seconds, a version within five.
+CONFIGURATION_WAIT_S = 1.5
+VERSION_WAIT_S = 2.5
 # Seconds between two reads of changes of endpoints; calls are priced, and endpoints that leave
 # must be known within three seconds.
 ENDPOINT_PAUSE_S = 0.5
@@ -54,11 +59,11 @@
     """Speaks the platform's dialect of an object store."""
 
     followed = (
-        Following(CONFIGURATION),
+        Following(CONFIGURATION, wait_s=CONFIGURATION_WAIT_S),
         Following(
             ENDPOINTS, fresh=False, pause_s=ENDPOINT_PAUSE_S, wait_s=ENDPOINT_WAIT_S, guard=True
         ),
-        Following(VERSIONS),
+        Following(VERSIONS, wait_s=VERSION_WAIT_S),
         Following(ENTRIES, pause_s=MEMBER_PAUSE_S),
         Following(LEADS, pause_s=MEMBER_PAUSE_S),
     )
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -114,6 +114,7 @@
         self.away = False
         self.lose_answers = False
         self.silent = False
+        self.deaf = False
         super().__init__(StoreHandler)
 
     def call(self, method: str, kind: str, rest: list[str], values: dict, body):
@@ -134,7 +135,7 @@
             if "watch" not in values:
                 items = [item for (other, _), item in self.objects.items() if other == kind]
                 return 200, {"items": items, "truncated": False, "currentRev": self.revision}
-            since = int(values["watch"])
+            since = heard = int(values["watch"])
             ends_at = time.monotonic() + int(values["waitMs"]) / 1000
             while True:
                 if since < self.oldest:
@@ -142,11 +143,15 @@
                 events = [
                     {"object": item, "tombstone": gone}
                     for revision, other, item, gone in self.history
-                    if revision > since and other == kind
+                    if revision > heard and other == kind
                 ]
                 left_s = ends_at - time.monotonic()
+                if events and self.deaf:
+                    # This watch misses the change for good; one that is made later sees it.
+                    heard, events = self.revision, []
                 if events or left_s <= 0:
-                    return 200, {"events": events, "currentRev": self.revision}
+                    reached = int(values["watch"]) if heard != since else self.revision
+                    return 200, {"events": events, "currentRev": reached}
                 if self.away:
                     return 503, {}
                 self.changed.wait(min(left_s, 0.5))
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -166,6 +166,17 @@
     site.wait(lambda: site.ask("/new/x", method="GET")[0] != 404, IN_FORCE_S)
 
 
+def test_a_change_that_a_watch_missed_is_in_force_in_time(site):
+    # A watch under way hears nothing of the change; those made afterwards do.
+    site.store.deaf = True
+    route = {"name": "n", "host": "host.test", "pathPrefix": "/new/", "routeKind": "safe"}
+    site.configure(2, route | {"timeoutMs": 1000, "service": "desk"})
+    site.wait(lambda: site.ask("/new/x", method="GET")[0] == 404, 1.0)
+    time.sleep(0.2)
+    site.store.deaf = False
+    site.wait(lambda: site.ask("/new/x", method="GET")[0] == 200, IN_FORCE_S)
+
+
 def test_no_caller_is_told_that_there_is_no_route_before_the_first_configuration(tmp_path):
     site = PlatformSite(tmp_path)
     try:
