--- a/poplarhoist/gateway/following.py
+++ b/poplarhoist/gateway/following.py
@@ -86,9 +86,12 @@
 
     def renew_watches(self) -> None:
         """End the watches under way: the store may have forgotten them while it was away."""
-        for kind, thread in list(self.watching.items()):
-            self.core.log.info("watch-renewed", kind=kind)
-            eventlet.kill(thread, WatchRenewed())
+        for kind in list(self.watching):
+            # Others run while one is ended, and may have their answer by now.
+            thread = self.watching.pop(kind, None)
+            if thread is not None:
+                self.core.log.info("watch-renewed", kind=kind)
+                eventlet.kill(thread, WatchRenewed())
 
     def read_all(self, following: Following) -> int:
         """Read all records of a kind; return the revision to follow from."""
