--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -43,6 +43,9 @@
 LATE_LOAD_S = 0.06
 # Seconds after a load within which an engine's word that it lacks the adapter means "not yet".
 JUST_LOADED_S = 1.0
+# Seconds after the latest order within which a report that lacks it is taken for an old one; later
+# the books are wrong, as an engine may say that an order holds already and not count it.
+OLD_REPORT_S = 2 * REPORT_LAG_S
 # Seconds between two reports of an engine with an adapter that makes way.
 LEAVING_REPORT_S = 0.4
 # Seconds for which an adapter is wanted after a question for it; entries whose requests still wait
@@ -213,7 +216,7 @@
         return
     if report.born != book.born:
         restart(book, report)
-    elif report.orders < book.orders:
+    elif report.orders < book.orders and event.asked_at < book.order_taken_at + OLD_REPORT_S:
         book.report_due_at = event.at + REPORT_LAG_S
         return
     take_report(state, book, report, event.at, out)
@@ -240,7 +243,7 @@
     for key, version in adapters.items():
         known = book.held.get(key)
         if known is None:
-            book.held[key] = Held(version, at, at)
+            book.held[key] = Held(version, max(at, book.uses_known_at), at)
             note_warm(book, key)
         else:
             known.version = version
@@ -389,6 +392,7 @@
 def carry_out(state, book: Book, given: OpenOrder, status: OrderStatus, at, out) -> None:
     """Enter an order that an engine took."""
     key = given.key
+    book.order_taken_at = at
     if not key.adapter:
         if status is OrderStatus.ACCEPTED:
             book.orders += 1
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -37,6 +37,9 @@
 # Seconds on top of the time in which orders of two entries must not alternate; covers an order
 # of the earlier lead that is still on its way.
 LEASE_MARGIN_S = 0.3
+# Seconds after which a new lead knows what the others use at an engine: they read who leads it up to
+# 1.2 s later, and tell at their next turn.
+LEARN_S = 1.5
 # Separates an entry's name from what tells its processes apart.
 BOOT_MARK = "#"
 
@@ -197,7 +200,9 @@
     wait_s = 0.0
     if earlier not in ("", state.me):
         wait_s = state.limits.lease_s + LEASE_MARGIN_S
-    state.books[engine] = Book(engine, epoch, at + wait_s, report_due_at=at)
+    # Of an engine that nobody led before, nobody uses anything.
+    learn_s = LEARN_S if epoch > 1 else 0.0
+    state.books[engine] = Book(engine, epoch, at + wait_s, at + learn_s, report_due_at=at)
     fields = {"engine": engine, "epoch": epoch, "before": earlier, "usable_in_s": wait_s}
     out.append(LogChange("lead-begun", fields))
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -208,10 +208,14 @@
     ----------
     usable_at : float
         Not before that time may this entry give orders.
+    uses_known_at : float
+        From then on the other entries have told this one what they have at the engine.
     synced : bool
         Whether a report was read since the lead began, or the last doubt arose.
     orders : int
         Orders that the engine has accepted.
+    order_taken_at : float
+        When it took the latest of them.
     leaving : dict
         Adapters that make way once their runs have ended.
     warm : dict
@@ -223,11 +227,13 @@
     engine: str
     epoch: int
     usable_at: float
+    uses_known_at: float
     synced: bool = False
     report_due_at: float = 0.0
     report_asked_at: float = float("-inf")
     born: int = 0
     orders: int = 0
+    order_taken_at: float = float("-inf")
     models: set[str] = field(factory=set)
     model_due_at: float = float("-inf")
     held: dict[AdapterKey, Held] = field(factory=dict)
--- a/tests/test_gateway_books.py
+++ b/tests/test_gateway_books.py
@@ -46,6 +46,43 @@
     assert (second.key, second.expected) == (key("a2"), 4)
 
 
+@pytest.mark.parametrize(("announced", "asked"), [(0, "b1"), (2, "")])
+def test_a_new_lead_touches_no_adapter_that_others_may_use(announced, asked):
+    gateway = Gateway(peers=("other",))
+    gateway.configure()
+    gateway.list(engine(1, EIGHT))
+    gateway.submit(ev.LeadSeen, engine="e1", holder="", epoch=4, revision=7)
+    gateway.lead("e1", revision=8)
+    gateway.report("e1", EIGHT, orders=60)
+    if announced:
+        gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=announced)
+    # The other entry does not know yet who leads, and tells the earlier lead what it runs here.
+    for _ in range(4):
+        if asked:
+            gateway.hear("other", ask(asked))
+        assert not of(fx.SendOrder, gateway.run(0.3))
+    gateway.hear("other", messages.Use("e1", {"base/a1": 1}, ("base/a1",)))
+    effects = gateway.run(0.5) + gateway.hear("other", ask("b1")) + gateway.run(0.5)
+    assert one(fx.SendOrder, effects).key in [key(name) for name in EIGHT[1:]]
+
+
+@pytest.mark.parametrize(("after_s", "believed"), [(0.2, False), (1.0, True)])
+def test_a_report_that_counts_fewer_orders_is_old_or_shows_that_the_books_are_wrong(
+    after_s, believed
+):
+    gateway = lead(EIGHT)
+    gateway.run(1.0)
+    unload = one(fx.SendOrder, gateway.hear("other", ask("b1")))
+    load = one(fx.SendOrder, gateway.order_ended(unload, OrderStatus.DONE))
+    gateway.order_ended(load, OrderStatus.MISMATCH)
+    gateway.run(after_s)
+    gateway.hear("other", ask("b1"))
+    gateway.report("e1", EIGHT[1:], orders=3)
+    gateway.run(0.05)
+    sent = [order for order in of(fx.SendOrder, gateway.effects) if order.number > load.number]
+    assert [order.expected for order in sent] == ([3] if believed else [])
+
+
 def test_an_idle_adapter_makes_way_the_least_recently_used_first():
     gateway = lead(EIGHT)
     gateway.run(1.0)
