--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -42,9 +42,9 @@
 # priced like half a request, and a late request loses more than that.
 COMING_S = 0.1
 WARM_COST_S = 0.06
-HOME_COST_S = 0.5
-SECOND_HOME_S = 0.25
-COLD_COST_S = 0.9
+HOME_COST_S = 0.65
+SECOND_HOME_S = 0.3
+COLD_COST_S = 1.15
 # Engines that are homes of an adapter; with two, the less busy one can be chosen.
 HOMES = 2
 # Seconds until the runs of an older version have ended at an engine that holds it.
