Callers for whom there is no place are told so at a quarter of their objective, and come first when they return

Change: refused at 0.25 while the lead says that nothing is free; where nobody says anything still at 0.75, as another entry may take over; who comes back (less time left than the route allows) goes before others of its priority and waits up to its objective. Tests fail without the change.

--- a/poplarhoist/decisions/gateway/asking.py
+++ b/poplarhoist/decisions/gateway/asking.py
@@ -40,12 +40,14 @@
     known = state.asks.get((engine, key))
     if known is not None:
         known.waiters.add(request.request_id)
+        known.since = min(known.since, request.first_asked_at)
         known.version = max(known.version, required_version(state, key, at))
         view = state.endpoints[engine]
         settle(state, known, view, at)
         return
     version = required_version(state, key, at)
-    question = AskState(engine, key, version, request.route.priority, at)
+    priority, since = request.route.priority, request.first_asked_at
+    question = AskState(engine, key, version, priority, since, at)
     question.waiters.add(request.request_id)
     state.asks[engine, key] = question
     out.append(
@@ -81,6 +83,7 @@
         question.version,
         question.priority,
         at - absent_at < ABSENT_FRESH_S,
+        at - question.since,
     )
     out.append(SendPeer(lead, message))
 
--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -85,7 +85,9 @@
     if key in book.held and book.held[key].version >= message.version:
         book.held[key].used_at = at + ASKED_S
     else:
-        want = book.wants.setdefault(key, Want(message.version, message.priority, at, at))
+        since = at - message.waited_s
+        want = book.wants.setdefault(key, Want(message.version, message.priority, since, at))
+        want.since = min(want.since, since)
         want.asked_at = at
         want.version = max(want.version, message.version)
         want.priority = min(want.priority, message.priority)
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -11,6 +11,8 @@
     ----------
     absent : bool
         Whether the engine said just now that it does not have the adapter.
+    waited_s : float
+        For how long the caller who waits longest has asked, earlier refusals included.
     """
 
     engine: str
@@ -19,6 +21,7 @@
     version: int
     priority: int
     absent: bool = False
+    waited_s: float = 0.0
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -16,6 +16,7 @@
     Outcome,
     RequestArrived,
 )
+from poplarhoist.decisions.gateway.limits import ASK_AGAIN_S
 from poplarhoist.decisions.gateway.models import Refused
 from poplarhoist.decisions.gateway.state import (
     EndpointView,
@@ -27,9 +28,19 @@
 # Seconds that an answer needs on its way back; an endpoint gets this much less time.
 ANSWER_S = 0.01
 # Share of its objective after which a request is refused for which no endpoint is there, and for
-# which no place is in sight; a caller who is told early can come back in time.
+# which no place is in sight: of those that have waited so long one in five still gets a place, and
+# a caller who is told early can come back. One who was refused before waits longer, and gets the
+# next place before others.
 NO_ENDPOINT_SHARE = 0.1
-WAIT_SHARE = 0.75
+WAIT_SHARE = 0.25
+WAIT_AGAIN_SHARE = 1.0
+# The same where the lead of the asked engine does not answer; long enough for another to be asked.
+WAIT_UNTOLD_SHARE = 0.75
+# Seconds for which a lead's word that there is no place holds; it answers each question.
+TOLD_FULL_S = 2 * ASK_AGAIN_S
+# Seconds of a caller's time that have passed when it is taken for one who was refused before; more
+# than clocks and routes change, less than callers are told to wait.
+CAME_BACK_S = 0.2
 # Seconds after which a caller may find a place where there is none now; an endpoint that restarts
 # is missed for about that long.
 COME_BACK_S = 0.5
@@ -59,12 +70,15 @@
     wait_s = route.limit_s
     if event.deadline_s is not None:
         wait_s = min(wait_s, event.deadline_s)
+    # A caller who was refused before comes back with less time than the route allows.
+    passed_s = max(0.0, route.limit_s - wait_s)
     request = RequestState(
         request_id=event.request_id,
         caller_id=event.caller_id,
         route=route,
         service=service,
         arrived_at=event.at,
+        first_asked_at=event.at - passed_s,
         limit_at=event.at + wait_s,
         objective_at=event.at + min(route.objective_s, wait_s),
         prompt=event.prompt,
@@ -367,7 +381,7 @@
             state.waiting.discard(request_id)
         elif at >= request.limit_at - ANSWER_S:
             refuse(state, request, Refused.DEADLINE, out)
-        elif request.asked and request.ready_at == float("inf") and is_hopeless(request, at):
+        elif request.asked and request.ready_at == float("inf") and is_hopeless(state, request, at):
             refuse(state, request, Refused.NO_PLACE, out)
         elif request.asked:
             if at >= request.ready_at:
@@ -380,9 +394,17 @@
             place(state, request, at, out)
 
 
-def is_hopeless(request: RequestState, at: float) -> bool:
+def is_hopeless(state: GatewayState, request: RequestState, at: float) -> bool:
     """Return whether a request has waited so long for a place that its caller had better know."""
-    return at - request.arrived_at >= WAIT_SHARE * request.route.objective_s
+    view = state.endpoints.get(request.asked)
+    if view is None or at - view.view_at > TOLD_FULL_S:
+        # Nobody has said that there is no place; the lead may be gone, and another one take over.
+        share = WAIT_UNTOLD_SHARE
+    elif request.arrived_at - request.first_asked_at >= CAME_BACK_S:
+        share = WAIT_AGAIN_SHARE
+    else:
+        share = WAIT_SHARE
+    return at - request.arrived_at >= share * request.route.objective_s
 
 
 def place_anew(state: GatewayState, request: RequestState, at: float, out: list) -> None:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -83,6 +83,8 @@
 
     Attributes
     ----------
+    first_asked_at : float
+        When its caller first asked, as far as the time tells that the caller has left.
     limit_at, objective_at : float
         When it must have its final answer, and when its first byte should be there.
     asked, asked_at : str, float
@@ -100,6 +102,7 @@
     route: Route
     service: str
     arrived_at: float
+    first_asked_at: float
     limit_at: float
     objective_at: float
     prompt: Prompt | None = None
@@ -125,6 +128,7 @@
     key: AdapterKey
     version: int
     priority: int
+    since: float
     sent_at: float
     tries: int = 1
     waiters: set[str] = field(factory=set)
--- a/tests/test_gateway_books.py
+++ b/tests/test_gateway_books.py
@@ -83,6 +83,24 @@
     assert [order.expected for order in sent] == ([3] if believed else [])
 
 
+def test_the_next_place_goes_to_the_more_urgent_and_then_to_who_has_waited_longest():
+    gateway = lead(EIGHT)
+    gateway.run(1.0)
+    in_use = messages.Use("e1", {f"base/{name}": 1 for name in EIGHT})
+    gateway.hear("other", in_use)
+    for name, priority, waited_s in (("b1", 1, 0.0), ("b2", 1, 2.0), ("b3", 0, 0.0)):
+        gateway.hear("other", ask(name, priority=priority, waited_s=waited_s))
+    loaded = []
+    orders = of(fx.SendOrder, gateway.hear("other", messages.Use("e1")) + gateway.run(0.4))
+    while orders:
+        order = orders[0]
+        status = OrderStatus.DONE if order.kind == "unload" else OrderStatus.ACCEPTED
+        if order.kind == "load":
+            loaded.append(order.key)
+        orders = of(fx.SendOrder, gateway.order_ended(order, status))
+    assert loaded == [key("b3"), key("b2"), key("b1")]
+
+
 def test_an_idle_adapter_makes_way_the_least_recently_used_first():
     gateway = lead(EIGHT)
     gateway.run(1.0)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,6 +4,7 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.events import Outcome
 from poplarhoist.decisions.gateway.models import Refused, Target
 from tests.gateway import ROUTES, Gateway, desk, engine, of, one, route
@@ -150,6 +151,49 @@
     assert gateway.at - asked_at <= 0.31
 
 
+@pytest.mark.parametrize(
+    ("told", "deadline_s", "refused_after_s"),
+    [
+        # The lead says that there is no place: a caller who learns it soon can come back.
+        (True, 6.0, 0.25),
+        # It was refused before and gets the next place; it waits for it.
+        (True, 5.0, 1.0),
+        # Nobody says anything: another entry may take over the lead meanwhile.
+        (False, 6.0, 0.75),
+    ],
+)
+def test_a_request_without_a_place_is_refused_in_time_to_come_back(
+    told, deadline_s, refused_after_s
+):
+    gateway = site(peers=("other",))
+    gateway.list(engine(1))
+    gateway.lead("e1", "other#b1")
+    gateway.ask("/stream/x", "a1", deadline_s=deadline_s)
+    asked_at = gateway.at
+    refused: list[fx.Refuse] = []
+    while not refused and gateway.at < asked_at + 3.0:
+        if told:
+            gateway.hear("other", messages.View("e1", {"base": 1}, {}, 0, 0, 0))
+        refused = of(fx.Refuse, gateway.run(0.025))
+    assert gateway.at - asked_at == pytest.approx(refused_after_s, abs=0.03)
+    assert not refused[0].ran
+    assert refused[0].retry_after_s > 0
+
+
+def test_who_was_refused_before_is_placed_before_others():
+    gateway = site(peers=("other",))
+    gateway.list(engine(1))
+    gateway.lead("e1", "other#b1")
+    gateway.ask("/stream/x", "a1", deadline_s=6.0)
+    gateway.ask("/stream/x", "a2", deadline_s=5.0)
+    asked = {
+        effect.message.adapter: effect.message.waited_s
+        for effect in of(fx.SendPeer, gateway.effects)
+        if isinstance(effect.message, messages.Ask)
+    }
+    assert asked == {"a1": pytest.approx(0.0), "a2": pytest.approx(1.0)}
+
+
 def crash(gateway: Gateway, content: str, number: int) -> None:
     """Let a request of a content crash a desk that is there for this only."""
     for name in [name for name in gateway.state.endpoints if name.startswith("d")]:
