Among many engines a choice looks at a dozen, and at those that have or had the adapter

At up to twelve engines nothing changes. Tests: a holder outside the ranking is found; 350 engines cost at most a dozen weighings.

--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -47,6 +47,9 @@
 COLD_COST_S = 1.15
 # Engines that are homes of an adapter; with two, the less busy one can be chosen.
 HOMES = 2
+# Engines of an adapter's ranking that are looked at besides those that have or had it; the least
+# busy of a dozen is hardly busier than that of all.
+CANDIDATES = 12
 # Seconds until the runs of an older version have ended at an engine that holds it.
 OLD_VERSION_S = 0.5
 # Seconds until an engine whose places are all in use has one free; requests last two seconds.
@@ -68,13 +71,13 @@
     ready: bool
 
 
-def ranking(state: GatewayState, service: str, key: AdapterKey) -> list[str]:
-    """Return the engines of a service in the order in which they are homes of an adapter."""
+def ranking(state: GatewayState, service: str, key: AdapterKey) -> tuple[str, ...]:
+    """Return the first engines of a service in the order in which they are homes of an adapter."""
     known = state.rankings.get((service, key))
     if known is None:
         names = state.endpoints_by_service.get(service, ())
-        known = sorted(names, key=lambda name: -weight(str(key), name))
-        state.rankings[service, key] = known
+        ordered = sorted(names, key=lambda name: -weight(str(key), name))
+        known = state.rankings[service, key] = tuple(ordered[:CANDIDATES])
     return known
 
 
@@ -95,11 +98,6 @@
     return held is not None and held >= version
 
 
-def has_model(view: EndpointView, model: str) -> bool:
-    """Return whether an engine has a base model."""
-    return AdapterKey(model) in view.held
-
-
 def unread_tokens(view: EndpointView, prompt: Prompt, at: float) -> int:
     """Return the prompt tokens that an engine would have to read."""
     unread = prompt.tokens - sum(part.tokens for part in prompt.parts)
@@ -156,41 +154,52 @@
 def choose_engine(state: GatewayState, request: RequestState, at: float) -> Choice | None:
     """Return the engine for a model request; None if none has the base model."""
     prompt = request.prompt
-    views = [
-        view
-        for view in usable(state, request.service, request.avoid, at)
-        if has_model(view, prompt.key.model)
-    ]
+    model = AdapterKey(prompt.key.model)
+    views = usable(state, request.service, request.avoid, at)
+    views = [view for view in views if model in view.held]
     if not views:
         return None
-    costs = {view.record.name: cost_s(state, view, prompt, at) for view in views}
     if not prompt.key.adapter:
-        return Choice(min(views, key=lambda view: costs[view.record.name]), True)
-    return choose_holder(state, request, views, costs, at)
+        return Choice(min(views, key=lambda view: cost_s(state, view, prompt, at)), True)
+    return choose_holder(state, request, views, at)
 
 
-def choose_holder(state, request: RequestState, views, costs: dict[str, float], at) -> Choice:
-    """Return the engine at which an adapter costs callers least: held, kept in memory, or cold."""
-    key = request.prompt.key
+def choose_holder(state, request: RequestState, views, at: float) -> Choice:
+    """Return the engine at which an adapter costs callers least: held, kept in memory, or cold.
+
+    Among many engines only those are looked at that have or had the adapter, and the first of its
+    ranking, so that the time for a choice hardly grows with the number of engines.
+    """
+    prompt = request.prompt
+    key = prompt.key
     version = required_version(state, key, at)
-    order = ranking(state, request.service, key)
+    ranks = {name: rank for rank, name in enumerate(ranking(state, request.service, key))}
+    near = [
+        view
+        for view in views
+        if view.record.name in ranks
+        or key in view.held
+        or key in view.warm
+        or is_coming(view, key, at)
+    ] or views
     options: list[tuple[float, int, EndpointView, bool]] = []
-    for view in views:
-        name = view.record.name
-        rank = order.index(name)
+    for view in near:
+        rank = ranks.get(view.record.name, CANDIDATES)
+        cost = cost_s(state, view, prompt, at)
         if holds(view, key, version):
-            options.append((costs[name], rank, view, True))
+            options.append((cost, rank, view, True))
         elif is_coming(view, key, at):
-            options.append((costs[name] + COMING_S, rank, view, False))
+            options.append((cost + COMING_S, rank, view, False))
         elif at >= view.no_orders_until:
             wait_s = 0.0 if has_room(state, view, at) else place_wait_s(state, view)
             if key in view.held:
                 wait_s += OLD_VERSION_S
-            cost = costs[name] + fetch_cost_s(view, key, rank) + wait_s
+            cost += fetch_cost_s(view, key, rank) + wait_s
             options.append((cost, rank, view, False))
     if not options:
         # No lead answers; the request waits at its home until one does.
-        return Choice(min(views, key=lambda view: order.index(view.record.name)), False)
+        home = min(near, key=lambda view: ranks.get(view.record.name, CANDIDATES))
+        return Choice(home, False)
     _, _, best, ready = min(options, key=lambda option: option[:2])
     return Choice(best, ready)
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -293,7 +293,7 @@
     routes_by_host: dict[str, list[Route]] = field(factory=dict)
     endpoints: dict[str, EndpointView] = field(factory=dict)
     endpoints_by_service: dict[str, list[str]] = field(factory=dict)
-    rankings: dict[tuple[str, AdapterKey], list[str]] = field(factory=dict)
+    rankings: dict[tuple[str, AdapterKey], tuple[str, ...]] = field(factory=dict)
     listed: bool = False
     entries_listed: bool = False
     leads_listed: bool = False
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,7 +4,7 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway import messages, routing
 from poplarhoist.decisions.gateway.events import Outcome
 from poplarhoist.decisions.gateway.models import Refused, Target
 from tests.gateway import ROUTES, Gateway, desk, engine, of, one, route
@@ -194,6 +194,24 @@
     assert asked == {"a1": pytest.approx(0.0), "a2": pytest.approx(1.0)}
 
 
+@pytest.mark.parametrize("holder", [3, 17, 39])
+def test_among_many_engines_the_one_that_has_the_adapter_is_found(holder):
+    gateway = site()
+    gateway.list(*(engine(n, ("a1",) if n == holder else ()) for n in range(1, 41)))
+    _, effects = gateway.ask("/stream/x", "a1")
+    assert one(fx.Dispatch, effects).endpoint.name == f"e{holder}"
+
+
+def test_the_time_for_a_choice_hardly_grows_with_the_number_of_engines(monkeypatch):
+    costs = []
+    cost_s = routing.cost_s
+    monkeypatch.setattr(routing, "cost_s", lambda *args: costs.append(args) or cost_s(*args))
+    gateway = site()
+    gateway.list(*(engine(n) for n in range(1, 351)))
+    gateway.ask("/stream/x", "a1")
+    assert 0 < len(costs) <= routing.CANDIDATES
+
+
 def crash(gateway: Gateway, content: str, number: int) -> None:
     """Let a request of a content crash a desk that is there for this only."""
     for name in [name for name in gateway.state.endpoints if name.startswith("d")]:
