A crowd at an engine, and its end, is told to all entries at once

Cause: leads told all entries how many prompt tokens wait at an engine every 0.25 s, at 87 entries every 1.8 s. Change: told when the tokens have doubled or halved since they were last told, else as before. The test of the messages fails without it.

--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -109,13 +109,27 @@
             held.used_at = max(held.used_at, at)
     step(state, book, at, out)
     view = view_of(state, book, at)
-    if view.prefill_tokens >= BUSY_TOKENS and at - book.told_all_at >= BUSY_S * pace(state):
+    if is_news(state, book, view.prefill_tokens, at):
         book.told_all_at = at
+        book.told_tokens = view.prefill_tokens
         out.extend(SendPeer(entry, view) for entry in state.entries)
     elif sender != state.me:
         out.append(SendPeer(sender, view))
 
 
+def is_news(state: GatewayState, book: Book, tokens: int, at: float) -> bool:
+    """Return whether all entries must learn how many prompt tokens wait at an engine.
+
+    A crowd is told at once, each time that it has doubled, and so is its end; what lasts is told
+    now and then.
+    """
+    if tokens >= BUSY_TOKENS and tokens >= 2 * book.told_tokens:
+        return True
+    if book.told_tokens >= BUSY_TOKENS and 2 * tokens <= book.told_tokens:
+        return True
+    return tokens >= BUSY_TOKENS and at - book.told_all_at >= BUSY_S * pace(state)
+
+
 def view_of(state: GatewayState, book: Book, at: float) -> View:
     """Return what the others need to know of an engine."""
     fresh = [
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -251,6 +251,7 @@
     unplaced_since: float | None = None
     mismatches: int = 0
     told_all_at: float = float("-inf")
+    told_tokens: int = 0
 
 
 @define
--- a/tests/test_gateway_books.py
+++ b/tests/test_gateway_books.py
@@ -101,6 +101,30 @@
     assert loaded == [key("b3"), key("b2"), key("b1")]
 
 
+@pytest.mark.parametrize(
+    ("tokens", "told"),
+    [
+        ((3000, 6000, 7000), (False, False, False)),
+        ((9000, 15000, 19000, 40000), (True, False, True, True)),
+        ((40000, 30000, 19000, 12000, 0), (True, False, True, False, True)),
+        ((9000, 0, 9000), (True, True, True)),
+    ],
+)
+def test_a_crowd_and_its_end_are_told_to_all_entries_at_once(tokens, told):
+    others = tuple(f"entry-{n}" for n in range(2, 65))
+    gateway = lead()
+    for name in others:
+        gateway.submit(ev.EntrySeen, name=name, host="10.0.2.1", port=7000, zone="north-a")
+    gateway.run(3.0)
+    heard = []
+    for waiting in tokens:
+        gateway.run(0.025)
+        use = messages.Use("e1", {"base/a1": 1}, (), waiting)
+        views = of(fx.SendPeer, gateway.hear("entry-2", use))
+        heard.append({view.peer for view in views} >= set(others))
+    assert tuple(heard) == told
+
+
 def test_an_idle_adapter_makes_way_the_least_recently_used_first():
     gateway = lead(EIGHT)
     gateway.run(1.0)
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -92,3 +92,13 @@
     load.offer(1.0, 20.0, 1, 1.0)
     load.run(2.0)
     assert 0 < len(set(built)) < engines
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_many_entries_serve_a_calm_day_in_time(seed):
+    load = Load(seed, entries=40, engines=30)
+    load.run(3.0)
+    load.offer(6.0, per_s=100.0, adapters=600, skew=1.2)
+    load.run(12.0)
+    assert load.share(in_time) >= CALM_FLOOR
+    assert load.share(served) >= 0.95
