--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -29,18 +29,13 @@
 ANSWER_S = 0.01
 # Share of its objective after which a request is refused for which no endpoint is there, and for
 # which no place is in sight: of those that have waited so long one in five still gets a place, and
-# a caller who is told early can come back. One who was refused before waits longer, and gets the
-# next place before others.
+# a caller who is told early can come back, and then gets the next place before others.
 NO_ENDPOINT_SHARE = 0.1
 WAIT_SHARE = 0.25
-WAIT_AGAIN_SHARE = 1.0
 # The same where the lead of the asked engine does not answer; long enough for another to be asked.
 WAIT_UNTOLD_SHARE = 0.75
 # Seconds for which a lead's word that there is no place holds; it answers each question.
 TOLD_FULL_S = 2 * ASK_AGAIN_S
-# Seconds of a caller's time that have passed when it is taken for one who was refused before; more
-# than clocks and routes change, less than callers are told to wait.
-CAME_BACK_S = 0.2
 # Seconds after which a caller may find a place where there is none now; an endpoint that restarts
 # is missed for about that long.
 COME_BACK_S = 0.5
@@ -400,8 +395,6 @@
     if view is None or at - view.view_at > TOLD_FULL_S:
         # Nobody has said that there is no place; the lead may be gone, and another one take over.
         share = WAIT_UNTOLD_SHARE
-    elif request.arrived_at - request.first_asked_at >= CAME_BACK_S:
-        share = WAIT_AGAIN_SHARE
     else:
         share = WAIT_SHARE
     return at - request.arrived_at >= share * request.route.objective_s
