--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -392,11 +392,9 @@
 def is_hopeless(state: GatewayState, request: RequestState, at: float) -> bool:
     """Return whether a request has waited so long for a place that its caller had better know."""
     view = state.endpoints.get(request.asked)
-    if view is None or at - view.view_at > TOLD_FULL_S:
-        # Nobody has said that there is no place; the lead may be gone, and another one take over.
-        share = WAIT_UNTOLD_SHARE
-    else:
-        share = WAIT_SHARE
+    # If nobody has said that there is no place, the lead may be gone, and another one take over.
+    told = view is not None and at - view.view_at <= TOLD_FULL_S
+    share = WAIT_SHARE if told else WAIT_UNTOLD_SHARE
     return at - request.arrived_at >= share * request.route.objective_s
 
 
