--- a/poplarhoist/cli/ctl.py
+++ b/poplarhoist/cli/ctl.py
@@ -6,8 +6,9 @@
 from poplarhoist.cli.common import run
 from poplarhoist.context import Environment
 from poplarhoist.ctl import changes, views
-from poplarhoist.ctl.arguments import COMMANDS
+from poplarhoist.ctl.arguments import COMMANDS, Trace
 from poplarhoist.ctl.operator import Operator
+from poplarhoist.ctl.trace import trace
 from poplarhoist.status import ExitStatus
 
 PROGRAM = "poplarhoist-ctl"
@@ -16,6 +17,9 @@
 
 def execute(command: object, env: Environment) -> ExitStatus:
     """Execute a command."""
+    if isinstance(command, Trace):
+        # Reads files only; it has no site.
+        return trace(env, command)
     return HANDLERS[type(command)](Operator(command, env), command)
 
 
--- a/poplarhoist/ctl/arguments.py
+++ b/poplarhoist/ctl/arguments.py
@@ -260,6 +260,25 @@
     """Check a settings file without calling anything."""
 
 
+@frozen
+class Trace:
+    """Tell the story of a request from the log files of all entries.
+
+    Parameters
+    ----------
+    request
+        Id that the caller gave the request.
+    logs
+        Log files, one or more for each entry.
+    json
+        Answer in JSON.
+    """
+
+    request: str
+    logs: tuple[Path, ...] = field(kw_only=True)
+    json: bool = field(kw_only=True, default=False)
+
+
 COMMANDS = {
     "adapter": {
         "create": AdapterCreate,
@@ -275,4 +294,5 @@
     "explain": Explain,
     "drain": Drain,
     "check": Check,
+    "trace": Trace,
 }
