--- a/poplarhoist/decisions/gateway/news.py
+++ b/poplarhoist/decisions/gateway/news.py
@@ -16,7 +16,7 @@
 # and one in three thousand not at all; the messages of one entry do not grow with their number.
 TOLD_ENTRIES = 8
 # Entries up to which each watches at its plain pace; the watches of more of them together show what
-# one missed. Less than half of the fewest entries that a site is known to have.
+# one missed. Fewer than the six entries of the smallest site.
 PLAIN_READERS = 4
 
 
