--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,12 @@
 TOKEN ?= secret-of-a-family
 LOAD_S ?= 30
 SOAK_S ?= 3600
+# Seeds of `make fault-soak`.
+SEEDS ?= 1 2 3 4
 # Sets are walked in the same order on every run of the tests.
 export PYTHONHASHSEED = 0
 
-.PHONY: all setup format lint check test demo load soak clean
+.PHONY: all setup format lint check test demo load soak fault-soak clean
 
 all: test
 
@@ -42,5 +44,8 @@
 	$(VENV)/bin/poplarhoist-load run --settings $(SETTINGS) --token $(TOKEN) --seconds $(SOAK_S) \
 		--trace shift
 
+fault-soak: setup
+	$(PYTHON) -m tests.soak.run --seeds $(SEEDS)
+
 clean:
 	rm -rf $(VENV) build out *.egg-info
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -292,6 +292,8 @@
 class Endpoint(StandIn):
     """An engine or an endpoint of a plain service."""
 
+    handler = EndpointHandler
+
     def __init__(self, name: str, service: str, work_s: float = 0.0) -> None:
         self.name = name
         self.service = service
@@ -306,7 +308,7 @@
         self.faults: list[str] = []
         self.order_faults: list[str] = []
         self.aborted: list[str] = []
-        super().__init__(EndpointHandler)
+        super().__init__(self.handler)
 
     def holds(self, adapter: str, version: str | None) -> bool:
         """Return whether an adapter is there in a version."""
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real entries as processes, faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/mutants.py
@@ -0,0 +1,40 @@
+"""Entries with one protection broken each; the soak must notice."""
+
+# Statements run before an entry starts.
+BROKEN_BY_NAME = {
+    "at-most-once": (
+        "import poplarhoist.decisions.gateway.requests as requests\n"
+        "requests.may_repeat = lambda state, request, event: (\n"
+        "    not event.delivered and request.attempt < 3)"
+    ),
+    "places": (
+        "import poplarhoist.decisions.gateway.books as books\n"
+        "books.places = lambda offers: offers.places + 2"
+    ),
+    "fencing": (
+        "import attrs\n"
+        "import poplarhoist.platform.dialect as dialect\n"
+        "order_request = dialect.PlatformDialect.order_request\n"
+        "dialect.PlatformDialect.order_request = lambda self, order, holder: order_request(\n"
+        "    self, attrs.evolve(order, epoch=1), holder)"
+    ),
+    "drain": (
+        "import attrs\n"
+        "import poplarhoist.decisions.gateway.endpoints as endpoints\n"
+        "on_seen = endpoints.on_seen\n"
+        "def blind(state, event, out):\n"
+        "    record = attrs.evolve(event.record, leaving=False)\n"
+        "    on_seen(state, attrs.evolve(event, record=record), out)\n"
+        "endpoints.on_seen = blind\n"
+        "import poplarhoist.decisions.gateway.reducer as reducer\n"
+        "from poplarhoist.decisions.gateway import events\n"
+        "reducer.HANDLERS[events.EndpointSeen] = blind"
+    ),
+    "refusal": (
+        "import poplarhoist.gateway.callers as callers\n"
+        "refuse = callers.Service.refuse\n"
+        "import attrs\n"
+        "callers.Service.refuse = lambda self, effect: refuse(\n"
+        "    self, attrs.evolve(effect, ran=False))"
+    ),
+}
