Tests: the soak's entries and endpoints use the stand-ins' own code

Read again: the soak had its own way to start an entry, to pick ports, to serve a request and to stream, beside those of the platform's stand-ins.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -5,25 +5,67 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 from tests.platform_standins import BASE, HOST, Endpoint, Store, configuration
-from tests.site import ROOT
+from tests.site import ROOT, free_ports
 
 START_S = 15.0
+RUN = ("-m", "poplarhoist.platform")
 
 
-def free_port() -> int:
-    """Return a port that nothing listens at."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+class PlatformEntry:
+    """One entry that runs as its own process."""
+
+    def __init__(self, name: str, directory: Path, store_port: int) -> None:
+        self.name = name
+        self.port, self.ready_port, self.inner_port = free_ports(3)
+        self.settings = directory / f"{name}.toml"
+        self.settings.write_text(
+            f'name = "{name}"\nzone = "north-a"\nhost = "{HOST}"\n'
+            f'store = "{HOST}:{store_port}"\n'
+            f'[listen]\ncallers = "{HOST}:{self.port}"\nready = "{HOST}:{self.ready_port}"\n'
+            f"inner_port = {self.inner_port}\n"
+            '[bounds]\nstop_s = 8\n[regions]\n"north-a" = "north"\n'
+        )
+        self.output = directory / f"{name}.log"
+        self.process: subprocess.Popen | None = None
+
+    def launch(self, run: tuple[str, ...] = RUN) -> None:
+        """Start the process; what it writes is added to its output."""
+        with self.output.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, *run],
+                cwd=ROOT,
+                env={"POPLARHOIST_BOOT": str(self.settings), "PATH": os.environ["PATH"]},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this entry's own process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def status(self, path: str = "/api/ready") -> int:
+        """Return the status of the entry's answer on its address for questions; 0 for none."""
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection = http.client.HTTPConnection(HOST, self.ready_port, timeout=2)
+            connection.request("GET", path)
+            return connection.getresponse().status
+        return 0
 
 
-class PlatformSite:
+class PlatformSite(PlatformEntry):
     """A store, endpoints, and one entry that runs as its own process."""
 
     def __init__(self, directory) -> None:
@@ -32,17 +74,7 @@
             name: Endpoint(name, service)
             for name, service in (("e1", "models"), ("e2", "models"), ("d1", "desk"))
         }
-        self.port, self.ready_port, self.inner_port = (free_port() for _ in range(3))
-        self.settings = directory / "settings.toml"
-        self.settings.write_text(
-            f'name = "entry-1"\nzone = "north-a"\nhost = "{HOST}"\n'
-            f'store = "{HOST}:{self.store.port}"\n'
-            f'[listen]\ncallers = "{HOST}:{self.port}"\nready = "{HOST}:{self.ready_port}"\n'
-            f"inner_port = {self.inner_port}\n"
-            '[bounds]\nstop_s = 8\n[regions]\n"north-a" = "north"\n'
-        )
-        self.output = directory / "output.log"
-        self.process: subprocess.Popen | None = None
+        super().__init__("entry-1", directory, self.store.port)
 
     def configure(self, version: int = 1, *more: dict) -> None:
         """Write a configuration."""
@@ -60,21 +92,9 @@
         self.launch()
         self.wait(lambda: self.status() == 200)
 
-    def launch(self) -> None:
-        """Start the entry."""
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "poplarhoist.platform"],
-            cwd=ROOT,
-            env={"POPLARHOIST_BOOT": str(self.settings), "PATH": os.environ["PATH"]},
-            stdout=self.output.open("wb"),
-            stderr=subprocess.STDOUT,
-        )
-
     def stop(self) -> None:
         """End everything."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+        self.kill()
         self.store.stop()
         for endpoint in self.endpoints.values():
             endpoint.stop()
@@ -90,14 +110,6 @@
             assert time.monotonic() < ends_at, self.output.read_text()[-3000:]
             time.sleep(0.05)
 
-    def status(self, path: str = "/api/ready") -> int:
-        """Return the status of the entry's answer on its address for questions."""
-        with contextlib.suppress(OSError):
-            connection = http.client.HTTPConnection(HOST, self.ready_port, timeout=2)
-            connection.request("GET", path)
-            return connection.getresponse().status
-        return 0
-
     def ask(self, path: str, adapter: str = "", body=b"", method: str = "POST", **headers):
         """Send a caller's request over a new connection; return status, headers and body."""
         connection = http.client.HTTPConnection(HOST, self.port, timeout=10)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -215,7 +215,7 @@
         """Serve a caller's request."""
         endpoint = self.site
         headers = {name.lower(): value for name, value in self.headers.items()}
-        endpoint.requests.append((self.command, self.path, headers, body))
+        endpoint.note_request(self.command, self.path, headers, body)
         request_id = headers.get("x-request-id", "")
         if headers.get("x-target-instance") != endpoint.name:
             self.answer(421, X_Instance_Id=endpoint.name)
@@ -224,6 +224,7 @@
         if adapter and not endpoint.holds(adapter, headers.get("x-expect-version")):
             self.answer(421)
             return
+        endpoint.note_run(request_id, headers)
         fault = endpoint.faults.pop(0) if endpoint.faults else ""
         if fault == "full":
             self.answer(503, X_Not_Executed="1")
@@ -269,8 +270,8 @@
         self.send_header("X-Response-Seal", f"seal-{self.site.name}")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        for number in range(after + 1, EVENTS + 1):
-            data = f"id: {number}\ndata: piece {number}\n\n".encode()
+        for number in range(after + 1, self.site.events + 1):
+            data = self.site.piece(request_id, number)
             if fault == "torn" and number == 3:
                 self.chunk(data[: len(data) // 2])
                 self.close_connection = True
@@ -292,7 +293,7 @@
 class Endpoint(StandIn):
     """An engine or an endpoint of a plain service."""
 
-    handler = EndpointHandler
+    events = EVENTS
 
     def __init__(self, name: str, service: str, work_s: float = 0.0) -> None:
         self.name = name
@@ -308,7 +309,18 @@
         self.faults: list[str] = []
         self.order_faults: list[str] = []
         self.aborted: list[str] = []
-        super().__init__(self.handler)
+        super().__init__(EndpointHandler)
+
+    def note_request(self, method: str, path: str, headers: dict, body: bytes) -> None:
+        """Note what arrived."""
+        self.requests.append((method, path, headers, body))
+
+    def note_run(self, request_id: str, headers: dict) -> None:
+        """Take note of a request that is for this endpoint and that it can serve."""
+
+    def piece(self, request_id: str, number: int) -> bytes:
+        """Return an event of a stream."""
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
 
     def holds(self, adapter: str, version: str | None) -> bool:
         """Return whether an adapter is there in a version."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -37,6 +37,45 @@
     fault: str = ""
 
 
+def connect(entry: SoakEntry) -> http.client.HTTPConnection:
+    """Return a new connection to an entry."""
+    return http.client.HTTPConnection(HOST, entry.port, timeout=PATIENCE_S)
+
+
+def begin(request_id: str, kind: str, entry: SoakEntry) -> Seen:
+    """Return the record of a request that is about to be sent."""
+    return Seen(request_id, kind, entry.name, entry.lifetime, time.monotonic())
+
+
+def ask(connection, seen: Seen, adapter: int = 0) -> Seen:
+    """Send a request and judge its answer."""
+    request_id, kind = seen.request_id, seen.kind
+    headers = {
+        "Host": "host.test",
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": str(DEADLINE_MS),
+    }
+    if kind in ("stream", "resume"):
+        headers |= {"X-Model": f"base/a{adapter}", "X-Token-Usage": "100,20"}
+    expected = whole(request_id) if "X-Model" in headers else b"done " + request_id.encode()
+    try:
+        connection.request("POST", f"/{kind}/x", request_id.encode(), headers)
+        answer = connection.getresponse()
+        data = answer.read()
+    except (OSError, http.client.HTTPException):
+        seen.ended_at = time.monotonic()
+        return seen
+    seen.ended_at = time.monotonic()
+    seen.status = answer.status
+    if answer.status == 200 and data != expected:
+        seen.fault = f"MIXED: {data[:60]!r} as the whole answer"
+    elif answer.status == 200 and answer.headers["X-Request-Id"] != request_id:
+        seen.fault = f"MIXED: the answer to {answer.headers['X-Request-Id']}"
+    elif answer.status in NOT_RUN and "X-Response-Seal" in answer.headers:
+        seen.fault = f"MIXED: status {answer.status} with a signature"
+    return seen
+
+
 class Callers:
     """Threads that send requests one after another, half of them on connections that they keep."""
 
@@ -67,39 +106,11 @@
         while not self.ended.is_set():
             if connection is None:
                 entry = chance.choice(self.entries)
-                connection = http.client.HTTPConnection(HOST, entry.port, timeout=PATIENCE_S)
-            seen = self.ask(connection, entry, chance.choice(KINDS), chance.randrange(ADAPTERS))
+                connection = connect(entry)
+            seen = begin(f"s{next(self.numbers)}", chance.choice(KINDS), entry)
+            self.seen.append(seen)
+            ask(connection, seen, chance.randrange(ADAPTERS))
             if not keeps or seen.status == 0 or connection.sock is None:
                 connection.close()
                 connection = None
             time.sleep(PAUSE_S * chance.random())
-
-    def ask(self, connection, entry: SoakEntry, kind: str, adapter: int) -> Seen:
-        """Send a request and judge its answer."""
-        request_id = f"s{next(self.numbers)}"
-        seen = Seen(request_id, kind, entry.name, entry.lifetime, time.monotonic())
-        self.seen.append(seen)
-        headers = {
-            "Host": "host.test",
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": str(DEADLINE_MS),
-        }
-        if kind in ("stream", "resume"):
-            headers |= {"X-Model": f"base/a{adapter}", "X-Token-Usage": "100,20"}
-        expected = whole(request_id) if "X-Model" in headers else b"done " + request_id.encode()
-        try:
-            connection.request("POST", f"/{kind}/x", request_id.encode(), headers)
-            answer = connection.getresponse()
-            data = answer.read()
-        except (OSError, http.client.HTTPException):
-            seen.ended_at = time.monotonic()
-            return seen
-        seen.ended_at = time.monotonic()
-        seen.status = answer.status
-        if answer.status == 200 and data != expected:
-            seen.fault = f"MIXED: {data[:60]!r} as the whole answer"
-        elif answer.status == 200 and answer.headers["X-Request-Id"] != request_id:
-            seen.fault = f"MIXED: the answer to {answer.headers['X-Request-Id']}"
-        elif answer.status in NOT_RUN and "X-Response-Seal" in answer.headers:
-            seen.fault = f"MIXED: status {answer.status} with a signature"
-        return seen
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -4,7 +4,7 @@
 import time
 from collections import Counter
 
-from tests.platform_standins import Endpoint, EndpointHandler
+from tests.platform_standins import HOST, Endpoint
 from tests.soak.proxy import Proxy
 
 PLACES = 3
@@ -23,42 +23,6 @@
     return b"".join(piece(request_id, number) for number in range(1, EVENTS + 1))
 
 
-class SoakHandler(EndpointHandler):
-    """Serves every request that it may, and notes it."""
-
-    def serve(self, body: bytes) -> None:
-        """Serve a caller's request."""
-        endpoint = self.site
-        headers = {name.lower(): value for name, value in self.headers.items()}
-        request_id = headers.get("x-request-id", "")
-        if headers.get("x-target-instance") != endpoint.name:
-            self.answer(421, X_Instance_Id=endpoint.name)
-            return
-        model, _, adapter = headers.get("x-model", "").partition("/")
-        if adapter and not endpoint.holds(adapter, headers.get("x-expect-version")):
-            self.answer(421)
-            return
-        endpoint.note_run(request_id, int(headers.get("x-deadline-ms", 0)))
-        if model:
-            self.stream(request_id, int(headers.get("last-event-id", 0)), "")
-            return
-        time.sleep(WORK_S)
-        self.answer(200, b"done " + body, X_Request_Id=request_id, X_Response_Seal="s")
-
-    def stream(self, request_id: str, after: int, fault: str) -> None:
-        """Send the events of a stream after one of them."""
-        self.send_response_only(200)
-        self.send_header("Content-Type", "text/event-stream")
-        self.send_header("X-Request-Id", request_id)
-        self.send_header("X-Response-Seal", f"seal-{self.site.name}")
-        self.send_header("Transfer-Encoding", "chunked")
-        self.end_headers()
-        for number in range(after + 1, EVENTS + 1):
-            self.chunk(piece(request_id, number))
-            time.sleep(PIECE_S)
-        self.wfile.write(b"0\r\n\r\n")
-
-
 class SoakEndpoint(Endpoint):
     """An endpoint behind a proxy.
 
@@ -72,7 +36,7 @@
         Holder by epoch, of this run of the endpoint.
     """
 
-    handler = SoakHandler
+    events = EVENTS
 
     def __init__(self, name: str, service: str) -> None:
         self.lock = threading.Lock()
@@ -82,17 +46,24 @@
         self.holders: dict[int, str] = {}
         self.left_at: float | None = None
         self.late: list[tuple[str, float]] = []
-        super().__init__(name, service)
+        super().__init__(name, service, PIECE_S if service == "models" else WORK_S)
         self.proxy = Proxy(self.port)
 
-    def note_run(self, request_id: str, deadline_ms: int) -> None:
+    def note_request(self, method: str, path: str, headers: dict, body: bytes) -> None:
+        """Keep nothing of what arrives; a soak sends too much of it."""
+
+    def note_run(self, request_id: str, headers: dict) -> None:
         """Note that a request runs here."""
         with self.lock:
             self.runs[request_id] += 1
-            self.deadlines_ms[request_id] = deadline_ms
+            self.deadlines_ms[request_id] = int(headers.get("x-deadline-ms", 0))
             if self.left_at is not None:
                 self.late.append((request_id, time.monotonic() - self.left_at))
 
+    def piece(self, request_id: str, number: int) -> bytes:
+        """Return an event that names its request."""
+        return piece(request_id, number)
+
     def take_order(self, order: dict) -> int:
         """Carry out an order, and judge it."""
         with self.lock:
@@ -118,7 +89,7 @@
     def record(self, state: str = "ready") -> dict:
         """Return the endpoint's record; it names the proxy."""
         record = super().record(state)
-        return record | {"address": f"127.0.0.1:{self.proxy.port}"}
+        return record | {"address": f"{HOST}:{self.proxy.port}"}
 
     def stop(self) -> None:
         """Stop serving."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,7 +7,8 @@
 import threading
 import time
 
-HOST = "127.0.0.1"
+from tests.platform_standins import HOST
+
 READ_BYTES = 65536
 # Seconds between two looks at whether a held connection may go on.
 LOOK_S = 0.02
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,6 @@
 """Plays a soak: ``python -m tests.soak.run --seeds 1 2 3``; ends with 1 if a promise was broken."""
 
-import http.client
+import contextlib
 import json
 import random
 import shutil
@@ -16,11 +16,11 @@
 from attrs import define, field
 
 from tests.platform_standins import Store, configuration
-from tests.soak.callers import DEADLINE_MS, NOT_RUN, PATIENCE_S, Callers, Seen
+from tests.soak.callers import DEADLINE_MS, NOT_RUN, Callers, Seen, ask, begin, connect
 from tests.soak.endpoints import PLACES, SoakEndpoint
 from tests.soak.entries import SoakEntry
 from tests.soak.mutants import BROKEN_BY_NAME
-from tests.soak.proxy import HOST, Harm, Proxy
+from tests.soak.proxy import Harm, Proxy
 
 # Seconds that faults of a storm last at most, and that all is calm before a planned act; entries
 # are bound by time only after four calm seconds (the users' rules).
@@ -35,8 +35,6 @@
 RECOVER_S = 12.0
 # Seconds by which threads of a busy machine may note something late.
 SLACK_S = 0.5
-# Most requests of which each kind must be served at the end.
-LAST_TRIES = 40
 
 
 @define
@@ -108,8 +106,7 @@
             time.sleep(1.0)
         finally:
             callers.stop()
-        self.recover(callers)
-        self.judge(callers.seen)
+        self.judge(callers.seen + self.recover())
         return self.found
 
     def stop(self) -> None:
@@ -251,19 +248,13 @@
     def probe(self, prefix: str, when: str) -> None:
         """Ask every entry for a route that exists."""
         for entry in self.entries:
-            callers = Callers([entry], self.seed, threads=0)
-            seen = self.last_words(callers, entry, prefix.strip("/"))
-            if seen is not None and seen.status == 404:
+            if self.last_words(entry, prefix.strip("/")).status == 404:
                 self.found.append(f"CONFIG: {entry.name} does not know {prefix} {when}")
 
-    def last_words(self, callers: Callers, entry: SoakEntry, kind: str) -> Seen:
+    def last_words(self, entry: SoakEntry, kind: str) -> Seen:
         """Send one request over a connection of its own."""
-        connection = http.client.HTTPConnection(HOST, entry.port, timeout=PATIENCE_S)
-        callers.numbers = iter((f"p{time.monotonic_ns()}",))
-        try:
-            return callers.ask(connection, entry, kind, 0)
-        finally:
-            connection.close()
+        with contextlib.closing(connect(entry)) as connection:
+            return ask(connection, begin(f"p{time.monotonic_ns()}", kind, entry))
 
     def roll(self) -> None:
         """Stop an entry gracefully in a calm time, and start it again."""
@@ -284,24 +275,25 @@
         if not entry.wait_ready():
             self.found.append(f"RECOVER: {entry.name} does not come back")
 
-    def recover(self, callers: Callers) -> None:
-        """Demand that everything is served once all is calm."""
+    def recover(self) -> list[Seen]:
+        """Demand that everything is served once all is calm; return what was asked for that."""
         self.tell("calm")
         for proxy in [e.store for e in self.entries] + [e.proxy for e in self.endpoints.values()]:
             proxy.harm = Harm.NONE
         ends_at = time.monotonic() + RECOVER_S
         missing = {(e.name, kind) for e in self.entries for kind in ("once", "read", "stream")}
         by_name = {entry.name: entry for entry in self.entries}
-        probe = Callers(self.entries, self.seed, threads=0)
+        asked = []
         while missing and time.monotonic() < ends_at:
             for name, kind in sorted(missing):
-                if self.last_words(probe, by_name[name], kind).status == 200:
+                asked.append(self.last_words(by_name[name], kind))
+                if asked[-1].status == 200:
                     missing.discard((name, kind))
         if missing:
             self.found.append(f"RECOVER: not served again: {sorted(missing)}")
         for route in self.extra:
             self.probe(route["pathPrefix"], "at the end")
-        callers.seen += probe.seen
+        return asked
 
     def judge(self, seen: list[Seen]) -> None:
         """Compare what callers and endpoints saw."""
