Read again: one memory of what engines had, one pace, a view built once; decoded values that nothing used are out

The lead's books and the entries' views kept the same list of the latest adapters by two copies of one function; the pace of messages and the patience of reads were one formula written twice; a view for several askers was built for each. Gone: connections, batch, prompt memory, loads a second, pause and an engine's own counts, decoded and never read. What an endpoint's record says of slots and weights at hand is still decoded, as a record with odd values there is not to be used.

--- a/poplarhoist/decisions/gateway/books.py
+++ b/poplarhoist/decisions/gateway/books.py
@@ -12,6 +12,7 @@
 from poplarhoist.decisions.gateway import evicting
 from poplarhoist.decisions.gateway.configuration import service_spec
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
+from poplarhoist.decisions.gateway.endpoints import note_warm
 from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportRead
 from poplarhoist.decisions.gateway.leads import pace
 from poplarhoist.decisions.gateway.limits import (
@@ -24,7 +25,6 @@
     LATE_ORDER_S,
     REPORT_LAG_S,
     USE_STALE_S,
-    WARM_ADAPTERS,
     WARM_S,
 )
 from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
@@ -94,7 +94,7 @@
         want.entries.add(sender)
         step(state, book, at, out)
     # Also where nothing is known yet: the asker learns that its question arrived.
-    send_view(state, book, sender, at, out)
+    out.append(SendPeer(sender, view_of(state, book, at)))
 
 
 def on_use(state: GatewayState, sender: str, message: Use, at: float, out: list) -> None:
@@ -164,16 +164,13 @@
     return min(free + idle, COMING_LIMIT - len(book.coming)) - pending
 
 
-def send_view(state: GatewayState, book: Book, entry: str, at: float, out: list) -> None:
-    """Tell an entry about an engine."""
-    out.append(SendPeer(entry, view_of(state, book, at)))
-
-
 def tell_wanting(state: GatewayState, book: Book, key: AdapterKey, at: float, out: list) -> None:
     """Tell those who want an adapter about the engine."""
     want = book.wants.get(key)
-    for entry in sorted(want.entries) if want is not None else ():
-        send_view(state, book, entry, at, out)
+    if want is None:
+        return
+    view = view_of(state, book, at)
+    out.extend(SendPeer(entry, view) for entry in sorted(want.entries))
 
 
 def doubt(book: Book, at: float, cause: str, out: list) -> None:
@@ -205,19 +202,11 @@
     kept_until = at + ASKED_S if want is not None else at
     kept_until = max(kept_until, book.uses_known_at)
     book.held[key] = Held(coming.version, kept_until, at, coming.tries)
-    note_warm(book, key)
+    note_warm(book.warm, (key,))
     if want is not None and want.version <= coming.version:
         del book.wants[key]
 
 
-def note_warm(book: Book, key: AdapterKey) -> None:
-    """Remember that an engine has had an adapter."""
-    book.warm.pop(key, None)
-    book.warm[key] = None
-    while len(book.warm) > WARM_ADAPTERS:
-        del book.warm[next(iter(book.warm))]
-
-
 def want_report(state: GatewayState, book: Book, at: float, out: list) -> None:
     """Read the engine's report where the books are in doubt, something makes way, or could."""
     needed = not book.synced or bool(book.leaving) or at < book.model_due_at + 2.0
@@ -267,7 +256,7 @@
         known = book.held.get(key)
         if known is None:
             known = book.held[key] = Held(version, max(at, book.uses_known_at), at)
-            note_warm(book, key)
+            note_warm(book.warm, (key,))
         known.version = version
         known.seen = True
     for key in [key for key in book.held if key not in adapters]:
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -47,7 +47,7 @@
     if event.at - view.view_at > VIEW_FRESH_S:
         set_held(view, dict(record.held or {}))
     else:
-        note_warm(view, record.held or {})
+        note_warm(view.warm, record.held or {})
 
 
 def on_removed(state: GatewayState, event: EndpointRemoved, out: list) -> None:
@@ -86,16 +86,16 @@
 def set_held(view: EndpointView, held: dict[AdapterKey, int]) -> None:
     """Take what an engine holds, and remember that it has had it."""
     view.held = held
-    note_warm(view, held)
+    note_warm(view.warm, held)
 
 
-def note_warm(view: EndpointView, held: Iterable[AdapterKey]) -> None:
-    """Remember what an engine has had; it keeps the latest in its memory."""
+def note_warm(warm: dict[AdapterKey, None], held: Iterable[AdapterKey]) -> None:
+    """Remember what an engine has had, latest last; it keeps the latest in its memory."""
     for key in held:
-        view.warm.pop(key, None)
-        view.warm[key] = None
-    while len(view.warm) > WARM_ADAPTERS:
-        del view.warm[next(iter(view.warm))]
+        warm.pop(key, None)
+        warm[key] = None
+    while len(warm) > WARM_ADAPTERS:
+        del warm[next(iter(warm))]
 
 
 def drop(state: GatewayState, name: str, at: float, out: list) -> None:
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -63,9 +63,9 @@
     return known is None or known.silent_until > at
 
 
-def pace(state: GatewayState) -> float:
-    """Return by how much messages between entries are slowed down for their number."""
-    return max(1.0, len(state.entries) / PLAIN_PACE_ENTRIES)
+def pace(state: GatewayState, plain: int = PLAIN_PACE_ENTRIES) -> float:
+    """Return by how much messages or reads are slowed down where entries are more than ``plain``."""
+    return max(1.0, len(state.entries) / plain)
 
 
 def on_entry(state: GatewayState, event: EntrySeen, out: list) -> None:
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -38,8 +38,6 @@
         Longest time until the final answer.
     objective_s : float
         Time until the first byte within which an answer is worth most.
-    gap_s : float
-        Longest pause between two events of an answer that is on time.
     attempts : int
         Endpoints that may run one request.
     priority : int
@@ -53,7 +51,6 @@
     targets: tuple[Target, ...]
     limit_s: float
     objective_s: float
-    gap_s: float = 0.0
     attempts: int = 1
     priority: int = 0
     resumable: bool = False
@@ -85,15 +82,10 @@
         Adapters that an engine holds at once; one more makes it crash.
     memory_mb : float
         Room for the weights of models and adapters together.
-    loads_per_s : float
-        Model loads that the weight store allows over all engines.
     """
 
-    batch: int
     places: int
     memory_mb: float
-    prompt_tokens: int
-    loads_per_s: float
     models_by_name: dict[str, BaseModel] = field(factory=dict)
 
 
@@ -102,7 +94,6 @@
     """A service behind the routes; ``engine`` is None for a plain one."""
 
     name: str
-    connections: int
     engine: EngineProfile | None = None
 
 
@@ -183,9 +174,6 @@
 
     born: int
     orders: int
-    busy: bool
-    running: int
-    waiting: int
     held: dict[AdapterKey, int]
     coming: dict[AdapterKey, int]
 
--- a/poplarhoist/decisions/gateway/news.py
+++ b/poplarhoist/decisions/gateway/news.py
@@ -9,6 +9,7 @@
 
 from poplarhoist.decisions.gateway.effects import ReadAgain, SendPeer
 from poplarhoist.decisions.gateway.events import ChangesRead
+from poplarhoist.decisions.gateway.leads import pace
 from poplarhoist.decisions.gateway.messages import News
 from poplarhoist.decisions.gateway.state import GatewayState
 
@@ -22,7 +23,7 @@
 
 def patience(state: GatewayState) -> float:
     """Return how many times longer a watch may wait as others would tell what it misses."""
-    return max(1.0, len(state.entries) / PLAIN_READERS)
+    return pace(state, PLAIN_READERS)
 
 
 def on_read(state: GatewayState, event: ChangesRead, out: list) -> None:
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -60,7 +60,6 @@
         targets=targets,
         limit_s=limit_s,
         objective_s=data.get("targetLatencyMs", data["timeoutMs"]) * MS,
-        gap_s=data.get("gapAimMs", 0) * MS,
         attempts=max(1, int(data.get("maxAttempts", 1))),
         priority=int(data.get("priority", 0)),
         resumable=bool(data.get("resumable", False)),
@@ -72,7 +71,6 @@
     engine = data.get("engine")
     return ServiceSpec(
         name=data["name"],
-        connections=int(data.get("maxConns", 0)),
         engine=read_profile(engine) if engine else None,
     )
 
@@ -85,11 +83,8 @@
         for model in data.get("models", ())
     ]
     return EngineProfile(
-        batch=int(data.get("slots", 1)),
         places=int(data.get("adapterSlots", 0)),
         memory_mb=float(data.get("weightsMb", 0.0)),
-        prompt_tokens=int(data.get("kvCapacity", 0)),
-        loads_per_s=float(data.get("loadsPerS", 0.0)),
         models_by_name={model.name: model for model in models},
     )
 
@@ -153,9 +148,6 @@
     return EngineReport(
         born=int(data.get("born") or 0),
         orders=int(data["seq"]),
-        busy=bool(data.get("busy")),
-        running=int(data.get("numRunning") or 0),
-        waiting=int(data.get("numWaiting") or 0),
         held=read_held(data.get("models") or []),
         coming=coming,
     )
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -25,7 +25,7 @@
 from poplarhoist.decisions.gateway.state import GatewayState
 
 MODEL = AdapterKey("base")
-PROFILE = EngineProfile(64, 8, 1000.0, 232000, 4.0, {"base": BaseModel("base", 600.0, 40.0)})
+PROFILE = EngineProfile(8, 1000.0, {"base": BaseModel("base", 600.0, 40.0)})
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 
 
@@ -55,8 +55,8 @@
 def configuration(version: int = 1, routes=ROUTES) -> Configuration:
     """Return a configuration with the services of the test."""
     services = {
-        "models": ServiceSpec("models", 300, PROFILE),
-        "desk": ServiceSpec("desk", 100),
+        "models": ServiceSpec("models", PROFILE),
+        "desk": ServiceSpec("desk"),
     }
     return Configuration(version, tuple(routes), services)
 
@@ -165,8 +165,8 @@
         holds = {AdapterKey("base", adapter): 1 for adapter in held}
         if with_model:
             holds[MODEL] = 1
-        values = {"held": holds, "coming": {}, "running": 0, "waiting": 0} | fields
-        report = EngineReport(orders=orders, **{"born": 1, "busy": False, **values})
+        values = {"born": 1, "held": holds, "coming": {}} | fields
+        report = EngineReport(orders=orders, **values)
         return self.submit(ev.ReportRead, asked_at=self.at, engine=name, report=report)
 
     def hear(self, sender: str, message: messages.Message) -> list:
--- a/tests/gateway_load.py
+++ b/tests/gateway_load.py
@@ -210,7 +210,7 @@
         simulated = self.engines[engine_name]
         held = {MODEL: 1} | dict.fromkeys(simulated.held, 1)
         coming = dict.fromkeys(simulated.coming, 1)
-        report = EngineReport(1, simulated.orders, False, 0, 0, held, coming)
+        report = EngineReport(1, simulated.orders, held, coming)
         self.submit(name, ev.ReportRead, asked_at=self.at, engine=engine_name, report=report)
 
     def arrive(self, name: str, dispatch: fx.Dispatch, way_s: float) -> None:
