Log how the body of each attempt ended

The lines of requests did not tell what marks the end of a body, how much of it was read and whether its connection was reset, so that the hypotheses of the incident could not be told apart. again, refused and answered now carry framing, body_bytes, partial_event_bytes and connection_reset; refused also outcome and cause of the last attempt. No decision reads them.

--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -187,6 +187,50 @@
     waiting: int = -1
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response body.
+
+    NONE: no response head was read.
+    LENGTH: the Content-Length.
+    CHUNKED: the final chunk.
+    CONNECTION: the end of the connection, as the response has neither.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
+@frozen
+class BodyEnd:
+    """How far the body of a response was read; for the logs.
+
+    Attributes
+    ----------
+    received_bytes : int
+        Bytes of the body that were read.
+    partial_event_bytes : int
+        Bytes of an event that had not ended when the reading stopped.
+    connection_reset : bool
+        Whether the endpoint reset the connection.
+    """
+
+    framing: Framing = Framing.NONE
+    received_bytes: int = 0
+    partial_event_bytes: int = 0
+    connection_reset: bool = False
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the log fields that tell how the body ended."""
+        return {
+            "framing": self.framing,
+            "body_bytes": self.received_bytes,
+            "partial_event_bytes": self.partial_event_bytes,
+            "connection_reset": self.connection_reset,
+        }
+
+
 @frozen
 class AttemptEnded:
     """An attempt ended.
@@ -199,6 +243,8 @@
         Whether the caller has received a part of the response.
     connection_refused : bool
         Whether the endpoint's address refused the connection.
+    body_end : BodyEnd
+        How far the body of the response was read.
     """
 
     at: float
@@ -209,6 +255,7 @@
     delivered: bool = False
     connection_refused: bool = False
     reason: str = ""
+    body_end: BodyEnd = BodyEnd()
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -219,10 +219,11 @@
     reason: Refused,
     effects: list,
     retry_after_s=RETRY_AFTER_S,
+    **more_log_fields: object,
 ) -> None:
     """Refuse a request with its final response, and forget it.
 
-    A request that may have run gets no retry hint.
+    A request that may have run gets no retry hint. Further keyword arguments are log fields.
     """
     at = state.last_event_at
     fields = {
@@ -234,6 +235,7 @@
         "asked": request.asked_engine,
         "waited_s": round(at - request.arrived_at, 3),
         **routing.headroom_log_fields(state, request, at),
+        **more_log_fields,
     }
     stop_waiting(state, request)
     release_endpoint(state, request)
@@ -290,6 +292,7 @@
                     "endpoint": request.endpoint_name,
                     "outcome": event.outcome,
                     "reason": event.reason,
+                    **event.body_end.log_fields(),
                 },
             )
         )
@@ -363,7 +366,15 @@
     if event.outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT):
         # Stands for every limit of `may_retry`, not only for the retry budget.
         reason = Refused.RETRY_BUDGET
-    refuse(state, request, reason, effects)
+    refuse(
+        state,
+        request,
+        reason,
+        effects,
+        outcome=event.outcome,
+        cause=event.reason,
+        **event.body_end.log_fields(),
+    )
 
 
 def finish(state: GatewayState, request: RequestState, event: AttemptEnded, effects: list) -> None:
@@ -388,6 +399,7 @@
         "attempt": request.attempt,
         "late": request.response_started
         and request.response_started_at > request.latency_target_at,
+        **event.body_end.log_fields(),
     }
     effects.append(LogRequest("answered", request.request_id, fields))
     kind = request.route.kind
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -264,6 +264,7 @@
             delivered=self.request.delivered,
             connection_refused=result.connection_refused,
             reason=result.reason,
+            body_end=exchange.body_end(),
         )
         self.decision_loop.submit(event)
         if self.caller_disconnected or result.outcome is ev.Outcome.CANCELLED:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -17,7 +17,7 @@
 from urllib3.util import SKIP_HEADER
 
 from poplarhoist.decisions.gateway.effects import Dispatch
-from poplarhoist.decisions.gateway.events import Outcome, ResponseStarted
+from poplarhoist.decisions.gateway.events import BodyEnd, Framing, Outcome, ResponseStarted
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
 from poplarhoist.gateway.sockets import socket_options
@@ -101,6 +101,10 @@
         Whether the caller disconnected.
     response_started : bool
         Whether ResponseStarted was submitted.
+    received_bytes, partial_event_bytes : int
+        Bytes of the body read so far, and those of them at the end that are no whole event.
+    connection_reset : bool
+        Whether the connection that delimits the body was found reset.
     """
 
     def __init__(
@@ -128,6 +132,9 @@
         self.duplicate_sock: socket.socket | None = None
         self.cancelled = False
         self.response_started = False
+        self.received_bytes = 0
+        self.partial_event_bytes = 0
+        self.connection_reset = False
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline; at least one millisecond."""
@@ -229,7 +236,7 @@
         if 200 <= status < 300 and not self.response_head.has_seal:
             self.result = AttemptResult(Outcome.BROKEN, "response without a seal", status)
             return False
-        if not self.response.chunked and "content-length" not in self.response.headers:
+        if self.framing() is Framing.CONNECTION:
             # The response is delimited by the close of the connection. The socket is closed by
             # then; the duplicate still shows whether the connection was reset.
             self.duplicate_sock = socket.socket(fileno=os.dup(self.sock.fileno()))
@@ -275,7 +282,9 @@
             return b""
         data = self.response.read1(READ_CHUNK_BYTES, decode_content=False)
         if not data and self.duplicate_sock is not None and was_reset(self.duplicate_sock):
+            self.connection_reset = True
             raise ConnectionResetError
+        self.received_bytes += len(data)
         self.submit_response_started()
         return data
 
@@ -290,9 +299,13 @@
         try:
             while data := self.read_available():
                 if not self.request.resumable:
+                    self.partial_event_bytes = bytes_after_last_event(
+                        self.partial_event_bytes, data
+                    )
                     yield data
                     continue
                 buffered += data
+                self.partial_event_bytes = bytes_after_last_event(0, buffered)
                 end = buffered.rfind(EVENT_END) + len(EVENT_END)
                 if end < len(EVENT_END):
                     continue
@@ -307,6 +320,22 @@
         if buffered:
             self.record_failure(EOFError())
 
+    def framing(self) -> Framing:
+        """Return what marks the end of the response body."""
+        if self.response is None:
+            return Framing.NONE
+        if self.response.chunked:
+            return Framing.CHUNKED
+        if "content-length" in self.response.headers:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
+    def body_end(self) -> BodyEnd:
+        """Return how far the body of the response was read."""
+        return BodyEnd(
+            self.framing(), self.received_bytes, self.partial_event_bytes, self.connection_reset
+        )
+
     def cancel(self) -> None:
         """Shut the connection down, so that the endpoint stops its work.
 
@@ -348,6 +377,12 @@
     return False
 
 
+def bytes_after_last_event(before: int, data: bytes) -> int:
+    """Return how many bytes follow the last whole event, given how many did before `data`."""
+    end = data.rfind(EVENT_END)
+    return before + len(data) if end < 0 else len(data) - end - len(EVENT_END)
+
+
 def find_last_event_id(events: bytes) -> str:
     """Return the id of the last event that has one; empty if none has."""
     for line in reversed(events.split(b"\n")):
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -1,5 +1,6 @@
 """End-to-end tests of a real entry between callers, a stand-in store and stand-in endpoints."""
 
+import contextlib
 import http.client
 import signal
 import threading
@@ -277,6 +278,35 @@
     assert site.get_status("/metrics") == 200
 
 
+# Path, adapter, fault of the endpoints, how the log says that the body of the first attempt ended.
+BODY_END_CASES = [
+    ("/stream/x", "a1", "", ("chunked", 0, False)),
+    ("/stream/x", "a1", "torn", ("chunked", 10, False)),
+    ("/resume/x", "a1", "torn", ("chunked", 10, False)),
+    ("/once/x", "", "short", ("length", 0, False)),
+    ("/once/x", "", "unframed", ("connection", 0, False)),
+    ("/once/x", "", "reset", ("connection", 0, True)),
+    ("/once/x", "", "dropped", ("none", 0, False)),
+]
+
+
+@pytest.mark.parametrize(("path", "adapter", "fault", "expected"), BODY_END_CASES)
+def test_log_tells_how_the_body_of_an_attempt_ended(site, path, adapter, fault, expected):
+    shared_faults = [fault] if fault else []
+    for endpoint in site.endpoints.values():
+        endpoint.faults = shared_faults
+    with contextlib.suppress(http.client.IncompleteRead):
+        site.send_request(path, adapter, X_Request_Id="told")
+
+    def ends():
+        lines = [line for e in ("again", "refused", "answered") for line in site.log_lines(e)]
+        return [line for line in lines if line["caller_id"] == "told"]
+
+    site.wait_until(lambda: ends() != [], 2.0)
+    end = ends()[0]
+    assert (end["framing"], end["partial_event_bytes"], end["connection_reset"]) == expected
+
+
 def test_sighup_during_startup_does_not_end_the_entry(tmp_path):
     """SIGHUP would end a process that has neither ignored nor handled it yet."""
     site = PlatformSite(tmp_path)
