Failing test: a stream that ends inside an event with its connection

Stand-in engines send streams with a length, in chunks, or up to the end of their connection, and end them within or between events by a close or a reset.

test_broken_stream_that_must_not_run_again_ends_incomplete is the case chunked-torn of the new table, with the same checks.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -15,6 +15,14 @@
 BASE_MODEL = "base"
 # Events in a stream that runs to its end.
 EVENTS_PER_STREAM = 4
+# Faults that end a stream at its third event: share of that event that is sent, and whether the
+# connection is reset.
+STREAM_FAULTS = {
+    "torn": (0.5, False),
+    "torn-reset": (0.5, True),
+    "cut": (0.0, False),
+    "cut-reset": (0.0, True),
+}
 # Seconds for which a call hangs at a store that never responds.
 HANG_S = 40.0
 
@@ -276,10 +284,7 @@
             self.wfile.write(b"unframed")
             self.close_connection = True
             if fault == "reset":
-                time.sleep(0.1)
-                linger = struct.pack("ii", 1, 0)
-                self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                self.connection.close()
+                self.reset_connection()
         elif fault == "error":
             self.respond(500, b"failed", X_Request_Id=request_id, X_Response_Seal="s")
         elif model:
@@ -288,31 +293,54 @@
             time.sleep(endpoint.service_time_s)
             self.respond(200, b"done " + body, X_Request_Id=request_id, X_Response_Seal="s")
 
+    def reset_connection(self) -> None:
+        """Reset the connection once the peer has read what was sent."""
+        time.sleep(0.1)
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.connection.close()
+        self.close_connection = True
+
     def send_stream(self, request_id: str, last_event_id: int, fault: str) -> None:
-        """Send the events after an id; the fault "torn" ends the stream within the third event."""
+        """Send the events after an id, or fewer with a fault of `STREAM_FAULTS`."""
+        events = [
+            self.standin.stream_event(request_id, number)
+            for number in range(last_event_id + 1, self.standin.event_count + 1)
+        ]
+        framing = self.standin.stream_framing
         self.send_response_only(200)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("X-Request-Id", request_id)
         self.send_header("X-Response-Seal", f"seal-{self.standin.name}")
-        self.send_header("Transfer-Encoding", "chunked")
+        if framing == "chunked":
+            self.send_header("Transfer-Encoding", "chunked")
+        elif framing == "length":
+            self.send_header("Content-Length", str(sum(map(len, events))))
         self.end_headers()
-        for number in range(last_event_id + 1, self.standin.event_count + 1):
-            data = self.standin.stream_event(request_id, number)
-            if fault == "torn" and number == 3:
-                self.send_chunk(data[: len(data) // 2])
+        for number, data in enumerate(events, last_event_id + 1):
+            if fault in STREAM_FAULTS and number == 3:
+                sent_share, is_reset = STREAM_FAULTS[fault]
+                self.send_piece(data[: int(len(data) * sent_share)])
                 self.close_connection = True
+                if is_reset:
+                    self.reset_connection()
                 return
             try:
-                self.send_chunk(data)
+                self.send_piece(data)
             except ConnectionError:
                 self.standin.aborted_request_ids.append(request_id)
                 raise
             time.sleep(self.standin.service_time_s)
-        self.wfile.write(b"0\r\n\r\n")
+        if framing == "chunked":
+            self.wfile.write(b"0\r\n\r\n")
+        elif framing == "connection":
+            self.close_connection = True
 
-    def send_chunk(self, data: bytes) -> None:
-        """Send one chunk of a chunked response."""
-        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of a stream, as a chunk if the stream is chunked."""
+        if data and self.standin.stream_framing == "chunked":
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        self.wfile.write(data)
         self.wfile.flush()
 
 
@@ -342,16 +370,18 @@
         "dropped": connection closed without a response. "other-request": response to another
         request. "unsigned": response without a seal. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
-        the connection is reset. "error": status 500. "torn": stream that ends within the third
-        event.
+        the connection is reset. "error": status 500. `STREAM_FAULTS`: stream that ends too early.
     order_faults : list
         Faults of the next orders, one for each, in order. "refused": not carried out, status 409.
         "lost": carried out without a response.
     aborted_request_ids : list
         Requests whose connection ended during the stream.
+    stream_framing : str
+        What marks the end of a stream: "chunked", "length", or "connection" for its close.
     """
 
     event_count = EVENTS_PER_STREAM
+    stream_framing = "chunked"
 
     def __init__(self, name: str, service: str, service_time_s: float = 0.0) -> None:
         self.name = name
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.platform_site import PlatformSite
-from tests.platform_standins import EVENTS_PER_STREAM, HOST
+from tests.platform_standins import EVENTS_PER_STREAM, HOST, STREAM_FAULTS
 
 # Seconds within which a configuration must be in force, and after which a draining endpoint must
 # get no more requests.
@@ -125,12 +125,42 @@
         assert len(received) == 1
 
 
-def test_broken_stream_resumes_at_the_other_engine(site):
-    """The stream breaks within its third event and continues after the second."""
+# How the stream is delimited, and how it breaks off. A stream that is delimited by the end of its
+# connection and closed between two events cannot be told from a complete one.
+BROKEN_STREAM_CASES = [
+    (framing, fault)
+    for framing in ("chunked", "length", "connection")
+    for fault in STREAM_FAULTS
+    if (framing, fault) != ("connection", "cut")
+]
+
+
+@pytest.mark.parametrize(("framing", "fault"), BROKEN_STREAM_CASES)
+def test_stream_cut_short_is_not_passed_on_as_complete(site, framing, fault):
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = [fault]
+        site.endpoints[name].stream_framing = framing
+    with pytest.raises(http.client.IncompleteRead):
+        site.send_request("/stream/x", "a1")
+    assert sum(len(site.endpoints[name].requests) for name in ("e1", "e2")) == 1
+
+
+@pytest.mark.parametrize("framing", ["length", "connection"])
+def test_whole_stream_without_chunks_is_passed_on_as_complete(site, framing):
+    for name in ("e1", "e2"):
+        site.endpoints[name].stream_framing = framing
+    status, _, data = site.send_request("/stream/x", "a1")
+    assert (status, data) == (200, FULL_STREAM)
+
+
+@pytest.mark.parametrize(("framing", "fault"), BROKEN_STREAM_CASES)
+def test_broken_stream_resumes_at_the_other_engine(site, framing, fault):
+    """The stream breaks at its third event and continues after the second."""
     # Both engines take their faults from one list, so that only the first attempt is torn.
-    shared_faults = ["torn"]
+    shared_faults = [fault]
     for name in ("e1", "e2"):
         site.endpoints[name].adapters["a1"] = 1
+        site.endpoints[name].stream_framing = framing
         site.endpoints[name].faults = shared_faults
     site.register_endpoints("e1", "e2")
     time.sleep(1.0)
@@ -140,15 +170,6 @@
     assert sorted(headers.get("last-event-id", "") for headers in sent) == ["", "2"]
 
 
-def test_broken_stream_that_must_not_run_again_ends_incomplete(site):
-    """The caller must not mistake the broken stream for a complete one."""
-    for name in ("e1", "e2"):
-        site.endpoints[name].faults = ["torn"]
-    with pytest.raises(http.client.IncompleteRead):
-        site.send_request("/stream/x", "a1")
-    assert sum(len(site.endpoints[name].requests) for name in ("e1", "e2")) == 1
-
-
 def test_store_returns_without_its_history_after_an_outage(site):
     site.store.unavailable = True
     time.sleep(1.5)
