Streams that end inside an event are broken off on every route

Cause: whether a stream is whole was decided in two places. urllib3 reports a body that is shorter than its length or lacks its final chunk. A body that ends with its connection has neither, and the gateway looked for the end of the last event only on routes that may be resumed, as only these need whole events to go on. On other routes an orderly close inside an event was the end of a complete answer. Class: the end of a connection taken for the end of a message.

Resets are noticed in every framing.

Change: every stream of events is read through EventSplitter, whatever its route; what is left of an event at the end makes it broken. A stream that breaks inside its first event now gets a 502 in place of a connection that ends. Responses of another content type are passed on as they are; before, a resumable route took a JSON response for a broken stream. The product's own interface splits its streams by the same class, which also knows line ends with carriage returns.

--- a/poplarhoist/entry/attempts.py
+++ b/poplarhoist/entry/attempts.py
@@ -12,11 +12,11 @@
 from poplarhoist.decisions.events import Outcome
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.endpoint_effects import endpoint_url
+from poplarhoist.entry.event_stream import EventSplitter, count_events
 from poplarhoist.entry.http import never_sent, single_use_pool
 from poplarhoist.models import AdapterRef, Endpoint
 from poplarhoist.settings.models import StreamSettings
 
-EVENT_SEPARATOR = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 READ_CHUNK_BYTES = 65536
 EVENT_DATA_PREFIX = b"data:"
@@ -309,20 +309,17 @@
         An incomplete event at the end of the connection is dropped: the resumed stream sends it
         again.
         """
-        buffered = b""
+        events = EventSplitter()
         first_event_checked = False
         chunks = response.stream(READ_CHUNK_BYTES, decode_content=False)
         while chunk := self.next_chunk(chunks):
-            data = buffered + chunk
-            complete_until = data.rfind(EVENT_SEPARATOR) + len(EVENT_SEPARATOR)
-            if complete_until < len(EVENT_SEPARATOR):
-                buffered = data
+            data = events.feed(chunk)
+            if not data:
                 continue
-            data, buffered = data[:complete_until], data[complete_until:]
             if not first_event_checked:
                 self.check_first_event(data)
                 first_event_checked = True
-            self.received_events += data.count(EVENT_SEPARATOR)
+            self.received_events += count_events(data)
             self.interruptions = 0
             self.result.answer_bytes += len(data)
             self.result.delivered = True
@@ -338,7 +335,7 @@
         WrongAnswer
             If it names another model.
         """
-        first_event = data[: data.find(EVENT_SEPARATOR)]
+        first_event = data.splitlines()[0]
         if self.dispatch.ref is None or not first_event.startswith(EVENT_DATA_PREFIX):
             return
         try:
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -15,7 +15,6 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.configuration import find_route
 from poplarhoist.decisions.gateway.models import CallerLimits, Refused
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
@@ -138,8 +137,6 @@
 
     def run(self, event: ev.RequestArrived) -> Iterable[bytes]:
         """Submit the request and carry out its effects; return the response body."""
-        route = find_route(self.decision_loop.state, event.host, event.path)
-        self.request.resumable = route is not None and route.resumable
         is_streamed = False
         try:
             self.decision_loop.submit(event)
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -18,6 +18,7 @@
 
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import BodyEnd, Framing, Outcome, ResponseStarted
+from poplarhoist.entry.event_stream import EventSplitter, find_last_event_id
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
 from poplarhoist.gateway.sockets import socket_options
@@ -27,8 +28,7 @@
 # Seconds that sent bytes may stay unacknowledged before the endpoint counts as lost.
 TCP_USER_TIMEOUT_S = 2.0
 READ_CHUNK_BYTES = 65536
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that urllib3 would add where the caller sent none.
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
 
@@ -54,7 +54,6 @@
     target: str
     body: bytes
     head: RequestHead
-    resumable: bool = False
     last_event_id: str = ""
     delivered: bool = False
     active_exchange: "Exchange | None" = None
@@ -289,37 +288,35 @@
         return data
 
     def iter_chunks(self) -> Iterator[bytes]:
-        """Yield a streamed body as it arrives.
+        """Yield a streamed body as it arrives, a stream of events in whole events.
 
-        A resumable stream yields whole server-sent events only, so that the next endpoint can
-        continue after the last event id. A failure ends the iteration and sets the result; an
-        incomplete event at the end is a failure too.
+        A failure ends the iteration and sets the result. A stream that ends inside an event was cut
+        short, also if its connection was closed in order.
         """
-        buffered = b""
+        events = EventSplitter()
         try:
             while data := self.read_available():
-                if not self.request.resumable:
-                    self.partial_event_bytes = bytes_after_last_event(
-                        self.partial_event_bytes, data
-                    )
+                if not self.is_event_stream():
                     yield data
                     continue
-                buffered += data
-                self.partial_event_bytes = bytes_after_last_event(0, buffered)
-                end = buffered.rfind(EVENT_END) + len(EVENT_END)
-                if end < len(EVENT_END):
-                    continue
-                complete_events, buffered = buffered[:end], buffered[end:]
-                self.request.last_event_id = (
-                    find_last_event_id(complete_events) or self.request.last_event_id
-                )
-                yield complete_events
+                whole_events = events.feed(data)
+                self.partial_event_bytes = len(events.partial_event)
+                if whole_events:
+                    self.request.last_event_id = (
+                        find_last_event_id(whole_events) or self.request.last_event_id
+                    )
+                    yield whole_events
         except (HTTPError, OSError) as error:
             self.record_failure(error)
             return
-        if buffered:
+        if events.partial_event:
             self.record_failure(EOFError())
 
+    def is_event_stream(self) -> bool:
+        """Return whether the body consists of events; it does unless its content type differs."""
+        content_type = self.response.headers.get("content-type", EVENT_STREAM_TYPE)
+        return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
     def framing(self) -> Framing:
         """Return what marks the end of the response body."""
         if self.response is None:
@@ -375,17 +372,3 @@
     except OSError:
         return True
     return False
-
-
-def bytes_after_last_event(before: int, data: bytes) -> int:
-    """Return how many bytes follow the last whole event, given how many did before `data`."""
-    end = data.rfind(EVENT_END)
-    return before + len(data) if end < 0 else len(data) - end - len(EVENT_END)
-
-
-def find_last_event_id(events: bytes) -> str:
-    """Return the id of the last event that has one; empty if none has."""
-    for line in reversed(events.split(b"\n")):
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("latin-1")
-    return ""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -287,6 +287,9 @@
                 self.reset_connection()
         elif fault == "error":
             self.respond(500, b"failed", X_Request_Id=request_id, X_Response_Seal="s")
+        elif fault == "json":
+            seal = {"X_Request_Id": request_id, "X_Response_Seal": "s"}
+            self.respond(200, b'{"text": "plan"}', Content_Type="application/json", **seal)
         elif model:
             self.send_stream(request_id, int(headers.get("last-event-id", 0)), fault)
         else:
@@ -370,7 +373,8 @@
         "dropped": connection closed without a response. "other-request": response to another
         request. "unsigned": response without a seal. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
-        the connection is reset. "error": status 500. `STREAM_FAULTS`: stream that ends too early.
+        the connection is reset. "error": status 500. "json": a response that is no stream.
+        `STREAM_FAULTS`: stream that ends too early.
     order_faults : list
         Faults of the next orders, one for each, in order. "refused": not carried out, status 409.
         "lost": carried out without a response.
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -153,6 +153,14 @@
     assert (status, data) == (200, FULL_STREAM)
 
 
+@pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
+def test_response_that_is_no_event_stream_is_passed_on_from_a_streaming_route(site, path):
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = ["json"]
+    status, _, data = site.send_request(path, "a1")
+    assert (status, data) == (200, b'{"text": "plan"}')
+
+
 @pytest.mark.parametrize(("framing", "fault"), BROKEN_STREAM_CASES)
 def test_broken_stream_resumes_at_the_other_engine(site, framing, fault):
     """The stream breaks at its third event and continues after the second."""
