Bytes that are no response count as a broken attempt

What callers saw: status 500 without a body from the entry, also on routes that may repeat; the endpoint's slot and the request stayed taken in the entry's state, since the attempt never ended there.

Cause: urllib3's pools translate the errors of http.client, its connection does not; the gateway uses the connection and caught the errors of urllib3 alone. Class: an error of a library that nobody catches.

Evidence: the cases not-http of test_incomplete_or_unverified_response_is_not_returned failed before with 500 in place of 502 and 200. Change: read_head raises urllib3's ProtocolError. Logs name the error below urllib3's, for example IncompleteRead.

--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -9,11 +9,12 @@
 import os
 import socket
 from collections.abc import Iterator
+from http.client import HTTPException
 
 from attrs import define, field
 from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
 from urllib3.util import SKIP_HEADER
 
 from poplarhoist.decisions.gateway.effects import Dispatch
@@ -194,9 +195,20 @@
         )
 
     def read_head(self):
-        """Read the response head."""
+        """Read the response head.
+
+        Raises
+        ------
+        urllib3.exceptions.ProtocolError
+            If what arrives is no response head.
+        OSError
+            If the connection fails, or does not deliver the head in time.
+        """
         self.set_read_timeout()
-        return self.connection.getresponse()
+        try:
+            return self.connection.getresponse()
+        except HTTPException as error:
+            raise ProtocolError("no response head", error) from error
 
     def set_read_timeout(self) -> None:
         """Let the next read last until the deadline; there is no shorter timeout for silence."""
@@ -216,7 +228,8 @@
             outcome = Outcome.TIMED_OUT
         else:
             outcome = Outcome.BROKEN
-        self.result = AttemptResult(outcome, type(error).__name__)
+        # urllib3 wraps the error that tells how the connection failed.
+        self.result = AttemptResult(outcome, type(error.__cause__ or error).__name__)
 
     def check_response_head(self) -> bool:
         """Set the result by the response head; return whether the body is to be read.
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -23,6 +23,10 @@
     "cut": (0.0, False),
     "cut-reset": (0.0, True),
 }
+# Heads of responses that the endpoint ends by closing the connection.
+BROKEN_HEADS = {
+    "not-http": "\x00\x01 no response\r\n\r\n",
+}
 # Seconds for which a call hangs at a store that never responds.
 HANG_S = 40.0
 
@@ -287,6 +291,10 @@
                 self.reset_connection()
         elif fault == "error":
             self.respond(500, b"failed", X_Request_Id=request_id, X_Response_Seal="s")
+        elif fault in BROKEN_HEADS:
+            head = BROKEN_HEADS[fault].format(request_id=request_id)
+            self.wfile.write(head.encode())
+            self.close_connection = True
         elif fault == "json":
             seal = {"X_Request_Id": request_id, "X_Response_Seal": "s"}
             self.respond(200, b'{"text": "plan"}', Content_Type="application/json", **seal)
@@ -374,7 +382,7 @@
         request. "unsigned": response without a seal. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
         the connection is reset. "error": status 500. "json": a response that is no stream.
-        `STREAM_FAULTS`: stream that ends too early.
+        `STREAM_FAULTS`: stream that ends too early. `BROKEN_HEADS`: bytes that are no response.
     order_faults : list
         Faults of the next orders, one for each, in order. "refused": not carried out, status 409.
         "lost": carried out without a response.
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.platform_site import PlatformSite
-from tests.platform_standins import EVENTS_PER_STREAM, HOST, STREAM_FAULTS
+from tests.platform_standins import BROKEN_HEADS, EVENTS_PER_STREAM, HOST, STREAM_FAULTS
 
 # Seconds within which a configuration must be in force, and after which a draining endpoint must
 # get no more requests.
@@ -97,6 +97,8 @@
     ("/once/x", "unsigned", 502),
     ("/once/x", "short", 502),
     ("/once/x", "reset", 502),
+    *[("/once/x", fault, 502) for fault in BROKEN_HEADS],
+    *[("/read/x", fault, 200) for fault in BROKEN_HEADS],
     ("/once/x", "unframed", 200),
     ("/once/x", "error", 500),
     ("/read/x", "short", 200),
