A stream cut short ends with a reset for callers of HTTP/1.0

What callers could see: a caller of HTTP/1.0 gets no chunks, and a stream that the entry could not complete ended with an orderly close, like a whole one.

Cause: the entry relies on the missing final chunk, which there is none of in HTTP/1.0. Class: the end of a connection taken for the end of a message, here by the caller.

Evidence: test_stream_cut_short_ends_with_a_reset_for_a_caller_without_chunks[torn-True] failed before; a whole stream still ends with a close. Change: GatewayProtocol closes such a connection with a reset. HTTP/1.1 is as it was.

--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -38,11 +38,7 @@
 
 
 class StreamBroken(Exception):
-    """A streamed response cannot be completed.
-
-    The server then closes the caller's connection without the final chunk, so that the caller sees
-    an incomplete response.
-    """
+    """A streamed response cannot be completed; the server ends the caller's connection."""
 
 
 class CallerApplication:
@@ -339,6 +335,7 @@
         while True:
             effect = handler.mailbox.get()
             if not isinstance(effect, fx.Dispatch):
+                handler.environ[PROTOCOL_KEY].break_off_response()
                 raise StreamBroken
             exchange, first_chunk, chunks = handler.start_stream(effect)
             if first_chunk is not None:
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import socket
+import struct
 import uuid
 from collections.abc import Callable
 
@@ -53,9 +54,16 @@
     """HTTP protocol of callers' connections.
 
     It puts itself into the WSGI environ, since the application needs the request target as it was
-    sent and may close the connection after the response.
+    sent and may close or reset the connection after the response.
+
+    Attributes
+    ----------
+    resets_connection : bool
+        Whether the connection is to end with a reset.
     """
 
+    resets_connection = False
+
     def get_environ(self) -> dict:
         """Return the WSGI environ of a request, with this protocol under `PROTOCOL_KEY`."""
         environ = super().get_environ()
@@ -64,6 +72,26 @@
         environ["wsgi.input_terminated"] = True
         return environ
 
+    def break_off_response(self) -> None:
+        """Let the connection end so that the response looks incomplete.
+
+        Without its final chunk it does. A caller of HTTP/1.0 gets no chunks, so that only a reset
+        tells a response that was cut short from a whole one.
+        """
+        self.close_connection = 1
+        self.resets_connection = self.request_version != "HTTP/1.1"
+
+    def finish(self) -> None:
+        """Close the connection, with a reset if the response was broken off without chunks."""
+        if self.resets_connection:
+            linger = struct.pack("ii", 1, 0)
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.rfile.close()
+            self.wfile.close()
+            self.connection.close()
+            return
+        super().finish()
+
 
 class GatewayServer:
     """One entry: the decision loop and the parts that feed it and carry out its effects.
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import signal
+import socket
 import threading
 import time
 from pathlib import Path
@@ -155,6 +156,27 @@
     assert (status, data) == (200, FULL_STREAM)
 
 
+@pytest.mark.parametrize(("fault", "ends_with_reset"), [("", False), ("torn", True)])
+def test_stream_cut_short_ends_with_a_reset_for_a_caller_without_chunks(
+    site, fault, ends_with_reset
+):
+    """HTTP/1.0 has no chunks: an orderly close would end the stream as complete."""
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = [fault] if fault else []
+    head = "POST /stream/x HTTP/1.0\r\nHost: host.test\r\nX-Request-Id: old\r\nX-Model: base/a1\r\n\r\n"
+    with socket.create_connection((HOST, site.port), timeout=10) as caller:
+        caller.sendall(head.encode())
+        received = b""
+        was_reset = False
+        try:
+            while data := caller.recv(65536):
+                received += data
+        except ConnectionResetError:
+            was_reset = True
+    assert b" 200 " in received.splitlines()[0]
+    assert was_reset is ends_with_reset
+
+
 @pytest.mark.parametrize("path", ["/stream/x", "/resume/x"])
 def test_response_that_is_no_event_stream_is_passed_on_from_a_streaming_route(site, path):
     for name in ("e1", "e2"):
