Log the software version of endpoints and what a caller resumes

The adapter now reads both; no decision uses them yet. sent and the lines of endpoints carry software; sent carries resumed_caller_id and after_event for a request that takes up a stream.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -138,7 +138,12 @@
 
 def log_endpoint(change: str, record: EndpointRecord, effects: list) -> None:
     """Log a change of an endpoint."""
-    fields = {"endpoint": record.name, "service": record.service, "zone": record.zone}
+    fields = {
+        "endpoint": record.name,
+        "service": record.service,
+        "zone": record.zone,
+        "software": record.software_version,
+    }
     effects.append(LogChange(change, fields))
 
 
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -137,6 +137,10 @@
         Seconds that the caller will wait from now on.
     content_digest : str
         Digest of method, path and body; the same when the same request is sent again.
+    last_event_id : str
+        Id of the event after which the caller resumes a stream; empty if it begins one.
+    resumed_caller_id : str
+        Id of the caller's attempt that began the stream; empty if it does not say.
     """
 
     at: float
@@ -147,6 +151,8 @@
     deadline_s: float | None = None
     prompt: Prompt | None = None
     content_digest: str = ""
+    last_event_id: str = ""
+    resumed_caller_id: str = ""
 
 
 class Outcome(enum.StrEnum):
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -171,6 +171,8 @@
         Version by base model and adapter that it holds; None if the record does not list models.
     warm_models : frozenset
         Base models whose weights it can load without the weight store.
+    software_version : str
+        Version of the software that the endpoint runs, not of its models; empty if unknown.
     """
 
     name: str
@@ -183,6 +185,7 @@
     incarnation: int = 0
     held: dict[AdapterKey, int] | None = None
     warm_models: frozenset[str] = frozenset()
+    software_version: str = ""
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -80,6 +80,8 @@
         latency_target_at=event.at + min(route.latency_target_s, timeout_s),
         prompt=event.prompt,
         content_digest=event.content_digest,
+        last_event_id=event.last_event_id,
+        resumed_caller_id=event.resumed_caller_id,
     )
     state.requests[request.request_id] = request
     place_request(state, request, event.at, effects)
@@ -166,6 +168,7 @@
         "caller_id": request.caller_id,
         "attempt": request.attempt,
         "endpoint": endpoint.record.name,
+        "software": endpoint.record.software_version,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
         "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
@@ -178,6 +181,11 @@
             # Prompt tokens that need prefill.
             "unread": endpoint.prefill_tokens_by_request[request.request_id],
         }
+    if request.last_event_id:
+        fields |= {
+            "resumed_caller_id": request.resumed_caller_id,
+            "after_event": request.last_event_id,
+        }
     effects.append(LogRequest("sent", request.request_id, fields))
 
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -122,6 +122,9 @@
         Whether the caller has closed its connection while an attempt is running.
     avoided_endpoints : set
         Endpoints that failed the request; they get it again only if there are no others.
+    last_event_id, resumed_caller_id : str
+        Id of the event after which the caller resumes a stream, and of its attempt that began the
+        stream; both empty if the request begins one.
     """
 
     request_id: str
@@ -145,6 +148,8 @@
     adapter_ready_at: float = float("inf")
     caller_disconnected: bool = False
     avoided_endpoints: set[str] = field(factory=set)
+    last_event_id: str = ""
+    resumed_caller_id: str = ""
 
 
 @define
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -96,6 +96,8 @@
             deadline_s=head.deadline_s,
             prompt=head.prompt,
             content_digest=content_digest,
+            last_event_id=head.last_event_id,
+            resumed_caller_id=head.resumed_caller_id,
         )
         return RequestHandler(self, environ, start_response, request).run(event)
 
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -29,6 +29,8 @@
         Headers that are forwarded to the endpoint.
     last_event_id : str
         Id of the last event that the caller has received; empty if none.
+    resumed_caller_id : str
+        Id of the caller's attempt that brought the first event of the stream; empty if none.
     """
 
     caller_request_id: str
@@ -36,6 +38,7 @@
     prompt: Prompt | None
     forwarded_headers: Headers
     last_event_id: str = ""
+    resumed_caller_id: str = ""
 
 
 @frozen
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -125,6 +125,7 @@
         incarnation=int(spec.get("born") or 0),
         held=decode_loaded_versions(models) if isinstance(models, list) else None,
         warm_models=frozenset(name for name in warm_models if isinstance(name, str)),
+        software_version=str(spec.get("version") or ""),
     )
 
 
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -72,6 +72,7 @@
         prompt=parse_prompt(value_by_name),
         forwarded_headers=forwarded_headers,
         last_event_id=value_by_name.get("last-event-id", ""),
+        resumed_caller_id=value_by_name.get("resumes", ""),
     )
 
 
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -360,6 +360,17 @@
     assert (end["framing"], end["partial_event_bytes"], end["connection_reset"]) == expected
 
 
+def test_log_tells_which_stream_is_resumed_and_at_which_software(site):
+    resumption = {"Last_Event_Id": "2", "Resumes": "began", "X_Request_Id": "told"}
+    status, _, data = site.send_request("/resume/x", "a1", **resumption)
+    assert (status, data) == (200, FULL_STREAM[FULL_STREAM.index(b"id: 3") :])
+    site.wait_until(lambda: site.log_lines("answered") != [], 2.0)
+    sent = [line for line in site.log_lines("sent") if line["caller_id"] == "told"][-1]
+    assert (sent["resumed_caller_id"], sent["after_event"]) == ("began", "2")
+    assert sent["software"] == "v1"
+    assert {line["software"] for line in site.log_lines("endpoint-new")} == {"v1"}
+
+
 def test_sighup_during_startup_does_not_end_the_entry(tmp_path):
     """SIGHUP would end a process that has neither ignored nor handled it yet."""
     site = PlatformSite(tmp_path)
