--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -145,10 +145,9 @@
         self.request_count += 1
         request_id = f"r{self.request_count}"
         prompt = Prompt(AdapterKey("base", adapter), 1000) if adapter is not None else None
-        values = {"deadline_s": 6.0, "prompt": prompt, "host": "host.test", "path": path} | fields
-        effects = self.submit(
-            ev.RequestArrived, request_id=request_id, caller_id=f"c{self.request_count}", **values
-        )
+        values = {"deadline_s": 6.0, "prompt": prompt, "host": "host.test", "path": path}
+        values |= {"caller_id": f"c{self.request_count}"} | fields
+        effects = self.submit(ev.RequestArrived, request_id=request_id, **values)
         return request_id, effects
 
     def end_attempt(self, dispatch: fx.Dispatch, outcome: ev.Outcome, **fields) -> list:
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,167 @@
+"""Streams go on only at endpoints with the software version that began them."""
+
+import pytest
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from tests.gateway import Gateway, effects_of, engine, only_effect
+
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+
+
+class Site:
+    """Entries that exchange messages, with engines that hold the adapter a1.
+
+    Attributes
+    ----------
+    entries : dict
+        The entries by name; messages to entries that are not in it are lost.
+    """
+
+    def __init__(self, *software_versions: str) -> None:
+        self.records = [
+            engine(number, held=("a1",), software_version=version)
+            for number, version in enumerate(software_versions, 1)
+        ]
+        self.entries: dict[str, Gateway] = {}
+        for name in ENTRIES:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start an entry; one that was killed knows nothing of before."""
+        entry = Gateway(name, tuple(peer for peer in ENTRIES if peer != name))
+        entry.configure()
+        entry.list_endpoints(*self.records)
+        self.entries[name] = entry
+
+    def deliver(self, sender: str, effects: list) -> list:
+        """Deliver the messages among effects, and the messages that follow; return all effects."""
+        effects = list(effects)
+        for effect in effects_of(fx.SendPeer, effects):
+            receiver = self.entries.get(effect.peer)
+            if receiver is not None:
+                effects += self.deliver(effect.peer, receiver.receive(sender, effect.message))
+        return effects
+
+    def begin_stream(self, name: str, caller_id: str = "began") -> fx.Dispatch:
+        """Let a stream begin at an entry and deliver its first event; return its dispatch."""
+        entry = self.entries[name]
+        _, effects = entry.request("/resume/x", "a1", caller_id=caller_id)
+        dispatch = only_effect(fx.Dispatch, self.deliver(name, effects))
+        started = entry.submit(
+            ev.ResponseStarted, request_id=dispatch.request_id, attempt=dispatch.attempt
+        )
+        self.deliver(name, started)
+        return dispatch
+
+    def break_stream(self, name: str, dispatch: fx.Dispatch, delivered: bool = True) -> list:
+        """Let the attempt of a stream break off; return the effects."""
+        ended = self.entries[name].end_attempt(
+            dispatch, ev.Outcome.BROKEN, delivered=delivered, reason="ConnectionResetError"
+        )
+        return self.deliver(name, ended)
+
+    def resume_stream(self, name: str, caller_id: str = "began", seconds: float = 0.5) -> list:
+        """Let the caller take its stream up at an entry; return the effects of some time."""
+        entry = self.entries[name]
+        _, effects = entry.request(
+            "/resume/x", "a1", last_event_id="7", resumed_caller_id=caller_id
+        )
+        effects = self.deliver(name, effects)
+        for _ in range(round(seconds / 0.025)):
+            if effects_of(fx.Dispatch, effects) or effects_of(fx.Refuse, effects):
+                break
+            for other_name, other in self.entries.items():
+                effects += self.deliver(other_name, other.advance(0.025))
+        return effects
+
+    def crowd_engine(self, engine_name: str) -> None:
+        """Let every entry believe that an engine is busy, so that others are preferred."""
+        for entry in self.entries.values():
+            state = entry.state.endpoints[engine_name]
+            state.reported_load, state.load_reported_at = 60, entry.at + 100.0
+
+    def software_of(self, dispatch: fx.Dispatch) -> str:
+        return dispatch.endpoint.software_version
+
+
+# Versions of the engines; the first of them begins the stream.
+SOFTWARE_CASES = [("v1", "v2"), ("v1", "v2", "v1"), ("v1", "v2", "v2", "v1.1"), ("", "v1")]
+
+
+@pytest.mark.parametrize("versions", SOFTWARE_CASES)
+def test_broken_stream_does_not_go_on_at_another_software_version(versions):
+    site = Site(*versions)
+    dispatch = site.begin_stream("entry-1")
+    site.crowd_engine(dispatch.endpoint.name)
+    effects = site.break_stream("entry-1", dispatch)
+    next_dispatches = effects_of(fx.Dispatch, effects)
+    assert {site.software_of(d) for d in next_dispatches} == {site.software_of(dispatch)}
+
+
+@pytest.mark.parametrize("versions", SOFTWARE_CASES)
+@pytest.mark.parametrize("resumed_at", ["same-entry", "other-entry", "after-a-kill"])
+def test_stream_resumed_by_its_caller_goes_on_at_its_software_version(versions, resumed_at):
+    site = Site(*versions)
+    dispatch = site.begin_stream("entry-1")
+    site.crowd_engine(dispatch.endpoint.name)
+    if resumed_at == "after-a-kill":
+        del site.entries["entry-1"]
+    name = "entry-1" if resumed_at == "same-entry" else "entry-2"
+    next_dispatch = only_effect(fx.Dispatch, site.resume_stream(name))
+    assert site.software_of(next_dispatch) == site.software_of(dispatch)
+
+
+def test_restarted_entry_learns_from_others_where_a_stream_began():
+    site = Site("v1", "v2")
+    dispatch = site.begin_stream("entry-1")
+    site.crowd_engine(dispatch.endpoint.name)
+    site.start("entry-2")
+    site.crowd_engine(dispatch.endpoint.name)
+    next_dispatch = only_effect(fx.Dispatch, site.resume_stream("entry-2"))
+    assert site.software_of(next_dispatch) == site.software_of(dispatch)
+
+
+def test_stream_that_was_retried_before_its_first_event_counts_as_begun_at_the_retry():
+    site = Site("v1", "v2")
+    first = site.begin_stream("entry-1")
+    site.crowd_engine(first.endpoint.name)
+    second = only_effect(fx.Dispatch, site.break_stream("entry-1", first, delivered=False))
+    assert site.software_of(second) != site.software_of(first)
+    started = site.entries["entry-1"].submit(
+        ev.ResponseStarted, request_id=second.request_id, attempt=second.attempt
+    )
+    site.deliver("entry-1", started)
+    site.crowd_engine(second.endpoint.name)
+    next_dispatch = only_effect(fx.Dispatch, site.resume_stream("entry-2"))
+    assert site.software_of(next_dispatch) == site.software_of(second)
+
+
+@pytest.mark.parametrize("caller_id", ["unknown", ""])
+def test_stream_of_unknown_software_version_is_refused_while_several_serve(caller_id):
+    site = Site("v1", "v2")
+    refusal = only_effect(fx.Refuse, site.resume_stream("entry-2", caller_id))
+    assert (refusal.reason.name, refusal.ran) == ("SOFTWARE_VERSION", False)
+    assert refusal.retry_after_s == 0.0
+
+
+@pytest.mark.parametrize("caller_id", ["unknown", ""])
+def test_stream_of_unknown_software_version_goes_on_while_only_one_serves(caller_id):
+    site = Site("v1", "v1")
+    assert effects_of(fx.Dispatch, site.resume_stream("entry-2", caller_id))
+
+
+def test_stream_is_refused_at_once_when_its_software_version_is_gone():
+    site = Site("v1", "v2")
+    dispatch = site.begin_stream("entry-1")
+    for entry in site.entries.values():
+        entry.submit(ev.EndpointRemoved, name=dispatch.endpoint.name)
+    refusal = only_effect(fx.Refuse, site.resume_stream("entry-2", seconds=0.0))
+    assert refusal.reason.name == "SOFTWARE_VERSION"
+
+
+def test_streams_that_cannot_be_resumed_are_placed_at_any_software_version():
+    site = Site("v1", "v2")
+    entry = site.entries["entry-1"]
+    _, effects = entry.request("/stream/x", "a1", last_event_id="7", resumed_caller_id="unknown")
+    assert effects_of(fx.Dispatch, effects)
