A stream goes on only at the software version that began it

Cause: no decision knew software versions. After a break the entry took the cheapest engine; a caller's resumption was placed like a new request, by an entry that could not know where the stream had begun. Class: state that belongs to a caller's stream was kept by one attempt of one entry, while the stream outlives both.

Evidence: 21 of 24 tests of test_gateway_streams failed: within an answer, at the same entry, at another one, after a kill, after a restart.

Change: a request that may be resumed is bound to the version that delivered its first event; usable_endpoints leaves out all others. The entry that passes on the first bytes tells four others, chosen by the id of the caller's attempt, as soon as the service has more than one version; an entry that does not know a stream asks six and waits 0.15 s. Unknown streams are refused as not run while a service has, or within 30 s had, several versions, and go on while it has one. A stream whose version is gone is refused at once, without a hint to come back. Nothing is sent while there is one version.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.effects import LogChange
-from poplarhoist.decisions.gateway import crashes
+from poplarhoist.decisions.gateway import crashes, streams
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
 from poplarhoist.decisions.gateway.limits import (
     AVOID_BACKOFF_S,
@@ -14,7 +14,7 @@
     REREGISTRATION_S,
 )
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
+from poplarhoist.decisions.gateway.state import EndpointState, GatewayState, RequestState
 
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
 # record, which is written once per heartbeat interval and read some hundred milliseconds later.
@@ -105,6 +105,8 @@
 def remove_endpoint(state: GatewayState, name: str, at: float, effects: list) -> None:
     """Remove an endpoint, its slot table and its pending asks; requests in flight continue."""
     endpoint = state.endpoints.pop(name)
+    departed = state.departed_software.setdefault(endpoint.record.service, {})
+    departed[endpoint.record.software_version] = at
     crashes.on_endpoint_crashed(state, name, at, effects)
     state.slot_tables.pop(name, None)
     for ask_key in [ask_key for ask_key in state.pending_asks if ask_key[0] == name]:
@@ -147,17 +149,17 @@
     effects.append(LogChange(change, fields))
 
 
-def usable_endpoints(
-    state: GatewayState, service: str, avoid: set[str], at: float
-) -> list[EndpointState]:
-    """Return the endpoints of a service that may get a request.
+def usable_endpoints(state: GatewayState, request: RequestState, at: float) -> list[EndpointState]:
+    """Return the endpoints of a request's service that may get it.
 
-    Endpoints in `avoid` and those with recent connection failures are left out, unless no others
-    remain.
+    Endpoints that failed the request and those with recent connection failures are left out, unless
+    no others remain. Those that do not run the software version that it needs never get it.
     """
-    candidates = [state.endpoints[name] for name in state.endpoints_by_service.get(service, ())]
+    names = state.endpoints_by_service.get(request.service, ())
+    candidates = [state.endpoints[name] for name in names]
+    candidates = [endpoint for endpoint in candidates if streams.runs_software(endpoint, request)]
     untried = [
-        endpoint for endpoint in candidates if endpoint.record.name not in avoid
+        endpoint for endpoint in candidates if endpoint.record.name not in request.avoided_endpoints
     ] or candidates
     healthy = [endpoint for endpoint in untried if endpoint.avoid_until <= at]
     return healthy or untried
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -108,4 +108,29 @@
     revision: int
 
 
-Message = Ask | View | Use | NotLead | Crashed | News
+@frozen
+class StreamBegan:
+    """Says at which software version a stream began.
+
+    Attributes
+    ----------
+    caller_id : str
+        Id of the caller's attempt that began the stream.
+    attempt : int
+        Number of the entry's attempt; a later one replaces an earlier one.
+    """
+
+    caller_id: str
+    attempt: int
+    software: str
+    service: str
+
+
+@frozen
+class AskStreamOrigin:
+    """Asks at which software version a stream began; an entry that does not know is silent."""
+
+    caller_id: str
+
+
+Message = Ask | View | Use | NotLead | Crashed | News | StreamBegan | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -15,6 +15,7 @@
     messages,
     requests,
     residency,
+    streams,
 )
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import SendPeer, StopListening
@@ -104,6 +105,10 @@
             crashes.record_crash(state, message.content, message.endpoint, effects)
         case messages.News():
             gossip.on_news(message, effects)
+        case messages.StreamBegan():
+            streams.on_stream_began(state, message, at)
+        case messages.AskStreamOrigin():
+            streams.on_ask(state, sender, message, effects)
 
 
 def reroute_requests(state: GatewayState, request_ids: set[str], at: float, effects: list) -> None:
@@ -126,6 +131,7 @@
         return
     state.last_slow_tick_at = at
     endpoints.on_tick(state, at, effects)
+    streams.on_tick(state, at, effects)
     leads.on_tick(state, at, effects)
 
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.effects import Count, Observe
-from poplarhoist.decisions.gateway import adapter_asks, crashes, endpoints, retry_budget, routing
+from poplarhoist.decisions.gateway import (
+    adapter_asks,
+    crashes,
+    endpoints,
+    retry_budget,
+    routing,
+    streams,
+)
 from poplarhoist.decisions.gateway.configuration import (
     choose_service,
     find_route,
@@ -103,6 +110,14 @@
     if at >= request.deadline_at - RESPONSE_MARGIN_S:
         refuse(state, request, Refused.DEADLINE, effects)
         return
+    placement = streams.check_placement(state, request, at, effects)
+    if placement is streams.Placement.WAIT:
+        state.waiting.add(request.request_id)
+        return
+    if placement is streams.Placement.REFUSE:
+        # Another try would find the same versions, so there is no hint to come back.
+        refuse(state, request, Refused.SOFTWARE_VERSION, effects, retry_after_s=0.0)
+        return
     spec = find_service(state, request.service)
     if spec is not None and spec.engine is not None and request.prompt is not None:
         choice = routing.choose_engine(state, request, at)
@@ -138,6 +153,7 @@
     request.stage = Stage.RUNNING
     request.attempt += 1
     request.endpoint_name = endpoint.record.name
+    request.attempt_software = endpoint.record.software_version
     endpoint.in_flight.add(request.request_id)
     if request.attempt == 1:
         effects.append(Observe("wait_seconds", (request.route.kind,), at - request.arrived_at))
@@ -262,6 +278,7 @@
     if not request.response_started:
         request.response_started_at = event.at
     request.response_started = True
+    streams.on_first_bytes(state, request, event.at, effects)
     endpoint = state.endpoints.get(request.endpoint_name)
     if endpoint is None:
         return
@@ -290,6 +307,8 @@
         return
     if event.outcome not in (Outcome.NOT_SENT, Outcome.NOT_RUN):
         request.possible_runs += 1
+    if event.delivered and request.software_version is None:
+        request.software_version = request.attempt_software
     if may_retry(state, request, event):
         effects.append(
             LogRequest(
@@ -449,7 +468,7 @@
         elif request.asked_engine:
             if at >= request.adapter_ready_at:
                 endpoint = state.endpoints.get(request.asked_engine)
-                if endpoint is None:
+                if endpoint is None or not streams.runs_software(endpoint, request):
                     reroute_request(state, request, at, effects)
                 else:
                     dispatch(state, request, endpoint, at, effects)
@@ -472,7 +491,8 @@
     The request stays with an engine that is full if no other engine holds the adapter or has
     headroom.
     """
-    if request.asked_engine in state.endpoints:
+    endpoint = state.endpoints.get(request.asked_engine)
+    if endpoint is not None and streams.runs_software(endpoint, request):
         if at - request.asked_at < REROUTE_DELAY_S:
             return
         choice = routing.choose_engine(state, request, at)
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -184,7 +184,7 @@
     """Return the engine for a model request; None if no usable engine holds the base model."""
     prompt = request.prompt
     base_model = AdapterKey(prompt.key.model)
-    candidates = usable_endpoints(state, request.service, request.avoided_endpoints, at)
+    candidates = usable_endpoints(state, request, at)
     candidates = [endpoint for endpoint in candidates if base_model in endpoint.held]
     if not candidates:
         return None
@@ -308,7 +308,7 @@
     state: GatewayState, request: RequestState, at: float
 ) -> EndpointState | None:
     """Return the least loaded endpoint of a plain service, at random among equals; None if none."""
-    candidates = usable_endpoints(state, request.service, request.avoided_endpoints, at)
+    candidates = usable_endpoints(state, request, at)
     if not candidates:
         return None
     entries = max(1, len(state.entries))
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -125,6 +125,12 @@
     last_event_id, resumed_caller_id : str
         Id of the event after which the caller resumes a stream, and of its attempt that began the
         stream; both empty if the request begins one.
+    attempt_software : str
+        Software version of the endpoint of the latest attempt.
+    software_version : str or None
+        Software version that began the stream, at which alone it may go on; None for any.
+    origin_asked_at : float or None
+        When other entries were asked where the stream began; None if they were not.
     """
 
     request_id: str
@@ -150,6 +156,29 @@
     avoided_endpoints: set[str] = field(factory=set)
     last_event_id: str = ""
     resumed_caller_id: str = ""
+    attempt_software: str = ""
+    software_version: str | None = None
+    origin_asked_at: float | None = None
+
+
+@define
+class StreamOrigin:
+    """At which software version a stream began.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the entry's attempt whose first bytes began the stream.
+    is_own, is_told : bool
+        Whether it began at this entry, and whether the entry has told others.
+    """
+
+    software_version: str
+    attempt: int
+    known_at: float
+    service: str
+    is_own: bool = False
+    is_told: bool = False
 
 
 @define
@@ -429,6 +458,10 @@
         Time and content digest of responses that broke off.
     crashed_endpoints_by_digest : dict
         Endpoints that crashed while they ran a request, by the request's content digest.
+    stream_origins : dict
+        Where streams began, by the id of the caller's attempt, least recent first.
+    departed_software : dict
+        When the latest endpoint of a software version was removed, by service and version.
     last_event_at : float
         Time of the latest event; infinity before the first.
     store_unavailable, store_restored_at : bool, float
@@ -462,6 +495,8 @@
     retry_windows: dict[str, RetryWindow] = field(factory=dict)
     broken_responses_by_endpoint: dict[str, list[tuple[float, str]]] = field(factory=dict)
     crashed_endpoints_by_digest: dict[str, set[str]] = field(factory=dict)
+    stream_origins: dict[str, StreamOrigin] = field(factory=dict)
+    departed_software: dict[str, dict[str, float]] = field(factory=dict)
     started_at: float = 0.0
     last_event_at: float = float("inf")
     last_slow_tick_at: float = float("-inf")
--- /dev/null
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -0,0 +1,190 @@
+"""Keeps a resumed stream at the software version of the endpoint that began it.
+
+What endpoints of two software versions write does not fit together, and they do not check it. An
+entry that resumes a stream within its response knows the version. A caller that resumes a stream
+may reach any entry, also after the one that began it has ended. The entry that passes on the first
+bytes of a stream therefore tells its version to a few others, chosen by the id of the caller's
+attempt, and an entry that does not know a stream asks those. Nothing is told while a service has a
+single version.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
+from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
+from poplarhoist.decisions.gateway.state import (
+    EndpointState,
+    GatewayState,
+    RequestState,
+    StreamOrigin,
+)
+
+# Entries that are told where a stream began. With five entries that know it, half of all entries
+# can end at the same moment and only one stream in thirty is forgotten.
+ORIGIN_REPLICAS = 4
+# Entries that are asked: those told, and two more, as the list of entries may have changed.
+ASKED_ENTRIES = ORIGIN_REPLICAS + 2
+# Seconds to wait for an answer: two round trips between regions and a scheduling delay.
+ORIGIN_ANSWER_S = 0.15
+# Seconds for which a stream may be resumed; twice the longest timeout of the sites' routes.
+ORIGIN_MEMORY_S = 30.0
+# Streams remembered per entry; bounds memory. Entries of the largest site remember about 400.
+MAX_ORIGINS = 10_000
+
+
+class Placement(enum.Enum):
+    """What to do with a request now.
+
+    PLACE: send it to an endpoint.
+    WAIT: wait for another entry's answer.
+    REFUSE: no endpoint may continue the stream.
+    """
+
+    PLACE = enum.auto()
+    WAIT = enum.auto()
+    REFUSE = enum.auto()
+
+
+def software_versions(state: GatewayState, service: str, at: float) -> set[str]:
+    """Return the software versions that a service has, or had within `ORIGIN_MEMORY_S`."""
+    versions = {
+        endpoint.record.software_version
+        for endpoint in state.endpoints.values()
+        if endpoint.record.service == service
+    }
+    for version, seen_at in state.departed_software.get(service, {}).items():
+        if at - seen_at <= ORIGIN_MEMORY_S:
+            versions.add(version)
+    return versions
+
+
+def on_first_bytes(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
+    """Record which software version begins a stream, and tell others if there are several."""
+    if (
+        not request.route.resumable
+        or request.last_event_id
+        or request.software_version is not None
+        or not request.caller_id
+    ):
+        return
+    origin = StreamOrigin(
+        request.attempt_software, request.attempt, at, request.service, is_own=True
+    )
+    remember(state, request.caller_id, origin)
+    if len(software_versions(state, request.service, at)) > 1:
+        tell_origin(state, request.caller_id, origin, effects)
+
+
+def remember(state: GatewayState, caller_id: str, origin: StreamOrigin) -> None:
+    """Record the origin of a stream, unless a later attempt is known to have begun it."""
+    known = state.stream_origins.pop(caller_id, None)
+    if known is not None and known.attempt > origin.attempt:
+        origin = known
+    state.stream_origins[caller_id] = origin
+    while len(state.stream_origins) > MAX_ORIGINS:
+        del state.stream_origins[next(iter(state.stream_origins))]
+
+
+def keepers(state: GatewayState, caller_id: str, count: int) -> list[str]:
+    """Return the other entries that keep the origin of a stream, the same on every entry."""
+    others = [name for name in state.entries if name != state.name]
+    others.sort(key=lambda name: -rendezvous_weight(caller_id, name))
+    return others[:count]
+
+
+def tell_origin(state: GatewayState, caller_id: str, origin: StreamOrigin, effects: list) -> None:
+    """Tell the entries that keep the origin of a stream."""
+    origin.is_told = True
+    message = StreamBegan(caller_id, origin.attempt, origin.software_version, origin.service)
+    for name in keepers(state, caller_id, ORIGIN_REPLICAS):
+        effects.append(SendPeer(name, message))
+
+
+def on_stream_began(state: GatewayState, message: StreamBegan, at: float) -> None:
+    """Record what another entry told of a stream."""
+    origin = StreamOrigin(message.software, message.attempt, at, message.service)
+    remember(state, message.caller_id, origin)
+
+
+def on_ask(state: GatewayState, sender: str, message: AskStreamOrigin, effects: list) -> None:
+    """Answer where a stream began, if this entry knows."""
+    origin = state.stream_origins.get(message.caller_id)
+    if origin is not None:
+        answer = StreamBegan(
+            message.caller_id, origin.attempt, origin.software_version, origin.service
+        )
+        effects.append(SendPeer(sender, answer))
+
+
+def on_tick(state: GatewayState, at: float, effects: list) -> None:
+    """Forget old streams, and tell of this entry's once their service has several versions."""
+    for caller_id, origin in list(state.stream_origins.items()):
+        if at - origin.known_at <= ORIGIN_MEMORY_S:
+            break
+        del state.stream_origins[caller_id]
+    mixed_services = {
+        service
+        for service in state.endpoints_by_service
+        if len(software_versions(state, service, at)) > 1
+    }
+    if not mixed_services:
+        return
+    for caller_id, origin in state.stream_origins.items():
+        if origin.is_own and not origin.is_told and origin.service in mixed_services:
+            tell_origin(state, caller_id, origin, effects)
+
+
+def check_placement(
+    state: GatewayState, request: RequestState, at: float, effects: list
+) -> Placement:
+    """Return whether a request may be placed now; sets the software version that it needs.
+
+    While a service has a single version, a stream of unknown origin goes on. An entry that started
+    lately asks first, as it may not have seen a version that is gone.
+    """
+    if request.software_version is None and request.last_event_id and request.route.resumable:
+        origin = state.stream_origins.get(request.resumed_caller_id)
+        if origin is None:
+            return place_unknown(state, request, at, effects)
+        request.software_version = origin.software_version
+    if request.software_version is None:
+        return Placement.PLACE
+    names = state.endpoints_by_service.get(request.service, ())
+    if any(runs_software(state.endpoints[name], request) for name in names):
+        return Placement.PLACE
+    return Placement.REFUSE
+
+
+def place_unknown(
+    state: GatewayState, request: RequestState, at: float, effects: list
+) -> Placement:
+    """Ask where a stream began; without an answer it goes on only if there is one version."""
+    is_single = len(software_versions(state, request.service, at)) == 1
+    if is_single and at - state.started_at > ORIGIN_MEMORY_S:
+        return Placement.PLACE
+    if request.origin_asked_at is None:
+        request.origin_asked_at = at
+        asked = []
+        if request.resumed_caller_id:
+            asked = keepers(state, request.resumed_caller_id, ASKED_ENTRIES)
+        for name in asked:
+            effects.append(SendPeer(name, AskStreamOrigin(request.resumed_caller_id)))
+        fields = {
+            "caller_id": request.caller_id,
+            "resumed_caller_id": request.resumed_caller_id,
+            "asked": len(asked),
+        }
+        effects.append(LogRequest("origin-unknown", request.request_id, fields))
+        if not asked:
+            request.origin_asked_at = float("-inf")
+    if at - request.origin_asked_at < ORIGIN_ANSWER_S:
+        return Placement.WAIT
+    return Placement.PLACE if is_single else Placement.REFUSE
+
+
+def runs_software(endpoint: EndpointState, request: RequestState) -> bool:
+    """Return whether an endpoint runs the software version that a request needs, if any."""
+    return request.software_version in (None, endpoint.record.software_version)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -397,10 +397,13 @@
         Requests whose connection ended during the stream.
     stream_framing : str
         What marks the end of a stream: "chunked", "length", or "connection" for its close.
+    software_version : str
+        Version of the endpoint's software, in its record.
     """
 
     event_count = EVENTS_PER_STREAM
     stream_framing = "chunked"
+    software_version = "v1"
 
     def __init__(self, name: str, service: str, service_time_s: float = 0.0) -> None:
         self.name = name
@@ -466,7 +469,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.port}",
             "zone": "north-a",
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": state,
             "seq": 1,
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -371,6 +371,35 @@
     assert {line["software"] for line in site.log_lines("endpoint-new")} == {"v1"}
 
 
+def let_two_software_versions_serve(site):
+    for name, version in (("e1", "v1"), ("e2", "v2")):
+        site.endpoints[name].software_version = version
+        site.endpoints[name].adapters["a1"] = 1
+    site.register_endpoints("e1", "e2")
+    time.sleep(1.0)
+
+
+def test_broken_stream_goes_on_at_the_engine_with_its_software_version(site):
+    let_two_software_versions_serve(site)
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = ["torn"]
+    status, _, data = site.send_request("/resume/x", "a1")
+    assert (status, data) == (200, FULL_STREAM)
+    assert sorted(len(site.endpoints[name].requests) for name in ("e1", "e2")) == [0, 2]
+
+
+@pytest.mark.parametrize(("began", "expected"), [("known", 200), ("unknown", 503)])
+def test_caller_resumes_a_stream_only_where_its_software_version_is_known(site, began, expected):
+    let_two_software_versions_serve(site)
+    assert site.send_request("/resume/x", "a1", X_Request_Id="known")[0] == 200
+    resumption = {"Last_Event_Id": "2", "Resumes": began}
+    status, headers, _ = site.send_request("/resume/x", "a1", **resumption)
+    assert status == expected
+    assert "Retry-After" not in headers
+    counts = [len(site.endpoints[name].requests) for name in ("e1", "e2")]
+    assert sorted(counts) == ([0, 2] if expected == 200 else [0, 1])
+
+
 def test_sighup_during_startup_does_not_end_the_entry(tmp_path):
     """SIGHUP would end a process that has neither ignored nor handled it yet."""
     site = PlatformSite(tmp_path)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -1,9 +1,13 @@
 """Streams go on only at endpoints with the software version that began them."""
 
+import orjson
 import pytest
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.streams import ORIGIN_MEMORY_S
+from poplarhoist.gateway.peers import message_converter
 from tests.gateway import Gateway, effects_of, engine, only_effect
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
@@ -165,3 +169,49 @@
     entry = site.entries["entry-1"]
     _, effects = entry.request("/stream/x", "a1", last_event_id="7", resumed_caller_id="unknown")
     assert effects_of(fx.Dispatch, effects)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [messages.StreamBegan("began", 2, "v1.2", "models"), messages.AskStreamOrigin("began")],
+)
+def test_messages_about_streams_survive_the_wire(message):
+    data = orjson.dumps(message_converter.unstructure(message, unstructure_as=messages.Message))
+    assert message_converter.structure(orjson.loads(data), messages.Message) == message
+
+
+def test_nothing_is_told_of_streams_while_there_is_one_software_version():
+    site = Site("v1", "v1")
+    dispatch = site.begin_stream("entry-1")
+    told = effects_of(fx.SendPeer, site.entries["entry-1"].effects)
+    assert not [effect for effect in told if isinstance(effect.message, messages.StreamBegan)]
+    # A second version appears while the stream runs, and the entry that began it is killed.
+    for entry in site.entries.values():
+        entry.submit(ev.EndpointSeen, record=engine(3, held=("a1",), software_version="v2"))
+    site.deliver("entry-1", site.entries["entry-1"].advance(0.5))
+    del site.entries["entry-1"]
+    site.crowd_engine("e1")
+    site.crowd_engine("e2")
+    next_dispatch = only_effect(fx.Dispatch, site.resume_stream("entry-2"))
+    assert site.software_of(next_dispatch) == site.software_of(dispatch)
+
+
+def test_a_software_version_that_was_replaced_lately_still_counts():
+    site = Site("v1", "v2")
+    for entry in site.entries.values():
+        entry.advance(ORIGIN_MEMORY_S + 1.0, step_s=0.25)
+        entry.submit(ev.EndpointRemoved, name="e1")
+    assert effects_of(fx.Refuse, site.resume_stream("entry-2", "unknown"))
+    for entry in site.entries.values():
+        entry.advance(ORIGIN_MEMORY_S + 1.0, step_s=0.25)
+    assert effects_of(fx.Dispatch, site.resume_stream("entry-2", "unknown"))
+
+
+def test_streams_are_forgotten_after_a_while():
+    site = Site("v1", "v2")
+    site.begin_stream("entry-1")
+    states = [entry.state for entry in site.entries.values()]
+    assert any(state.stream_origins for state in states)
+    for entry in site.entries.values():
+        entry.advance(ORIGIN_MEMORY_S + 1.0, step_s=0.25)
+    assert not any(state.stream_origins for state in states)
