A response of the store that breaks off in its head is a failed call

What operators could see: an entry that no longer follows a kind of record, since the thread that reads it ended with KeyError.

Class: the end of a connection taken for the end of a message.

Evidence: test_store_response_that_breaks_off_is_a_failed_call failed for the head (KeyError), the case with a length passed before.

--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -5,13 +5,13 @@
 
 import orjson
 import structlog
-from urllib3 import HTTPConnectionPool, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from poplarhoist.clock import Clock
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import Claim
-from poplarhoist.entry.http import never_sent
+from poplarhoist.entry.http import StrictPool, never_sent
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
@@ -86,7 +86,7 @@
         self.clock = clock
         parsed = Address.parse(address)
         self.metrics = metrics
-        self.pool = HTTPConnectionPool(
+        self.pool = StrictPool(
             parsed.host,
             parsed.port,
             maxsize=8,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,7 +9,10 @@
 import pytest
 from urllib3.exceptions import HTTPError
 
+from poplarhoist.clock import SystemClock
+from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.entry.http import SocketReader, single_use_pool
+from poplarhoist.platform.store import ObjectStore
 
 HOST = "127.0.0.1"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -96,3 +99,9 @@
         assert reader.read(10) == b""
     reader.close()
     connection.close()
+
+
+@pytest.mark.parametrize("data", [OK_HEAD, OK_HEAD + b"Content-Length: 40\r\n\r\n{}"])
+def test_store_response_that_breaks_off_is_a_failed_call(serve, data):
+    store = ObjectStore(f"{HOST}:{serve(data)}", SystemClock())
+    assert store.read_all("servers").status is CallStatus.UNKNOWN
