--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -172,13 +172,14 @@
             asked = keepers(state, request.resumed_caller_id, ASKED_ENTRIES)
         for name in asked:
             effects.append(SendPeer(name, AskStreamOrigin(request.resumed_caller_id)))
-        fields = {
-            "caller_id": request.caller_id,
-            "resumed_caller_id": request.resumed_caller_id,
-            "asked": len(asked),
-        }
-        effects.append(LogRequest("origin-unknown", request.request_id, fields))
-        if not asked:
+        if asked:
+            fields = {
+                "caller_id": request.caller_id,
+                "resumed_caller_id": request.resumed_caller_id,
+                "asked": asked,
+            }
+            effects.append(LogRequest("origin-asked", request.request_id, fields))
+        else:
             request.origin_asked_at = float("-inf")
     if at - request.origin_asked_at < ORIGIN_ANSWER_S:
         return Placement.WAIT
