Soak: streams that break off in every framing, and two software versions side by side

Engines frame their streams with a length, in chunks, or up to the end of their connection, and end half of them early while there are faults. Two have one software version, one another. Callers take up streams that broke off at another entry, and check that every event comes once, of one version.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -269,7 +269,7 @@
             self.respond(421)
             return
         endpoint.record_run(request_id, headers)
-        fault = endpoint.faults.pop(0) if endpoint.faults else ""
+        fault = endpoint.next_fault(request_id)
         if fault == "full":
             self.respond(503, X_Not_Executed="1")
         elif fault == "dropped":
@@ -428,6 +428,10 @@
     def record_run(self, request_id: str, headers: dict) -> None:
         """Record a request that runs here; does nothing unless a subclass overrides it."""
 
+    def next_fault(self, request_id: str) -> str:
+        """Return the fault of a request that runs here, and remove it from the list."""
+        return self.faults.pop(0) if self.faults else ""
+
     def stream_event(self, request_id: str, number: int) -> bytes:
         """Return one event of a stream as server-sent event."""
         return f"id: {number}\ndata: piece {number}\n\n".encode()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,7 +8,7 @@
 
 from attrs import define
 
-from tests.soak.endpoints import encode_stream
+from tests.soak.endpoints import RESUMED_SUFFIX, SOFTWARE_VERSIONS, encode_stream
 from tests.soak.entries import SoakEntry
 from tests.soak.proxy import HOST
 
@@ -39,6 +39,10 @@
         Status code; 0 if the connection ended without a complete response.
     violation : str
         What is wrong with the response; empty if nothing is.
+    resumes : RequestRecord or None
+        The request whose broken stream this one takes up.
+    events : bytes
+        Whole events of a stream received by this request and those that it takes up.
     """
 
     request_id: str
@@ -49,6 +53,12 @@
     ended_at: float = 0.0
     status: int = 0
     violation: str = ""
+    resumes: "RequestRecord | None" = None
+    events: bytes = b""
+
+    def first(self) -> "RequestRecord":
+        """Return the request that began the stream."""
+        return self.resumes.first() if self.resumes is not None else self
 
 
 def connect(entry: SoakEntry) -> http.client.HTTPConnection:
@@ -56,9 +66,18 @@
     return http.client.HTTPConnection(HOST, entry.port, timeout=RESPONSE_TIMEOUT_S)
 
 
-def start_record(request_id: str, kind: str, entry: SoakEntry) -> RequestRecord:
+def start_record(
+    request_id: str, kind: str, entry: SoakEntry, resumes: RequestRecord | None = None
+) -> RequestRecord:
     """Create the record of a request that is about to be sent."""
-    return RequestRecord(request_id, kind, entry.name, entry.incarnation, time.monotonic())
+    return RequestRecord(
+        request_id, kind, entry.name, entry.incarnation, time.monotonic(), resumes=resumes
+    )
+
+
+def may_be_resumed(record: RequestRecord) -> bool:
+    """Return whether a request is a stream that broke off after an event and may be taken up."""
+    return record.kind == "resume" and record.status == 0 and record.events != b""
 
 
 def send_request(connection, record: RequestRecord, adapter: int = 0) -> RequestRecord:
@@ -69,22 +88,36 @@
         "X-Request-Id": request_id,
         "X-Deadline-Ms": str(DEADLINE_MS),
     }
-    if kind in ("stream", "resume"):
+    is_stream = kind in ("stream", "resume")
+    first_id = record.first().request_id
+    if is_stream:
         headers |= {"X-Model": f"base/a{adapter}", "X-Token-Usage": "100,20"}
-    expected_body = (
-        encode_stream(request_id) if "X-Model" in headers else b"done " + request_id.encode()
-    )
+        expected_bodies = [encode_stream(first_id, software) for software in SOFTWARE_VERSIONS]
+    else:
+        expected_bodies = [b"done " + request_id.encode()]
+    if record.resumes is not None:
+        record.events = record.resumes.events
+        last_event_id = record.events.rpartition(b"id: ")[2].partition(b"\n")[0].decode()
+        headers |= {"Last-Event-Id": last_event_id, "Resumes": first_id}
+    body = record.events
     try:
-        connection.request("POST", f"/{kind}/x", request_id.encode(), headers)
+        connection.request("POST", f"/{kind}/x", first_id.encode(), headers)
         response = connection.getresponse()
-        body = response.read()
+        while data := response.read1():
+            body += data
+            if is_stream and response.status == 200:
+                record.events = body[: body.rfind(b"\n\n") + 2] if b"\n\n" in body else b""
+        # Ends the response, so that the connection can be used again.
+        response.read()
     except (OSError, http.client.HTTPException):
         record.ended_at = time.monotonic()
+        if not any(expected.startswith(record.events) for expected in expected_bodies):
+            record.violation = f"ORDER: {record.events[-120:]!r} in a stream"
         return record
     record.ended_at = time.monotonic()
     record.status = response.status
-    if response.status == 200 and body != expected_body:
-        record.violation = f"MIXED: {body[:60]!r} as the complete response"
+    if response.status == 200 and body not in expected_bodies:
+        record.violation = f"MIXED: {body[-120:]!r} as the complete response"
     elif response.status == 200 and response.headers["X-Request-Id"] != request_id:
         record.violation = f"MIXED: the response to {response.headers['X-Request-Id']}"
     elif response.status in NOT_RUN_STATUSES and "X-Response-Seal" in response.headers:
@@ -137,7 +170,17 @@
                 f"s{next(self.request_numbers)}", rng.choice(REQUEST_KINDS), entry
             )
             self.records.append(record)
-            send_request(connection, record, rng.randrange(ADAPTER_COUNT))
+            adapter = rng.randrange(ADAPTER_COUNT)
+            send_request(connection, record, adapter)
+            if may_be_resumed(record):
+                connection.close()
+                entry = rng.choice(self.entries)
+                connection = connect(entry)
+                record = start_record(
+                    record.request_id + RESUMED_SUFFIX, record.kind, entry, record
+                )
+                self.records.append(record)
+                send_request(connection, record, adapter)
             if not keeps_connections or record.status == 0 or connection.sock is None:
                 connection.close()
                 connection = None
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -1,10 +1,11 @@
 """Endpoints of the soak, which record requests and orders and detect violations."""
 
+import random
 import threading
 import time
 from collections import Counter
 
-from tests.platform_standins import HOST, Endpoint
+from tests.platform_standins import HOST, STREAM_FAULTS, Endpoint
 from tests.soak.proxy import Proxy
 
 ADAPTER_SLOTS = 3
@@ -13,14 +14,27 @@
 SERVICE_TIME_S = 0.15
 
 
-def encode_event(request_id: str, number: int) -> bytes:
-    """Encode one event of a request's stream as server-sent event."""
-    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+# Software versions of the engines, side by side: two engines have the first, one the second.
+SOFTWARE_VERSIONS = ("v1", "v2", "v1")
+# End of the id of a request that takes up the stream of another one.
+RESUMED_SUFFIX = "-resumed"
+# Share of the streams that an engine breaks off while there are faults.
+TORN_SHARE = 0.5
 
 
-def encode_stream(request_id: str) -> bytes:
+def encode_event(request_id: str, number: int, software: str) -> bytes:
+    """Encode one event of a request's stream as server-sent event.
+
+    A request that takes up a stream names the request that began it.
+    """
+    first_id = request_id.removesuffix(RESUMED_SUFFIX)
+    return f"id: {number}\ndata: {first_id} {software} {number}\n\n".encode()
+
+
+def encode_stream(request_id: str, software: str) -> bytes:
     """Encode the complete stream of a request."""
-    return b"".join(encode_event(request_id, number) for number in range(1, EVENT_COUNT + 1))
+    numbers = range(1, EVENT_COUNT + 1)
+    return b"".join(encode_event(request_id, number, software) for number in numbers)
 
 
 class SoakEndpoint(Endpoint):
@@ -40,11 +54,19 @@
         Monotonic time at which its record was changed to draining; None if it does not drain.
     late_requests : list
         Requests that ran after ``draining_since``, with the delay in seconds.
+    tears_streams : bool
+        Whether some streams break off.
+    rng : Random
+        Draws which streams break off and how.
     """
 
     event_count = EVENT_COUNT
 
-    def __init__(self, name: str, service: str) -> None:
+    def __init__(self, name: str, service: str, seed: str, software: str = "v1") -> None:
+        self.rng = random.Random(f"{seed}/{name}")
+        self.stream_framing = self.rng.choice(("chunked", "length", "connection"))
+        self.software_version = software
+        self.tears_streams = False
         self.lock = threading.Lock()
         self.run_counts: Counter[str] = Counter()
         self.deadlines_ms: dict[str, int] = {}
@@ -66,9 +88,20 @@
             if self.draining_since is not None:
                 self.late_requests.append((request_id, time.monotonic() - self.draining_since))
 
+    def next_fault(self, request_id: str) -> str:
+        """Return how the stream of a request breaks off; empty if it does not."""
+        with self.lock:
+            if not self.tears_streams or self.rng.random() >= TORN_SHARE:
+                return ""
+            faults = sorted(STREAM_FAULTS)
+            if self.stream_framing == "connection":
+                # Closed in order between two events, such a stream is a complete one.
+                faults.remove("cut")
+            return self.rng.choice(faults)
+
     def stream_event(self, request_id: str, number: int) -> bytes:
-        """Return an event that contains the request id, so that mixed-up streams are detected."""
-        return encode_event(request_id, number)
+        """Return an event that tells the request and the software, so that mixtures are detected."""
+        return encode_event(request_id, number, self.software_version)
 
     def apply_order(self, order: dict) -> int:
         """Carry out an order and check it.
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -37,4 +37,13 @@
         "callers.RequestHandler.refuse = lambda self, effect: refuse(\n"
         "    self, attrs.evolve(effect, ran=False))"
     ),
+    "whole-events": (
+        "import poplarhoist.gateway.exchange as exchange\n"
+        "exchange.Exchange.is_event_stream = lambda self: self.request.last_event_id != ''"
+    ),
+    "software": (
+        "import poplarhoist.decisions.gateway.streams as streams\n"
+        "streams.runs_software = lambda endpoint, request: True\n"
+        "streams.place_unknown = lambda *args: streams.Placement.PLACE"
+    ),
 }
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -79,7 +79,7 @@
 
     def forward(self, source: socket.socket, sink: socket.socket, is_response: bool) -> None:
         """Forward one direction until its end, and subject it to the current fault."""
-        is_dropping = False
+        is_dropping = has_forwarded = False
         with contextlib.suppress(OSError):
             while data := source.recv(READ_CHUNK_BYTES):
                 while self.fault is ProxyFault.SILENCE:
@@ -91,8 +91,12 @@
                 )
                 if not is_dropping:
                     sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-            return
+                    has_forwarded = True
+            # Data that was dropped from the middle of a connection cannot be followed by an orderly
+            # close on a real network.
+            if not (is_dropping and has_forwarded):
+                sink.shutdown(socket.SHUT_WR)
+                return
         self.reset_connections(source, sink)
 
     def reset_connections(self, *sockets: socket.socket) -> None:
@@ -119,6 +123,7 @@
     """Close a socket with a TCP reset (RST)."""
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        # Wakes a thread that is blocked in recv on this socket; close alone does not.
-        sock.shutdown(socket.SHUT_RDWR)
+        # Wakes a thread that is blocked in recv on this socket; close alone does not. The write side
+        # stays open, as its shutdown would end the connection in order before the reset.
+        sock.shutdown(socket.SHUT_RD)
     sock.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,7 +25,7 @@
     send_request,
     start_record,
 )
-from tests.soak.endpoints import ADAPTER_SLOTS, SoakEndpoint
+from tests.soak.endpoints import ADAPTER_SLOTS, SOFTWARE_VERSIONS, SoakEndpoint
 from tests.soak.entries import SoakEntry
 from tests.soak.mutants import MUTATIONS_BY_NAME
 from tests.soak.proxy import Proxy, ProxyFault
@@ -91,9 +91,12 @@
     def __attrs_post_init__(self) -> None:
         """Set up the site."""
         self.rng = random.Random(self.seed)
-        names = [("e1", "models"), ("e2", "models"), ("e3", "models"), ("d1", "desk")]
-        names.append(("d2", "desk"))
-        self.endpoints = {name: SoakEndpoint(name, service) for name, service in names}
+        endpoints = [
+            SoakEndpoint(f"e{number}", "models", str(self.seed), software)
+            for number, software in enumerate(SOFTWARE_VERSIONS, 1)
+        ]
+        endpoints += [SoakEndpoint(name, "desk", str(self.seed)) for name in ("d1", "d2")]
+        self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         mutation = MUTATIONS_BY_NAME[self.mutant] if self.mutant else ""
         self.entries = [
             SoakEntry(f"entry-{n}", self.directory, self.store.port, mutation) for n in (1, 2, 3)
@@ -158,6 +161,7 @@
             self.reload_settings,
         )
         ends_at = time.monotonic() + FAULT_PHASE_S
+        self.tear_streams(True)
         timers = []
         for fault_function in self.rng.choices(fault_functions, k=self.rng.randint(2, 5)):
             delay_s = self.rng.random() * FAULT_PHASE_S * 0.6
@@ -169,6 +173,12 @@
         for timer in timers:
             timer.join()
         time.sleep(max(0.0, ends_at - time.monotonic()))
+        self.tear_streams(False)
+
+    def tear_streams(self, tears_streams: bool) -> None:
+        """Let the endpoints break off some streams, or none."""
+        for endpoint in self.endpoints.values():
+            endpoint.tears_streams = tears_streams
 
     def inject_proxy_fault(
         self, proxy: Proxy, link: str, rng: random.Random, ends_at: float
