--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -40,6 +40,8 @@
         crashes.on_endpoint_crashed(state, record.name, event.at, effects)
         reset_endpoint(endpoint)
         log_endpoint("endpoint-restarted", record, effects)
+    if record.software_version != previous.software_version:
+        streams.record_departure(state, previous, event.at)
     if record.draining and not previous.draining:
         log_endpoint("endpoint-leaving", record, effects)
     if (previous.service, previous.draining) != (record.service, record.draining):
@@ -105,8 +107,7 @@
 def remove_endpoint(state: GatewayState, name: str, at: float, effects: list) -> None:
     """Remove an endpoint, its slot table and its pending asks; requests in flight continue."""
     endpoint = state.endpoints.pop(name)
-    departed = state.departed_software.setdefault(endpoint.record.service, {})
-    departed[endpoint.record.software_version] = at
+    streams.record_departure(state, endpoint.record, at)
     crashes.on_endpoint_crashed(state, name, at, effects)
     state.slot_tables.pop(name, None)
     for ask_key in [ask_key for ask_key in state.pending_asks if ask_key[0] == name]:
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -15,6 +15,7 @@
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
+from poplarhoist.decisions.gateway.models import EndpointRecord
 from poplarhoist.decisions.gateway.state import (
     EndpointState,
     GatewayState,
@@ -48,6 +49,12 @@
     REFUSE = enum.auto()
 
 
+def record_departure(state: GatewayState, record: EndpointRecord, at: float) -> None:
+    """Record that an endpoint no longer runs the software version of its record."""
+    departed = state.departed_software.setdefault(record.service, {})
+    departed[record.software_version] = at
+
+
 def software_versions(state: GatewayState, service: str, at: float) -> set[str]:
     """Return the software versions that a service has, or had within `ORIGIN_MEMORY_S`."""
     versions = {
@@ -98,9 +105,13 @@
 def tell_origin(state: GatewayState, caller_id: str, origin: StreamOrigin, effects: list) -> None:
     """Tell the entries that keep the origin of a stream."""
     origin.is_told = True
-    message = StreamBegan(caller_id, origin.attempt, origin.software_version, origin.service)
     for name in keepers(state, caller_id, ORIGIN_REPLICAS):
-        effects.append(SendPeer(name, message))
+        effects.append(SendPeer(name, origin_message(caller_id, origin)))
+
+
+def origin_message(caller_id: str, origin: StreamOrigin) -> StreamBegan:
+    """Return the message that tells where a stream began."""
+    return StreamBegan(caller_id, origin.attempt, origin.software_version, origin.service)
 
 
 def on_stream_began(state: GatewayState, message: StreamBegan, at: float) -> None:
@@ -113,10 +124,7 @@
     """Answer where a stream began, if this entry knows."""
     origin = state.stream_origins.get(message.caller_id)
     if origin is not None:
-        answer = StreamBegan(
-            message.caller_id, origin.attempt, origin.software_version, origin.service
-        )
-        effects.append(SendPeer(sender, answer))
+        effects.append(SendPeer(sender, origin_message(message.caller_id, origin)))
 
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
@@ -162,7 +170,7 @@
     state: GatewayState, request: RequestState, at: float, effects: list
 ) -> Placement:
     """Ask where a stream began; without an answer it goes on only if there is one version."""
-    is_single = len(software_versions(state, request.service, at)) == 1
+    is_single = len(software_versions(state, request.service, at)) <= 1
     if is_single and at - state.started_at > ORIGIN_MEMORY_S:
         return Placement.PLACE
     if request.origin_asked_at is None:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -291,9 +291,10 @@
         short, also if its connection was closed in order.
         """
         events = EventSplitter()
+        is_event_stream = self.is_event_stream()
         try:
             while data := self.read_available():
-                if not self.is_event_stream():
+                if not is_event_stream:
                     yield data
                     continue
                 whole_events = events.feed(data)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -207,6 +207,21 @@
     assert effects_of(fx.Dispatch, site.resume_stream("entry-2", "unknown"))
 
 
+def test_a_software_version_that_an_engine_left_behind_at_a_restart_still_counts():
+    site = Site("v1")
+    entry = site.entries["entry-2"]
+    entry.advance(ORIGIN_MEMORY_S + 1.0, step_s=0.25)
+    restarted = engine(1, held=("a1",), software_version="v2", incarnation=2)
+    entry.submit(ev.EndpointSeen, record=restarted)
+    assert effects_of(fx.Refuse, site.resume_stream("entry-2", "unknown"))
+
+
+def test_a_service_without_endpoints_refuses_as_such():
+    site = Site()
+    refusal = only_effect(fx.Refuse, site.resume_stream("entry-2", "unknown", seconds=1.0))
+    assert refusal.reason.name == "NO_ENDPOINT"
+
+
 def test_streams_are_forgotten_after_a_while():
     site = Site("v1", "v2")
     site.begin_stream("entry-1")
