Tests: the stand-in of the store and the server of stand-ins have files of their own

Moved without a change: the HTTP server (standin_server.py) and the store (platform_store.py). pytest test_gateway_end_to_end test_pages: 80 passed.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -10,8 +10,10 @@
 import time
 from pathlib import Path
 
-from tests.platform_standins import BASE_MODEL, HOST, Endpoint, Store, configuration
+from tests.platform_standins import BASE_MODEL, Endpoint, configuration
+from tests.platform_store import Store
 from tests.site import ROOT, free_ports
+from tests.standin_server import HOST
 
 START_TIMEOUT_S = 15.0
 ENTRY_ARGS = ("-m", "poplarhoist.platform")
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -5,8 +5,9 @@
 import time
 from collections import Counter
 
-from tests.platform_standins import HOST, STREAM_FAULTS, Endpoint
+from tests.platform_standins import STREAM_FAULTS, Endpoint
 from tests.soak.proxy import Proxy
+from tests.standin_server import HOST
 
 ADAPTER_SLOTS = 3
 EVENT_COUNT = 6
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from tests.platform_standins import HOST
+from tests.standin_server import HOST
 
 READ_CHUNK_BYTES = 65536
 # Seconds between two checks whether SILENCE has ended.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,8 @@
 import defopt
 from attrs import define, field
 
-from tests.platform_standins import Store, configuration
+from tests.platform_standins import configuration
+from tests.platform_store import Store
 from tests.soak.callers import (
     DEADLINE_MS,
     NOT_RUN_STATUSES,
--- /dev/null
+++ b/tests/standin_server.py
@@ -0,0 +1,66 @@
+"""HTTP server in threads of the test process, for the stand-ins of a platform."""
+
+import sys
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+HOST = "127.0.0.1"
+
+
+class Handler(BaseHTTPRequestHandler):
+    """A request handler that logs nothing and keeps connections open (HTTP/1.1)."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args) -> None:
+        """Log nothing."""
+
+    def read_body(self) -> bytes:
+        """Return the whole request body, chunked or with a Content-Length."""
+        if self.headers.get("Transfer-Encoding", "").lower() != "chunked":
+            return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        data = b""
+        while size := int(self.rfile.readline(), 16):
+            data += self.rfile.read(size)
+            self.rfile.readline()
+        self.rfile.readline()
+        return data
+
+    def respond(self, status: int, data: bytes = b"", **headers: str) -> None:
+        """Send a whole response; keyword arguments are headers, with underscores for hyphens."""
+        self.send_response_only(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class Server(ThreadingHTTPServer):
+    """A threading HTTP server that ignores peers that close their connections."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address) -> None:
+        """Ignore connection errors, which occur when a peer closes during a response."""
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
+class StandIn:
+    """A server in threads of the test process; its handlers find it as ``standin``."""
+
+    def __init__(self, handler: type[Handler]) -> None:
+        owner = self
+
+        class BoundHandler(handler):
+            standin = owner
+
+        self.server = Server((HOST, 0), BoundHandler)
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop the server and close its socket."""
+        self.server.shutdown()
+        self.server.server_close()
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -11,7 +11,8 @@
 import pytest
 
 from tests.platform_site import PlatformSite
-from tests.platform_standins import BROKEN_HEADS, EVENTS_PER_STREAM, HOST, STREAM_FAULTS
+from tests.platform_standins import BROKEN_HEADS, EVENTS_PER_STREAM, STREAM_FAULTS
+from tests.standin_server import HOST
 
 # Seconds within which a configuration must be in force, and after which a draining endpoint must
 # get no more requests.
