--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -92,9 +92,11 @@
                 if not is_dropping:
                     sink.sendall(data)
                     has_forwarded = True
-            # Data that was dropped from the middle of a connection cannot be followed by an orderly
-            # close on a real network.
-            if not (is_dropping and has_forwarded):
+            with self.lock:
+                is_open = source in self.open_sockets
+            # A socket that is being reset reads as ended. Data that was dropped from the middle of a
+            # connection cannot be followed by an orderly close on a real network.
+            if is_open and not (is_dropping and has_forwarded):
                 sink.shutdown(socket.SHUT_WR)
                 return
         self.reset_connections(source, sink)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,49 @@
 """A short soak of real entries, with fixed seeds and seeds that failed in the past."""
 
+import socket
+import threading
+
 import pytest
 
+from tests.soak.proxy import Proxy
 from tests.soak.run import run_soak
+from tests.standin_server import HOST
 
 # 103: an entry that had just started received SIGHUP (reload settings) before it had installed its
 # signal handlers, and terminated.
-SEEDS = [4, 103]
+# 7, 216: the proxy ended connections in order that it meant to reset.
+# 8: the proxy ended a connection in order after it had dropped data from it.
+SEEDS = [4, 7, 8, 103, 216]
+# An orderly end came in one of five attempts.
+RESET_ATTEMPTS = 60
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_soak_finds_no_violations(seed):
     assert run_soak(seed, cycles=1) == []
+
+
+def test_proxy_resets_connections_without_an_orderly_close():
+    target = socket.create_server((HOST, 0))
+    proxy = Proxy(target.getsockname()[1])
+    ends = []
+
+    def read_end(client):
+        try:
+            ends.append(client.recv(1))
+        except ConnectionResetError:
+            ends.append("reset")
+
+    for _ in range(RESET_ATTEMPTS):
+        with socket.create_connection((HOST, proxy.port)) as client:
+            server, _ = target.accept()
+            server.sendall(b"x")
+            assert client.recv(1) == b"x"
+            reader = threading.Thread(target=read_end, args=(client,))
+            reader.start()
+            proxy.reset_all_connections()
+            reader.join()
+            server.close()
+    proxy.stop()
+    target.close()
+    assert ends == ["reset"] * RESET_ATTEMPTS
