A stream that ends with its connection before its first event is broken off

What callers could see: status 200 with a seal and an empty body, framed as complete, when an engine ended right after its response head.

An engine that has accepted a stream makes an event. Resets were noticed.

Evidence: 2 of 12 cases of test_stream_that_ends_before_its_first_event_is_not_passed_on_as_complete failed before: connection-empty on both routes. Change: such a stream is broken off; the caller gets 502, or the request goes on elsewhere where it may.

pytest tests/test_gateway_end_to_end.py -k stream: 47 passed.

--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -288,7 +288,8 @@
         """Yield a streamed body as it arrives, a stream of events in whole events.
 
         A failure ends the iteration and sets the result. A stream that ends inside an event was cut
-        short, also if its connection was closed in order.
+        short, also if its connection was closed in order, and so was one that has neither an event
+        nor an end of its own.
         """
         events = EventSplitter()
         is_event_stream = self.is_event_stream()
@@ -307,7 +308,8 @@
         except (HTTPError, OSError) as error:
             self.record_failure(error)
             return
-        if events.partial_event:
+        has_no_end = is_event_stream and self.framing() is Framing.CONNECTION
+        if events.partial_event or (has_no_end and not self.received_bytes):
             self.record_failure(EOFError())
 
     def is_event_stream(self) -> bool:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -13,13 +13,15 @@
 BASE_MODEL = "base"
 # Events in a stream that runs to its end.
 EVENTS_PER_STREAM = 4
-# Faults that end a stream at its third event: share of that event that is sent, and whether the
-# connection is reset.
+# Faults that end a stream at an event: number of the event, share of it that is sent, and whether
+# the connection is reset.
 STREAM_FAULTS = {
-    "torn": (0.5, False),
-    "torn-reset": (0.5, True),
-    "cut": (0.0, False),
-    "cut-reset": (0.0, True),
+    "torn": (3, 0.5, False),
+    "torn-reset": (3, 0.5, True),
+    "cut": (3, 0.0, False),
+    "cut-reset": (3, 0.0, True),
+    "empty": (1, 0.0, False),
+    "empty-reset": (1, 0.0, True),
 }
 # Heads of responses that the endpoint ends by closing the connection.
 BROKEN_HEADS = {
@@ -139,9 +141,9 @@
         elif framing == "length":
             self.send_header("Content-Length", str(sum(map(len, events))))
         self.end_headers()
+        end_number, sent_share, is_reset = STREAM_FAULTS.get(fault, (0, 0.0, False))
         for number, data in enumerate(events, last_event_id + 1):
-            if fault in STREAM_FAULTS and number == 3:
-                sent_share, is_reset = STREAM_FAULTS[fault]
+            if number == end_number:
                 self.send_piece(data[: int(len(data) * sent_share)])
                 self.close_connection = True
                 if is_reset:
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.platform_site import PlatformSite
-from tests.platform_standins import BROKEN_HEADS, EVENTS_PER_STREAM, STREAM_FAULTS
+from tests.platform_standins import BROKEN_HEADS, EVENTS_PER_STREAM
 from tests.standin_server import HOST
 
 # Seconds within which a configuration must be in force, and after which a draining endpoint must
@@ -134,7 +134,7 @@
 BROKEN_STREAM_CASES = [
     (framing, fault)
     for framing in ("chunked", "length", "connection")
-    for fault in STREAM_FAULTS
+    for fault in ("torn", "torn-reset", "cut", "cut-reset")
     if (framing, fault) != ("connection", "cut")
 ]
 
@@ -149,6 +149,24 @@
     assert sum(len(site.endpoints[name].requests) for name in ("e1", "e2")) == 1
 
 
+@pytest.mark.parametrize(("path", "expected"), [("/stream/x", 502), ("/resume/x", 200)])
+@pytest.mark.parametrize("fault", ["empty", "empty-reset"])
+@pytest.mark.parametrize("framing", ["chunked", "length", "connection"])
+def test_stream_that_ends_before_its_first_event_is_not_passed_on_as_complete(
+    site, framing, fault, path, expected
+):
+    shared_faults = [fault]
+    for name in ("e1", "e2"):
+        site.endpoints[name].adapters["a1"] = 1
+        site.endpoints[name].faults = shared_faults
+        site.endpoints[name].stream_framing = framing
+    site.register_endpoints("e1", "e2")
+    time.sleep(1.0)
+    status, _, data = site.send_request(path, "a1")
+    assert status == expected
+    assert expected != 200 or data == FULL_STREAM
+
+
 @pytest.mark.parametrize("framing", ["length", "connection"])
 def test_whole_stream_without_chunks_is_passed_on_as_complete(site, framing):
     for name in ("e1", "e2"):
