--- a/tests/site.py
+++ b/tests/site.py
@@ -277,7 +277,10 @@
         """Return an entry's status for operators."""
         url = f"http://127.0.0.1:{self.file.entry_ports[name]}/admin/status"
         headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-        return HTTP_CLIENT.request("GET", url, headers=headers).json()
+        response = HTTP_CLIENT.request("GET", url, headers=headers)
+        assert response.status == 200, (name, response.status, response.headers, response.data)
+        assert response.data, (name, response.headers)
+        return response.json()
 
     def port_of(self, name: str) -> int:
         """Return the port on which a process listens."""
