Log the parts of prompts, and which crashes are counted for which request

The log named neither the parts of a prompt nor the crashes that an entry counted, so that the hypotheses of the incident could not be told apart. sent carries content and segments; endpoint-crashed tells which broken responses were found for a crash, crash-counted what was counted. No decision changes.

--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -39,7 +39,15 @@
 
     These are the requests whose responses broke off within the last `CRASH_MATCH_S`.
     """
-    for broken_at, content_digest in state.broken_responses_by_endpoint.pop(endpoint, ()):
+    broken_responses = state.broken_responses_by_endpoint.pop(endpoint, ())
+    fields = {
+        "endpoint": endpoint,
+        "broken": [content_digest for _, content_digest in broken_responses],
+        "ages_s": [round(at - broken_at, 2) for broken_at, _ in broken_responses],
+    }
+    if broken_responses:
+        effects.append(LogChange("endpoint-crashed", fields))
+    for broken_at, content_digest in broken_responses:
         if at - broken_at <= CRASH_MATCH_S and record_crash(
             state, content_digest, endpoint, effects
         ):
@@ -60,6 +68,8 @@
     if endpoint in endpoints:
         return False
     endpoints.add(endpoint)
+    fields = {"content": content_digest, "endpoint": endpoint, "crashes": len(endpoints)}
+    effects.append(LogChange("crash-counted", fields))
     while len(state.crashed_endpoints_by_digest) > MAX_TRACKED_DIGESTS:
         del state.crashed_endpoints_by_digest[next(iter(state.crashed_endpoints_by_digest))]
     if len(endpoints) == CRASHED_ENDPOINT_LIMIT:
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -185,6 +185,7 @@
         "attempt": request.attempt,
         "endpoint": endpoint.record.name,
         "software": endpoint.record.software_version,
+        "content": request.content_digest,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
         "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
@@ -196,6 +197,7 @@
             "tokens": prompt.tokens,
             # Prompt tokens that need prefill.
             "unread": endpoint.prefill_tokens_by_request[request.request_id],
+            "segments": [segment.name for segment in prompt.prefix_segments],
         }
     if request.last_event_id:
         fields |= {
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -2,11 +2,18 @@
 
 import pytest
 
+from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages, routing
 from poplarhoist.decisions.gateway.events import Outcome
-from poplarhoist.decisions.gateway.models import Refused, Target
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    PrefixSegment,
+    Prompt,
+    Refused,
+    Target,
+)
 from tests.gateway import ROUTES, Gateway, effects_of, engine, only_effect, plain_endpoint, route
 
 
@@ -254,6 +261,25 @@
     assert only_effect(fx.Refuse, effects).reason is Refused.SUSPECT
 
 
+def test_log_tells_the_parts_of_a_prompt_and_which_crashes_were_counted():
+    gateway = gateway_with_endpoints()
+    segments = (PrefixSegment("shared", 200), PrefixSegment("own", 300))
+    prompt = Prompt(AdapterKey("base", "a1"), 900, 50, segments)
+    _, effects = gateway.request("/stream/x", prompt=prompt, content_digest="content-1")
+    dispatch = only_effect(fx.Dispatch, effects)
+    sent = only_effect(fx.LogRequest, effects).fields
+    assert (sent["segments"], sent["content"]) == (["shared", "own"], "content-1")
+    gateway.end_attempt(dispatch, Outcome.BROKEN)
+    effects = gateway.submit(ev.EndpointRemoved, name=dispatch.endpoint.name)
+    fields_by_change = {log.change: log.fields for log in effects_of(LogChange, effects)}
+    assert fields_by_change["endpoint-crashed"]["broken"] == ["content-1"]
+    assert fields_by_change["crash-counted"] == {
+        "content": "content-1",
+        "endpoint": dispatch.endpoint.name,
+        "crashes": 1,
+    }
+
+
 def test_waiting_request_of_a_disconnected_caller_is_forgotten():
     gateway = gateway_with_endpoints()
     request_id, effects = gateway.request("/stream/x", "cold")
