Parts of prompts that crash engines are found and refused

Whoever was served beside such a request lost the answer.

Cause: crashes were counted by the digest of a whole request, and no two of these requests are alike. Class: what is guarded against is recognized by an identity that is narrower than its cause.

Change: every entry reports what broke off in a crash, with the parts of its prompt, to all others. crash_suspects.py finds what the crashes have in common: a part is refused after three crashes at the beginning of a response, or five others, under two different contents at least, unless a response began and went on with it since. Of the parts of a prompt those are suspected that were sound the longest time ago, or never; what is found explains its crashes. An entry that knows a suspected part as sound tells so. Entries that start ask what is refused; a few are told again every 2 s, for those that were cut off. An engine whose responses break off is asked whether it still runs, so that a reset does not count as a crash. One entry sends a trial 20 s after the last crash, later twice as long each time; without it nothing could show that a sound part is refused. The refusal says when a crash will be forgotten, in place of 0.5 s. A content that is answered after its crashes runs again; before, three crashes refused it for good.

--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -107,6 +107,13 @@
     engine: EndpointRecord
 
 
+@frozen
+class CheckEndpoint:
+    """Ask an engine whether it still runs, as responses of it broke off."""
+
+    record: EndpointRecord
+
+
 @frozen
 class SendPeer:
     """Send a message to an entry."""
@@ -144,6 +151,7 @@
     | Claim
     | SendOrder
     | ReadReport
+    | CheckEndpoint
     | SendPeer
     | RereadChanges
     | StopListening
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -37,7 +37,7 @@
     endpoint.record = record
     endpoint.missing_since = None
     if record.incarnation != previous.incarnation:
-        crashes.on_endpoint_crashed(state, record.name, event.at, effects)
+        crashes.on_endpoint_crashed(state, previous, event.at, effects)
         reset_endpoint(endpoint)
         log_endpoint("endpoint-restarted", record, effects)
     if record.software_version != previous.software_version:
@@ -108,7 +108,7 @@
     """Remove an endpoint, its slot table and its pending asks; requests in flight continue."""
     endpoint = state.endpoints.pop(name)
     streams.record_departure(state, endpoint.record, at)
-    crashes.on_endpoint_crashed(state, name, at, effects)
+    crashes.on_endpoint_crashed(state, endpoint.record, at, effects)
     state.slot_tables.pop(name, None)
     for ask_key in [ask_key for ask_key in state.pending_asks if ask_key[0] == name]:
         del state.pending_asks[ask_key]
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -322,6 +322,23 @@
     report: EngineReport | None
 
 
+@frozen
+class EndpointChecked:
+    """An engine was asked whether it still runs.
+
+    Attributes
+    ----------
+    record : EndpointRecord
+        The engine as it was asked.
+    has_crashed : bool
+        Whether its address refuses connections or belongs to another run; False if it is not known.
+    """
+
+    at: float
+    record: EndpointRecord
+    has_crashed: bool
+
+
 @frozen
 class StoreAvailabilityChanged:
     """The store answers again, or no longer answers."""
@@ -374,6 +391,7 @@
     | PeerMessageReceived
     | OrderEnded
     | ReportReceived
+    | EndpointChecked
     | StoreAvailabilityChanged
     | StoreChangesRead
     | LimitsChanged
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -94,10 +94,45 @@
     ----------
     content : str
         Digest of the request's method, path and body.
+    incarnation : int
+        Which run of the endpoint crashed.
+    parts : tuple
+        Parts of the request's prompt that may be the cause.
+    has_begun, has_delivered : bool
+        Whether the head of the response had arrived, and whether a byte of its body had.
+    age_s : float
+        Seconds since the response broke off.
+    sound_ages_s : dict
+        Seconds since a response began that went on, by part, of those of which the sender knows.
     """
 
     content: str
     endpoint: str
+    incarnation: int = 0
+    parts: tuple[str, ...] = ()
+    has_begun: bool = True
+    has_delivered: bool = False
+    age_s: float = 0.0
+    sound_ages_s: dict[str, float] = field(factory=dict)
+
+
+@frozen
+class CrashEvidence:
+    """Crashes because of which the sender refuses contents or parts of prompts."""
+
+    crashes: tuple[Crashed, ...]
+
+
+@frozen
+class AskCrashes:
+    """Asks for a CrashEvidence; an entry that refuses nothing is silent."""
+
+
+@frozen
+class PartsSound:
+    """Says how many seconds ago responses began that went on, by part of their prompts."""
+
+    ages_s: dict[str, float]
 
 
 @frozen
@@ -133,4 +168,16 @@
     caller_id: str
 
 
-Message = Ask | View | Use | NotLead | Crashed | News | StreamBegan | AskStreamOrigin
+Message = (
+    Ask
+    | View
+    | Use
+    | NotLead
+    | Crashed
+    | CrashEvidence
+    | AskCrashes
+    | PartsSound
+    | News
+    | StreamBegan
+    | AskStreamOrigin
+)
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -102,7 +102,13 @@
         case messages.NotLead():
             adapter_asks.on_not_lead(state, sender, message, at, effects)
         case messages.Crashed():
-            crashes.record_crash(state, message.content, message.endpoint, effects)
+            crashes.on_crashed(state, message, at, effects)
+        case messages.CrashEvidence():
+            crashes.on_evidence(state, message, at, effects)
+        case messages.AskCrashes():
+            crashes.send_evidence(state, sender, at, effects)
+        case messages.PartsSound():
+            crashes.on_parts_sound(state, message, at)
         case messages.News():
             gossip.on_news(message, effects)
         case messages.StreamBegan():
@@ -122,6 +128,7 @@
 def on_tick(state: GatewayState, event: ev.Tick, effects: list) -> None:
     """Run the periodic work of all modules; endpoints and leads are checked less often."""
     at = event.at
+    crashes.on_tick(state, at, effects)
     residency.on_tick(state, at, effects)
     requests.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
@@ -132,6 +139,7 @@
     state.last_slow_tick_at = at
     endpoints.on_tick(state, at, effects)
     streams.on_tick(state, at, effects)
+    crashes.on_slow_tick(state, at, effects)
     leads.on_tick(state, at, effects)
 
 
@@ -226,6 +234,7 @@
     ev.PeerMessageReceived: on_peer_message,
     ev.OrderEnded: residency.on_order_ended,
     ev.ReportReceived: residency.on_report,
+    ev.EndpointChecked: crashes.on_checked,
     ev.LimitsChanged: on_limits,
     ev.DrainRequested: on_drain,
 }
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -67,8 +67,13 @@
         return
     service = choose_service(state, route)
     retry_budget.record_request(state, service, event.at)
-    if crashes.is_refused(state, event.content_digest):
-        refuse_unadmitted(event, Refused.SUSPECT, RETRY_AFTER_S, effects)
+    is_refused = crashes.is_refused(state, event.content_digest, event.prompt, event.at, effects)
+    is_trial = is_refused and crashes.begin_trial(
+        state, event.content_digest, event.prompt, event.at
+    )
+    if is_refused and not is_trial:
+        retry_after_s = crashes.retry_after_s(state, event.at)
+        refuse_unadmitted(event, Refused.SUSPECT, retry_after_s, effects)
         return
     timeout_s = route.timeout_s
     if event.deadline_s is not None:
@@ -87,6 +92,7 @@
         latency_target_at=event.at + min(route.latency_target_s, timeout_s),
         prompt=event.prompt,
         content_digest=event.content_digest,
+        is_trial=is_trial,
         last_event_id=event.last_event_id,
         resumed_caller_id=event.resumed_caller_id,
     )
@@ -149,9 +155,15 @@
     state: GatewayState, request: RequestState, endpoint: EndpointState, at: float, effects: list
 ) -> None:
     """Send a request to an endpoint."""
+    if not request.is_trial and crashes.is_refused(
+        state, request.content_digest, request.prompt, at, effects
+    ):
+        refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
+        return
     stop_waiting(state, request)
     request.stage = Stage.RUNNING
     request.attempt += 1
+    request.attempt_started_at = None
     request.endpoint_name = endpoint.record.name
     request.attempt_software = endpoint.record.software_version
     endpoint.in_flight.add(request.request_id)
@@ -186,6 +198,7 @@
         "endpoint": endpoint.record.name,
         "software": endpoint.record.software_version,
         "content": request.content_digest,
+        "trial": request.is_trial,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
         "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
@@ -277,6 +290,8 @@
     request = state.requests.get(event.request_id)
     if request is None or request.attempt != event.attempt:
         return
+    if request.attempt_started_at is None:
+        request.attempt_started_at = event.at
     if not request.response_started:
         request.response_started_at = event.at
     request.response_started = True
@@ -311,7 +326,7 @@
         request.possible_runs += 1
     if event.delivered and request.software_version is None:
         request.software_version = request.attempt_software
-    if may_retry(state, request, event):
+    if may_retry(state, request, event, effects):
         effects.append(
             LogRequest(
                 "again",
@@ -344,6 +359,7 @@
     match event.outcome:
         case Outcome.DONE:
             endpoints.record_result(endpoint, False)
+            crashes.on_answered(state, request, event.at)
         case Outcome.FAILED:
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
@@ -351,20 +367,20 @@
             endpoints.avoid_temporarily(endpoint, event.at)
             request.avoided_endpoints.add(request.endpoint_name)
             if event.connection_refused:
-                crashes.on_endpoint_crashed(state, request.endpoint_name, event.at, effects)
+                crashes.on_endpoint_crashed(state, endpoint.record, event.at, effects)
         case Outcome.BROKEN:
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
-            crashes.record_broken_response(
-                state, request.content_digest, request.endpoint_name, event.at
-            )
+            crashes.on_attempt_broken(state, request, endpoint, event, effects)
         case Outcome.NOT_RUN if key is not None and key.adapter:
             endpoints.record_absent(endpoint, key, event.at)
         case Outcome.NOT_RUN:
             request.avoided_endpoints.add(request.endpoint_name)
 
 
-def may_retry(state: GatewayState, request: RequestState, event: AttemptEnded) -> bool:
+def may_retry(
+    state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
+) -> bool:
     """Return whether a request may be sent again; if so, a retry is spent from the budget."""
     if event.at >= request.deadline_at - RESPONSE_MARGIN_S or request.attempt >= MAX_DISPATCHES:
         return False
@@ -377,7 +393,7 @@
             return False
     if event.delivered and not request.route.resumable:
         return False
-    if crashes.is_refused(state, request.content_digest):
+    if crashes.is_refused(state, request.content_digest, request.prompt, event.at, effects):
         return False
     return retry_budget.try_spend_retry(state, request.service, event.at)
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -9,6 +9,7 @@
 
 from attrs import define, field
 
+from poplarhoist.decisions.gateway.crash_suspects import Crash, CrashReport, Verdict
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use, View
 from poplarhoist.decisions.gateway.models import (
@@ -61,6 +62,8 @@
         When the engine last said that it does not hold an adapter, by adapter.
     warm_adapters : dict
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
+    checked_at : float
+        When the engine was last asked whether it still runs.
     """
 
     record: EndpointRecord
@@ -85,6 +88,7 @@
     no_asks_until: float = float("-inf")
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
+    checked_at: float = float("-inf")
 
 
 class Stage(enum.StrEnum):
@@ -125,6 +129,10 @@
     last_event_id, resumed_caller_id : str
         Id of the event after which the caller resumes a stream, and of its attempt that began the
         stream; both empty if the request begins one.
+    is_trial : bool
+        Whether it is sent although a part of its prompt is refused.
+    attempt_started_at : float or None
+        When the first byte of the response to the latest attempt arrived; None before.
     attempt_software : str
         Software version of the endpoint of the latest attempt.
     software_version : str or None
@@ -156,6 +164,8 @@
     avoided_endpoints: set[str] = field(factory=set)
     last_event_id: str = ""
     resumed_caller_id: str = ""
+    is_trial: bool = False
+    attempt_started_at: float | None = None
     attempt_software: str = ""
     software_version: str | None = None
     origin_asked_at: float | None = None
@@ -454,10 +464,20 @@
         Ids of the requests that wait for an endpoint or an adapter.
     retry_windows : dict
         Retry windows by service.
-    broken_responses_by_endpoint : dict
-        Time and content digest of responses that broke off.
-    crashed_endpoints_by_digest : dict
-        Endpoints that crashed while they ran a request, by the request's content digest.
+    broken_responses_by_crash : dict
+        Responses that broke off at a run of an endpoint that is not known to have crashed.
+    crash_reports : list
+        Responses that broke off in a crash, of all entries.
+    sound_at_by_part : dict
+        When the latest response began that went on, by part of its prompt, least recent first.
+    sound_notices_due : dict
+        When this entry tells the others that a part is sound.
+    crash_verdict, crash_verdict_due : Verdict, bool
+        What is refused for its crashes, and whether that must be found out anew.
+    crash_trials_by_part : dict
+        Trials that this entry has sent for a refused part, and when the last one.
+    crashes_asked_at, crashes_repeated_at : float
+        When others were last asked for crashes, and when some were last told what is refused.
     stream_origins : dict
         Where streams began, by the id of the caller's attempt, least recent first.
     departed_software : dict
@@ -493,8 +513,15 @@
     requests: dict[str, RequestState] = field(factory=dict)
     waiting: set[str] = field(factory=set)
     retry_windows: dict[str, RetryWindow] = field(factory=dict)
-    broken_responses_by_endpoint: dict[str, list[tuple[float, str]]] = field(factory=dict)
-    crashed_endpoints_by_digest: dict[str, set[str]] = field(factory=dict)
+    broken_responses_by_crash: dict[Crash, list[CrashReport]] = field(factory=dict)
+    crash_reports: list[CrashReport] = field(factory=list)
+    sound_at_by_part: dict[str, float] = field(factory=dict)
+    sound_notices_due: dict[str, float] = field(factory=dict)
+    crash_verdict: Verdict = field(factory=Verdict)
+    crash_verdict_due: bool = False
+    crash_trials_by_part: dict[str, tuple[int, float]] = field(factory=dict)
+    crashes_asked_at: float = float("-inf")
+    crashes_repeated_at: float = float("-inf")
     stream_origins: dict[str, StreamOrigin] = field(factory=dict)
     departed_software: dict[str, dict[str, float]] = field(factory=dict)
     started_at: float = 0.0
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -3,10 +3,10 @@
 import eventlet
 import structlog
 from urllib3 import Timeout
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.effects import ReadReport, SendOrder
+from poplarhoist.decisions.gateway.effects import CheckEndpoint, ReadReport, SendOrder
 from poplarhoist.entry.http import never_sent, single_use_pool
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect
@@ -36,6 +36,9 @@
         decision_loop.set_handler(
             ReadReport, lambda effect: eventlet.spawn_n(self.read_report, effect)
         )
+        decision_loop.set_handler(
+            CheckEndpoint, lambda effect: eventlet.spawn_n(self.check, effect)
+        )
 
     def request(self, record, method: str, path: str, headers, body: bytes | None):
         """Make an HTTP call to an engine and return the response.
@@ -98,3 +101,25 @@
         self.decision_loop.submit(
             ev.ReportReceived(self.decision_loop.event_time(), asked_at, effect.engine.name, report)
         )
+
+    def check(self, effect: CheckEndpoint) -> None:
+        """Ask an engine whether it still runs, and submit the answer."""
+        record = effect.record
+        has_crashed = False
+        try:
+            headers = self.dialect.build_report_headers(record)
+            response = self.request(record, "GET", self.dialect.report_path(), headers, None)
+            if response.status == 200:
+                incarnation = self.dialect.decode_report(response.data).incarnation
+                has_crashed = incarnation != record.incarnation
+            else:
+                status = self.dialect.order_status_of(response.status)
+                has_crashed = status is ev.OrderStatus.GONE
+        except (HTTPError, ValueError) as error:
+            has_crashed = isinstance(error, NewConnectionError)
+            structlog.get_logger().warning(
+                "engine-not-checked", engine=record.name, detail=type(error).__name__
+            )
+        self.decision_loop.submit(
+            ev.EndpointChecked(self.decision_loop.event_time(), record, has_crashed)
+        )
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -146,6 +146,8 @@
                 self.call_in(MESSAGE_S, lambda e=effect: self.deliver(name, e))
         for effect in effects_of(fx.Dispatch, effects):
             self.call_in(SEND_S, lambda e=effect: self.reach_engine(name, e))
+        for effect in effects_of(fx.CheckEndpoint, effects):
+            self.call_in(SEND_S, lambda e=effect: self.check_engine(name, e.record))
         for effect in effects_of(fx.Refuse, effects):
             self.requests[name, effect.request_id].refused = effect.reason
 
@@ -153,6 +155,11 @@
         """Deliver a message."""
         self.submit(effect.peer, ev.PeerMessageReceived, sender=sender, message=effect.message)
 
+    def check_engine(self, name: str, record: EndpointRecord) -> None:
+        """Answer whether an engine still runs."""
+        has_crashed = not self.runs_by_name[record.name].is_alive
+        self.submit(name, ev.EndpointChecked, record=record, has_crashed=has_crashed)
+
     def send(self, name: str, *parts: str) -> SentRequest:
         """Let a caller send a request with these parts and one of its own; return it."""
         entry = self.entries[name]
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -4,7 +4,7 @@
 MUTATIONS_BY_NAME = {
     "at-most-once": (
         "import poplarhoist.decisions.gateway.requests as requests\n"
-        "requests.may_retry = lambda state, request, event: (\n"
+        "requests.may_retry = lambda state, request, event, effects: (\n"
         "    not event.delivered and request.attempt < 3)"
     ),
     "places": (
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -3,11 +3,19 @@
 import random
 from collections.abc import Callable
 
+import orjson
 import pytest
 from attrs import frozen
 
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.crash_suspects import CRASH_MEMORY_S
+from poplarhoist.decisions.gateway.crashes import TRIAL_AFTER_S
 from poplarhoist.decisions.gateway.models import Refused
+from poplarhoist.gateway.peers import message_converter
 from tests.crash_site import CrashSite, SentRequest
+from tests.gateway import effects_of, only_effect
 
 # Seconds after which what crashes engines must be known, counted from the fifth crash; requests
 # that may still reach engines later. Both are the users' bounds.
@@ -24,9 +32,12 @@
     Both kinds share a first part and one of six second parts.
     """
 
-    def __init__(self, site: CrashSite, *crashing_parts: str) -> None:
+    def __init__(
+        self, site: CrashSite, *crashing_parts: str, crashing_part_is_last: bool = True
+    ) -> None:
         self.site = site
         self.crashing_parts = crashing_parts
+        self.crashing_part_is_last = crashing_part_is_last
         self.sound: list[SentRequest] = []
         self.crashing: list[SentRequest] = []
         self.count = 0
@@ -36,7 +47,9 @@
     def send(self, *parts: str) -> SentRequest:
         self.count += 1
         name = self.site.names[self.count % len(self.site.names)]
-        return self.site.send(name, "shared", f"second-{self.count % 6}", *parts)
+        second = f"second-{self.count % 6}"
+        parts = (second, *parts) if self.crashing_part_is_last else (*parts, second)
+        return self.site.send(name, "shared", *parts)
 
     def send_sound(self) -> None:
         self.sound.append(self.send())
@@ -49,7 +62,7 @@
 
 
 def run_plain(site: CrashSite) -> None:
-    site.run(30.0)
+    site.run(40.0)
 
 
 def run_with_lost_heads(site: CrashSite) -> None:
@@ -92,10 +105,12 @@
     crashing_parts: tuple[str, ...] = ("bad",)
     crashing_from: float = 0.0
     known_from: float = 0.0
+    crashing_part_is_last: bool = True
 
 
 CRASH_CASES = {
     "no-two-alike": CrashCase(run_plain),
+    "part-in-the-middle": CrashCase(run_plain, crashing_part_is_last=False),
     "two-parts": CrashCase(run_plain, ("bad", "worse")),
     "head-lost": CrashCase(run_with_lost_heads),
     "sound-before": CrashCase(run_plain, crashing_from=3.0),
@@ -108,7 +123,7 @@
 
 def play(case: CrashCase) -> tuple[CrashSite, Traffic]:
     site = CrashSite()
-    traffic = Traffic(site, *case.crashing_parts)
+    traffic = Traffic(site, *case.crashing_parts, crashing_part_is_last=case.crashing_part_is_last)
     site.call_in(case.crashing_from, lambda: site.crashing_parts.update(case.crashing_parts))
     case.run(site)
     return site, traffic
@@ -173,3 +188,90 @@
     site.run(3.0)
     assert len(traffic.sound) > 100
     assert not [request for request in traffic.sound if request.refused is Refused.SUSPECT]
+
+
+def test_part_that_no_longer_crashes_engines_is_served_again_after_one_trial():
+    site = CrashSite()
+    traffic = Traffic(site, "bad")
+    site.crashing_parts = {"bad"}
+    site.run(10.0)
+    site.crashing_parts = set()
+    assert all(request.refused for request in traffic.crashing[-4:])
+    site.run(TRIAL_AFTER_S + 5.0)
+    trials = [r for r in traffic.crashing if r.reached_at and r.reached_at[0] > 10.0]
+    assert trials[0].is_done
+    assert not [r for r in traffic.crashing if r.at > trials[0].at + 1.0 and r.refused]
+
+
+def test_trials_of_a_part_that_crashes_engines_become_rare():
+    site = CrashSite()
+    Traffic(site, "bad")
+    site.crashing_parts = {"bad"}
+    site.run(100.0)
+    assert 1 <= len([at for at in site.crashed_at_by_part["bad"] if at > 10.0]) <= 2
+
+
+def test_what_was_refused_is_sent_again_once_its_crashes_are_forgotten():
+    gateway = CrashSite(entry_count=1).entries["entry-1"]
+    for number in range(3):
+        gateway.receive("entry-2", messages.Crashed("content-1", f"e{number}"))
+    assert only_effect(fx.Refuse, gateway.request("/resume/x", "a1", content_digest="content-1")[1])
+    gateway.advance(CRASH_MEMORY_S + 1.0, step_s=0.25)
+    _, effects = gateway.request("/resume/x", "a1", content_digest="content-1")
+    assert effects_of(fx.Dispatch, effects)
+
+
+def test_refusal_of_what_crashes_engines_says_when_it_may_run_again():
+    gateway = CrashSite(entry_count=1).entries["entry-1"]
+    for number in range(3):
+        gateway.receive("entry-2", messages.Crashed("content-1", f"e{number}", age_s=100.0))
+    _, effects = gateway.request("/resume/x", "a1", content_digest="content-1")
+    refusal = only_effect(fx.Refuse, effects)
+    assert (refusal.ran, refusal.retry_after_s) == (False, CRASH_MEMORY_S - 100.0)
+
+
+def test_engine_that_still_runs_counts_as_no_crash():
+    site = CrashSite(entry_count=1)
+    entry = site.entries["entry-1"]
+    for run in site.alive_runs()[:3]:
+        site.send("entry-1", "shared", "rare")
+        site.run(0.1)
+        for other in site.alive_runs():
+            site.break_attempts(other, {})
+        assert run.is_alive
+    site.run(1.0)
+    assert effects_of(fx.CheckEndpoint, entry.effects)
+    assert not entry.state.crash_reports
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.Crashed("c", "e1", 7, ("p1", "p2"), True, False, 0.5, {"p1": 0.25}),
+        messages.CrashEvidence((messages.Crashed("c", "e1"),)),
+        messages.AskCrashes(),
+        messages.PartsSound({"p1": 1.5}),
+    ],
+)
+def test_messages_about_crashes_survive_the_wire(message):
+    data = orjson.dumps(message_converter.unstructure(message, unstructure_as=messages.Message))
+    assert message_converter.structure(orjson.loads(data), messages.Message) == message
+
+
+def test_content_that_is_answered_after_its_crashes_runs_again():
+    site = CrashSite(entry_count=1)
+    gateway = site.entries["entry-1"]
+
+    def request() -> list:
+        gateway.at = site.at
+        return gateway.request("/resume/x", "a1", content_digest="popular")[1]
+
+    dispatch = only_effect(fx.Dispatch, request())
+    for number in range(3):
+        gateway.receive("entry-2", messages.Crashed("popular", f"e{number}"))
+    assert effects_of(fx.Refuse, request())
+    site.run(0.5)
+    gateway.at = site.at
+    gateway.submit(ev.ResponseStarted, request_id=dispatch.request_id, attempt=dispatch.attempt)
+    gateway.end_attempt(dispatch, ev.Outcome.DONE)
+    assert effects_of(fx.Dispatch, request())
--- /dev/null
+++ b/tests/test_gateway_engines.py
@@ -0,0 +1,63 @@
+"""Calls of the gateway to engines, over real connections."""
+
+import socket
+
+import pytest
+
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.effects import CheckEndpoint
+from poplarhoist.gateway.engines import EngineClient
+from poplarhoist.platform.dialect import PlatformDialect
+from tests.gateway import engine
+from tests.platform_standins import Endpoint
+from tests.site import free_ports
+from tests.standin_server import HOST
+
+
+class EventRecorder:
+    """Stands in for the decision loop; keeps the events that are submitted."""
+
+    def __init__(self) -> None:
+        self.events: list[ev.Event] = []
+
+    def set_handler(self, effect_type: type, handler) -> None:
+        """Do nothing: the tests call the client themselves."""
+
+    def event_time(self) -> float:
+        return 1.0
+
+    def submit(self, event: ev.Event) -> None:
+        self.events.append(event)
+
+
+@pytest.fixture
+def endpoint():
+    standin = Endpoint("e1", "models")
+    yield standin
+    standin.stop()
+
+
+def check(port: int, incarnation: int = 1) -> bool:
+    recorder = EventRecorder()
+    client = EngineClient(recorder, PlatformDialect(), "entry-1")
+    client.check(CheckEndpoint(engine(1, host=HOST, port=port, incarnation=incarnation)))
+    (event,) = recorder.events
+    assert isinstance(event, ev.EndpointChecked)
+    return event.has_crashed
+
+
+@pytest.mark.parametrize(("incarnation", "has_crashed"), [(1, False), (2, True)])
+def test_engine_that_answers_has_crashed_only_if_it_started_again(
+    endpoint, incarnation, has_crashed
+):
+    endpoint.incarnation = incarnation
+    assert check(endpoint.port) is has_crashed
+
+
+def test_engine_whose_address_refuses_connections_has_crashed():
+    assert check(free_ports(1)[0])
+
+
+def test_engine_that_does_not_answer_is_not_known_to_have_crashed():
+    with socket.create_server((HOST, 0)) as listener:
+        assert not check(listener.getsockname()[1])
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -276,6 +276,9 @@
     assert fields_by_change["crash-counted"] == {
         "content": "content-1",
         "endpoint": dispatch.endpoint.name,
+        "parts": ("shared",),
+        "begun": False,
+        "delivered": False,
         "crashes": 1,
     }
 
