--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.site import ROOT
 from tests.soak.proxy import Proxy
 from tests.soak.run import run_soak
 from tests.standin_server import HOST
@@ -20,7 +21,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_soak_finds_no_violations(seed):
-    assert run_soak(seed, cycles=1) == []
+    assert run_soak(seed, cycles=1, findings_dir=ROOT / "soak-findings") == []
 
 
 def test_proxy_resets_connections_without_an_orderly_close():
