Log the limits that endpoints name

The adapter reads Server-Limit; a value that is no number is logged and left out. endpoint-limit tells when a limit is named, changed or lifted, sent what was known. No decision uses it.

--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -176,6 +176,20 @@
     CANCELLED = "cancelled"
 
 
+@frozen
+class EndpointNotice:
+    """What the head of a response says of its endpoint.
+
+    Attributes
+    ----------
+    requests_per_s : float or None
+        Requests a second that the endpoint takes from all entries together; None if it names no
+        limit.
+    """
+
+    requests_per_s: float | None = None
+
+
 @frozen
 class ResponseStarted:
     """The first byte of a response arrived.
@@ -184,6 +198,8 @@
     ----------
     running, waiting : int
         Requests at the endpoint according to the response; -1 if it does not say.
+    notice : EndpointNotice
+        What the head of the response says of the endpoint.
     """
 
     at: float
@@ -191,6 +207,7 @@
     attempt: int
     running: int = -1
     waiting: int = -1
+    notice: EndpointNotice = EndpointNotice()
 
 
 class Framing(enum.StrEnum):
@@ -251,6 +268,9 @@
         Whether the endpoint's address refused the connection.
     body_end : BodyEnd
         How far the body of the response was read.
+    notice : EndpointNotice or None
+        What the head of the response says of the endpoint; None if there was no head, or if
+        ResponseStarted has told it.
     """
 
     at: float
@@ -262,6 +282,7 @@
     connection_refused: bool = False
     reason: str = ""
     body_end: BodyEnd = BodyEnd()
+    notice: EndpointNotice | None = None
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -7,6 +7,7 @@
     adapter_asks,
     crashes,
     endpoints,
+    request_limits,
     retry_budget,
     routing,
     streams,
@@ -198,6 +199,7 @@
         "endpoint": endpoint.record.name,
         "software": endpoint.record.software_version,
         "content": request.content_digest,
+        "limit_per_s": endpoint.requests_per_s,
         "trial": request.is_trial,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
@@ -299,6 +301,7 @@
     endpoint = state.endpoints.get(request.endpoint_name)
     if endpoint is None:
         return
+    request_limits.on_notice(state, endpoint, event.notice, effects)
     endpoint.prefill_tokens_by_request.pop(request.request_id, None)
     if event.running >= 0:
         endpoint.reported_load = event.running + max(0, event.waiting)
@@ -317,6 +320,8 @@
         return
     endpoint = release_endpoint(state, request)
     effects.append(Count("attempt_ended", (event.outcome,)))
+    if endpoint is not None and event.notice is not None:
+        request_limits.on_notice(state, endpoint, event.notice, effects)
     if endpoint is not None:
         record_endpoint_result(state, request, endpoint, event, effects)
     if request.caller_disconnected or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -62,6 +62,8 @@
         When the engine last said that it does not hold an adapter, by adapter.
     warm_adapters : dict
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
+    requests_per_s : float or None
+        Limit that the endpoint named in its latest response; None if it named none.
     checked_at : float
         When the engine was last asked whether it still runs.
     """
@@ -88,6 +90,7 @@
     no_asks_until: float = float("-inf")
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
+    requests_per_s: float | None = None
     checked_at: float = float("-inf")
 
 
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -260,6 +260,7 @@
             connection_refused=result.connection_refused,
             reason=result.reason,
             body_end=exchange.body_end(),
+            notice=exchange.untold_notice(),
         )
         self.decision_loop.submit(event)
         if self.caller_disconnected or result.outcome is ev.Outcome.CANCELLED:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -16,7 +16,13 @@
 from urllib3.util import SKIP_HEADER
 
 from poplarhoist.decisions.gateway.effects import Dispatch
-from poplarhoist.decisions.gateway.events import BodyEnd, Framing, Outcome, ResponseStarted
+from poplarhoist.decisions.gateway.events import (
+    BodyEnd,
+    EndpointNotice,
+    Framing,
+    Outcome,
+    ResponseStarted,
+)
 from poplarhoist.entry.event_stream import EventSplitter, find_last_event_id
 from poplarhoist.entry.http import StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
@@ -260,6 +266,7 @@
             self.dispatch.attempt,
             self.response_head.running,
             self.response_head.waiting,
+            self.response_head.notice,
         )
         self.decision_loop.submit(event)
 
@@ -327,6 +334,12 @@
             return Framing.LENGTH
         return Framing.CONNECTION
 
+    def untold_notice(self) -> EndpointNotice | None:
+        """Return what the head says of the endpoint, unless ResponseStarted has told it."""
+        if self.response_head is None or self.response_started:
+            return None
+        return self.response_head.notice
+
     def body_end(self) -> BodyEnd:
         """Return how far the body of the response was read."""
         return BodyEnd(
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from poplarhoist.decisions.gateway.effects import Claim, Dispatch, SendOrder
-from poplarhoist.decisions.gateway.events import CallStatus, Event, OrderStatus
+from poplarhoist.decisions.gateway.events import CallStatus, EndpointNotice, Event, OrderStatus
 from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport, Prompt
 
 Headers = list[tuple[str, str]]
@@ -57,6 +57,8 @@
         Whether the endpoint sent the seal, the header with which it signs a response.
     running, waiting : int
         Requests that run and wait at the endpoint; -1 if the response does not say.
+    notice : EndpointNotice
+        What else the endpoint says of itself.
     """
 
     caller_request_id: str
@@ -65,6 +67,7 @@
     has_seal: bool = False
     running: int = -1
     waiting: int = -1
+    notice: EndpointNotice = EndpointNotice()
 
 
 class Dialect(Protocol):
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -1,8 +1,12 @@
 """Parses headers of callers and endpoints, and builds the headers of requests to endpoints."""
 
+import math
 from collections.abc import Iterable
 
+import structlog
+
 from poplarhoist.decisions.gateway.effects import Dispatch
+from poplarhoist.decisions.gateway.events import EndpointNotice
 from poplarhoist.decisions.gateway.models import AdapterKey, PrefixSegment, Prompt
 from poplarhoist.gateway.interfaces import Headers, RequestHead, ResponseHead
 
@@ -151,4 +155,20 @@
         has_seal="x-response-seal" in value_by_name,
         running=load[0] if has_load else -1,
         waiting=load[1] if has_load else -1,
+        notice=EndpointNotice(parse_limit(value_by_name.get("server-limit"))),
     )
+
+
+def parse_limit(text: str | None) -> float | None:
+    """Parse a limit in requests a second; None if there is none, or if it is no number from 0 on."""
+    if text is None:
+        return None
+    try:
+        limit = float(text)
+    except ValueError:
+        limit = math.nan
+    if math.isfinite(limit) and limit >= 0.0:
+        return limit
+    # Without a number nothing can be kept; the endpoint still turns away what it cannot take.
+    structlog.get_logger().warning("header-unreadable", header="Server-Limit", value=text[:40])
+    return None
