--- a/tests/crash_site.py
+++ b/tests/engine_site.py
@@ -1,4 +1,4 @@
-"""A service of engines on a virtual clock, some of whose requests crash each engine that runs them."""
+"""Entries and a service of engines on a virtual clock; engines crash, or name limits."""
 
 import heapq
 import itertools
@@ -39,12 +39,21 @@
     ----------
     attempts : dict
         Parts of the prompt and number of the attempt, by entry and request, of those that run.
+    arrivals : list
+        When a request reached it, and from which entry.
+    requests_per_s : float or None
+        Limit that its responses name.
+    told_at : dict
+        When an entry first got a response that named a limit.
     """
 
     record: EndpointRecord
     is_alive: bool = True
     attempts: dict[tuple[str, str], tuple[int, tuple[str, ...]]] = field(factory=dict)
     started: set[tuple[str, str]] = field(factory=set)
+    arrivals: list[tuple[float, str]] = field(factory=list)
+    requests_per_s: float | None = None
+    told_at: dict[str, float] = field(factory=dict)
 
 
 @define
@@ -64,11 +73,13 @@
     parts: tuple[str, ...]
     reached_at: list[float] = field(factory=list)
     refused: Refused | None = None
+    refused_at: float = 0.0
+    retry_after_s: float = 0.0
     is_begun: bool = False
     is_done: bool = False
 
 
-class CrashSite:
+class EngineSite:
     """Entries that exchange messages, and engines that all hold the adapter a1.
 
     Attributes
@@ -149,7 +160,9 @@
         for effect in effects_of(fx.CheckEndpoint, effects):
             self.call_in(SEND_S, lambda e=effect: self.check_engine(name, e.record))
         for effect in effects_of(fx.Refuse, effects):
-            self.requests[name, effect.request_id].refused = effect.reason
+            request = self.requests[name, effect.request_id]
+            request.refused, request.refused_at = effect.reason, self.at
+            request.retry_after_s = effect.retry_after_s
 
     def deliver(self, sender: str, effect: fx.SendPeer) -> None:
         """Deliver a message."""
@@ -184,6 +197,7 @@
             return
         request = self.requests[name, dispatch.request_id]
         request.reached_at.append(self.at)
+        run.arrivals.append((self.at, name))
         run.attempts[name, dispatch.request_id] = (dispatch.attempt, request.parts)
         self.call_in(HEAD_S, lambda: self.begin_response(run, name, dispatch))
 
@@ -203,8 +217,14 @@
         run.started.add(key)
         request.is_begun = request.is_begun or dispatch.attempt == 1
         self.submit(
-            name, ev.ResponseStarted, request_id=dispatch.request_id, attempt=dispatch.attempt
+            name,
+            ev.ResponseStarted,
+            request_id=dispatch.request_id,
+            attempt=dispatch.attempt,
+            notice=ev.EndpointNotice(run.requests_per_s),
         )
+        if run.requests_per_s is not None:
+            run.told_at.setdefault(name, self.at)
         self.call_in(RUN_S, lambda: self.end_response(run, name, dispatch))
 
     def end_response(self, run: EngineRun, name: str, dispatch: fx.Dispatch) -> None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -14,7 +14,7 @@
 from poplarhoist.decisions.gateway.crashes import TRIAL_AFTER_S
 from poplarhoist.decisions.gateway.models import Refused
 from poplarhoist.gateway.peers import message_converter
-from tests.crash_site import CrashSite, SentRequest
+from tests.engine_site import EngineSite, SentRequest
 from tests.gateway import effects_of, only_effect
 
 # Seconds after which what crashes engines must be known, counted from the fifth crash; requests
@@ -33,7 +33,7 @@
     """
 
     def __init__(
-        self, site: CrashSite, *crashing_parts: str, crashing_part_is_last: bool = True
+        self, site: EngineSite, *crashing_parts: str, crashing_part_is_last: bool = True
     ) -> None:
         self.site = site
         self.crashing_parts = crashing_parts
@@ -61,36 +61,36 @@
         self.site.call_in(CRASHING_INTERVAL_S, self.send_crashing)
 
 
-def run_plain(site: CrashSite) -> None:
+def run_plain(site: EngineSite) -> None:
     site.run(40.0)
 
 
-def run_with_lost_heads(site: CrashSite) -> None:
+def run_with_lost_heads(site: EngineSite) -> None:
     site.sends_head = False
     site.run(30.0)
 
 
-def run_with_late_entry(site: CrashSite) -> None:
+def run_with_late_entry(site: EngineSite) -> None:
     site.run(9.0)
     site.start_entry("entry-2")
     site.run(21.0)
 
 
-def run_with_entries_restarted(site: CrashSite) -> None:
+def run_with_entries_restarted(site: EngineSite) -> None:
     site.run(1.0)
     for name in site.names:
         site.start_entry(name)
     site.run(29.0)
 
 
-def run_with_entry_cut_off(site: CrashSite) -> None:
+def run_with_entry_cut_off(site: EngineSite) -> None:
     site.cut_off = {"entry-2"}
     site.run(5.0)
     site.cut_off = set()
     site.run(25.0)
 
 
-def run_with_lost_messages(site: CrashSite) -> None:
+def run_with_lost_messages(site: EngineSite) -> None:
     rng = random.Random(1)
     deliver = site.deliver
     site.deliver = lambda *args: rng.random() < 0.3 or deliver(*args)
@@ -101,7 +101,7 @@
 class CrashCase:
     """How the time passes, and since when entries can know; seconds from the start."""
 
-    run: Callable[[CrashSite], None]
+    run: Callable[[EngineSite], None]
     crashing_parts: tuple[str, ...] = ("bad",)
     crashing_from: float = 0.0
     known_from: float = 0.0
@@ -121,15 +121,15 @@
 }
 
 
-def play(case: CrashCase) -> tuple[CrashSite, Traffic]:
-    site = CrashSite()
+def play(case: CrashCase) -> tuple[EngineSite, Traffic]:
+    site = EngineSite()
     traffic = Traffic(site, *case.crashing_parts, crashing_part_is_last=case.crashing_part_is_last)
     site.call_in(case.crashing_from, lambda: site.crashing_parts.update(case.crashing_parts))
     case.run(site)
     return site, traffic
 
 
-def fifth_crash_at(site: CrashSite, part: str) -> float:
+def fifth_crash_at(site: EngineSite, part: str) -> float:
     crashed_at = site.crashed_at_by_part[part]
     return crashed_at[min(4, len(crashed_at) - 1)]
 
@@ -159,21 +159,21 @@
     assert sum(request.is_begun for request in later) >= 0.9 * len(later)
 
 
-def crash_in_series(site: CrashSite) -> None:
+def crash_in_series(site: EngineSite) -> None:
     for _ in range(8):
         site.run(1.0)
         for run in site.alive_runs()[:2]:
             site.crash_engine(run)
 
 
-def crash_together(site: CrashSite) -> None:
+def crash_together(site: EngineSite) -> None:
     for _ in range(4):
         site.run(4.0)
         for run in site.alive_runs()[:4]:
             site.crash_engine(run)
 
 
-def reset_connections(site: CrashSite) -> None:
+def reset_connections(site: EngineSite) -> None:
     for _ in range(20):
         site.run(0.4)
         for run in site.alive_runs():
@@ -182,7 +182,7 @@
 
 @pytest.mark.parametrize("disrupt", [crash_in_series, crash_together, reset_connections])
 def test_engines_that_fall_for_another_reason_convict_no_part(disrupt):
-    site = CrashSite()
+    site = EngineSite()
     traffic = Traffic(site)
     disrupt(site)
     site.run(3.0)
@@ -191,7 +191,7 @@
 
 
 def test_part_that_no_longer_crashes_engines_is_served_again_after_one_trial():
-    site = CrashSite()
+    site = EngineSite()
     traffic = Traffic(site, "bad")
     site.crashing_parts = {"bad"}
     site.run(10.0)
@@ -204,7 +204,7 @@
 
 
 def test_trials_of_a_part_that_crashes_engines_become_rare():
-    site = CrashSite()
+    site = EngineSite()
     Traffic(site, "bad")
     site.crashing_parts = {"bad"}
     site.run(100.0)
@@ -212,7 +212,7 @@
 
 
 def test_what_was_refused_is_sent_again_once_its_crashes_are_forgotten():
-    gateway = CrashSite(entry_count=1).entries["entry-1"]
+    gateway = EngineSite(entry_count=1).entries["entry-1"]
     for number in range(3):
         gateway.receive("entry-2", messages.Crashed("content-1", f"e{number}"))
     assert only_effect(fx.Refuse, gateway.request("/resume/x", "a1", content_digest="content-1")[1])
@@ -222,7 +222,7 @@
 
 
 def test_refusal_of_what_crashes_engines_says_when_it_may_run_again():
-    gateway = CrashSite(entry_count=1).entries["entry-1"]
+    gateway = EngineSite(entry_count=1).entries["entry-1"]
     for number in range(3):
         gateway.receive("entry-2", messages.Crashed("content-1", f"e{number}", age_s=100.0))
     _, effects = gateway.request("/resume/x", "a1", content_digest="content-1")
@@ -231,7 +231,7 @@
 
 
 def test_engine_that_still_runs_counts_as_no_crash():
-    site = CrashSite(entry_count=1)
+    site = EngineSite(entry_count=1)
     entry = site.entries["entry-1"]
     for run in site.alive_runs()[:3]:
         site.send("entry-1", "shared", "rare")
@@ -259,7 +259,7 @@
 
 
 def test_content_that_is_answered_after_its_crashes_runs_again():
-    site = CrashSite(entry_count=1)
+    site = EngineSite(entry_count=1)
     gateway = site.entries["entry-1"]
 
     def request() -> list:
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -1,10 +1,176 @@
 """Endpoints name the requests a second that they take from all entries together."""
 
+import random
+from collections.abc import Callable
+
+import pytest
+from attrs import frozen
+
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from tests.engine_site import EngineRun, EngineSite, SentRequest
 from tests.gateway import Gateway, effects_of, engine, only_effect
 
+# The users' bounds: in any window of this length, from this long after a limit was first named, an
+# endpoint gets at most this share of it and a few more. Entries count that were told before.
+WINDOW_S = 4.0
+KNOWN_AFTER_S = 4.0
+TOLD_BEFORE_S = 0.5
+LIMIT_RATIO = 1.5
+EXTRA_REQUESTS = 5
+REQUEST_INTERVAL_S = 0.04
+ENGINE_COUNT = 3
+
+
+def requests_allowed(limit: float) -> float:
+    return LIMIT_RATIO * WINDOW_S * limit + EXTRA_REQUESTS
+
+
+def most_requests(run: EngineRun, since: float, until: float = float("inf")) -> int:
+    """Return the most requests in a window, of entries that were told before."""
+    times = [
+        at
+        for at, name in run.arrivals
+        if since <= at <= until and at >= run.told_at.get(name, float("inf")) + TOLD_BEFORE_S
+    ]
+    return max((sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0)
+
+
+class LimitedSite:
+    """A site with steady traffic at all entries in turn, some of whose engines name limits."""
+
+    def __init__(self, limits: tuple[float, ...], entry_count: int = 9) -> None:
+        self.site = EngineSite(entry_count, ENGINE_COUNT)
+        self.requests: list[SentRequest] = []
+        self.send()
+        self.site.run(2.0)
+        self.limited_runs = list(self.site.runs_by_name.values())[: len(limits)]
+        self.named_at = self.site.at
+        for run, limit in zip(self.limited_runs, limits, strict=True):
+            run.requests_per_s = limit
+
+    def send(self) -> None:
+        name = self.site.names[len(self.requests) % len(self.site.names)]
+        self.requests.append(self.site.send(name, "shared"))
+        self.site.call_in(REQUEST_INTERVAL_S, self.send)
+
+
+def run_plain(site: EngineSite) -> None:
+    site.run(30.0)
+
+
+def run_with_restarts(site: EngineSite) -> None:
+    for name in site.names[:5]:
+        site.run(3.0)
+        site.start_entry(name)
+    site.run(15.0)
+
+
+def run_cut_off(site: EngineSite) -> None:
+    site.cut_off = set(site.names)
+    site.run(30.0)
+
+
+def run_with_lost_messages(site: EngineSite) -> None:
+    rng = random.Random(1)
+    deliver = site.deliver
+    site.deliver = lambda *args: rng.random() < 0.3 or deliver(*args)
+    site.run(30.0)
+
+
+@frozen
+class LimitCase:
+    """Limits of the first engines, and how the time passes."""
+
+    limits: tuple[float, ...]
+    run: Callable[[EngineSite], None] = run_plain
+    entry_count: int = 9
+
+
+LIMIT_CASES = {
+    "one": LimitCase((1.0,)),
+    "two": LimitCase((1.0, 1.3)),
+    "zero": LimitCase((0.0,)),
+    "fraction": LimitCase((0.3,)),
+    "higher": LimitCase((2.5,)),
+    "all": LimitCase((1.0, 1.2, 0.5)),
+    "one-entry": LimitCase((1.0,), entry_count=1),
+    "many-entries": LimitCase((1.0, 0.5), entry_count=40),
+    "entries-restart": LimitCase((1.0, 0.5), run_with_restarts),
+    "entries-cut-off": LimitCase((1.0, 0.5), run_cut_off),
+    "messages-lost": LimitCase((1.0, 0.5), run_with_lost_messages),
+}
+
+
+def play(case: LimitCase) -> LimitedSite:
+    site = LimitedSite(case.limits, case.entry_count)
+    case.run(site.site)
+    return site
+
+
+@pytest.mark.parametrize("case", LIMIT_CASES.values(), ids=LIMIT_CASES)
+def test_endpoint_gets_no_more_requests_than_it_takes(case):
+    site = play(case)
+    for run, limit in zip(site.limited_runs, case.limits, strict=True):
+        most = most_requests(run, site.named_at + KNOWN_AFTER_S)
+        assert most <= requests_allowed(limit), (limit, run.told_at)
+
+
+@pytest.mark.parametrize("case", LIMIT_CASES.values(), ids=LIMIT_CASES)
+def test_endpoint_with_a_limit_still_serves_what_it_takes(case):
+    site = play(case)
+    for run, limit in zip(site.limited_runs, case.limits, strict=True):
+        later = [at for at, _ in run.arrivals if at > site.named_at + KNOWN_AFTER_S]
+        assert len(later) >= 0.5 * limit * (site.site.at - site.named_at - KNOWN_AFTER_S)
+
+
+def test_requests_go_to_other_endpoints_while_one_has_a_limit():
+    site = LimitedSite((1.0,))
+    site.site.run(20.0)
+    assert not [request for request in site.requests if request.refused]
+
+
+def test_endpoint_gets_its_share_again_once_it_lifts_its_limit():
+    site = LimitedSite((1.0,))
+    site.site.run(10.0)
+    (run,) = site.limited_runs
+    run.requests_per_s = None
+    site.site.run(10.0)
+    since = site.site.at
+    site.site.run(10.0)
+    counts = [sum(at > since for at, _ in r.arrivals) for r in site.site.runs_by_name.values()]
+    assert counts[0] >= 0.5 * sum(counts) / len(counts)
+
+
+def test_endpoint_that_lowers_its_limit_gets_no_more_than_the_lower_one():
+    site = LimitedSite((3.0,))
+    site.site.run(12.0)
+    (run,) = site.limited_runs
+    run.requests_per_s = 0.5
+    lowered_at = site.site.at
+    site.site.run(20.0)
+    assert most_requests(run, lowered_at + KNOWN_AFTER_S) <= requests_allowed(0.5)
+
+
+def test_request_is_refused_at_once_with_a_time_to_come_back_when_no_endpoint_takes_it():
+    site = LimitedSite((0.5,) * ENGINE_COUNT)
+    site.site.run(10.0)
+    refused = [request for request in site.requests if request.refused and request.at > 8.0]
+    assert len(refused) > 50
+    assert all(request.refused_at == request.at for request in refused)
+    assert all(request.retry_after_s > 0.0 for request in refused)
+
+
+def test_restarted_endpoint_has_no_limit():
+    site = LimitedSite((1.0,))
+    site.site.run(6.0)
+    (run,) = site.limited_runs
+    site.site.crash_engine(run)
+    site.site.run(10.0)
+    restarted = site.site.runs_by_name[f"{run.record.name}+"]
+    assert len(restarted.arrivals) > 20
+
 
 def test_log_tells_when_an_endpoint_names_changes_and_lifts_its_limit():
     gateway = Gateway()
