Endpoints get no more requests than the limit that they name

Cause: no entry read the limit. Class: an instruction of a peer about its own state that the reader of its answers drops without a word.

Change: the limit is shared without asking anybody. Of all entries as many as the users' bound lets send a request at once take equal parts of it, chosen by rendezvous hash, and the others send nothing there; with nine entries that each keep to a ninth, nine requests at once would pass the bound. An endpoint that takes none now is left out of every choice: new requests, retries, resumed streams, and requests that waited for an adapter there. If no endpoint takes one, the request is refused at once, with the time at which one is free and a spread. An entry that sees a limit named, changed or lifted tells all others; the first of those with a part repeats it every 2 s. A response that was overtaken changes nothing. No limit is forgotten with time alone, only by a response without it or a new run of the endpoint.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.effects import LogChange
-from poplarhoist.decisions.gateway import crashes, streams
+from poplarhoist.decisions.gateway import crashes, request_limits, streams
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
 from poplarhoist.decisions.gateway.limits import (
     AVOID_BACKOFF_S,
@@ -14,7 +14,12 @@
     REREGISTRATION_S,
 )
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState, RequestState
+from poplarhoist.decisions.gateway.state import (
+    EndpointState,
+    GatewayState,
+    LimitState,
+    RequestState,
+)
 
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
 # record, which is written once per heartbeat interval and read some hundred milliseconds later.
@@ -125,6 +130,7 @@
     endpoint.warm_adapters.clear()
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
+    endpoint.limit = LimitState()
 
 
 def rebuild_service_index(state: GatewayState) -> None:
@@ -154,11 +160,13 @@
     """Return the endpoints of a request's service that may get it.
 
     Endpoints that failed the request and those with recent connection failures are left out, unless
-    no others remain. Those that do not run the software version that it needs never get it.
+    no others remain.
     """
-    names = state.endpoints_by_service.get(request.service, ())
-    candidates = [state.endpoints[name] for name in names]
-    candidates = [endpoint for endpoint in candidates if streams.runs_software(endpoint, request)]
+    candidates = [
+        endpoint
+        for endpoint in service_endpoints(state, request)
+        if may_get(state, endpoint, request, at)
+    ]
     untried = [
         endpoint for endpoint in candidates if endpoint.record.name not in request.avoided_endpoints
     ] or candidates
@@ -166,6 +174,19 @@
     return healthy or untried
 
 
+def service_endpoints(state: GatewayState, request: RequestState) -> list[EndpointState]:
+    """Return the endpoints of a request's service that are not stopping."""
+    return [state.endpoints[name] for name in state.endpoints_by_service.get(request.service, ())]
+
+
+def may_get(state: GatewayState, endpoint: EndpointState, request: RequestState, at: float) -> bool:
+    """Return whether an endpoint may get a request now at all.
+
+    It must run the software version that the request needs, and take another request.
+    """
+    return streams.runs_software(endpoint, request) and request_limits.may_send(state, endpoint, at)
+
+
 def avoid_temporarily(endpoint: EndpointState, at: float) -> None:
     """Avoid an endpoint for a while, longer with each failed connection attempt in a row."""
     endpoint.consecutive_failures += 1
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -135,6 +135,21 @@
     ages_s: dict[str, float]
 
 
+@frozen
+class RequestLimit:
+    """Says how many requests a second an endpoint takes from all entries; None if it has no limit.
+
+    Attributes
+    ----------
+    incarnation : int
+        Run of the endpoint that named the limit.
+    """
+
+    endpoint: str
+    incarnation: int
+    requests_per_s: float | None
+
+
 @frozen
 class News:
     """Says that records of a kind changed in the store, up to a revision."""
@@ -177,6 +192,7 @@
     | CrashEvidence
     | AskCrashes
     | PartsSound
+    | RequestLimit
     | News
     | StreamBegan
     | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -251,6 +251,7 @@
     LOST: the connection to the endpoint broke off, and the request may not be sent again.
     SUSPECT: the same request has crashed several endpoints.
     DRAINING: this entry is stopping.
+    LIMITED: the endpoints have named limits and take no more requests now.
     SOFTWARE_VERSION: a stream may go on only at the software version that began it, and no endpoint
     runs that version, or it is not known.
     """
@@ -264,4 +265,5 @@
     LOST = "endpoint lost"
     SUSPECT = "crashed endpoints before"
     DRAINING = "entry is stopping"
+    LIMITED = "endpoints take no more requests now"
     SOFTWARE_VERSION = "no endpoint of the stream's software version"
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -13,6 +13,7 @@
     gossip,
     leads,
     messages,
+    request_limits,
     requests,
     residency,
     streams,
@@ -109,6 +110,8 @@
             crashes.send_evidence(state, sender, at, effects)
         case messages.PartsSound():
             crashes.on_parts_sound(state, message, at)
+        case messages.RequestLimit():
+            request_limits.on_told(state, message, at, effects)
         case messages.News():
             gossip.on_news(message, effects)
         case messages.StreamBegan():
@@ -140,6 +143,7 @@
     endpoints.on_tick(state, at, effects)
     streams.on_tick(state, at, effects)
     crashes.on_slow_tick(state, at, effects)
+    request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     leads.on_tick(state, at, effects)
 
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -20,6 +20,7 @@
 from poplarhoist.decisions.gateway.effects import Dispatch, ForwardFailure, LogRequest, Refuse
 from poplarhoist.decisions.gateway.events import (
     AttemptEnded,
+    EndpointNotice,
     Outcome,
     RequestArrived,
     ResponseStarted,
@@ -144,7 +145,22 @@
 
 
 def wait_or_refuse(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
-    """Refuse a request without an endpoint, unless it arrived just now: an endpoint may return."""
+    """Refuse a request without an endpoint, unless it arrived just now: an endpoint may return.
+
+    It is refused at once if the only reason is that its endpoints take no more requests now.
+    """
+    limited = [
+        endpoint
+        for endpoint in endpoints.service_endpoints(state, request)
+        if streams.runs_software(endpoint, request)
+        and not request_limits.may_send(state, endpoint, at)
+    ]
+    if limited:
+        free_in_s = min(request_limits.free_in_s(state, endpoint, at) for endpoint in limited)
+        # Spread, so that the callers that are refused now do not come back together.
+        retry_after_s = max(RETRY_AFTER_S, free_in_s) * state.random.uniform(1.0, 2.0)
+        refuse(state, request, Refused.LIMITED, effects, retry_after_s)
+        return
     waited_s = at - request.arrived_at
     if waited_s < NO_ENDPOINT_WAIT_SHARE * request.route.latency_target_s:
         state.waiting.add(request.request_id)
@@ -165,6 +181,8 @@
     request.stage = Stage.RUNNING
     request.attempt += 1
     request.attempt_started_at = None
+    request.attempt_sent_at = at
+    request_limits.record_sent(endpoint)
     request.endpoint_name = endpoint.record.name
     request.attempt_software = endpoint.record.software_version
     endpoint.in_flight.add(request.request_id)
@@ -199,7 +217,7 @@
         "endpoint": endpoint.record.name,
         "software": endpoint.record.software_version,
         "content": request.content_digest,
-        "limit_per_s": endpoint.requests_per_s,
+        "limit_per_s": endpoint.limit.requests_per_s,
         "trial": request.is_trial,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
@@ -301,7 +319,7 @@
     endpoint = state.endpoints.get(request.endpoint_name)
     if endpoint is None:
         return
-    request_limits.on_notice(state, endpoint, event.notice, effects)
+    apply_notice(state, request, endpoint, event.notice, event.at, effects)
     endpoint.prefill_tokens_by_request.pop(request.request_id, None)
     if event.running >= 0:
         endpoint.reported_load = event.running + max(0, event.waiting)
@@ -313,6 +331,20 @@
             endpoint.held[key] = 1
 
 
+def apply_notice(
+    state: GatewayState,
+    request: RequestState,
+    endpoint: EndpointState,
+    notice: EndpointNotice,
+    at: float,
+    effects: list,
+) -> None:
+    """Apply what the head of a response says of its endpoint."""
+    request_limits.on_notice(
+        state, endpoint, notice.requests_per_s, request.attempt_sent_at, at, effects
+    )
+
+
 def on_attempt_ended(state: GatewayState, event: AttemptEnded, effects: list) -> None:
     """Finish a request, retry it or refuse it."""
     request = state.requests.get(event.request_id)
@@ -321,7 +353,7 @@
     endpoint = release_endpoint(state, request)
     effects.append(Count("attempt_ended", (event.outcome,)))
     if endpoint is not None and event.notice is not None:
-        request_limits.on_notice(state, endpoint, event.notice, effects)
+        apply_notice(state, request, endpoint, event.notice, event.at, effects)
     if endpoint is not None:
         record_endpoint_result(state, request, endpoint, event, effects)
     if request.caller_disconnected or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
@@ -491,7 +523,7 @@
         elif request.asked_engine:
             if at >= request.adapter_ready_at:
                 endpoint = state.endpoints.get(request.asked_engine)
-                if endpoint is None or not streams.runs_software(endpoint, request):
+                if endpoint is None or not endpoints.may_get(state, endpoint, request, at):
                     reroute_request(state, request, at, effects)
                 else:
                     dispatch(state, request, endpoint, at, effects)
@@ -515,7 +547,7 @@
     headroom.
     """
     endpoint = state.endpoints.get(request.asked_engine)
-    if endpoint is not None and streams.runs_software(endpoint, request):
+    if endpoint is not None and endpoints.may_get(state, endpoint, request, at):
         if at - request.asked_at < REROUTE_DELAY_S:
             return
         choice = routing.choose_engine(state, request, at)
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -21,6 +21,33 @@
 )
 
 
+@define
+class LimitState:
+    """What this entry knows of the limit that an endpoint names, and of its own part of it.
+
+    Attributes
+    ----------
+    requests_per_s : float or None
+        Requests a second that the endpoint takes from all entries; None if it has no limit.
+    seen_at, news_at : float
+        When a response of this entry's last told the limit or that there is none, and when any
+        entry's did.
+    told_at, rounds_left : float, int
+        When this entry last told the others, and how often it still tells them that the limit was
+        lifted.
+    tokens, refilled_at : float
+        Requests that this entry may send now, and when that was computed.
+    """
+
+    requests_per_s: float | None = None
+    seen_at: float = float("-inf")
+    news_at: float = float("-inf")
+    told_at: float = float("-inf")
+    rounds_left: int = 0
+    tokens: float = 0.0
+    refilled_at: float = float("-inf")
+
+
 @define
 class EndpointState:
     """What this entry knows about an endpoint.
@@ -62,8 +89,8 @@
         When the engine last said that it does not hold an adapter, by adapter.
     warm_adapters : dict
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
-    requests_per_s : float or None
-        Limit that the endpoint named in its latest response; None if it named none.
+    limit : LimitState
+        Limit on its requests that the endpoint names.
     checked_at : float
         When the engine was last asked whether it still runs.
     """
@@ -90,7 +117,7 @@
     no_asks_until: float = float("-inf")
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
-    requests_per_s: float | None = None
+    limit: LimitState = field(factory=LimitState)
     checked_at: float = float("-inf")
 
 
@@ -134,6 +161,8 @@
         stream; both empty if the request begins one.
     is_trial : bool
         Whether it is sent although a part of its prompt is refused.
+    attempt_sent_at : float
+        When the latest attempt was sent.
     attempt_started_at : float or None
         When the first byte of the response to the latest attempt arrived; None before.
     attempt_software : str
@@ -168,6 +197,7 @@
     last_event_id: str = ""
     resumed_caller_id: str = ""
     is_trial: bool = False
+    attempt_sent_at: float = float("-inf")
     attempt_started_at: float | None = None
     attempt_software: str = ""
     software_version: str | None = None
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -3,14 +3,18 @@
 import random
 from collections.abc import Callable
 
+import orjson
 import pytest
 from attrs import frozen
 
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.models import Refused
+from poplarhoist.gateway.peers import message_converter
 from tests.engine_site import EngineRun, EngineSite, SentRequest
-from tests.gateway import Gateway, effects_of, engine, only_effect
+from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
 
 # The users' bounds: in any window of this length, from this long after a limit was first named, an
 # endpoint gets at most this share of it and a few more. Entries count that were told before.
@@ -194,3 +198,71 @@
     ]
     assert [log.fields["requests_per_s"] for log in changes] == [1.5, 2.0, None]
     assert logged == [None, None, 1.5, 1.5, 2.0]
+
+
+def start_response(gateway: Gateway, dispatch: fx.Dispatch, limit: float | None) -> list:
+    return gateway.submit(
+        ev.ResponseStarted,
+        request_id=dispatch.request_id,
+        attempt=dispatch.attempt,
+        notice=ev.EndpointNotice(limit),
+    )
+
+
+def limit_of(gateway: Gateway, name: str) -> float | None:
+    return gateway.state.endpoints[name].limit.requests_per_s
+
+
+@pytest.mark.parametrize(("first", "second"), [(1.0, None), (None, 1.0)])
+def test_response_that_was_overtaken_does_not_change_the_limit(first, second):
+    gateway = Gateway(peers=("entry-2",))
+    gateway.configure()
+    gateway.list_endpoints(engine(1, ("a1",)))
+    dispatches = [only_effect(fx.Dispatch, gateway.request("/stream/x", "a1")[1]) for _ in "ab"]
+    gateway.advance(0.1)
+    gateway.receive("entry-2", messages.RequestLimit("e1", 1, 1.0))
+    start_response(gateway, dispatches[0], first)
+    if first is None:
+        gateway.receive("entry-2", messages.RequestLimit("e1", 1, None))
+    start_response(gateway, dispatches[1], second)
+    assert limit_of(gateway, "e1") == first
+
+
+@pytest.mark.parametrize("outcome", [ev.Outcome.NOT_RUN, ev.Outcome.FAILED])
+def test_response_without_a_body_names_the_limit_of_a_plain_endpoint_too(outcome):
+    gateway = Gateway()
+    gateway.configure()
+    gateway.list_endpoints(plain_endpoint(1))
+    dispatch = only_effect(fx.Dispatch, gateway.request("/read/x")[1])
+    gateway.end_attempt(dispatch, outcome, status=503, notice=ev.EndpointNotice(0.5))
+    assert limit_of(gateway, "d1") == 0.5
+    refusal = only_effect(fx.Refuse, gateway.request("/read/x")[1])
+    assert (refusal.reason, refusal.ran) == (Refused.LIMITED, False)
+
+
+def test_request_that_waits_for_an_adapter_does_not_pass_the_limit_by():
+    gateway = Gateway(peers=("entry-2",))
+    gateway.configure()
+    gateway.list_endpoints(engine(1), engine(2))
+    for name in ("e1", "e2"):
+        gateway.set_lead(name, "entry-2#b2")
+    _, effects = gateway.request("/stream/x", "cold")
+    ask = next(e.message for e in effects_of(fx.SendPeer, effects))
+    view = messages.View(ask.engine, {"base": 1}, {"base/cold": 0.1}, 0, 0, 3)
+    gateway.receive("entry-2", view)
+    gateway.receive("entry-2", messages.RequestLimit(ask.engine, 1, 1.0))
+    sent = effects_of(fx.Dispatch, gateway.advance(0.5))
+    assert ask.engine not in {dispatch.endpoint.name for dispatch in sent}
+    asked = {
+        e.message.engine
+        for e in effects_of(fx.SendPeer, gateway.effects)
+        if isinstance(e.message, messages.Ask)
+    }
+    assert asked == {"e1", "e2"}
+
+
+@pytest.mark.parametrize("limit", [1.5, None])
+def test_message_about_a_limit_survives_the_wire(limit):
+    message = messages.RequestLimit("e1", 7, limit)
+    data = orjson.dumps(message_converter.unstructure(message, unstructure_as=messages.Message))
+    assert message_converter.structure(orjson.loads(data), messages.Message) == message
