--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -3,11 +3,11 @@
 import eventlet
 import structlog
 from urllib3 import Timeout
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import HTTPError
 
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import CheckEndpoint, ReadReport, SendOrder
-from poplarhoist.entry.http import never_sent, single_use_pool
+from poplarhoist.entry.http import is_connection_refused, never_sent, single_use_pool
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect
 from poplarhoist.gateway.sockets import socket_options
@@ -116,7 +116,7 @@
                 status = self.dialect.order_status_of(response.status)
                 has_crashed = status is ev.OrderStatus.GONE
         except (HTTPError, ValueError) as error:
-            has_crashed = isinstance(error, NewConnectionError)
+            has_crashed = isinstance(error, HTTPError) and is_connection_refused(error)
             structlog.get_logger().warning(
                 "engine-not-checked", engine=record.name, detail=type(error).__name__
             )
