--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -68,6 +68,28 @@
         if self.process is not None:
             self.process.wait()
 
+    def send_stream(self, caller_id: str, prefix: str) -> int:
+        """Let a caller send a model request with parts of a prompt and read the whole stream.
+
+        Returns
+        -------
+        int
+            The status code; 0 if the connection broke off before the end of the response.
+        """
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=10)
+        headers = {"Host": "host.test", "X-Request-Id": caller_id, "X-Deadline-Ms": "6000"}
+        headers |= {"X-Model": f"{BASE_MODEL}/a1", "X-Token-Usage": "100,20"}
+        headers |= {"X-Prompt-Prefix": prefix}
+        try:
+            connection.request("POST", "/resume/x", caller_id, headers)
+            response = connection.getresponse()
+            response.read()
+            return response.status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
     def get_status(self, path: str = "/api/ready") -> int:
         """Return the status code at the readiness address; 0 if there is no response."""
         with contextlib.suppress(OSError, http.client.HTTPException):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -208,6 +208,7 @@
         Version of the endpoint's software, in its record.
     """
 
+    handler_class = EndpointHandler
     event_count = EVENTS_PER_STREAM
     stream_framing = "chunked"
     software_version = "v1"
@@ -226,7 +227,7 @@
         self.faults: list[str] = []
         self.order_faults: list[str] = []
         self.aborted_request_ids: list[str] = []
-        super().__init__(EndpointHandler)
+        super().__init__(self.handler_class)
 
     def record_request(self, method: str, path: str, headers: dict, body: bytes) -> None:
         """Record a caller's request that arrived, whether it runs or not."""
