Responses without end are cut off in time, with bounded memory

Cause: timeouts held for each read, not for an exchange; bodies were gathered without a bound; http.client reads interim heads, headers and trailers in loops of its own; the search for the end of an event began anew with every piece; and a read of bytes that are there already lets no other green thread run. Class: a loop over what another process sends, bounded by each part and not as a whole.

Change: an attempt's connection is shut down at its deadline. Lines that follow one another have 64 KB. A failure, an event, and what is held of a plain body before it is passed on have 256 KB; a longer plain body is passed on as it arrives, and a break in it is a broken response, not a whole one. EventSplitter searches only what is new. After each read other green threads run. Calls to engines and to the store have a bound for the whole response. The product's own interface has the bound of lines only.

--- a/poplarhoist/entry/event_stream.py
+++ b/poplarhoist/entry/event_stream.py
@@ -2,6 +2,7 @@
 
 # Blank lines that end an event, by the kind of line end that the stream uses.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
 ID_FIELD = b"id:"
 
 
@@ -10,19 +11,26 @@
 
     Attributes
     ----------
-    partial_event : bytes
+    partial_event : bytearray
         Bytes after the last whole event. A stream that ends while there are any was cut short.
     """
 
     def __init__(self) -> None:
-        self.partial_event = b""
+        self.partial_event = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream; return the events that are whole by now, or nothing."""
-        data = self.partial_event + data
-        end = max(data.rfind(mark) + len(mark) if mark in data else 0 for mark in EVENT_ENDS)
-        self.partial_event = data[end:]
-        return data[:end]
+        # A blank line may have begun in the bytes before; the others were searched already.
+        start = max(0, len(self.partial_event) - MAX_EVENT_END_BYTES + 1)
+        self.partial_event += data
+        end = 0
+        for mark in EVENT_ENDS:
+            found = self.partial_event.rfind(mark, start)
+            if found >= 0:
+                end = max(end, found + len(mark))
+        whole_events = bytes(self.partial_event[:end])
+        del self.partial_event[:end]
+        return whole_events
 
 
 def count_events(events: bytes) -> int:
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -6,8 +6,9 @@
 
 import io
 import socket
-from http.client import HTTPResponse, RemoteDisconnected
+from http.client import HTTPException, HTTPResponse, RemoteDisconnected
 
+import eventlet
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
@@ -16,10 +17,22 @@
     HTTPError,
     NameResolutionError,
     NewConnectionError,
+    ProtocolError,
 )
 
 MAX_POOL_AGE_S = 5.0
 CONNECTIONS_PER_HOST = 16
+# Bytes of lines that may follow one another: those of a head with all interim heads before it, of a
+# chunk size, or of trailers. http.client alone reads such lines without end.
+MAX_LINE_BYTES = 65536
+
+
+class HeadTooLong(HTTPException):
+    """The lines of a head, a chunk size or trailers do not end within `MAX_LINE_BYTES`."""
+
+
+class BodyTooLong(ProtocolError):
+    """A body, or a part of it that must be held as a whole, does not end within its bound."""
 
 
 class SocketReader(io.RawIOBase):
@@ -60,8 +73,25 @@
 
     http.client takes such a line for a whole one, so that a head without its last headers, and a
     chunk size without its last digits, would be taken for complete.
+
+    Attributes
+    ----------
+    line_bytes : int
+        Bytes of lines since data was last read that is no line.
     """
 
+    line_bytes = 0
+
+    def read(self, size: int = -1) -> bytes:
+        """Return `size` bytes, or fewer at the end; all that are left if it is negative."""
+        self.line_bytes = 0
+        return super().read(size)
+
+    def read1(self, size: int = -1) -> bytes:
+        """Return at most `size` bytes, with one read of the socket at most."""
+        self.line_bytes = 0
+        return super().read1(size)
+
     def readline(self, size: int = -1) -> bytes:
         """Return the next line, or the first `size` bytes of it.
 
@@ -69,8 +99,13 @@
         ------
         RemoteDisconnected
             If the connection ends before the line does.
+        HeadTooLong
+            If too many bytes of lines have followed one another.
         """
         line = super().readline(size)
+        self.line_bytes += len(line)
+        if self.line_bytes > MAX_LINE_BYTES:
+            raise HeadTooLong(f"more than {MAX_LINE_BYTES} bytes of lines")
         if not line.endswith(b"\n") and (size < 0 or len(line) < size):
             raise RemoteDisconnected("connection ended within a line of the response")
         return line
@@ -171,3 +206,37 @@
 def never_sent(error: HTTPError) -> bool:
     """Return whether a failed request was certainly not sent to the server."""
     return isinstance(error, NewConnectionError | ConnectTimeoutError | NameResolutionError)
+
+
+def request_bounded(
+    pool, method: str, url: str, total_s: float, max_bytes: int, **options
+) -> tuple[int, bytes]:
+    """Make a call whose whole response must arrive in time; return its status and body.
+
+    Parameters
+    ----------
+    total_s : float
+        Seconds for the whole exchange. The timeout of a pool holds for each read only.
+    max_bytes : int
+        Longest body.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If no response arrives, or one that takes longer or is longer.
+    """
+    error = ProtocolError("no whole response in time")
+    with eventlet.Timeout(total_s, error):
+        response = pool.request(
+            method, url, preload_content=False, redirect=False, retries=False, **options
+        )
+        try:
+            body = response.read(max_bytes + 1)
+        finally:
+            if response.closed:
+                response.release_conn()
+            else:
+                response.close()
+    if len(body) > max_bytes:
+        raise BodyTooLong(f"body longer than {max_bytes} bytes")
+    return response.status, body
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -146,11 +146,8 @@
                     return self.refuse(effect)
                 if isinstance(effect, fx.ForwardFailure):
                     return self.respond(self.last_failure)
-                first_chunk, chunks = None, None
-                if effect.stream:
-                    exchange, first_chunk, chunks = self.start_stream(effect)
-                else:
-                    exchange = self.run_exchange(effect)
+                start = self.start_stream if effect.stream else self.start_plain
+                exchange, first_chunk, chunks = start(effect)
                 if first_chunk is not None:
                     is_streamed = True
                     return StreamedBody(self, exchange, first_chunk, chunks)
@@ -162,16 +159,28 @@
             if not is_streamed:
                 self.finish()
 
-    def run_exchange(self, effect: fx.Dispatch) -> Exchange:
-        """Run an attempt and read the whole response body."""
+    def start_plain(self, effect: fx.Dispatch) -> tuple[Exchange, bytes | None, Iterator | None]:
+        """Run an attempt and read the whole response body, unless it is too long to be held.
+
+        Returns
+        -------
+        tuple
+            As of `start_stream`; the first chunk is None unless a long body is to be passed on.
+        """
         exchange = self.new_exchange(effect)
+        first_chunk = chunks = None
         try:
             if exchange.start():
-                exchange.read_body()
+                if exchange.result.outcome is ev.Outcome.FAILED:
+                    exchange.read_body()
+                elif exchange.read_beginning():
+                    chunks = exchange.iter_plain()
+                    first_chunk = next(chunks)
         finally:
-            exchange.close()
-            self.request.active_exchange = None
-        return exchange
+            if first_chunk is None:
+                exchange.close()
+                self.request.active_exchange = None
+        return exchange, first_chunk, chunks
 
     def new_exchange(self, effect: fx.Dispatch) -> Exchange:
         """Create the exchange of an attempt and make it the one that a disconnect cancels."""
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -7,7 +7,12 @@
 
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import CheckEndpoint, ReadReport, SendOrder
-from poplarhoist.entry.http import is_connection_refused, never_sent, single_use_pool
+from poplarhoist.entry.http import (
+    is_connection_refused,
+    never_sent,
+    request_bounded,
+    single_use_pool,
+)
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect
 from poplarhoist.gateway.sockets import socket_options
@@ -15,6 +20,9 @@
 # Seconds until an order or a report request counts as unanswered. An engine responds within
 # milliseconds; connecting and one round trip between regions take 0.12 s.
 CALL_TIMEOUT_S = 0.35
+# Seconds for the whole response, and its longest body; a report lists some dozens of adapters.
+RESPONSE_TIMEOUT_S = 2 * CALL_TIMEOUT_S
+MAX_RESPONSE_BYTES = 1048576
 
 
 class EngineClient:
@@ -40,23 +48,27 @@
             CheckEndpoint, lambda effect: eventlet.spawn_n(self.check, effect)
         )
 
-    def request(self, record, method: str, path: str, headers, body: bytes | None):
-        """Make an HTTP call to an engine and return the response.
+    def request(
+        self, record, method: str, path: str, headers, body: bytes | None
+    ) -> tuple[int, bytes]:
+        """Make an HTTP call to an engine and return the status and body of the response.
 
         Raises
         ------
         urllib3.exceptions.HTTPError
-            If no response arrived in time.
+            If no whole response arrived in time.
         """
         pool = single_use_pool(socket_options=socket_options(CALL_TIMEOUT_S))
         try:
-            return pool.request(
+            return request_bounded(
+                pool,
                 method,
                 f"http://{record.host}:{record.port}{path}",
+                RESPONSE_TIMEOUT_S,
+                MAX_RESPONSE_BYTES,
                 body=body,
                 headers=dict(headers),
                 timeout=Timeout(total=CALL_TIMEOUT_S),
-                redirect=False,
             )
         finally:
             pool.clear()
@@ -70,9 +82,9 @@
         path, headers, body = self.dialect.build_order_request(effect, self.holder)
         detail = ""
         try:
-            response = self.request(effect.engine, "POST", path, headers, body)
-            status = self.dialect.order_status_of(response.status)
-            detail = f"{response.status} {response.data[:100]!r}"
+            code, answer = self.request(effect.engine, "POST", path, headers, body)
+            status = self.dialect.order_status_of(code)
+            detail = f"{code} {answer[:100]!r}"
         except HTTPError as error:
             status = ev.OrderStatus.REFUSED if never_sent(error) else ev.OrderStatus.UNKNOWN
             detail = type(error).__name__
@@ -91,9 +103,11 @@
         report = None
         try:
             headers = self.dialect.build_report_headers(effect.engine)
-            response = self.request(effect.engine, "GET", self.dialect.report_path(), headers, None)
-            if response.status == 200:
-                report = self.dialect.decode_report(response.data)
+            code, body = self.request(
+                effect.engine, "GET", self.dialect.report_path(), headers, None
+            )
+            if code == 200:
+                report = self.dialect.decode_report(body)
         except (HTTPError, ValueError) as error:
             structlog.get_logger().warning(
                 "report-not-read", engine=effect.engine.name, detail=type(error).__name__
@@ -108,13 +122,12 @@
         has_crashed = False
         try:
             headers = self.dialect.build_report_headers(record)
-            response = self.request(record, "GET", self.dialect.report_path(), headers, None)
-            if response.status == 200:
-                incarnation = self.dialect.decode_report(response.data).incarnation
+            code, body = self.request(record, "GET", self.dialect.report_path(), headers, None)
+            if code == 200:
+                incarnation = self.dialect.decode_report(body).incarnation
                 has_crashed = incarnation != record.incarnation
             else:
-                status = self.dialect.order_status_of(response.status)
-                has_crashed = status is ev.OrderStatus.GONE
+                has_crashed = self.dialect.order_status_of(code) is ev.OrderStatus.GONE
         except (HTTPError, ValueError) as error:
             has_crashed = isinstance(error, HTTPError) and is_connection_refused(error)
             structlog.get_logger().warning(
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from http.client import HTTPException
 
+import eventlet
 from attrs import define, field
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
@@ -24,7 +25,7 @@
     ResponseStarted,
 )
 from poplarhoist.entry.event_stream import EventSplitter, find_last_event_id
-from poplarhoist.entry.http import StrictConnection
+from poplarhoist.entry.http import BodyTooLong, StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
 from poplarhoist.gateway.sockets import socket_options
@@ -34,6 +35,10 @@
 # Seconds that sent bytes may stay unacknowledged before the endpoint counts as lost.
 TCP_USER_TIMEOUT_S = 2.0
 READ_CHUNK_BYTES = 65536
+# Bytes of a response that are held before any are passed on: a plain body, a failure, or one event.
+# 64 of them at once take a quarter of what an entry may grow by. What has been passed on cannot be
+# sent again to another endpoint, and usual bodies have less than a hundredth of this.
+MAX_HELD_BYTES = 262144
 EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that urllib3 would add where the caller sent none.
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
@@ -101,6 +106,8 @@
         the close of the connection, so it is kept here.
     cancelled : bool
         Whether the caller disconnected.
+    expired : bool
+        Whether the deadline has passed.
     response_started : bool
         Whether ResponseStarted was submitted.
     received_bytes, partial_event_bytes : int
@@ -132,6 +139,8 @@
         )
         self.sock: socket.socket | None = None
         self.cancelled = False
+        self.expired = False
+        self.expiry = None
         self.response_started = False
         self.received_bytes = 0
         self.partial_event_bytes = 0
@@ -166,6 +175,7 @@
             return False
         # urllib3 takes the socket off the connection if the response is delimited by its close.
         self.sock = self.connection.sock
+        self.expiry = eventlet.spawn_after(self.remaining_s(), self.expire)
         self.set_read_timeout()
         return True
 
@@ -225,7 +235,7 @@
         """
         if self.cancelled:
             outcome = Outcome.CANCELLED
-        elif self.decision_loop.event_time() >= self.deadline_at - 0.005:
+        elif self.expired or self.decision_loop.event_time() >= self.deadline_at - 0.005:
             outcome = Outcome.TIMED_OUT
         else:
             outcome = Outcome.BROKEN
@@ -271,15 +281,47 @@
         self.decision_loop.submit(event)
 
     def read_body(self) -> None:
-        """Read the whole response body into the result; on a failure set the result instead."""
-        chunks = []
+        """Read the whole response body into the result; on a failure set the result instead.
+
+        A body of more than `MAX_HELD_BYTES` is a failure.
+        """
+        if self.read_beginning():
+            self.record_failure(BodyTooLong("body too long"))
+
+    def read_beginning(self) -> bool:
+        """Read the response body into the result, up to a little more than `MAX_HELD_BYTES`.
+
+        Returns
+        -------
+        bool
+            Whether there may be more. On a failure the result is set, and there is no more.
+        """
+        body = bytearray()
+        try:
+            while len(body) <= MAX_HELD_BYTES:
+                data = self.read_available()
+                if not data:
+                    self.result.body = bytes(body)
+                    return False
+                body += data
+        except (HTTPError, OSError) as error:
+            self.record_failure(error)
+            return False
+        self.result.body = bytes(body)
+        return True
+
+    def iter_plain(self) -> Iterator[bytes]:
+        """Yield what was read of a long body, and then the rest as it arrives.
+
+        A failure ends the iteration and sets the result.
+        """
+        beginning, self.result.body = self.result.body, b""
+        yield beginning
         try:
             while data := self.read_available():
-                chunks.append(data)
+                yield data
         except (HTTPError, OSError) as error:
             self.record_failure(error)
-            return
-        self.result.body = b"".join(chunks)
 
     def read_available(self) -> bytes:
         """Wait for the next bytes of the body and return them; empty at the end."""
@@ -287,6 +329,10 @@
         if self.request.method == "HEAD":
             return b""
         data = self.response.read1(READ_CHUNK_BYTES, decode_content=False)
+        if self.expired:
+            raise TimeoutError("deadline passed")
+        # A read of data that is there already does not let other green threads run.
+        eventlet.sleep(0)
         self.received_bytes += len(data)
         self.submit_response_started()
         return data
@@ -307,6 +353,8 @@
                     continue
                 whole_events = events.feed(data)
                 self.partial_event_bytes = len(events.partial_event)
+                if self.partial_event_bytes > MAX_HELD_BYTES:
+                    raise BodyTooLong("event too long")
                 if whole_events:
                     self.request.last_event_id = (
                         find_last_event_id(whole_events) or self.request.last_event_id
@@ -355,6 +403,11 @@
         self.cancelled = True
         self.shutdown_socket()
 
+    def expire(self) -> None:
+        """End the attempt at its deadline, however small the parts that still arrive in time."""
+        self.expired = True
+        self.shutdown_socket()
+
     def shutdown_socket(self) -> None:
         """Shut the socket down in both directions."""
         if self.sock is not None:
@@ -364,6 +417,8 @@
 
     def close(self) -> None:
         """Shut down and close the connection and the response; called by the thread that reads."""
+        if self.expiry is not None:
+            self.expiry.cancel()
         self.shutdown_socket()
         if self.response is not None:
             self.response.close()
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -11,7 +11,7 @@
 from poplarhoist.clock import Clock
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import Claim
-from poplarhoist.entry.http import StrictPool, never_sent
+from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
@@ -29,6 +29,10 @@
 CURRENT_CONFIGURATION_NAME = "main"
 # Timeout of a call in seconds. A response takes a few milliseconds, at times a few hundred.
 CALL_TIMEOUT_S = 1.5
+# The whole response must arrive within this many times the time for its first byte. The store sends
+# at most a megabyte at once.
+RESPONSE_TIMEOUT_RATIO = 3
+MAX_RESPONSE_BYTES = 8388608
 # Seconds that the response to a watch may take beyond the long poll.
 LONG_POLL_MARGIN_S = 1.0
 # Long poll of a watch of endpoints in seconds. The store may accept a call and never respond while
@@ -226,19 +230,20 @@
         headers = {"Content-Type": "application/json"}
         data = orjson.dumps(body) if body is not None else None
         try:
-            response = self.pool.request(
+            code, answer = request_bounded(
+                self.pool,
                 method,
                 path,
+                CALL_TIMEOUT_S + RESPONSE_TIMEOUT_RATIO * timeout_s,
+                MAX_RESPONSE_BYTES,
                 body=data,
                 headers=headers,
                 timeout=Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
-                retries=False,
-                redirect=False,
             )
-            status = CALL_STATUS_BY_CODE.get(response.status, ev.CallStatus.UNKNOWN)
-            result: object = response.status
+            status = CALL_STATUS_BY_CODE.get(code, ev.CallStatus.UNKNOWN)
+            result: object = code
             if status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
-                result = orjson.loads(response.data) if response.data else {}
+                result = orjson.loads(answer) if answer else {}
         except HTTPError as error:
             status = ev.CallStatus.REFUSED if never_sent(error) else ev.CallStatus.UNKNOWN
             result = type(error).__name__
--- /dev/null
+++ b/tests/test_endless_responses.py
@@ -0,0 +1,171 @@
+"""Responses of which a part does not end are cut off, in time and with bounded memory."""
+
+import http.client
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.endless_endpoint import PARTS, EndlessEndpoint
+from tests.platform_site import PlatformSite
+from tests.platform_standins import Endpoint, EndpointHandler, configuration
+from tests.standin_server import HOST
+
+DEADLINE_S = 1.5
+# Seconds after the deadline within which the caller has its answer and the connection is closed.
+ANSWER_MARGIN_S = 0.3
+# Seconds of tolerance, since threads on a busy machine run late; and until the endpoint's thread, which
+# may be blocked in a write, has noticed the close.
+TIMING_SLACK_S = 0.5
+CLOSE_NOTICE_S = 5.0
+# What one response may add to the memory of an entry: a 64th of 64 MB, and what the process keeps for
+# its next request.
+MAX_GROWTH_KB = 1024 + 3072
+PACES = {"a-byte-at-a-time": (1, 0.005), "as-fast-as-it-can": (65536, 0.0)}
+EVENT_PARTS = ("event", "chunked-event", "events")
+KIND_BY_ROUTE = {"read": "safe", "once": "unsafe", "stream": "streaming", "resume": "streaming"}
+
+
+class LargeHandler(EndpointHandler):
+    """Sends the body of its endpoint, or half of it."""
+
+    def handle_request(self, body: bytes) -> None:
+        """Send the body with its length."""
+        data = self.standin.body
+        is_cut = self.standin.next_fault("") == "cut"
+        self.send_response_only(200)
+        self.send_header("X-Request-Id", self.headers["X-Request-Id"])
+        self.send_header("X-Response-Seal", "s")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data[: len(data) // 2] if is_cut else data)
+        self.close_connection = True
+
+
+class LargeEndpoint(Endpoint):
+    """An endpoint with large answers."""
+
+    handler_class = LargeHandler
+    body = b""
+
+
+class EndlessSite(PlatformSite):
+    """A site with a service of its own for each kind of endless response."""
+
+    def __init__(self, directory) -> None:
+        super().__init__(directory)
+        self.endless: dict[str, EndlessEndpoint] = {}
+        for part in PARTS:
+            for pace, (piece_bytes, pause_s) in PACES.items():
+                self.add(f"{part}-{pace}", part, piece_bytes, pause_s)
+        for status in (400, 500):
+            self.add(f"status-{status}", "body", 65536, 0.0, status)
+        self.large = LargeEndpoint("large", "large")
+        self.endpoints |= self.endless | {"large": self.large}
+        self.endpoints["e1"].adapters = {"a1": 1}
+
+    def add(self, name: str, *options) -> None:
+        """Add an endpoint, whose service has its name."""
+        self.endless[name] = EndlessEndpoint(name, *options)
+
+    def configure(self, version: int = 1, *more: dict) -> None:
+        """Write a configuration with a route of each kind to every endless service."""
+        document = configuration(version)
+        plain = document["routes"][-1] | {"maxAttempts": 2}
+        for name in (*self.endless, "large"):
+            document["services"].append({"name": name, "healthPath": "/health", "maxConns": 100})
+            for route, kind in KIND_BY_ROUTE.items():
+                prefix = f"/{route}/{name}/"
+                document["routes"].append(
+                    plain
+                    | {"name": prefix, "pathPrefix": prefix, "routeKind": kind, "service": name}
+                    | {"resumable": route == "resume"}
+                )
+        self.store.put("config", "main", document)
+
+    def request_endless(self, route: str, name: str) -> tuple[int, bool, float]:
+        """Send a request; return its status (0 if none), whether it looks whole, and seconds."""
+        connection = http.client.HTTPConnection(HOST, self.port, timeout=10)
+        headers = {"Host": "host.test", "X-Request-Id": f"c{time.monotonic_ns()}"}
+        headers |= {"X-Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        started_at = time.monotonic()
+        status, is_whole = 0, True
+        try:
+            connection.request("POST", f"/{route}/{name}/x", b"", headers)
+            response = connection.getresponse()
+            status = response.status
+            while response.read(65536):
+                pass
+        except (OSError, http.client.HTTPException):
+            is_whole = False
+        finally:
+            connection.close()
+        return status, is_whole, time.monotonic() - started_at
+
+    def resident_kb(self) -> int:
+        """Return the resident memory of the entry."""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS"))
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    site = EndlessSite(tmp_path_factory.mktemp("endless"))
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
+CASES = [
+    (route, f"{part}-{pace}")
+    for pace in PACES
+    for part in PARTS
+    for route in (("resume", "stream") if part in EVENT_PARTS else ("read", "once"))
+]
+CASES += [("read", "status-400"), ("read", "status-500"), ("stream", "status-500")]
+
+
+@pytest.mark.parametrize(("route", "name"), CASES)
+def test_response_without_end_is_cut_off(site, route, name):
+    before_kb = site.resident_kb()
+    status, is_whole, took_s = site.request_endless(route, name)
+    endpoint = site.endless[name]
+    assert took_s <= DEADLINE_S + ANSWER_MARGIN_S + TIMING_SLACK_S
+    assert status >= 500 or not is_whole
+    assert site.resident_kb() - before_kb <= MAX_GROWTH_KB
+    site.wait_until(lambda: endpoint.closed_at, CLOSE_NOTICE_S)
+
+
+@pytest.mark.parametrize("part", PARTS)
+def test_sound_requests_are_answered_beside_a_response_without_end(site, part):
+    name = f"{part}-as-fast-as-it-can"
+    route = "resume" if part in EVENT_PARTS else "read"
+    thread = threading.Thread(target=site.request_endless, args=(route, name))
+    thread.start()
+    assert site.endless[name].begun.acquire(timeout=2.0)
+    times_s = []
+    for path, adapter in (("/read/x", ""), ("/stream/x", "a1")) * 3:
+        started_at = time.monotonic()
+        assert site.send_request(path, adapter)[0] == 200
+        times_s.append(time.monotonic() - started_at)
+    thread.join()
+    assert max(times_s) <= 1.0
+
+
+@pytest.mark.parametrize("route", ["read", "once"])
+@pytest.mark.parametrize("size", [100, 262144, 300000, 3000000])
+def test_large_sound_answer_is_passed_on_whole(site, route, size):
+    site.large.body = b"0123456789" * (size // 10)
+    status, _, data = site.send_request(f"/{route}/large/x")
+    assert (status, data) == (200, site.large.body)
+
+
+@pytest.mark.parametrize("route", ["read", "once"])
+def test_large_answer_that_breaks_off_does_not_look_whole(site, route):
+    site.large.body = b"0123456789" * 60000
+    site.large.faults.append("cut")
+    with pytest.raises(http.client.IncompleteRead):
+        site.send_request(f"/{route}/large/x")
