Limits: the bound is computed from the rule's own figures

The number of entries that take part in a limit came from two constants whose meaning was not plain; the count of messages that a limit was lifted fell without end. Behaviour is the same. Found in the read-through. pytest tests/test_gateway_request_limits.py: 35 passed.

--- a/poplarhoist/decisions/gateway/request_limits.py
+++ b/poplarhoist/decisions/gateway/request_limits.py
@@ -16,10 +16,11 @@
 from poplarhoist.decisions.gateway.messages import RequestLimit
 from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
 
-# By the users' rules an endpoint may get this many requests beyond its limit in their window, as if
-# the limit were this much higher.
+# The users' rule: in any window of this length, in seconds, an endpoint gets at most this many times
+# its limit and so many requests more.
+WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
 EXTRA_REQUESTS = 5
-EXTRA_SHARE_REQUESTS_PER_LIMIT = 2.0
 # Of the extra requests, those kept for entries that do not see the same list of entries.
 RESERVED_REQUESTS = 2
 # Lowest rate for all entries, in requests a second. Somebody must find out when a limit is lifted.
@@ -62,7 +63,8 @@
         return
     limit.seen_at = at
     if set_limit(state, endpoint, requests_per_s, at, effects):
-        limit.told_at, limit.rounds_left = at, LIFTED_ROUNDS
+        limit.told_at = at
+        limit.rounds_left = LIFTED_ROUNDS if requests_per_s is None else 0
         tell_all(state, endpoint, effects)
 
 
@@ -114,8 +116,8 @@
             is_due = limit.seen_at > limit.told_at and share(state, endpoint, at).is_first
         else:
             is_due = limit.rounds_left > 0
-            limit.rounds_left -= 1
         if is_due:
+            limit.rounds_left = max(0, limit.rounds_left - 1)
             limit.told_at = at
             tell_all(state, endpoint, effects)
 
@@ -123,14 +125,15 @@
 def share(state: GatewayState, endpoint: EndpointState, at: float) -> Share:
     """Return this entry's part of an endpoint's limit.
 
-    The entries that take part may each send a request at once, on top of the limit.
+    At worst all entries with a part send a request at once, on top of the limit. So there are no
+    more of them than the rule leaves room for beyond the limit.
     """
     limit = endpoint.limit
     entries = sorted(
         state.entries or (state.name,),
         key=lambda entry: -rendezvous_weight(endpoint.record.name, entry),
     )
-    most = int(EXTRA_SHARE_REQUESTS_PER_LIMIT * limit.requests_per_s + EXTRA_REQUESTS)
+    most = int((LIMIT_RATIO - 1.0) * WINDOW_S * limit.requests_per_s + EXTRA_REQUESTS)
     count = most - RESERVED_REQUESTS + int((at - limit.news_at) / NO_NEWS_S)
     count = min(most, len(entries), count)
     if state.name not in entries[:count]:
