--- a/poplarhoist/decisions/gateway/crash_suspects.py
+++ b/poplarhoist/decisions/gateway/crash_suspects.py
@@ -2,10 +2,10 @@
 
 A crash breaks off every request at an endpoint, of which one is the cause. What they have in common
 over several crashes is suspected. A part of a prompt is cleared by a response that begins and goes
-on with it after the crash, a content by a complete response. Of the parts of one prompt only those are suspected that were sound the
-longest time ago, or never; of two that say the same, the one further back in the prompts, which
-fewer requests share. Once something is found, it explains the crashes that it took part in,
-and nothing else is suspected for these.
+on with it after the crash, a content by a complete response. Of the parts of one prompt only those
+are suspected that were sound the longest time ago, or never. Of two with the same weight the one
+further back in the prompts is refused, as fewer requests share it. What is found explains the
+crashes that it took part in, and nothing else is suspected for these.
 """
 
 from __future__ import annotations
@@ -91,17 +91,17 @@
     weight_by_crash: dict[Crash, int] = field(factory=dict)
     contents: set[str] = field(factory=set)
     first_crash_at: float = float("inf")
-    position: int = 1000
+    position: int = 0
 
     @property
     def weight(self) -> int:
         """The weight of all crashes, each of which counts once."""
         return sum(self.weight_by_crash.values())
 
-    def add(self, report: CrashReport, weight: int) -> None:
+    def add(self, report: CrashReport) -> None:
         """Count a report; of several about one crash the heaviest counts."""
         known = self.weight_by_crash.get(report.crash, 0)
-        self.weight_by_crash[report.crash] = max(known, weight)
+        self.weight_by_crash[report.crash] = max(known, report.weight)
         self.contents.add(report.content)
         self.first_crash_at = min(self.first_crash_at, report.at)
 
@@ -185,9 +185,10 @@
     suspects: dict[str, Suspect] = {}
     for report in reports:
         for part in suspected_parts(report, sound_at_by_part):
-            suspect = suspects.setdefault(part, Suspect())
-            suspect.add(report, report.weight)
-            suspect.position = min(suspect.position, report.parts.index(part))
+            position = report.parts.index(part)
+            suspect = suspects.setdefault(part, Suspect(position=position))
+            suspect.add(report)
+            suspect.position = min(suspect.position, position)
     return suspects
 
 
--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -119,33 +119,49 @@
     contents = [report.content for report in reports]
     effects.append(LogChange("endpoint-crashed", {"endpoint": record.name, "broken": contents}))
     for report in reports:
-        if not add_report(state, report, effects):
+        if not add_report(state, report):
             continue
+        log_report(state, report, effects)
         message = build_message(state, report, at)
         for entry in state.entries:
             if entry != state.name:
                 effects.append(SendPeer(entry, message))
 
 
-def add_report(state: GatewayState, report: CrashReport, effects: list) -> bool:
-    """Add a report; return False if there is one about this crash and content."""
-    known = {(known.crash, known.content) for known in state.crash_reports}
-    if (report.crash, report.content) in known or not (report.content or report.parts):
+def add_report(state: GatewayState, report: CrashReport) -> bool:
+    """Add a report; return False if there is one about this crash and content.
+
+    Beyond `MAX_REPORTS` the earliest is dropped that is not the reason of a refusal.
+    """
+    if any((r.crash, r.content) == (report.crash, report.content) for r in state.crash_reports):
+        return False
+    if not (report.content or report.parts):
         return False
-    crashes = {known.crash for known in state.crash_reports if known.content == report.content}
     state.crash_reports.append(report)
-    del state.crash_reports[:-MAX_REPORTS]
     state.crash_verdict_due = True
+    if len(state.crash_reports) > MAX_REPORTS:
+        verdict = state.crash_verdict
+        unneeded = (
+            index
+            for index, known in enumerate(state.crash_reports)
+            if known.content not in verdict.contents and verdict.parts.isdisjoint(known.parts)
+        )
+        del state.crash_reports[next(unneeded, 0)]
+    return True
+
+
+def log_report(state: GatewayState, report: CrashReport, effects: list) -> None:
+    """Log a report of this entry, with the crashes counted for its content so far."""
+    crashes = {known.crash for known in state.crash_reports if known.content == report.content}
     fields = {
         "endpoint": report.endpoint,
         "content": report.content,
         "parts": report.parts,
         "begun": report.has_begun,
         "delivered": report.has_delivered,
-        "crashes": len(crashes) + 1,
+        "crashes": len(crashes),
     }
     effects.append(LogChange("crash-counted", fields))
-    return True
 
 
 def build_message(state: GatewayState, report: CrashReport, at: float) -> Crashed:
@@ -180,7 +196,7 @@
         at - message.age_s,
     )
     apply_sound_ages(state, message.sound_ages_s, at)
-    if message.age_s > CRASH_MEMORY_S or not add_report(state, report, effects):
+    if message.age_s > CRASH_MEMORY_S or not add_report(state, report):
         return
     for part in message.parts:
         known_age = message.sound_ages_s.get(part, float("inf"))
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -5,13 +5,13 @@
 
 import orjson
 import pytest
-from attrs import frozen
+from attrs import evolve, frozen
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.crash_suspects import CRASH_MEMORY_S
-from poplarhoist.decisions.gateway.crashes import TRIAL_AFTER_S
+from poplarhoist.decisions.gateway.crashes import MAX_REPORTS, TRIAL_AFTER_S
 from poplarhoist.decisions.gateway.models import Refused
 from poplarhoist.gateway.peers import message_converter
 from tests.engine_site import EngineSite, SentRequest
@@ -258,6 +258,21 @@
     assert message_converter.structure(orjson.loads(data), messages.Message) == message
 
 
+def test_part_stays_refused_when_many_other_responses_break_off():
+    gateway = EngineSite(entry_count=1).entries["entry-1"]
+    sound = {"shared": 0.0}
+    for number in range(3):
+        crashed = messages.Crashed(f"c{number}", f"e{number}", parts=("shared", "bad"))
+        gateway.receive("entry-2", evolve(crashed, age_s=1.0, sound_ages_s=sound))
+    gateway.advance(1.0)
+    assert gateway.state.crash_verdict.parts == {"bad"}
+    for number in range(2 * MAX_REPORTS):
+        gateway.receive("entry-2", messages.Crashed(f"other-{number}", f"f{number % 4}"))
+    gateway.advance(1.0)
+    assert gateway.state.crash_verdict.parts == {"bad"}
+    assert len(gateway.state.crash_reports) <= MAX_REPORTS
+
+
 def test_content_that_is_answered_after_its_crashes_runs_again():
     site = EngineSite(entry_count=1)
     gateway = site.entries["entry-1"]
