--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import random
 from collections.abc import Callable
 
 from attrs import define, evolve, field
@@ -88,8 +89,8 @@
         Parts of a prompt that crash each engine which begins a response on it.
     sends_head : bool
         Whether the head of a response gets out before its engine crashes.
-    cut_off : set
-        Entries whose messages to and from others are lost.
+    cut_off, lost_share : set, float
+        Entries whose messages to and from others are lost, and share of all messages that are.
     crashed_at_by_part : dict
         When engines crashed under each of `crashing_parts`.
     """
@@ -101,6 +102,8 @@
         self.crashing_parts: set[str] = set()
         self.sends_head = True
         self.cut_off: set[str] = set()
+        self.lost_share = 0.0
+        self.rng = random.Random(1)
         self.crashed_at_by_part: dict[str, list[float]] = {}
         self.requests: dict[tuple[str, str], SentRequest] = {}
         self.names = [f"entry-{number}" for number in range(1, entry_count + 1)]
@@ -165,7 +168,9 @@
             request.retry_after_s = effect.retry_after_s
 
     def deliver(self, sender: str, effect: fx.SendPeer) -> None:
-        """Deliver a message."""
+        """Deliver a message, unless it is lost."""
+        if self.rng.random() < self.lost_share:
+            return
         self.submit(effect.peer, ev.PeerMessageReceived, sender=sender, message=effect.message)
 
     def check_engine(self, name: str, record: EndpointRecord) -> None:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -1,6 +1,5 @@
 """Requests with a part in their prompts that crashes engines, and what must not be taken for them."""
 
-import random
 from collections.abc import Callable
 
 import orjson
@@ -91,9 +90,7 @@
 
 
 def run_with_lost_messages(site: EngineSite) -> None:
-    rng = random.Random(1)
-    deliver = site.deliver
-    site.deliver = lambda *args: rng.random() < 0.3 or deliver(*args)
+    site.lost_share = 0.3
     site.run(30.0)
 
 
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -1,6 +1,5 @@
 """Endpoints name the requests a second that they take from all entries together."""
 
-import random
 from collections.abc import Callable
 
 import orjson
@@ -77,9 +76,7 @@
 
 
 def run_with_lost_messages(site: EngineSite) -> None:
-    rng = random.Random(1)
-    deliver = site.deliver
-    site.deliver = lambda *args: rng.random() < 0.3 or deliver(*args)
+    site.lost_share = 0.3
     site.run(30.0)
 
 
