Exceptions in the entry's own code are logged, and cost no more than what raised them

Cause: eventlet's WSGI servers ran with log_output=False, which drops the traceback of an exception that leaves the application. An effect whose handler raised also took the effects after it along, although their event had been applied. On the own interface one exception ended the loop of ticks. The end-to-end tests and the soak now fail on request-failed, effect-failed, tick-failed and message-failed in any entry's log.

--- a/poplarhoist/entry/loop.py
+++ b/poplarhoist/entry/loop.py
@@ -65,9 +65,16 @@
         self.handlers[effect_type] = handler
 
     def submit(self, event: ev.Event) -> None:
-        """Apply an event to the state and run the handlers of its effects."""
+        """Apply an event to the state and run the handlers of its effects.
+
+        The state counts on all effects. So those after one whose handler raises are carried out too.
+        """
         for effect in self.reducer(self.state, event):
-            self.handlers[type(effect)](effect)
+            try:
+                self.handlers[type(effect)](effect)
+            except Exception:
+                # The event has been applied and cannot be taken back. The log shows the cause.
+                self.log.exception("effect-failed", effect=type(effect).__name__)
 
     def open_mailbox(self, request_id: str) -> LightQueue:
         """Create and return the mailbox for the effects of a request."""
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -24,6 +24,7 @@
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.entry.platform_effects import PlatformEffects
 from poplarhoist.entry.protocol import HeadTimeoutProtocol
+from poplarhoist.entry.server_log import ServerLog
 from poplarhoist.models import Instance
 from poplarhoist.settings.loader import to_instance, to_limits, to_services
 from poplarhoist.settings.models import Site
@@ -75,7 +76,8 @@
             eventlet.wsgi.server,
             self.wrap_listener(listener),
             self.application,
-            log_output=False,
+            log=ServerLog(self.core.log),
+            log_format=ServerLog.LINE_FORMAT,
             debug=False,
             minimum_chunk_size=1,
             protocol=HeadTimeoutProtocol,
@@ -89,7 +91,12 @@
     def run_ticks(self) -> None:
         """Submit a tick to the decisions every ``TICK_INTERVAL_S``."""
         while True:
-            self.core.submit(ev.Tick(self.core.event_time()))
+            try:
+                self.core.submit(ev.Tick(self.core.event_time()))
+            except Exception:
+                # An exception in the reducer must not end this loop: every policy depends on the
+                # ticks. The log shows the cause.
+                self.core.log.exception("tick-failed")
             eventlet.sleep(TICK_INTERVAL_S)
 
     def drain(self) -> None:
--- a/poplarhoist/gateway/logs.py
+++ b/poplarhoist/gateway/logs.py
@@ -22,7 +22,9 @@
 # Lines that wait for a slow reader of the output; about half a megabyte.
 MAX_QUEUED_LINES = 2000
 # Log events that count toward the limit for failures; "again" is a retry after a failed attempt.
-FAILURE_EVENTS = frozenset(("refused", "again", "tick-failed", "message-failed"))
+FAILURE_EVENTS = frozenset(
+    ("refused", "again", "request-failed", "effect-failed", "tick-failed", "message-failed")
+)
 # Seconds between polls of an empty queue.
 POLL_INTERVAL_S = 0.05
 
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -24,7 +24,8 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.protocol import HeadTimeoutProtocol
-from poplarhoist.gateway.callers import PROTOCOL_KEY, CallerApplication
+from poplarhoist.entry.server_log import ServerLog
+from poplarhoist.gateway.callers import PROTOCOL_KEY, CallerApplication, StreamBroken
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.interfaces import Dialect, Store
 from poplarhoist.gateway.logs import BoundedLog
@@ -171,7 +172,8 @@
             eventlet.wsgi.server,
             self.listener,
             CallerApplication(self.decision_loop, self.dialect),
-            log_output=False,
+            log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
+            log_format=ServerLog.LINE_FORMAT,
             debug=False,
             minimum_chunk_size=1,
             protocol=GatewayProtocol,
@@ -197,7 +199,8 @@
             eventlet.wsgi.server,
             eventlet.listen((host, port)),
             self.handle_status,
-            log_output=False,
+            log=ServerLog(self.decision_loop.log),
+            log_format=ServerLog.LINE_FORMAT,
             debug=False,
         )
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -16,6 +16,8 @@
 from tests.standin_server import HOST
 
 START_TIMEOUT_S = 15.0
+# Log events that tell of an exception in the entry's own code.
+FAULT_EVENTS = ("request-failed", "effect-failed", "tick-failed", "message-failed")
 ENTRY_ARGS = ("-m", "poplarhoist.platform")
 
 
@@ -68,6 +70,18 @@
         if self.process is not None:
             self.process.wait()
 
+    def log_lines(self, *events: str) -> list[dict]:
+        """Return the entry's log lines with one of these event names, as dicts."""
+        text = self.log_path.read_text() if self.log_path.exists() else ""
+        # The last line of a process that was killed may be incomplete.
+        lines = [line for line in text.splitlines() if line.startswith("{") and line.endswith("}")]
+        records = [json.loads(line) for line in lines]
+        return [record for record in records if record["event"] in events]
+
+    def check_no_faults(self) -> None:
+        """Fail if an exception in the entry's own code was logged."""
+        assert self.log_lines(*FAULT_EVENTS) == []
+
     def send_stream(self, caller_id: str, prefix: str) -> int:
         """Let a caller send a model request with parts of a prompt and read the whole stream.
 
@@ -136,6 +150,7 @@
         self.store.stop()
         for endpoint in self.endpoints.values():
             endpoint.stop()
+        self.check_no_faults()
 
     def terminate(self) -> None:
         """Begin a graceful stop of the entry by SIGTERM."""
@@ -166,9 +181,3 @@
             return response.status, response.headers, response.read()
         finally:
             connection.close()
-
-    def log_lines(self, event: str) -> list[dict]:
-        """Return the entry's log lines with an event name, as dicts."""
-        lines = [line for line in self.log_path.read_text().splitlines() if line.startswith("{")]
-        records = [json.loads(line) for line in lines]
-        return [record for record in records if record["event"] == event]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 import defopt
 from attrs import define, field
 
+from tests.platform_site import FAULT_EVENTS
 from tests.platform_standins import configuration
 from tests.platform_store import Store
 from tests.soak.callers import (
@@ -136,6 +137,9 @@
         finally:
             load_generator.stop()
         self.check_records(load_generator.records + self.check_recovery())
+        for entry in self.entries:
+            for line in entry.log_lines(*FAULT_EVENTS):
+                self.violations.append(f"FAULT: {entry.name}: {line}")
         return self.violations
 
     def stop(self) -> None:
--- a/tests/test_gateway_crashes_end_to_end.py
+++ b/tests/test_gateway_crashes_end_to_end.py
@@ -146,6 +146,8 @@
         for engine in self.engines:
             engine.stop()
         self.store.stop()
+        for entry in self.entries:
+            entry.check_no_faults()
 
 
 @pytest.fixture
