Own interface: calls end in time and with bounded memory, whatever is sent without end

A server that sends a byte every 20 ms, or as fast as it can, held a call for ever: platform, watches, peers, reports, orders, attempts, cancellations, and poplarhoist-ctl. Whether a stream lasts too long was looked at after whole events only. Attempts: the head within first_byte_s, the whole within whole_s, answer_bytes for an answer (new setting), 256 KB for an event. Bodies are read piece by piece and let other green threads run after each. Weighed for answers that are not streamed: passing on what is too long, as the gateway does. They are checked as JSON and recorded as a whole first, so there is nothing that could be passed on; a site may raise the bound.

--- a/poplarhoist/cli/ctl.py
+++ b/poplarhoist/cli/ctl.py
@@ -1,9 +1,15 @@
 """``poplarhoist-ctl``: command-line tool for operators."""
 
+from poplarhoist.cli.common import run
+from poplarhoist.cli.outcome import suppress_eventlet_warning
+
+suppress_eventlet_warning()
+
 import sys
 from collections.abc import Sequence
 
-from poplarhoist.cli.common import run
+import eventlet
+
 from poplarhoist.context import Environment
 from poplarhoist.ctl import changes, views
 from poplarhoist.ctl.arguments import COMMANDS, Trace
@@ -30,6 +36,8 @@
 
 def console() -> None:
     """Run the program as a console script."""
+    # The limit on the duration of a call is a timer, which runs in a green thread.
+    eventlet.monkey_patch()
     sys.exit(main(sys.argv[1:], Environment()))
 
 
--- a/poplarhoist/ctl/session.py
+++ b/poplarhoist/ctl/session.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Sequence
 
 import orjson
-import urllib3
 from tabulate import tabulate
 from urllib3.exceptions import HTTPError
 
 from poplarhoist import wire
 from poplarhoist.context import Environment
 from poplarhoist.ctl.arguments import Command
+from poplarhoist.entry.http import create_pool_manager, request_bounded
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.errors import EntryError, NotFoundError, PoplarhoistError
 from poplarhoist.models import ConfigIndex
@@ -21,6 +21,8 @@
 
 POLL_INTERVAL_S = 0.1
 CALL_TIMEOUT_S = 2.0
+# Longest response of an entry; its status has some 300 bytes for each endpoint and peer.
+MAX_RESPONSE_BYTES = 8_388_608
 OPERATOR_VARIABLE = "POPLARHOIST_OPERATOR"
 
 
@@ -36,7 +38,7 @@
         self.site: Site = load_site(command.settings)
         author = env.variables.get(OPERATOR_VARIABLE) or getpass.getuser()
         self.publisher = Publisher(HttpPlatform(self.site.platform, env.clock), author)
-        self.http_pool = urllib3.PoolManager(retries=False, timeout=CALL_TIMEOUT_S)
+        self.http_pool = create_pool_manager(timeout=CALL_TIMEOUT_S)
 
     def print_result(self, data: object, text: str) -> None:
         """Print a result: the data as JSON with ``--json``, otherwise the text."""
@@ -152,12 +154,20 @@
         url = f"http://{entry.host}:{entry.port}{path}"
         headers = {"Authorization": f"Bearer {self.site.interfaces.operator_key}"}
         try:
-            response = self.http_pool.request(method, url, headers=headers, fields=fields or None)
+            status, data = request_bounded(
+                self.http_pool,
+                method,
+                url,
+                CALL_TIMEOUT_S,
+                MAX_RESPONSE_BYTES,
+                headers=headers,
+                fields=fields or None,
+            )
         except HTTPError as error:
             raise EntryError("no answer", "call-entry", entry.name) from error
-        if response.status >= 400:
-            raise EntryError(f"status {response.status}", "call-entry", entry.name)
-        return orjson.loads(response.data)
+        if status >= 400:
+            raise EntryError(f"status {status}", "call-entry", entry.name)
+        return orjson.loads(data)
 
     def call_any_entry(self, path: str, **fields: object) -> dict:
         """Call the entries in the order of the settings until one responds.
--- a/poplarhoist/entry/attempts.py
+++ b/poplarhoist/entry/attempts.py
@@ -13,12 +13,22 @@
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.endpoint_effects import endpoint_url
 from poplarhoist.entry.event_stream import EventSplitter, count_events
-from poplarhoist.entry.http import never_sent, single_use_pool
+from poplarhoist.entry.http import (
+    BodyTooLong,
+    never_sent,
+    read_bounded,
+    request_bounded,
+    single_use_pool,
+)
 from poplarhoist.models import AdapterRef, Endpoint
 from poplarhoist.settings.models import StreamSettings
 
 DONE_EVENT = b"data: [DONE]\n\n"
 READ_CHUNK_BYTES = 65536
+# Longest event of a stream; it is passed on when it is whole. Usual events have some 100 bytes.
+MAX_EVENT_BYTES = 262_144
+# Longest body of a refusal, and of the answer to a cancellation.
+MAX_REASON_BYTES = 65_536
 EVENT_DATA_PREFIX = b"data:"
 MAX_RESUME_ATTEMPTS = 3
 FORWARDED_HEADERS = ("content-type",)
@@ -88,6 +98,10 @@
     """A response belongs to another request, adapter or version."""
 
 
+class ResponseOverdue(HTTPError):
+    """A response lasts longer than ``StreamSettings.whole_s``."""
+
+
 class StreamStalled(HTTPError):
     """A stream sent no data for longer than ``StreamSettings.gap_s``."""
 
@@ -100,6 +114,8 @@
 
     Attributes
     ----------
+    overdue_at : float
+        Monotonic time at which the attempt ends, whatever still arrives.
     stream_id : str
         Id by which the endpoint resumes or cancels the stream.
     received_events : int
@@ -126,6 +142,7 @@
         self.stream_id = f"{caller_request.request_id}.{dispatch.attempt}"
         self.pool = single_use_pool()
         self.result = AttemptResult(Outcome.BROKEN)
+        self.overdue_at = core.event_time() + settings.whole_s
         self.received_events = 0
         self.interruptions = 0
         self.is_cancelled = False
@@ -149,17 +166,21 @@
         Raises
         ------
         urllib3.exceptions.HTTPError
-            If no response head arrives; ``read_timeout_s`` limits each read from the connection.
+            If the response head is not whole after ``read_timeout_s``, which also limits each
+            later read from the connection.
         """
-        return self.pool.request(
-            method,
-            endpoint_url(self.endpoint) + path,
-            body=body,
-            headers=self.build_request_headers(),
-            preload_content=False,
-            redirect=False,
-            timeout=Timeout(connect=self.settings.connect_s, read=read_timeout_s),
-        )
+        url = endpoint_url(self.endpoint) + path
+        error = ReadTimeoutError(self.pool, url, "response head not received in time")
+        with eventlet.Timeout(self.settings.connect_s + read_timeout_s, error):
+            return self.pool.request(
+                method,
+                url,
+                body=body,
+                headers=self.build_request_headers(),
+                preload_content=False,
+                redirect=False,
+                timeout=Timeout(connect=self.settings.connect_s, read=read_timeout_s),
+            )
 
     def run(self) -> AttemptResult:
         """Run a request that is not streamed and return its result."""
@@ -171,7 +192,8 @@
     def read_body(self, response) -> None:
         """Read the body of a response that is not streamed into the result, after checking it."""
         try:
-            body = response.read()
+            with eventlet.Timeout(self.remaining_s(), ResponseOverdue()):
+                body = read_bounded(response, self.settings.answer_bytes)
             if self.result.outcome is Outcome.COMPLETED:
                 self.check_body(body)
         except WrongAnswer as error:
@@ -182,6 +204,10 @@
             self.result.body = body
             self.result.answer_bytes = len(body)
 
+    def remaining_s(self) -> float:
+        """Return the seconds until the attempt is overdue; at least one millisecond."""
+        return max(0.001, self.overdue_at - self.core.event_time())
+
     def start(self):
         """Send the request and check the response head.
 
@@ -205,7 +231,9 @@
         if response is None:
             return None
         if response.headers.get("X-Ran") == "no":
-            self.result = AttemptResult(Outcome.REFUSED, read_refusal_reason(response))
+            with eventlet.Timeout(self.remaining_s(), ResponseOverdue()):
+                reason = read_refusal_reason(response)
+            self.result = AttemptResult(Outcome.REFUSED, reason)
             return None
         try:
             self.check_response_head(response)
@@ -297,6 +325,11 @@
                     Outcome.WRONG, str(error), delivered=self.result.delivered
                 )
                 return
+            except (BodyTooLong, ResponseOverdue) as error:
+                # Resumed, the stream would go on like this.
+                response.close()
+                self.record_failure(type(error).__name__)
+                return
             except HTTPError as error:
                 reason = type(error).__name__
             response.close()
@@ -314,6 +347,10 @@
         chunks = response.stream(READ_CHUNK_BYTES, decode_content=False)
         while chunk := self.next_chunk(chunks):
             data = events.feed(chunk)
+            if len(events.partial_event) > MAX_EVENT_BYTES:
+                raise BodyTooLong(f"event longer than {MAX_EVENT_BYTES} bytes")
+            # A read of data that is there already does not let other green threads run.
+            eventlet.sleep(0)
             if not data:
                 continue
             if not first_event_checked:
@@ -352,8 +389,14 @@
         ------
         StreamStalled
             If nothing arrives within ``gap_s``.
+        ResponseOverdue
+            If the attempt is overdue.
         """
-        with eventlet.Timeout(self.settings.gap_s, StreamStalled()):
+        remaining_s = self.overdue_at - self.core.event_time()
+        if remaining_s <= 0.0:
+            raise ResponseOverdue
+        error = ResponseOverdue() if remaining_s < self.settings.gap_s else StreamStalled()
+        with eventlet.Timeout(min(remaining_s, self.settings.gap_s), error):
             return next(chunks, b"")
 
     def resume(self, reason: str, max_attempts: int):
@@ -393,9 +436,11 @@
         pool = single_use_pool()
         url = f"{endpoint_url(self.endpoint)}/v1/streams/{self.stream_id}"
         timeout = Timeout(connect=self.settings.connect_s, read=self.settings.gap_s)
+        total_s = self.settings.connect_s + self.settings.gap_s
+        headers = self.build_request_headers()
         try:
-            pool.request(
-                "DELETE", url, headers=self.build_request_headers(), redirect=False, timeout=timeout
+            request_bounded(
+                pool, "DELETE", url, total_s, MAX_REASON_BYTES, headers=headers, timeout=timeout
             )
         except HTTPError:
             self.core.metrics.count("cancel_failed")
@@ -420,7 +465,7 @@
 def read_refusal_reason(response) -> str:
     """Return the endpoint's reason for a refusal; ``refused`` if the body cannot be read."""
     try:
-        return str(orjson.loads(response.read())["reason"])
+        return str(orjson.loads(read_bounded(response, MAX_REASON_BYTES))["reason"])
     except (HTTPError, ValueError, KeyError, TypeError):
         return "refused"
 
--- a/poplarhoist/entry/endpoint_effects.py
+++ b/poplarhoist/entry/endpoint_effects.py
@@ -13,12 +13,15 @@
     ShortLivedPool,
     is_connection_refused,
     never_sent,
+    request_bounded,
     single_use_pool,
 )
 from poplarhoist.models import Endpoint, EndpointReport
 
 REPORT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_MARGIN_S = 30.0
+# Longest report or answer to an order; a report has some 50 bytes for each resident adapter.
+MAX_RESPONSE_BYTES = 1_048_576
 
 
 def endpoint_url(endpoint: Endpoint) -> str:
@@ -70,15 +73,14 @@
         urllib3.exceptions.HTTPError
             If no response arrives.
         """
-        url = endpoint_url(endpoint) + "/report"
-        timeout = Timeout(total=REPORT_TIMEOUT_S)
+        call = ("GET", endpoint_url(endpoint) + "/report", REPORT_TIMEOUT_S, MAX_RESPONSE_BYTES)
         try:
-            response = self.pool.request("GET", url, timeout=timeout)
+            _, data = self.pool.request(*call)
         except HTTPError as error:
             if never_sent(error):
                 raise
-            response = self.pool.request("GET", url, timeout=timeout)
-        return wire.load(orjson.loads(response.data), EndpointReport)
+            _, data = self.pool.request(*call)
+        return wire.load(orjson.loads(data), EndpointReport)
 
     def run_order(self, effect: fx.SendOrder) -> None:
         """Send an order and submit its outcome."""
@@ -104,16 +106,19 @@
             "ref": str(effect.ref) if effect.ref else None,
             "replaces": str(effect.replaces) if effect.replaces else None,
         }
+        total_s = self.core.state.limits.order_s + ORDER_TIMEOUT_MARGIN_S
         try:
-            response = single_use_pool().request(
+            _, answer = request_bounded(
+                single_use_pool(),
                 "POST",
                 endpoint_url(endpoint) + "/orders",
+                total_s,
+                MAX_RESPONSE_BYTES,
                 body=orjson.dumps(data),
                 headers={"Content-Type": "application/json", "Connection": "close"},
-                redirect=False,
-                timeout=Timeout(total=self.core.state.limits.order_s + ORDER_TIMEOUT_MARGIN_S),
+                timeout=Timeout(total=total_s),
             )
-            result = orjson.loads(response.data)
+            result = orjson.loads(answer)
             return ev.OrderOutcome(result["outcome"]), str(result.get("reason", ""))
         except HTTPError as error:
             if never_sent(error):
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -22,6 +22,7 @@
 
 MAX_POOL_AGE_S = 5.0
 CONNECTIONS_PER_HOST = 16
+READ_CHUNK_BYTES = 65536
 # Bytes of lines that may follow one another: those of a head with all interim heads before it, of a
 # chunk size, or of trailers. http.client alone reads such lines without end.
 MAX_LINE_BYTES = 65536
@@ -179,18 +180,24 @@
         self.pool = self.create_pool()
         self.renewed_at = self.clock.monotonic()
 
-    def request(self, method: str, url: str, **options) -> urllib3.BaseHTTPResponse:
-        """Send a request without following redirects and return the response.
+    def request(
+        self, method: str, url: str, total_s: float, max_bytes: int, **options
+    ) -> tuple[int, bytes]:
+        """Make a call as `request_bounded` does; return its status and body.
 
         Raises
         ------
         urllib3.exceptions.HTTPError
-            If no response arrives; the pool is replaced then.
+            If no response arrives, or one that takes longer or is longer; the pool is replaced
+            then.
         """
         if self.clock.monotonic() - self.renewed_at > MAX_POOL_AGE_S:
             self.renew()
+        timeout = urllib3.Timeout(total=total_s)
         try:
-            return self.pool.request(method, url, redirect=False, **options)
+            return request_bounded(
+                self.pool, method, url, total_s, max_bytes, timeout=timeout, **options
+            )
         except HTTPError:
             self.renew()
             raise
@@ -208,6 +215,30 @@
     return isinstance(error, NewConnectionError | ConnectTimeoutError | NameResolutionError)
 
 
+def read_bounded(response, max_bytes: int) -> bytes:
+    """Read the body of a response and close it, or return its connection to its pool.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If the body breaks off or is longer than `max_bytes`.
+    """
+    body = bytearray()
+    try:
+        while len(body) <= max_bytes and (data := response.read1(READ_CHUNK_BYTES)):
+            body += data
+            # A read of data that is there already lets neither timers nor other threads run.
+            eventlet.sleep(0)
+    finally:
+        if response.closed:
+            response.release_conn()
+        else:
+            response.close()
+    if len(body) > max_bytes:
+        raise BodyTooLong(f"body longer than {max_bytes} bytes")
+    return bytes(body)
+
+
 def request_bounded(
     pool, method: str, url: str, total_s: float, max_bytes: int, **options
 ) -> tuple[int, bytes]:
@@ -230,13 +261,4 @@
         response = pool.request(
             method, url, preload_content=False, redirect=False, retries=False, **options
         )
-        try:
-            body = response.read(max_bytes + 1)
-        finally:
-            if response.closed:
-                response.release_conn()
-            else:
-                response.close()
-    if len(body) > max_bytes:
-        raise BodyTooLong(f"body longer than {max_bytes} bytes")
-    return response.status, body
+        return response.status, read_bounded(response, max_bytes)
--- a/poplarhoist/entry/peers.py
+++ b/poplarhoist/entry/peers.py
@@ -3,7 +3,6 @@
 import eventlet
 import orjson
 from eventlet.event import Event
-from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from poplarhoist import wire
@@ -23,6 +22,8 @@
 MAX_QUEUED_MESSAGES = 4096
 PEER_CHECK_INTERVAL_S = 5.0
 MAX_PEER_BODY_BYTES = 4_000_000
+# A peer's response has no body, or that of an error.
+MAX_PEER_RESPONSE_BYTES = 65_536
 
 
 class Outbox:
@@ -145,13 +146,17 @@
         """
         url = f"http://{instance.host}:{instance.port}{PEER_PATH}"
         headers = {"Content-Type": "application/json", PEER_KEY_HEADER: self.peer_key}
-        timeout = Timeout(total=SEND_TIMEOUT_S)
         for _ in range(MAX_SEND_ATTEMPTS):
             try:
-                response = self.pool.request(
-                    "POST", url, body=body, headers=headers, timeout=timeout
+                status, _ = self.pool.request(
+                    "POST",
+                    url,
+                    SEND_TIMEOUT_S,
+                    MAX_PEER_RESPONSE_BYTES,
+                    body=body,
+                    headers=headers,
                 )
-                return response.status == 200
+                return status == 200
             except HTTPError as error:
                 if never_sent(error):
                     return False
--- a/poplarhoist/entry/platform.py
+++ b/poplarhoist/entry/platform.py
@@ -6,7 +6,6 @@
 
 import orjson
 from attrs import frozen
-from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from poplarhoist.decisions.events import CallStatus
@@ -15,6 +14,10 @@
 from poplarhoist.settings.models import PlatformSettings
 
 LONG_POLL_MARGIN_S = 5.0
+# Longest response with one object; the largest objects are pages of the configuration.
+MAX_OBJECT_BYTES = 8_388_608
+# Longest listing; that of 100,000 records of calls has some 60 MB.
+MAX_LISTING_BYTES = 67_108_864
 CALL_STATUS_BY_CODE = {
     200: CallStatus.OK,
     404: CallStatus.NOT_FOUND,
@@ -140,14 +143,18 @@
         The status is ``REFUSED`` if the call certainly had no effect and ``UNKNOWN`` if it may have
         had one.
         """
-        timeout = Timeout(total=self.settings.timeout_s)
         headers = {"Content-Type": "application/json"}
         try:
-            response = self.pool.request(
-                method, self.base_url + path, body=body, headers=headers, timeout=timeout
+            code, answer = self.pool.request(
+                method,
+                self.base_url + path,
+                self.settings.timeout_s,
+                MAX_OBJECT_BYTES,
+                body=body,
+                headers=headers,
             )
-            status = CALL_STATUS_BY_CODE.get(response.status, CallStatus.UNKNOWN)
-            data = orjson.loads(response.data) if response.data else {}
+            status = CALL_STATUS_BY_CODE.get(code, CallStatus.UNKNOWN)
+            data = orjson.loads(answer) if answer else {}
         except HTTPError as error:
             status = CallStatus.REFUSED if never_sent(error) else CallStatus.UNKNOWN
             data = {}
@@ -160,14 +167,14 @@
         """Make a call that returns the objects or changes under ``items_key``."""
         pool = self.watch_pool if kind == "watch" else self.pool
         try:
-            response = pool.request("GET", self.base_url + path, timeout=Timeout(total=timeout_s))
-            data = orjson.loads(response.data)
+            code, answer = pool.request("GET", self.base_url + path, timeout_s, MAX_LISTING_BYTES)
+            data = orjson.loads(answer)
         except (HTTPError, orjson.JSONDecodeError):
             self.count_call(kind, CallStatus.UNKNOWN)
             return Listing(CallStatus.UNKNOWN)
-        if response.status != 200:
+        if code != 200:
             self.count_call(kind, CallStatus.REFUSED)
-            return Listing(CallStatus.REFUSED, history_gone=response.status == 410)
+            return Listing(CallStatus.REFUSED, history_gone=code == 410)
         self.count_call(kind, CallStatus.OK)
         objects = tuple(ListedObject(o["path"], o["version"], o["value"]) for o in data[items_key])
         return Listing(CallStatus.OK, data["revision"], objects)
--- a/poplarhoist/settings/models.py
+++ b/poplarhoist/settings/models.py
@@ -102,24 +102,28 @@
 
 @frozen
 class StreamSettings:
-    """Timeouts of requests to endpoints, in seconds.
+    """Timeouts and bounds of requests to endpoints.
 
     Attributes
     ----------
     connect_s : float
-        Timeout for opening a connection.
+        Timeout for opening a connection, in seconds.
     first_byte_s : float
-        Timeout until a response starts.
+        Timeout until the head of a response is whole, in seconds.
     gap_s : float
-        Longest time without data in a stream; then it is resumed over a new connection.
+        Longest time without data in a stream, in seconds; then it is resumed over a new connection.
     whole_s : float
-        Longest duration of a streamed response.
+        Longest duration of a response, in seconds.
+    answer_bytes : int
+        Largest body of a response that is not streamed. It is checked, and perhaps recorded, as a
+        whole before the caller gets it.
     """
 
     connect_s: float = field(default=1.0, validator=POSITIVE)
     first_byte_s: float = field(default=30.0, validator=POSITIVE)
     gap_s: float = field(default=2.0, validator=POSITIVE)
     whole_s: float = field(default=600.0, validator=POSITIVE)
+    answer_bytes: int = field(default=1_000_000, validator=POSITIVE)
 
 
 @frozen
