Endpoints that answer 503 with Retry-After get no requests until then

The header was not read: the engine got the next request that it was cheapest for. When none is left: a pause that ends within a tenth of the objective is waited for, else the caller is refused at once with the time of the earliest and a spread. With it: what a response says of its endpoint (this and the limit) is dropped if the endpoint has restarted since the request was sent; and an engine in a pause is not taken for one that has lost the adapter.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.effects import LogChange
-from poplarhoist.decisions.gateway import crashes, request_limits, streams
+from poplarhoist.decisions.gateway import crashes, pauses, request_limits, streams
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
 from poplarhoist.decisions.gateway.limits import (
     AVOID_BACKOFF_S,
@@ -131,6 +131,7 @@
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
+    endpoint.paused_until = float("-inf")
 
 
 def rebuild_service_index(state: GatewayState) -> None:
@@ -184,7 +185,19 @@
 
     It must run the software version that the request needs, and take another request.
     """
-    return streams.runs_software(endpoint, request) and request_limits.may_send(state, endpoint, at)
+    return streams.runs_software(endpoint, request) and takes_requests(state, endpoint, at)
+
+
+def takes_requests(state: GatewayState, endpoint: EndpointState, at: float) -> bool:
+    """Return whether an endpoint takes another request of this entry now, by what it has said."""
+    is_paused = pauses.free_in_s(endpoint, at) > 0.0
+    return not is_paused and request_limits.may_send(state, endpoint, at)
+
+
+def free_in_s(state: GatewayState, endpoint: EndpointState, at: float) -> float:
+    """Return the seconds until an endpoint takes another request of this entry."""
+    paused_s = pauses.free_in_s(endpoint, at)
+    return max(paused_s, request_limits.free_in_s(state, endpoint, at))
 
 
 def avoid_temporarily(endpoint: EndpointState, at: float) -> None:
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -185,9 +185,12 @@
     requests_per_s : float or None
         Requests a second that the endpoint takes from all entries together; None if it names no
         limit.
+    retry_after_s : float or None
+        Seconds for which the endpoint wants no requests from this entry; None if it does not say.
     """
 
     requests_per_s: float | None = None
+    retry_after_s: float | None = None
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -7,6 +7,7 @@
     adapter_asks,
     crashes,
     endpoints,
+    pauses,
     request_limits,
     retry_budget,
     routing,
@@ -147,22 +148,23 @@
 def wait_or_refuse(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
     """Refuse a request without an endpoint, unless it arrived just now: an endpoint may return.
 
-    It is refused at once if the only reason is that its endpoints take no more requests now.
+    It is refused at once if the only reason is that its endpoints take no more requests now, and
+    none ends its pause before.
     """
-    limited = [
+    may_wait_s = request.arrived_at + NO_ENDPOINT_WAIT_SHARE * request.route.latency_target_s - at
+    busy = [
         endpoint
         for endpoint in endpoints.service_endpoints(state, request)
         if streams.runs_software(endpoint, request)
-        and not request_limits.may_send(state, endpoint, at)
+        and not endpoints.takes_requests(state, endpoint, at)
     ]
-    if limited:
-        free_in_s = min(request_limits.free_in_s(state, endpoint, at) for endpoint in limited)
+    if busy and not any(pauses.ends_within(endpoint, may_wait_s, at) for endpoint in busy):
+        free_in_s = min(endpoints.free_in_s(state, endpoint, at) for endpoint in busy)
         # Spread, so that the callers that are refused now do not come back together.
         retry_after_s = max(RETRY_AFTER_S, free_in_s) * state.random.uniform(1.0, 2.0)
         refuse(state, request, Refused.LIMITED, effects, retry_after_s)
         return
-    waited_s = at - request.arrived_at
-    if waited_s < NO_ENDPOINT_WAIT_SHARE * request.route.latency_target_s:
+    if may_wait_s > 0.0:
         state.waiting.add(request.request_id)
         return
     refuse(state, request, Refused.NO_ENDPOINT, effects)
@@ -182,6 +184,7 @@
     request.attempt += 1
     request.attempt_started_at = None
     request.attempt_sent_at = at
+    request.attempt_incarnation = endpoint.record.incarnation
     request_limits.record_sent(endpoint)
     request.endpoint_name = endpoint.record.name
     request.attempt_software = endpoint.record.software_version
@@ -339,7 +342,10 @@
     at: float,
     effects: list,
 ) -> None:
-    """Apply what the head of a response says of its endpoint."""
+    """Apply what the head of a response says of its endpoint, unless that has restarted since."""
+    if request.attempt_incarnation != endpoint.record.incarnation:
+        return
+    pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
     request_limits.on_notice(
         state, endpoint, notice.requests_per_s, request.attempt_sent_at, at, effects
     )
@@ -409,6 +415,9 @@
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
             crashes.on_attempt_broken(state, request, endpoint, event, effects)
+        case Outcome.NOT_RUN if pauses.free_in_s(endpoint, event.at) > 0.0:
+            # It is busy, which says nothing of its adapters.
+            pass
         case Outcome.NOT_RUN if key is not None and key.adapter:
             endpoints.record_absent(endpoint, key, event.at)
         case Outcome.NOT_RUN:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -91,6 +91,8 @@
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
     limit : LimitState
         Limit on its requests that the endpoint names.
+    paused_until : float
+        Until this time the endpoint wants no requests from this entry.
     checked_at : float
         When the engine was last asked whether it still runs.
     """
@@ -118,6 +120,7 @@
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
+    paused_until: float = float("-inf")
     checked_at: float = float("-inf")
 
 
@@ -161,8 +164,8 @@
         stream; both empty if the request begins one.
     is_trial : bool
         Whether it is sent although a part of its prompt is refused.
-    attempt_sent_at : float
-        When the latest attempt was sent.
+    attempt_sent_at, attempt_incarnation : float, int
+        When the latest attempt was sent, and to which run of its endpoint.
     attempt_started_at : float or None
         When the first byte of the response to the latest attempt arrived; None before.
     attempt_software : str
@@ -198,6 +201,7 @@
     resumed_caller_id: str = ""
     is_trial: bool = False
     attempt_sent_at: float = float("-inf")
+    attempt_incarnation: int = 0
     attempt_started_at: float | None = None
     attempt_software: str = ""
     software_version: str | None = None
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable
+from http import HTTPStatus
 
 import structlog
 
@@ -49,6 +50,8 @@
         "last-event-id",
     )
 )
+# Seconds of a pause whose length cannot be read.
+UNREADABLE_PAUSE_S = 1.0
 # Priorities go from 0, the most urgent, to this.
 LOWEST_PRIORITY = 9
 
@@ -155,7 +158,10 @@
         has_seal="x-response-seal" in value_by_name,
         running=load[0] if has_load else -1,
         waiting=load[1] if has_load else -1,
-        notice=EndpointNotice(parse_limit(value_by_name.get("server-limit"))),
+        notice=EndpointNotice(
+            requests_per_s=parse_limit(value_by_name.get("server-limit")),
+            retry_after_s=parse_pause(status, value_by_name.get("retry-after")),
+        ),
     )
 
 
@@ -163,12 +169,32 @@
     """Parse a limit in requests a second; None if there is none, or if it is no number from 0 on."""
     if text is None:
         return None
+    # Without a number nothing can be kept; the endpoint still turns away what it cannot take.
+    return parse_number("Server-Limit", text)
+
+
+def parse_pause(status: int, text: str | None) -> float | None:
+    """Parse the seconds for which an endpoint that turns a request away wants no others.
+
+    Returns
+    -------
+    float or None
+        None if the response does not turn the request away, or names no time.
+    """
+    if status != HTTPStatus.SERVICE_UNAVAILABLE or text is None:
+        return None
+    seconds = parse_number("Retry-After", text)
+    # The endpoint wants a pause, only its length is unknown.
+    return UNREADABLE_PAUSE_S if seconds is None else seconds
+
+
+def parse_number(header: str, text: str) -> float | None:
+    """Parse a number from 0 on; log any other value and return None."""
     try:
-        limit = float(text)
+        number = float(text)
     except ValueError:
-        limit = math.nan
-    if math.isfinite(limit) and limit >= 0.0:
-        return limit
-    # Without a number nothing can be kept; the endpoint still turns away what it cannot take.
-    structlog.get_logger().warning("header-unreadable", header="Server-Limit", value=text[:40])
+        number = math.nan
+    if math.isfinite(number) and number >= 0.0:
+        return number
+    structlog.get_logger().warning("header-unreadable", header=header, value=text[:40])
     return None
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -46,6 +46,10 @@
         Limit that its responses name.
     told_at : dict
         When an entry first got a response that named a limit.
+    busy_until : float
+        Until this time it turns requests away, and says for how long.
+    turned_away : list
+        When it turned a request away, of which entry, and when it wants requests again.
     """
 
     record: EndpointRecord
@@ -55,6 +59,8 @@
     arrivals: list[tuple[float, str]] = field(factory=list)
     requests_per_s: float | None = None
     told_at: dict[str, float] = field(factory=dict)
+    busy_until: float = float("-inf")
+    turned_away: list[tuple[float, str, float]] = field(factory=list)
 
 
 @define
@@ -203,6 +209,12 @@
         request = self.requests[name, dispatch.request_id]
         request.reached_at.append(self.at)
         run.arrivals.append((self.at, name))
+        if self.at < run.busy_until:
+            run.turned_away.append((self.at, name, run.busy_until))
+            notice = ev.EndpointNotice(retry_after_s=run.busy_until - self.at)
+            request_id, attempt = dispatch.request_id, dispatch.attempt
+            self.end(name, request_id, attempt, ev.Outcome.NOT_RUN, status=503, notice=notice)
+            return
         run.attempts[name, dispatch.request_id] = (dispatch.attempt, request.parts)
         self.call_in(HEAD_S, lambda: self.begin_response(run, name, dispatch))
 
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -4,6 +4,34 @@
 
 from poplarhoist.platform.headers import parse_response_head
 
+UNREADABLE_S = 1.0
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "expected"),
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (503, " 1 ", 1.0),
+        (503, "0", 0.0),
+        (503, "1e12", 1e12),
+        (503, "-3", UNREADABLE_S),
+        (503, "nan", UNREADABLE_S),
+        (503, "inf", UNREADABLE_S),
+        (503, "", UNREADABLE_S),
+        (503, "soon", UNREADABLE_S),
+        (503, "Fri, 04 Dec 2026 12:00:00 GMT", UNREADABLE_S),
+        (503, "9" * 400, UNREADABLE_S),
+        (503, None, None),
+        (200, "2", None),
+        (429, "2", None),
+        (500, "soon", None),
+    ],
+)
+def test_time_for_which_an_endpoint_wants_no_requests_comes_with_503(status, value, expected):
+    headers = [("Retry-After", value)] if value is not None else []
+    assert parse_response_head(status, headers).notice.retry_after_s == expected
+
 
 @pytest.mark.parametrize(
     ("value", "expected"),
