Endpoints that say in a response that they are stopping get no new requests

The header was not read; the engine counted until its record said so, which an entry that is cut off from the store never reads. Change: the first such response takes the endpoint out, for this run of it, as its record does: no new requests, retries or resumed streams, no orders, no claim; requests that wait there for an adapter ask another engine, also if the record says so (before, they were sent there once the adapter was in place). What runs there goes on. Others are told once, each by one datagram; news of an earlier run is dropped.

--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.effects import Count, LogChange
+from poplarhoist.decisions.gateway.broadcast import other_entries, tell_others
 from poplarhoist.decisions.gateway.crash_suspects import (
     CRASH_MEMORY_S,
     CrashReport,
@@ -123,9 +124,7 @@
             continue
         log_report(state, report, effects)
         message = build_message(state, report, at)
-        for entry in state.entries:
-            if entry != state.name:
-                effects.append(SendPeer(entry, message))
+        tell_others(state, message, effects)
 
 
 def add_report(state: GatewayState, report: CrashReport) -> bool:
@@ -284,9 +283,7 @@
         message = PartsSound(sound_ages(state, due_parts, at))
         for part in due_parts:
             del state.sound_notices_due[part]
-        for entry in state.entries:
-            if entry != state.name:
-                effects.append(SendPeer(entry, message))
+        tell_others(state, message, effects)
     if state.crash_verdict_due:
         update_verdict(state, at, effects)
 
@@ -344,7 +341,7 @@
 
 def sample_entries(state: GatewayState) -> list[str]:
     """Return some of the other entries at random."""
-    others = sorted(entry for entry in state.entries if entry != state.name)
+    others = other_entries(state)
     return state.random.sample(others, min(REPEAT_FANOUT, len(others)))
 
 
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -6,6 +6,7 @@
 
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import crashes, pauses, request_limits, streams
+from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
 from poplarhoist.decisions.gateway.limits import (
     AVOID_BACKOFF_S,
@@ -13,6 +14,7 @@
     MAX_WARM_ADAPTERS,
     REREGISTRATION_S,
 )
+from poplarhoist.decisions.gateway.messages import EndpointLeaving
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.state import (
     EndpointState,
@@ -38,7 +40,7 @@
         rebuild_service_index(state)
         log_endpoint("endpoint-new", record, effects)
         return
-    previous = endpoint.record
+    previous, was_leaving = endpoint.record, endpoint.is_leaving
     endpoint.record = record
     endpoint.missing_since = None
     if record.incarnation != previous.incarnation:
@@ -47,9 +49,9 @@
         log_endpoint("endpoint-restarted", record, effects)
     if record.software_version != previous.software_version:
         streams.record_departure(state, previous, event.at)
-    if record.draining and not previous.draining:
+    if endpoint.is_leaving and not was_leaving:
         log_endpoint("endpoint-leaving", record, effects)
-    if (previous.service, previous.draining) != (record.service, record.draining):
+    if (previous.service, was_leaving) != (record.service, endpoint.is_leaving):
         rebuild_service_index(state)
     if event.at - endpoint.lead_view_at > LEAD_VIEW_FRESH_S:
         set_held(endpoint, dict(record.held or {}))
@@ -57,6 +59,33 @@
         record_warm(endpoint.warm_adapters, record.held or {})
 
 
+def on_said_leaving(state: GatewayState, endpoint: EndpointState, effects: list) -> None:
+    """Apply that a response says that its endpoint is stopping, and tell the others if it is new."""
+    if endpoint.has_said_leaving:
+        return
+    set_said_leaving(state, endpoint, effects)
+    record = endpoint.record
+    tell_others(state, EndpointLeaving(record.name, record.incarnation), effects)
+
+
+def on_told_leaving(state: GatewayState, message: EndpointLeaving, effects: list) -> None:
+    """Apply that another entry has got such a response."""
+    endpoint = state.endpoints.get(message.endpoint)
+    if endpoint is None or endpoint.record.incarnation != message.incarnation:
+        return
+    if not endpoint.has_said_leaving:
+        set_said_leaving(state, endpoint, effects)
+
+
+def set_said_leaving(state: GatewayState, endpoint: EndpointState, effects: list) -> None:
+    """Record that an endpoint has said that it is stopping; its record may say so already."""
+    was_leaving = endpoint.is_leaving
+    endpoint.has_said_leaving = True
+    if not was_leaving:
+        log_endpoint("endpoint-leaving", endpoint.record, effects)
+        rebuild_service_index(state)
+
+
 def on_removed(state: GatewayState, event: EndpointRemoved, effects: list) -> None:
     """Remove an endpoint whose record is gone.
 
@@ -131,6 +160,7 @@
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
+    endpoint.has_said_leaving = False
     endpoint.paused_until = float("-inf")
 
 
@@ -138,7 +168,7 @@
     """Index the endpoints that may get requests by service, and drop the cached rankings."""
     names_by_service: dict[str, list[str]] = {}
     for name, endpoint in state.endpoints.items():
-        if not endpoint.record.draining:
+        if not endpoint.is_leaving:
             names_by_service.setdefault(endpoint.record.service, []).append(name)
     for names in names_by_service.values():
         names.sort()
@@ -190,8 +220,9 @@
 
 def takes_requests(state: GatewayState, endpoint: EndpointState, at: float) -> bool:
     """Return whether an endpoint takes another request of this entry now, by what it has said."""
-    is_paused = pauses.free_in_s(endpoint, at) > 0.0
-    return not is_paused and request_limits.may_send(state, endpoint, at)
+    if endpoint.is_leaving or pauses.free_in_s(endpoint, at) > 0.0:
+        return False
+    return request_limits.may_send(state, endpoint, at)
 
 
 def free_in_s(state: GatewayState, endpoint: EndpointState, at: float) -> float:
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -187,10 +187,13 @@
         limit.
     retry_after_s : float or None
         Seconds for which the endpoint wants no requests from this entry; None if it does not say.
+    is_leaving : bool
+        Whether the endpoint says that it is stopping.
     """
 
     requests_per_s: float | None = None
     retry_after_s: float | None = None
+    is_leaving: bool = False
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/gossip.py
+++ b/poplarhoist/decisions/gateway/gossip.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import RereadChanges, SendPeer
 from poplarhoist.decisions.gateway.events import StoreChangesRead
 from poplarhoist.decisions.gateway.leads import interval_factor
@@ -32,7 +33,7 @@
     """Inform some other entries of a change, if there are enough entries for longer watches."""
     if watch_wait_factor(state) <= 1.0:
         return
-    others = sorted(name for name in state.entries if name != state.name)
+    others = other_entries(state)
     for name in state.random.sample(others, min(GOSSIP_FANOUT, len(others))):
         effects.append(SendPeer(name, News(event.kind, event.revision)))
 
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -146,11 +146,7 @@
     if state.draining_since is not None or not all_listed:
         return
     for engine, endpoint in state.endpoints.items():
-        if (
-            engine in state.slot_tables
-            or endpoint.record.draining
-            or not is_engine(state, endpoint)
-        ):
+        if engine in state.slot_tables or endpoint.is_leaving or not is_engine(state, endpoint):
             continue
         holder = lead_of(state, engine)
         if holder == state.name:
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -150,6 +150,14 @@
     requests_per_s: float | None
 
 
+@frozen
+class EndpointLeaving:
+    """Says that an endpoint is stopping, as a response of this run of it has said."""
+
+    endpoint: str
+    incarnation: int
+
+
 @frozen
 class News:
     """Says that records of a kind changed in the store, up to a revision."""
@@ -193,6 +201,7 @@
     | AskCrashes
     | PartsSound
     | RequestLimit
+    | EndpointLeaving
     | News
     | StreamBegan
     | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -112,6 +112,8 @@
             crashes.on_parts_sound(state, message, at)
         case messages.RequestLimit():
             request_limits.on_told(state, message, at, effects)
+        case messages.EndpointLeaving():
+            endpoints.on_told_leaving(state, message, effects)
         case messages.News():
             gossip.on_news(message, effects)
         case messages.StreamBegan():
--- a/poplarhoist/decisions/gateway/request_limits.py
+++ b/poplarhoist/decisions/gateway/request_limits.py
@@ -11,7 +11,7 @@
 from attrs import define
 
 from poplarhoist.decisions.effects import Count, LogChange
-from poplarhoist.decisions.gateway.effects import SendPeer
+from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.messages import RequestLimit
 from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
@@ -93,9 +93,7 @@
     """Tell all other entries the limit of an endpoint, or that it has none."""
     record = endpoint.record
     message = RequestLimit(record.name, record.incarnation, endpoint.limit.requests_per_s)
-    for entry in state.entries:
-        if entry != state.name:
-            effects.append(SendPeer(entry, message))
+    tell_others(state, message, effects)
 
 
 def on_told(state: GatewayState, message: RequestLimit, at: float, effects: list) -> None:
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -345,6 +345,8 @@
     """Apply what the head of a response says of its endpoint, unless that has restarted since."""
     if request.attempt_incarnation != endpoint.record.incarnation:
         return
+    if notice.is_leaving:
+        endpoints.on_said_leaving(state, endpoint, effects)
     pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
     request_limits.on_notice(
         state, endpoint, notice.requests_per_s, request.attempt_sent_at, at, effects
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -366,7 +366,7 @@
         return
     endpoint = state.endpoints.get(table.engine)
     profile = engine_profile(state, table.engine)
-    if endpoint is None or profile is None or endpoint.record.draining:
+    if endpoint is None or profile is None or endpoint.is_leaving:
         return
     missing_models = [name for name in profile.models_by_name if name not in table.base_models]
     if missing_models:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -91,6 +91,8 @@
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
     limit : LimitState
         Limit on its requests that the endpoint names.
+    has_said_leaving : bool
+        Whether this run of the endpoint has said in a response that it is stopping.
     paused_until : float
         Until this time the endpoint wants no requests from this entry.
     checked_at : float
@@ -120,9 +122,15 @@
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
+    has_said_leaving: bool = False
     paused_until: float = float("-inf")
     checked_at: float = float("-inf")
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint is stopping and takes no new requests."""
+        return self.record.draining or self.has_said_leaving
+
 
 class Stage(enum.StrEnum):
     """Whether a request waits in this entry or runs at an endpoint."""
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -12,6 +12,7 @@
 
 import enum
 
+from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
@@ -97,7 +98,7 @@
 
 def keepers(state: GatewayState, caller_id: str, count: int) -> list[str]:
     """Return the other entries that keep the origin of a stream, the same on every entry."""
-    others = [name for name in state.entries if name != state.name]
+    others = other_entries(state)
     others.sort(key=lambda name: -rendezvous_weight(caller_id, name))
     return others[:count]
 
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -161,6 +161,7 @@
         notice=EndpointNotice(
             requests_per_s=parse_limit(value_by_name.get("server-limit")),
             retry_after_s=parse_pause(status, value_by_name.get("retry-after")),
+            is_leaving=parse_leaving(value_by_name.get("server-leaving")),
         ),
     )
 
@@ -188,6 +189,11 @@
     return UNREADABLE_PAUSE_S if seconds is None else seconds
 
 
+def parse_leaving(text: str | None) -> bool:
+    """Return whether an endpoint says that it is stopping; a value that cannot be read does not."""
+    return text is not None and parse_number("Server-Leaving", text) == 1.0
+
+
 def parse_number(header: str, text: str) -> float | None:
     """Parse a number from 0 on; log any other value and return None."""
     try:
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -50,6 +50,8 @@
         Until this time it turns requests away, and says for how long.
     turned_away : list
         When it turned a request away, of which entry, and when it wants requests again.
+    is_leaving, told_leaving_at : bool, dict
+        Whether its responses say that it is stopping, and when an entry first got one of these.
     """
 
     record: EndpointRecord
@@ -61,6 +63,8 @@
     told_at: dict[str, float] = field(factory=dict)
     busy_until: float = float("-inf")
     turned_away: list[tuple[float, str, float]] = field(factory=list)
+    is_leaving: bool = False
+    told_leaving_at: dict[str, float] = field(factory=dict)
 
 
 @define
@@ -238,8 +242,10 @@
             ev.ResponseStarted,
             request_id=dispatch.request_id,
             attempt=dispatch.attempt,
-            notice=ev.EndpointNotice(run.requests_per_s),
+            notice=ev.EndpointNotice(run.requests_per_s, is_leaving=run.is_leaving),
         )
+        if run.is_leaving:
+            run.told_leaving_at.setdefault(name, self.at)
         if run.requests_per_s is not None:
             run.told_at.setdefault(name, self.at)
         self.call_in(RUN_S, lambda: self.end_response(run, name, dispatch))
--- /dev/null
+++ b/tests/test_gateway_leaving.py
@@ -0,0 +1,190 @@
+"""Endpoints that stop say so in their responses, often before their records do."""
+
+import orjson
+import pytest
+
+from poplarhoist.decisions.effects import LogChange
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.gateway.peers import message_converter
+from tests.engine_site import EngineSite, SentRequest
+from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
+
+LEAVING = ev.EndpointNotice(is_leaving=True)
+REQUEST_INTERVAL_S = 0.04
+# Seconds in which an entry that got such a response, or was told, may still have requests under way.
+UNDER_WAY_S = 0.01
+
+
+def start_gateway(*records) -> Gateway:
+    gateway = Gateway(peers=("entry-2", "entry-3"))
+    gateway.configure()
+    gateway.list_endpoints(*records)
+    return gateway
+
+
+def request(gateway: Gateway, path: str = "/read/x", adapter: str | None = None) -> fx.Dispatch:
+    """Let a request arrive that is sent at once."""
+    return only_effect(fx.Dispatch, gateway.request(path, adapter)[1])
+
+
+def begin_response(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let a response begin that says that its endpoint is stopping."""
+    fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
+    return gateway.submit(ev.ResponseStarted, notice=LEAVING, **fields)
+
+
+def fail(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let an attempt fail with a response that says that its endpoint is stopping."""
+    return gateway.end_attempt(dispatch, ev.Outcome.FAILED, status=503, notice=LEAVING)
+
+
+def turn_away(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let a stopping endpoint turn a request away."""
+    return gateway.end_attempt(dispatch, ev.Outcome.NOT_RUN, status=503, notice=LEAVING)
+
+
+def be_told(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let another entry tell that the endpoint is stopping."""
+    record = dispatch.endpoint
+    message = messages.EndpointLeaving(record.name, record.incarnation)
+    return gateway.receive("entry-2", message)
+
+
+def endpoints_of(gateway: Gateway, count: int = 12) -> set[str]:
+    """Return the endpoints that get the next requests, which are answered at once."""
+    names = set()
+    for _ in range(count):
+        dispatch = request(gateway)
+        names.add(dispatch.endpoint.name)
+        gateway.end_attempt(dispatch, ev.Outcome.DONE)
+    return names
+
+
+NEWS = pytest.mark.parametrize("learn", [begin_response, fail, turn_away, be_told])
+
+
+@NEWS
+def test_endpoint_that_leaves_gets_no_new_requests(learn):
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    dispatch = request(gateway)
+    (other,) = {"d1", "d2"} - {dispatch.endpoint.name}
+    learn(gateway, dispatch)
+    assert endpoints_of(gateway) == {other}
+    gateway.advance(30.0)
+    assert endpoints_of(gateway) == {other}
+
+
+@NEWS
+def test_last_endpoint_that_leaves_is_not_used_in_need(learn):
+    gateway = start_gateway(plain_endpoint(1))
+    learn(gateway, request(gateway))
+    _, effects = gateway.request("/read/x")
+    assert not effects_of(fx.Dispatch, effects + gateway.advance(1.0))
+
+
+@NEWS
+@pytest.mark.parametrize("name", ["d1", "d2"])
+def test_new_run_or_another_endpoint_at_the_address_gets_requests(learn, name):
+    gateway = start_gateway(plain_endpoint(1))
+    learn(gateway, request(gateway))
+    number = int(name[1:])
+    gateway.submit(ev.EndpointSeen, record=plain_endpoint(number, port=8001, incarnation=2))
+    assert endpoints_of(gateway) == {name}
+
+
+@NEWS
+def test_news_of_an_earlier_run_does_not_concern_the_present_one(learn):
+    gateway = start_gateway(plain_endpoint(1))
+    dispatch = request(gateway)
+    gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=2))
+    learn(gateway, dispatch)
+    assert endpoints_of(gateway) == {"d1"}
+
+
+def test_what_runs_at_an_endpoint_that_leaves_goes_on_there():
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    running = [request(gateway) for _ in range(6)]
+    first = next(d for d in running if d.endpoint.name == "d1")
+    effects = begin_response(gateway, first) + gateway.advance(0.5)
+    assert not effects_of(fx.Dispatch, effects) and not effects_of(fx.Refuse, effects)
+    for dispatch in running:
+        gateway.end_attempt(dispatch, ev.Outcome.DONE)
+    assert not gateway.state.requests
+
+
+def test_stream_that_breaks_off_there_is_resumed_elsewhere():
+    gateway = start_gateway(engine(1, ("a1",)), engine(2, ("a1",)))
+    dispatch = request(gateway, "/resume/x", "a1")
+    begin_response(gateway, dispatch)
+    resumed = only_effect(
+        fx.Dispatch, gateway.end_attempt(dispatch, ev.Outcome.BROKEN, delivered=True)
+    )
+    assert resumed.endpoint.name != dispatch.endpoint.name
+
+
+def test_request_that_waits_for_an_adapter_there_asks_another_engine():
+    gateway = start_gateway(engine(1), engine(2))
+    for name in ("e1", "e2"):
+        gateway.set_lead(name, "entry-2#b2")
+    _, effects = gateway.request("/stream/x", "cold")
+    asked = effects_of(fx.SendPeer, effects)[0].message.engine
+    gateway.receive("entry-3", messages.EndpointLeaving(asked, 1))
+    gateway.receive("entry-2", messages.View(asked, {"base": 1}, {"base/cold": 0.1}, 0, 0, 3))
+    sent = effects_of(fx.Dispatch, gateway.advance(0.5))
+    assert asked not in {d.endpoint.name for d in sent}
+    asks = [e.message for e in effects_of(fx.SendPeer, gateway.effects)]
+    assert {m.engine for m in asks if isinstance(m, messages.Ask)} == {"e1", "e2"}
+
+
+def test_others_are_told_once():
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    dispatches = [d for d in (request(gateway) for _ in range(8)) if d.endpoint.name == "d1"]
+    for dispatch in dispatches:
+        begin_response(gateway, dispatch)
+    gateway.advance(5.0)
+    told = [
+        (effect.peer, effect.message)
+        for effect in effects_of(fx.SendPeer, gateway.effects)
+        if isinstance(effect.message, messages.EndpointLeaving)
+    ]
+    assert told == [(peer, messages.EndpointLeaving("d1", 1)) for peer in ("entry-2", "entry-3")]
+    sent = message_converter.unstructure(told[0][1], unstructure_as=messages.Message)
+    received = message_converter.structure(orjson.loads(orjson.dumps(sent)), messages.Message)
+    assert received == told[0][1]
+
+
+def test_record_that_follows_says_nothing_new():
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    begin_response(gateway, next(d for d in iter(lambda: request(gateway), None)))
+    leaving = next(n for n, e in gateway.state.endpoints.items() if e.is_leaving)
+    record = plain_endpoint(int(leaving[1:]), draining=True)
+    gateway.submit(ev.EndpointSeen, record=record)
+    changes = [c.change for c in effects_of(LogChange, gateway.effects)]
+    assert changes.count("endpoint-leaving") == 1
+    assert leaving not in endpoints_of(gateway)
+
+
+@pytest.mark.parametrize("lost_share", [0.0, 0.3, 1.0], ids=["told", "some-lost", "not-told"])
+@pytest.mark.parametrize("entry_count", [1, 9, 40])
+def test_entry_that_passed_on_such_a_response_sends_nothing_more(entry_count, lost_share):
+    site = EngineSite(entry_count, 4)
+    site.lost_share = lost_share
+    requests: list[SentRequest] = []
+
+    def send() -> None:
+        requests.append(site.send(site.names[len(requests) % entry_count], "shared"))
+        site.call_in(REQUEST_INTERVAL_S, send)
+
+    send()
+    site.run(3.0)
+    leaving = next(iter(site.runs_by_name.values()))
+    leaving.is_leaving = True
+    site.run(15.0)
+    for name, told_at in leaving.told_leaving_at.items():
+        assert not [at for at, n in leaving.arrivals if n == name and at > told_at + UNDER_WAY_S]
+    if lost_share == 0.0:
+        first_told_at = min(leaving.told_leaving_at.values())
+        assert not [at for at, _ in leaving.arrivals if at > first_told_at + UNDER_WAY_S]
+    assert not [sent for sent in requests if sent.refused]
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -7,6 +7,17 @@
 UNREADABLE_S = 1.0
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [("1", True), (" 1 ", True), ("0", False), ("", False), ("yes", False), ("-1", False)]
+    + [(None, False)],
+)
+def test_endpoint_that_leaves_says_so_with_1(value, expected):
+    headers = [("Server-Leaving", value)] if value is not None else []
+    for status in (200, 404, 503):
+        assert parse_response_head(status, headers).notice.is_leaving == expected
+
+
 @pytest.mark.parametrize(
     ("status", "value", "expected"),
     [
