An engine whose start is unknown is not taken for crashed

What would be seen: a response of an engine whose record or report names no start breaks off, the engine is asked, answers, and counts as crashed, since 0 differs from any start; its requests are suspected.

--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -125,7 +125,9 @@
             code, body = self.request(record, "GET", self.dialect.report_path(), headers, None)
             if code == 200:
                 incarnation = self.dialect.decode_report(body).incarnation
-                has_crashed = incarnation != record.incarnation
+                # Without both starts it is not known whether they differ.
+                is_known = bool(incarnation and record.incarnation)
+                has_crashed = is_known and incarnation != record.incarnation
             else:
                 has_crashed = self.dialect.order_status_of(code) is ev.OrderStatus.GONE
         except (HTTPError, ValueError) as error:
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -46,12 +46,16 @@
     return event.has_crashed
 
 
-@pytest.mark.parametrize(("incarnation", "has_crashed"), [(1, False), (2, True)])
+# The start that the record names, that of the report (0 if unknown), and whether it has crashed.
+@pytest.mark.parametrize(
+    ("recorded", "reported", "has_crashed"),
+    [(1, 1, False), (1, 2, True), (0, 2, False), (1, 0, False), (0, 0, False)],
+)
 def test_engine_that_answers_has_crashed_only_if_it_started_again(
-    endpoint, incarnation, has_crashed
+    endpoint, recorded, reported, has_crashed
 ):
-    endpoint.incarnation = incarnation
-    assert check(endpoint.port) is has_crashed
+    endpoint.incarnation = reported
+    assert check(endpoint.port, recorded) is has_crashed
 
 
 def test_engine_whose_address_refuses_connections_has_crashed():
