Count responses past a bound, by the bound

Counter response_past_bound with the name of the bound; test_response_past_a_bound_is_counted_with_the_bound.

--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -57,6 +57,8 @@
 MAX_DISPATCHES = 6
 # Error statuses of an endpoint after which a repeatable request is sent to another endpoint.
 RETRYABLE_STATUSES = frozenset((500, 502, 503, 504))
+# Reasons of attempts whose response was past a bound, or unclear about its end; names of exceptions.
+BOUND_REASONS = frozenset(("HeadTooLong", "BodyTooLong", "BadFraming"))
 
 
 def on_arrived(state: GatewayState, event: RequestArrived, effects: list) -> None:
@@ -360,6 +362,8 @@
         return
     endpoint = release_endpoint(state, request)
     effects.append(Count("attempt_ended", (event.outcome,)))
+    if event.reason in BOUND_REASONS:
+        effects.append(Count("response_past_bound", (event.reason,)))
     if endpoint is not None and event.notice is not None:
         apply_notice(state, request, endpoint, event.notice, event.at, effects)
     if endpoint is not None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -6,7 +6,12 @@
 import pytest
 
 import poplarhoist
+from poplarhoist.decisions.effects import Count
+from poplarhoist.decisions.gateway.effects import Dispatch
+from poplarhoist.decisions.gateway.events import Outcome
+from poplarhoist.entry.http import BadFraming, BodyTooLong, HeadTooLong
 from poplarhoist.entry.metrics import COUNTERS, HISTOGRAMS
+from tests.gateway import Gateway, effects_of, only_effect, plain_endpoint
 
 LABELS_BY_NAME = {name: labels for name, (_, labels) in (COUNTERS | HISTOGRAMS).items()}
 # Effects of the decisions, and methods of `Metrics`, that take a name and a tuple of labels.
@@ -47,3 +52,17 @@
 def test_use_of_a_metric_is_declared(place, name, count):
     assert name in LABELS_BY_NAME
     assert count in (None, len(LABELS_BY_NAME[name]))
+
+
+@pytest.mark.parametrize(
+    ("error", "is_counted"),
+    [(HeadTooLong, True), (BodyTooLong, True), (BadFraming, True), (TimeoutError, False)],
+)
+def test_response_past_a_bound_is_counted_with_the_bound(error, is_counted):
+    gateway = Gateway()
+    gateway.configure()
+    gateway.list_endpoints(plain_endpoint(1))
+    dispatch = only_effect(Dispatch, gateway.request("/read/x")[1])
+    effects = gateway.end_attempt(dispatch, Outcome.BROKEN, reason=error.__name__)
+    counted = [count for count in effects_of(Count, effects) if count.labels == (error.__name__,)]
+    assert [count.counter for count in counted] == ["response_past_bound"] * is_counted
