--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,7 @@
 They serve requests from threads of the test process. A test injects faults through their fields.
 """
 
+import contextlib
 import json
 import socket
 import struct
@@ -110,10 +111,17 @@
         if adapter and not endpoint.has_adapter(adapter, headers.get("x-expect-version")):
             self.respond(421)
             return
+        busy_s = endpoint.busy_until - time.monotonic()
+        if busy_s > 0:
+            endpoint.record_turned_away(request_id, busy_s)
+            self.respond(503, X_Not_Executed="1", Retry_After=f"{busy_s:.3f}")
+            return
         endpoint.record_run(request_id, headers)
         fault = endpoint.next_fault(request_id)
         if fault == "full":
             self.respond(503, X_Not_Executed="1")
+        elif fault == "endless":
+            self.send_without_end(request_id)
         elif fault == "dropped":
             self.close_connection = True
         elif fault == "other-request":
@@ -151,6 +159,21 @@
             time.sleep(endpoint.service_time_s)
             self.respond(200, b"done " + body, X_Request_Id=request_id, X_Response_Seal="s")
 
+    def end_headers(self) -> None:
+        """End the head of a response, which says whether the endpoint is stopping."""
+        if self.standin.says_leaving:
+            self.send_header("Server-Leaving", "1")
+        super().end_headers()
+
+    def send_without_end(self, request_id: str) -> None:
+        """Begin a response and repeat a piece of it until the other side closes."""
+        self.close_connection = True
+        self.wfile.write(CHUNKED_HEAD.format(request_id=request_id).encode() + b"\r\n")
+        with contextlib.suppress(OSError):
+            while True:
+                self.wfile.write(b"4\r\nplan\r\n" * 1000)
+                time.sleep(0.01)
+
     def reset_connection(self) -> None:
         """Reset the connection once the peer has read what was sent."""
         time.sleep(0.1)
@@ -226,7 +249,7 @@
     faults : list
         Faults of the next requests, one for each, in order. "full": rejected as not executed.
         "dropped": connection closed without a response. "other-request": response to another
-        request. "unsigned": response without a seal. "short": body shorter than its Content-Length.
+        request. "unsigned": response without a seal. "endless": response that does not end. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
         the connection is reset. "error": status 500. "json": a response that is no stream.
         `STREAM_FAULTS`: stream that ends too early. `BROKEN_HEADS`: response that breaks off in its
@@ -240,6 +263,10 @@
         What marks the end of a stream: "chunked", "length", or "connection" for its close.
     software_version : str
         Version of the endpoint's software, in its record.
+    busy_until : float
+        Monotonic time until which it turns requests away, and says for how long.
+    says_leaving : bool
+        Whether its responses say that it is stopping.
     """
 
     handler_class = EndpointHandler
@@ -261,6 +288,8 @@
         self.faults: list[str] = []
         self.order_faults: list[str] = []
         self.aborted_request_ids: list[str] = []
+        self.busy_until = float("-inf")
+        self.says_leaving = False
         super().__init__(self.handler_class)
 
     def record_request(self, method: str, path: str, headers: dict, body: bytes) -> None:
@@ -270,6 +299,9 @@
     def record_run(self, request_id: str, headers: dict) -> None:
         """Record a request that runs here; does nothing unless a subclass overrides it."""
 
+    def record_turned_away(self, request_id: str, seconds: float) -> None:
+        """Record a request that is turned away for some seconds; does nothing either."""
+
     def next_fault(self, request_id: str) -> str:
         """Return the fault of a request that runs here, and remove it from the list."""
         return self.faults.pop(0) if self.faults else ""
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -6,7 +6,7 @@
 from collections import Counter
 
 from tests.platform_standins import STREAM_FAULTS, Endpoint
-from tests.soak.proxy import Proxy
+from tests.soak.proxy import Proxy, ProxyFault
 from tests.standin_server import HOST
 
 ADAPTER_SLOTS = 3
@@ -21,6 +21,8 @@
 RESUMED_SUFFIX = "-resumed"
 # Share of the streams that an engine breaks off while there are faults.
 TORN_SHARE = 0.5
+# Share of all responses that do not end while there are faults.
+ENDLESS_SHARE = 0.02
 
 
 def encode_event(request_id: str, number: int, software: str) -> bytes:
@@ -55,8 +57,11 @@
         Monotonic time at which its record was changed to draining; None if it does not drain.
     late_requests : list
         Requests that ran after ``draining_since``, with the delay in seconds.
+    arrivals, turned_away : list
+        Id and time of each request that arrived; of those that were turned away also the time until
+        which no others were wanted.
     tears_streams : bool
-        Whether some streams break off.
+        Whether some streams break off, and some responses do not end.
     rng : Random
         Draws which streams break off and how.
     """
@@ -75,11 +80,23 @@
         self.holder_by_epoch: dict[int, str] = {}
         self.draining_since: float | None = None
         self.late_requests: list[tuple[str, float]] = []
+        self.arrivals: list[tuple[str, float]] = []
+        self.turned_away: list[tuple[str, float, float]] = []
         super().__init__(name, service, EVENT_INTERVAL_S if service == "models" else SERVICE_TIME_S)
         self.proxy = Proxy(self.port)
 
     def record_request(self, method: str, path: str, headers: dict, body: bytes) -> None:
-        """Do nothing: a soak sends too many requests to keep them."""
+        """Record when a request arrived, and no more of it."""
+        self.arrivals.append((headers.get("x-request-id", ""), time.monotonic()))
+
+    def record_turned_away(self, request_id: str, seconds: float) -> None:
+        """Record a request that was turned away, and until when no others are wanted."""
+        if self.proxy.fault is not ProxyFault.NONE:
+            # The answer may not arrive.
+            return
+        now = time.monotonic()
+        with self.lock:
+            self.turned_away.append((request_id, now, now + seconds))
 
     def record_run(self, request_id: str, headers: dict) -> None:
         """Record that a request runs here."""
@@ -90,8 +107,10 @@
                 self.late_requests.append((request_id, time.monotonic() - self.draining_since))
 
     def next_fault(self, request_id: str) -> str:
-        """Return how the stream of a request breaks off; empty if it does not."""
+        """Return how the response to a request breaks off or fails to end; empty if it is sound."""
         with self.lock:
+            if self.tears_streams and self.rng.random() < ENDLESS_SHARE:
+                return "endless"
             if not self.tears_streams or self.rng.random() >= TORN_SHARE:
                 return ""
             faults = sorted(STREAM_FAULTS)
@@ -129,6 +148,12 @@
             self.order_count = self.epoch = 0
             self.adapters.clear()
             self.holder_by_epoch.clear()
+            # The new run takes requests, and what the earlier one said does not hold for it.
+            now = time.monotonic()
+            self.busy_until = float("-inf")
+            self.turned_away = [
+                (request_id, at, min(until, now)) for request_id, at, until in self.turned_away
+            ]
         self.proxy.reset_all_connections()
 
     def record(self, state: str = "ready") -> dict:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -44,6 +44,11 @@
 GRACEFUL_STOP_TIMEOUT_S = 8.0
 # Seconds after the last fault within which all entries serve again, also restarted ones.
 RECOVERY_TIMEOUT_S = 12.0
+# Seconds after its deadline within which a request has ended.
+ANSWER_MARGIN_S = 0.3
+# Requests of an entry that may reach an endpoint that wants none, and seconds after which they count.
+MAX_REQUESTS_IN_PAUSE = 2
+REACH_AFTER_S = 0.5
 # Seconds of tolerance, since threads on a busy machine may record events late.
 TIMING_SLACK_S = 0.5
 
@@ -58,6 +63,15 @@
     incarnation: int
 
 
+@define
+class Pause:
+    """A time in which the process of an entry was stopped by SIGSTOP."""
+
+    entry: str
+    started_at: float
+    ended_at: float
+
+
 @define
 class SoakRun:
     """Site, faults and violations of one seed.
@@ -88,6 +102,7 @@
     violations: list[str] = field(factory=list)
     timeline: list[str] = field(factory=list)
     planned_stops: list[PlannedStop] = field(factory=list)
+    pauses: list[Pause] = field(factory=list)
     started_at: float = field(factory=time.monotonic)
 
     def __attrs_post_init__(self) -> None:
@@ -164,6 +179,7 @@
             self.restart_endpoint,
             self.announce_version,
             self.reload_settings,
+            self.keep_endpoint_busy,
         )
         ends_at = time.monotonic() + FAULT_PHASE_S
         self.tear_streams(True)
@@ -225,9 +241,11 @@
         """Pause an entry's process by SIGSTOP for a while."""
         entry = rng.choice(self.entries)
         self.log_action(f"{entry.name}: paused")
+        started_at = time.monotonic()
         entry.send_signal(signal.SIGSTOP)
         time.sleep(max(0.0, min(ends_at - time.monotonic(), 0.3 + 2.5 * rng.random())))
         entry.send_signal(signal.SIGCONT)
+        self.pauses.append(Pause(entry.name, started_at, time.monotonic()))
 
     def kill_and_restart_entry(self, rng: random.Random, ends_at: float) -> None:
         """Kill an entry and restart it within 0.5 s."""
@@ -245,6 +263,13 @@
         endpoint.restart()
         self.store.put("servers", name, endpoint.record())
 
+    def keep_endpoint_busy(self, rng: random.Random, ends_at: float) -> None:
+        """Let an endpoint turn all requests away for a while, and say for how long."""
+        name = rng.choice(sorted(self.endpoints))
+        seconds = min(ends_at - time.monotonic(), 0.8 + 2.0 * rng.random())
+        self.log_action(f"{name}: busy for {seconds:.1f} s")
+        self.endpoints[name].busy_until = time.monotonic() + seconds
+
     def announce_version(self, rng: random.Random, ends_at: float) -> None:
         """Announce a new version of an adapter in the store."""
         adapter = f"a{rng.randrange(3)}"
@@ -262,11 +287,17 @@
         entry.send_signal(signal.SIGHUP)
 
     def drain_endpoint(self) -> None:
-        """Drain an endpoint in a quiet phase, check for late requests, and restart it."""
+        """Drain an endpoint in a quiet phase, check for late requests, and restart it.
+
+        Only its record says that it drains, or only its responses do.
+        """
         name = self.rng.choice(sorted(self.endpoints))
         endpoint = self.endpoints[name]
-        self.log_action(f"{name}: drains")
-        self.store.put("servers", name, endpoint.record("draining"))
+        by_record = self.rng.random() < 0.5
+        self.log_action(f"{name}: drains, as its {'record says' if by_record else 'responses say'}")
+        if by_record:
+            self.store.put("servers", name, endpoint.record("draining"))
+        endpoint.says_leaving = not by_record
         endpoint.draining_since = time.monotonic()
         time.sleep(DRAIN_TIMEOUT_S + 1.5)
         endpoint.draining_since = None
@@ -280,6 +311,7 @@
                 f"DRAIN: {len(late_requests)} requests at {name}, {late_requests[0]}"
             )
         endpoint.late_requests.clear()
+        endpoint.says_leaving = False
         endpoint.restart()
         self.store.put("servers", name, endpoint.record())
 
@@ -373,8 +405,17 @@
                 self.violations.append(
                     f"BUDGET: {extended[0]} got a deadline of 0 or beyond that of its caller"
                 )
+        self.check_busy_endpoints(records)
         for record in records:
             label = f"{record.request_id} ({record.kind}, {record.entry})"
+            took_s = record.ended_at - record.sent_at
+            if took_s > DEADLINE_MS / 1000 + ANSWER_MARGIN_S + TIMING_SLACK_S and not any(
+                pause.entry == record.entry
+                and pause.started_at < record.ended_at
+                and record.sent_at < pause.ended_at
+                for pause in self.pauses
+            ):
+                self.violations.append(f"LATE: {label} ended after {took_s:.2f} s")
             count = run_counts.get(record.request_id, 0)
             if record.violation:
                 self.violations.append(f"{record.violation}: {label}")
@@ -385,6 +426,23 @@
             if record.status == 0 and count and self.was_cut_by_planned_stop(record):
                 self.violations.append(f"LOST: {label} was cut by a planned stop")
 
+    def check_busy_endpoints(self, records: list[RequestRecord]) -> None:
+        """Check that entries leave endpoints alone for as long as these ask for it."""
+        sender_by_id = {record.request_id: (record.entry, record.incarnation) for record in records}
+        for endpoint in self.endpoints.values():
+            for request_id, turned_away_at, until in endpoint.turned_away:
+                sender = sender_by_id.get(request_id)
+                later = [
+                    at
+                    for other_id, at in endpoint.arrivals
+                    if turned_away_at + REACH_AFTER_S < at < until
+                    and sender_by_id.get(other_id) == sender
+                ]
+                if sender is not None and len(later) > MAX_REQUESTS_IN_PAUSE:
+                    self.violations.append(
+                        f"PAUSE: {len(later)} requests of {sender[0]} at {endpoint.name}"
+                    )
+
     def was_cut_by_planned_stop(self, record: RequestRecord) -> bool:
         """Return whether a request without a response ended while its entry stopped gracefully.
 
