--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,7 +18,7 @@
 DEADLINE_MS = 4000
 # Statuses by which an entry guarantees that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-# Seconds for which a caller waits for the next byte; longer than any deadline.
+# Seconds for which a caller waits for the next byte, and for all; longer than any deadline.
 RESPONSE_TIMEOUT_S = 8.0
 MAX_PAUSE_S = 0.02
 
@@ -105,6 +105,8 @@
         response = connection.getresponse()
         while data := response.read1():
             body += data
+            if time.monotonic() > record.sent_at + RESPONSE_TIMEOUT_S:
+                raise TimeoutError("response goes on")
             if is_stream and response.status == 200:
                 record.events = body[: body.rfind(b"\n\n") + 2] if b"\n\n" in body else b""
         # Ends the response, so that the connection can be used again.
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -46,4 +46,17 @@
         "streams.runs_software = lambda endpoint, request: True\n"
         "streams.place_unknown = lambda *args: streams.Placement.PLACE"
     ),
+    "pause": (
+        "import poplarhoist.decisions.gateway.pauses as pauses\n"
+        "pauses.on_notice = lambda *args: None"
+    ),
+    "leaving": (
+        "import poplarhoist.decisions.gateway.endpoints as endpoints\n"
+        "endpoints.on_said_leaving = lambda *args: None"
+    ),
+    "deadline": (
+        "import poplarhoist.gateway.exchange as exchange\n"
+        "exchange.Exchange.expire = lambda self: None\n"
+        "exchange.Exchange.remaining_s = lambda self: 8.0"
+    ),
 }
