An engine that turns a request away says nothing of its adapters, by that response

Found in reading the diff: whether an engine was in a pause decided whether a response that did not run a request stood for a missing adapter. So 421 of an engine that another response had paused was not recorded, and Retry-After: 0 was taken for a missing adapter. What counts is the response itself; its engine is avoided by that request.

--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -421,9 +421,9 @@
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
             crashes.on_attempt_broken(state, request, endpoint, event, effects)
-        case Outcome.NOT_RUN if pauses.free_in_s(endpoint, event.at) > 0.0:
+        case Outcome.NOT_RUN if event.notice and event.notice.retry_after_s is not None:
             # It is busy, which says nothing of its adapters.
-            pass
+            request.avoided_endpoints.add(request.endpoint_name)
         case Outcome.NOT_RUN if key is not None and key.adapter:
             endpoints.record_absent(endpoint, key, event.at)
         case Outcome.NOT_RUN:
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -6,7 +6,7 @@
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
-from poplarhoist.decisions.gateway.models import Refused
+from poplarhoist.decisions.gateway.models import AdapterKey, Refused
 from tests.engine_site import EngineSite, SentRequest
 from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
 
@@ -142,6 +142,28 @@
     assert {m.engine for m in asks if isinstance(m, messages.Ask)} == {"e1", "e2"}
 
 
+def test_engine_that_wants_no_pause_does_not_get_the_same_request_again():
+    gateway = start_gateway(engine(1, ("a1",)), engine(2, ("a1",)))
+    dispatch = request(gateway, "/stream/x", "a1")
+    retry = only_effect(fx.Dispatch, turn_away(gateway, dispatch, 0.0))
+    assert retry.endpoint.name != dispatch.endpoint.name
+
+
+@pytest.mark.parametrize("is_busy", [True, False])
+def test_only_an_engine_without_the_adapter_is_taken_for_one(is_busy):
+    gateway = start_gateway(engine(1, ("a1",)))
+    dispatches = [request(gateway, "/stream/x", "a1") for _ in range(2)]
+    turn_away(gateway, dispatches[0], 5.0)
+    if is_busy:
+        turn_away(gateway, dispatches[1], 5.0)
+    else:
+        gateway.end_attempt(
+            dispatches[1], ev.Outcome.NOT_RUN, status=421, notice=ev.EndpointNotice()
+        )
+    key = AdapterKey("base", "a1")
+    assert (key in gateway.state.endpoints["e1"].held) == is_busy
+
+
 def test_log_tells_of_a_pause():
     gateway = start_gateway(plain_endpoint(1))
     turn_away(gateway, request(gateway), 4.0)
