--- a/poplarhoist/entry/loop.py
+++ b/poplarhoist/entry/loop.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import eventlet
 import structlog
 from eventlet.queue import LightQueue
 
@@ -75,6 +76,17 @@
                 # The event has been applied and cannot be taken back. The log shows the cause.
                 self.log.exception("effect-failed", effect=type(effect).__name__)
 
+    def run_ticks(self, tick_type: type, interval_s: float) -> None:
+        """Submit a tick every `interval_s` seconds until the process ends."""
+        while True:
+            try:
+                self.submit(tick_type(self.event_time()))
+            except Exception:
+                # An exception in the reducer must not end this loop: every policy depends on the
+                # ticks. The log shows the cause.
+                self.log.exception("tick-failed")
+            eventlet.sleep(interval_s)
+
     def open_mailbox(self, request_id: str) -> LightQueue:
         """Create and return the mailbox for the effects of a request."""
         mailbox = self.mailboxes[request_id] = LightQueue()
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -85,20 +85,9 @@
             socket_timeout=self.site.interfaces.read_s,
             url_length_limit=MAX_REQUEST_LINE_BYTES,
         )
-        eventlet.spawn(self.run_ticks)
+        eventlet.spawn(self.core.run_ticks, ev.Tick, TICK_INTERVAL_S)
         eventlet.spawn(self.platform_effects.run_watch)
 
-    def run_ticks(self) -> None:
-        """Submit a tick to the decisions every ``TICK_INTERVAL_S``."""
-        while True:
-            try:
-                self.core.submit(ev.Tick(self.core.event_time()))
-            except Exception:
-                # An exception in the reducer must not end this loop: every policy depends on the
-                # ticks. The log shows the cause.
-                self.core.log.exception("tick-failed")
-            eventlet.sleep(TICK_INTERVAL_S)
-
     def drain(self) -> None:
         """Start draining; the decisions emit ``Stop`` once the entry is drained."""
         self.core.submit(ev.DrainAsked(self.core.event_time()))
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -184,7 +184,7 @@
         self.serve_status(ready_address.host, ready_address.port)
         self.serve_status(self.settings.host, self.settings.listen.inner_port)
         eventlet.spawn(self.peer_transport.run)
-        eventlet.spawn(self.run_ticks)
+        eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
         self.store_watcher.start(
             self.settings.name,
             self.settings.zone,
@@ -215,17 +215,6 @@
         start_response("404 Not Found", [])
         return [b""]
 
-    def run_ticks(self) -> None:
-        """Submit a Tick every `TICK_INTERVAL_S` until the process ends."""
-        while True:
-            try:
-                self.decision_loop.submit(ev.Tick(self.decision_loop.event_time()))
-            except Exception:
-                # An exception in the reducer must not end this loop: every policy depends on the
-                # ticks. The log shows the cause.
-                self.decision_loop.log.exception("tick-failed")
-            eventlet.sleep(TICK_INTERVAL_S)
-
     def reload(self) -> None:
         """Read the settings again and submit the limits; on faults keep the current ones."""
         try:
--- a/tests/test_faults_logged.py
+++ b/tests/test_faults_logged.py
@@ -8,11 +8,10 @@
 from structlog.testing import capture_logs
 
 from poplarhoist.clock import SystemClock
-from poplarhoist.decisions.effects import Count, LogChange
-from poplarhoist.entry.core import Core
+from poplarhoist.decisions.common_effects import Count, LogChange
+from poplarhoist.decisions.events import Tick
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
-from poplarhoist.entry.server import EntryServer
 from poplarhoist.entry.server_log import ServerLog
 
 HOST = "127.0.0.1"
@@ -110,11 +109,9 @@
             raise KeyError("missing")
         raise SystemExit
 
-    server = EntryServer.__new__(EntryServer)
     with capture_logs() as lines:
-        server.core = Core.__new__(Core)
-        DecisionLoop.__init__(server.core, None, SystemClock(), Metrics(), "entry-1", reduce, ())
+        loop = DecisionLoop(None, SystemClock(), Metrics(), "entry-1", reduce, ())
         with pytest.raises(SystemExit):
-            server.run_ticks()
+            loop.run_ticks(Tick, 0.0)
     assert [line["event"] for line in lines] == ["tick-failed"]
     assert len(ticks) == 2
