--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -204,6 +204,17 @@
         self.carry_out(name, effects)
         return request
 
+    def send_steadily(self, interval_s: float, *parts: str) -> list[SentRequest]:
+        """Send requests with these parts to all entries in turn from now on; return them."""
+        requests: list[SentRequest] = []
+
+        def send() -> None:
+            requests.append(self.send(self.names[len(requests) % len(self.names)], *parts))
+            self.call_in(interval_s, send)
+
+        send()
+        return requests
+
     def reach_engine(self, name: str, dispatch: fx.Dispatch) -> None:
         """Let an attempt reach its engine, which refuses the connection if it has crashed."""
         run = self.runs_by_name[dispatch.endpoint.name]
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -214,3 +214,28 @@
     found = effects_of(kind, effects)
     assert len(found) == 1, found
     return found[0]
+
+
+def start_gateway(*records: EndpointRecord) -> Gateway:
+    """Return an entry with two others, a configuration and these endpoints."""
+    gateway = Gateway(peers=("entry-2", "entry-3"))
+    gateway.configure()
+    gateway.list_endpoints(*records)
+    return gateway
+
+
+def send_request(
+    gateway: Gateway, path: str = "/read/x", adapter: str | None = None
+) -> fx.Dispatch:
+    """Let a request arrive that is sent at once."""
+    return only_effect(fx.Dispatch, gateway.request(path, adapter)[1])
+
+
+def endpoints_of(gateway: Gateway, count: int = 12) -> set[str]:
+    """Return the endpoints that get the next requests, which are answered at once."""
+    names = set()
+    for _ in range(count):
+        dispatch = send_request(gateway)
+        names.add(dispatch.endpoint.name)
+        gateway.end_attempt(dispatch, ev.Outcome.DONE)
+    return names
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -8,8 +8,17 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.gateway.peers import message_converter
-from tests.engine_site import EngineSite, SentRequest
-from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
+from tests.engine_site import EngineSite
+from tests.gateway import (
+    Gateway,
+    effects_of,
+    endpoints_of,
+    engine,
+    only_effect,
+    plain_endpoint,
+    send_request,
+    start_gateway,
+)
 
 LEAVING = ev.EndpointNotice(is_leaving=True)
 REQUEST_INTERVAL_S = 0.04
@@ -17,18 +26,6 @@
 UNDER_WAY_S = 0.01
 
 
-def start_gateway(*records) -> Gateway:
-    gateway = Gateway(peers=("entry-2", "entry-3"))
-    gateway.configure()
-    gateway.list_endpoints(*records)
-    return gateway
-
-
-def request(gateway: Gateway, path: str = "/read/x", adapter: str | None = None) -> fx.Dispatch:
-    """Let a request arrive that is sent at once."""
-    return only_effect(fx.Dispatch, gateway.request(path, adapter)[1])
-
-
 def begin_response(gateway: Gateway, dispatch: fx.Dispatch) -> list:
     """Let a response begin that says that its endpoint is stopping."""
     fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
@@ -52,23 +49,13 @@
     return gateway.receive("entry-2", message)
 
 
-def endpoints_of(gateway: Gateway, count: int = 12) -> set[str]:
-    """Return the endpoints that get the next requests, which are answered at once."""
-    names = set()
-    for _ in range(count):
-        dispatch = request(gateway)
-        names.add(dispatch.endpoint.name)
-        gateway.end_attempt(dispatch, ev.Outcome.DONE)
-    return names
-
-
 NEWS = pytest.mark.parametrize("learn", [begin_response, fail, turn_away, be_told])
 
 
 @NEWS
 def test_endpoint_that_leaves_gets_no_new_requests(learn):
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    dispatch = request(gateway)
+    dispatch = send_request(gateway)
     (other,) = {"d1", "d2"} - {dispatch.endpoint.name}
     learn(gateway, dispatch)
     assert endpoints_of(gateway) == {other}
@@ -79,7 +66,7 @@
 @NEWS
 def test_last_endpoint_that_leaves_is_not_used_in_need(learn):
     gateway = start_gateway(plain_endpoint(1))
-    learn(gateway, request(gateway))
+    learn(gateway, send_request(gateway))
     _, effects = gateway.request("/read/x")
     assert not effects_of(fx.Dispatch, effects + gateway.advance(1.0))
 
@@ -88,7 +75,7 @@
 @pytest.mark.parametrize("name", ["d1", "d2"])
 def test_new_run_or_another_endpoint_at_the_address_gets_requests(learn, name):
     gateway = start_gateway(plain_endpoint(1))
-    learn(gateway, request(gateway))
+    learn(gateway, send_request(gateway))
     number = int(name[1:])
     gateway.submit(ev.EndpointSeen, record=plain_endpoint(number, port=8001, incarnation=2))
     assert endpoints_of(gateway) == {name}
@@ -97,7 +84,7 @@
 @NEWS
 def test_news_of_an_earlier_run_does_not_concern_the_present_one(learn):
     gateway = start_gateway(plain_endpoint(1))
-    dispatch = request(gateway)
+    dispatch = send_request(gateway)
     gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=2))
     learn(gateway, dispatch)
     assert endpoints_of(gateway) == {"d1"}
@@ -105,7 +92,7 @@
 
 def test_what_runs_at_an_endpoint_that_leaves_goes_on_there():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    running = [request(gateway) for _ in range(6)]
+    running = [send_request(gateway) for _ in range(6)]
     first = next(d for d in running if d.endpoint.name == "d1")
     effects = begin_response(gateway, first) + gateway.advance(0.5)
     assert not effects_of(fx.Dispatch, effects) and not effects_of(fx.Refuse, effects)
@@ -116,7 +103,7 @@
 
 def test_stream_that_breaks_off_there_is_resumed_elsewhere():
     gateway = start_gateway(engine(1, ("a1",)), engine(2, ("a1",)))
-    dispatch = request(gateway, "/resume/x", "a1")
+    dispatch = send_request(gateway, "/resume/x", "a1")
     begin_response(gateway, dispatch)
     resumed = only_effect(
         fx.Dispatch, gateway.end_attempt(dispatch, ev.Outcome.BROKEN, delivered=True)
@@ -140,7 +127,7 @@
 
 def test_others_are_told_once():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    dispatches = [d for d in (request(gateway) for _ in range(8)) if d.endpoint.name == "d1"]
+    dispatches = [d for d in (send_request(gateway) for _ in range(8)) if d.endpoint.name == "d1"]
     for dispatch in dispatches:
         begin_response(gateway, dispatch)
     gateway.advance(5.0)
@@ -157,7 +144,7 @@
 
 def test_record_that_follows_says_nothing_new():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    begin_response(gateway, next(d for d in iter(lambda: request(gateway), None)))
+    begin_response(gateway, next(d for d in iter(lambda: send_request(gateway), None)))
     leaving = next(n for n, e in gateway.state.endpoints.items() if e.is_leaving)
     record = plain_endpoint(int(leaving[1:]), draining=True)
     gateway.submit(ev.EndpointSeen, record=record)
@@ -171,13 +158,7 @@
 def test_entry_that_passed_on_such_a_response_sends_nothing_more(entry_count, lost_share):
     site = EngineSite(entry_count, 4)
     site.lost_share = lost_share
-    requests: list[SentRequest] = []
-
-    def send() -> None:
-        requests.append(site.send(site.names[len(requests) % entry_count], "shared"))
-        site.call_in(REQUEST_INTERVAL_S, send)
-
-    send()
+    requests = site.send_steadily(REQUEST_INTERVAL_S, "shared")
     site.run(3.0)
     leaving = next(iter(site.runs_by_name.values()))
     leaving.is_leaving = True
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -7,8 +7,17 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.models import AdapterKey, Refused
-from tests.engine_site import EngineSite, SentRequest
-from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
+from tests.engine_site import EngineSite
+from tests.gateway import (
+    Gateway,
+    effects_of,
+    endpoints_of,
+    engine,
+    only_effect,
+    plain_endpoint,
+    send_request,
+    start_gateway,
+)
 
 # The users' bound: requests that may reach an endpoint from an entry, from this long after it turned
 # one away until the end of the time that it named.
@@ -18,40 +27,18 @@
 REQUEST_INTERVAL_S = 0.04
 
 
-def start_gateway(*records) -> Gateway:
-    gateway = Gateway(peers=("entry-2",))
-    gateway.configure()
-    gateway.list_endpoints(*records)
-    return gateway
-
-
 def turn_away(gateway: Gateway, dispatch: fx.Dispatch, seconds: float, **fields) -> list:
     """Let an endpoint turn a request away."""
     notice = ev.EndpointNotice(retry_after_s=seconds)
     return gateway.end_attempt(dispatch, ev.Outcome.NOT_RUN, status=503, notice=notice, **fields)
 
 
-def request(gateway: Gateway, path: str = "/read/x", adapter: str | None = None) -> fx.Dispatch:
-    """Let a request arrive that is sent at once."""
-    return only_effect(fx.Dispatch, gateway.request(path, adapter)[1])
-
-
-def endpoints_of(gateway: Gateway, count: int = 12) -> set[str]:
-    """Return the endpoints that get the next requests, which are answered at once."""
-    names = set()
-    for _ in range(count):
-        dispatch = request(gateway)
-        names.add(dispatch.endpoint.name)
-        gateway.end_attempt(dispatch, ev.Outcome.DONE)
-    return names
-
-
 @pytest.mark.parametrize(
     ("seconds", "pause_s"), [(2.0, 2.0), (0.3, 0.3), (30.0, 30.0), (1e9, MAX_PAUSE_S)]
 )
 def test_endpoint_gets_nothing_until_the_time_that_it_named(seconds, pause_s):
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    dispatch = request(gateway)
+    dispatch = send_request(gateway)
     away = dispatch.endpoint.name
     (other,) = {"d1", "d2"} - {away}
     retry = only_effect(fx.Dispatch, turn_away(gateway, dispatch, seconds))
@@ -68,7 +55,7 @@
 @pytest.mark.parametrize("path", ["/read/x", "/once/x"])
 def test_pause_holds_whether_or_not_the_request_may_be_sent_again(path, outcome):
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    dispatch = request(gateway, path)
+    dispatch = send_request(gateway, path)
     notice = ev.EndpointNotice(retry_after_s=5.0)
     effects = gateway.end_attempt(dispatch, outcome, status=503, notice=notice)
     may_repeat = outcome is ev.Outcome.NOT_RUN or path == "/read/x"
@@ -78,7 +65,7 @@
 
 def test_later_shorter_time_does_not_end_a_pause_early():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
-    dispatches = [request(gateway) for _ in range(8)]
+    dispatches = [send_request(gateway) for _ in range(8)]
     first, second = [d for d in dispatches if d.endpoint.name == "d1"][:2]
     turn_away(gateway, first, 5.0)
     turn_away(gateway, second, 0.5)
@@ -88,14 +75,14 @@
 
 def test_endpoint_that_has_restarted_gets_requests_again():
     gateway = start_gateway(plain_endpoint(1))
-    turn_away(gateway, request(gateway), 30.0)
+    turn_away(gateway, send_request(gateway), 30.0)
     gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=2))
     assert endpoints_of(gateway) == {"d1"}
 
 
 def test_answer_of_an_earlier_run_does_not_pause_the_endpoint():
     gateway = start_gateway(plain_endpoint(1))
-    dispatch = request(gateway)
+    dispatch = send_request(gateway)
     gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=2))
     turn_away(gateway, dispatch, 30.0)
     assert endpoints_of(gateway) == {"d1"}
@@ -104,7 +91,7 @@
 def test_caller_is_refused_at_once_when_no_endpoint_comes_back_in_time():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
     for seconds in (20.0, 8.0):
-        dispatch = request(gateway)
+        dispatch = send_request(gateway)
         turn_away(gateway, dispatch, seconds)
         gateway.advance(0.2)
     times_s = set()
@@ -118,7 +105,7 @@
 
 def test_request_waits_for_an_endpoint_that_comes_back_very_soon():
     gateway = start_gateway(plain_endpoint(1))
-    turn_away(gateway, request(gateway), 0.02)
+    turn_away(gateway, send_request(gateway), 0.02)
     _, effects = gateway.request("/read/x")
     sent = effects_of(fx.Dispatch, effects + gateway.advance(0.2))
     assert not effects_of(fx.Refuse, gateway.effects)
@@ -132,7 +119,9 @@
     _, effects = gateway.request("/stream/x", "cold")
     asked = effects_of(fx.SendPeer, effects)[0].message.engine
     dispatch = next(
-        d for d in (request(gateway, "/stream/x", "") for _ in range(6)) if d.endpoint.name == asked
+        d
+        for d in (send_request(gateway, "/stream/x", "") for _ in range(6))
+        if d.endpoint.name == asked
     )
     turn_away(gateway, dispatch, 5.0)
     gateway.receive("entry-2", messages.View(asked, {"base": 1}, {"base/cold": 0.1}, 0, 0, 3))
@@ -144,7 +133,7 @@
 
 def test_engine_that_wants_no_pause_does_not_get_the_same_request_again():
     gateway = start_gateway(engine(1, ("a1",)), engine(2, ("a1",)))
-    dispatch = request(gateway, "/stream/x", "a1")
+    dispatch = send_request(gateway, "/stream/x", "a1")
     retry = only_effect(fx.Dispatch, turn_away(gateway, dispatch, 0.0))
     assert retry.endpoint.name != dispatch.endpoint.name
 
@@ -152,7 +141,7 @@
 @pytest.mark.parametrize("is_busy", [True, False])
 def test_only_an_engine_without_the_adapter_is_taken_for_one(is_busy):
     gateway = start_gateway(engine(1, ("a1",)))
-    dispatches = [request(gateway, "/stream/x", "a1") for _ in range(2)]
+    dispatches = [send_request(gateway, "/stream/x", "a1") for _ in range(2)]
     turn_away(gateway, dispatches[0], 5.0)
     if is_busy:
         turn_away(gateway, dispatches[1], 5.0)
@@ -166,7 +155,7 @@
 
 def test_log_tells_of_a_pause():
     gateway = start_gateway(plain_endpoint(1))
-    turn_away(gateway, request(gateway), 4.0)
+    turn_away(gateway, send_request(gateway), 4.0)
     (change,) = [c for c in effects_of(LogChange, gateway.effects) if c.change == "endpoint-paused"]
     assert change.fields == {"endpoint": "d1", "seconds": 4.0}
 
@@ -174,13 +163,7 @@
 @pytest.mark.parametrize("entry_count", [1, 9])
 def test_half_of_the_engines_turning_requests_away_makes_no_wave_of_retries(entry_count):
     site = EngineSite(entry_count, 6)
-    requests: list[SentRequest] = []
-
-    def send() -> None:
-        requests.append(site.send(site.names[len(requests) % entry_count], "shared"))
-        site.call_in(REQUEST_INTERVAL_S, send)
-
-    send()
+    requests = site.send_steadily(REQUEST_INTERVAL_S, "shared")
     site.run(2.0)
     busy = list(site.runs_by_name.values())[:3]
     for seconds in (3.0, 2.0):
--- a/tests/test_gateway_request_limits.py
+++ b/tests/test_gateway_request_limits.py
@@ -12,7 +12,7 @@
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.models import Refused
 from poplarhoist.gateway.peers import message_converter
-from tests.engine_site import EngineRun, EngineSite, SentRequest
+from tests.engine_site import EngineRun, EngineSite
 from tests.gateway import Gateway, effects_of, engine, only_effect, plain_endpoint
 
 # The users' bounds: in any window of this length, from this long after a limit was first named, an
@@ -45,19 +45,13 @@
 
     def __init__(self, limits: tuple[float, ...], entry_count: int = 9) -> None:
         self.site = EngineSite(entry_count, ENGINE_COUNT)
-        self.requests: list[SentRequest] = []
-        self.send()
+        self.requests = self.site.send_steadily(REQUEST_INTERVAL_S, "shared")
         self.site.run(2.0)
         self.limited_runs = list(self.site.runs_by_name.values())[: len(limits)]
         self.named_at = self.site.at
         for run, limit in zip(self.limited_runs, limits, strict=True):
             run.requests_per_s = limit
 
-    def send(self) -> None:
-        name = self.site.names[len(self.requests) % len(self.site.names)]
-        self.requests.append(self.site.send(name, "shared"))
-        self.site.call_in(REQUEST_INTERVAL_S, self.send)
-
 
 def run_plain(site: EngineSite) -> None:
     site.run(30.0)
