The test of streams cut short does not wait for a load

In a trial with orders that take 1.5 s, most cases show the same: the request is refused with 503, no place for the adapter, as it should be. With slow orders all cases pass.

--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -147,11 +147,20 @@
 ]
 
 
+def let_engines_hold_the_adapter(site) -> None:
+    """Let both engines hold a1, so that no load comes before a stream."""
+    for name in ("e1", "e2"):
+        site.endpoints[name].adapters["a1"] = 1
+    site.register_endpoints("e1", "e2")
+    time.sleep(1.0)
+
+
 @pytest.mark.parametrize(("framing", "fault"), BROKEN_STREAM_CASES)
 def test_stream_cut_short_is_not_passed_on_as_complete(site, framing, fault):
     for name in ("e1", "e2"):
         site.endpoints[name].faults = [fault]
         site.endpoints[name].stream_framing = framing
+    let_engines_hold_the_adapter(site)
     with pytest.raises(http.client.IncompleteRead):
         pytest.fail(f"whole: {site.send_request('/stream/x', 'a1')}\n{site.log_path.read_text()}")
     assert sum(len(site.endpoints[name].requests) for name in ("e1", "e2")) == 1
@@ -165,11 +174,9 @@
 ):
     shared_faults = [fault]
     for name in ("e1", "e2"):
-        site.endpoints[name].adapters["a1"] = 1
         site.endpoints[name].faults = shared_faults
         site.endpoints[name].stream_framing = framing
-    site.register_endpoints("e1", "e2")
-    time.sleep(1.0)
+    let_engines_hold_the_adapter(site)
     status, _, data = site.send_request(path, "a1")
     assert status == expected
     assert expected != 200 or data == FULL_STREAM
