--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -186,6 +186,7 @@
 def test_whole_stream_without_chunks_is_passed_on_as_complete(site, framing):
     for name in ("e1", "e2"):
         site.endpoints[name].stream_framing = framing
+    let_engines_hold_the_adapter(site)
     status, _, data = site.send_request("/stream/x", "a1")
     assert (status, data) == (200, FULL_STREAM)
 
@@ -197,6 +198,7 @@
     """HTTP/1.0 has no chunks: an orderly close would end the stream as complete."""
     for name in ("e1", "e2"):
         site.endpoints[name].faults = [fault] if fault else []
+    let_engines_hold_the_adapter(site)
     head = "POST /stream/x HTTP/1.0\r\nHost: host.test\r\nX-Request-Id: old\r\nX-Model: base/a1\r\n\r\n"
     with socket.create_connection((HOST, site.port), timeout=10) as caller:
         caller.sendall(head.encode())
@@ -215,6 +217,7 @@
 def test_response_that_is_no_event_stream_is_passed_on_from_a_streaming_route(site, path):
     for name in ("e1", "e2"):
         site.endpoints[name].faults = ["json"]
+    let_engines_hold_the_adapter(site)
     status, _, data = site.send_request(path, "a1")
     assert (status, data) == (200, b'{"text": "plan"}')
 
