--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -2,11 +2,13 @@
 
 import orjson
 import pytest
+from attrs import evolve
 
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.models import EndpointRecord
 from poplarhoist.gateway.peers import message_converter
 from tests.engine_site import EngineSite
 from tests.gateway import (
@@ -81,6 +83,64 @@
     assert endpoints_of(gateway) == {name}
 
 
+def read_draining_record(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let the endpoint's record say that it is stopping."""
+    record = evolve(dispatch.endpoint, draining=True)
+    return gateway.submit(ev.EndpointSeen, record=record)
+
+
+def lose_record(gateway: Gateway, record: EndpointRecord) -> None:
+    """Let the record expire."""
+    gateway.submit(ev.EndpointRemoved, name=record.name)
+
+
+def list_without_record(gateway: Gateway, record: EndpointRecord) -> None:
+    """Let the list of all records lack this one."""
+    names = frozenset(gateway.state.endpoints) - {record.name}
+    gateway.submit(ev.EndpointsListed, names=names)
+
+
+def lose_store(gateway: Gateway, record: EndpointRecord) -> None:
+    """Let the store fail, and return without the record for longer than endpoints are kept."""
+    gateway.submit(ev.StoreAvailabilityChanged, available=False)
+    lose_record(gateway, record)
+    gateway.submit(ev.StoreAvailabilityChanged, available=True)
+    gateway.advance(3.0)
+
+
+def keep_record(gateway: Gateway, record: EndpointRecord) -> None:
+    """Do nothing: an earlier record is read later."""
+
+
+ALL_NEWS = pytest.mark.parametrize(
+    "learn", [begin_response, fail, turn_away, be_told, read_draining_record]
+)
+
+
+@ALL_NEWS
+@pytest.mark.parametrize("lose", [keep_record, lose_record, list_without_record, lose_store])
+def test_run_that_leaves_is_not_used_when_an_earlier_record_of_it_returns(learn, lose):
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    dispatch = send_request(gateway)
+    (other,) = {"d1", "d2"} - {dispatch.endpoint.name}
+    learn(gateway, dispatch)
+    gateway.end_attempt(dispatch, ev.Outcome.DONE)
+    lose(gateway, dispatch.endpoint)
+    gateway.submit(ev.EndpointSeen, record=dispatch.endpoint)
+    assert endpoints_of(gateway) == {other}
+
+
+@NEWS
+def test_run_that_says_it_leaves_while_its_record_is_gone_is_not_used_later(learn):
+    gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
+    dispatch = send_request(gateway)
+    (other,) = {"d1", "d2"} - {dispatch.endpoint.name}
+    lose_record(gateway, dispatch.endpoint)
+    learn(gateway, dispatch)
+    gateway.submit(ev.EndpointSeen, record=dispatch.endpoint)
+    assert endpoints_of(gateway) == {other}
+
+
 @NEWS
 def test_news_of_an_earlier_run_does_not_concern_the_present_one(learn):
     gateway = start_gateway(plain_endpoint(1))
