Log which run of an endpoint leaves and what told; sent names the run

Without the run and the source, a request at an engine that leaves cannot be told from one at its next run, nor an answer that was not looked at from one that was forgotten.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -50,7 +50,7 @@
     if record.software_version != previous.software_version:
         streams.record_departure(state, previous, event.at)
     if endpoint.is_leaving and not was_leaving:
-        log_endpoint("endpoint-leaving", record, effects)
+        log_endpoint("endpoint-leaving", record, effects, source="record")
     if (previous.service, was_leaving) != (record.service, endpoint.is_leaving):
         rebuild_service_index(state)
     if event.at - endpoint.lead_view_at > LEAD_VIEW_FRESH_S:
@@ -61,7 +61,7 @@
 
 def on_said_leaving(state: GatewayState, endpoint: EndpointState, effects: list) -> None:
     """Apply that a response says that its endpoint is stopping, and tell the others if it is new."""
-    if set_said_leaving(state, endpoint, effects):
+    if set_said_leaving(state, endpoint, "response", effects):
         record = endpoint.record
         tell_others(state, EndpointLeaving(record.name, record.incarnation), effects)
 
@@ -70,20 +70,22 @@
     """Apply that another entry has got such a response."""
     endpoint = state.find_run(message.endpoint, message.incarnation)
     if endpoint is not None:
-        set_said_leaving(state, endpoint, effects)
+        set_said_leaving(state, endpoint, "entry", effects)
 
 
-def set_said_leaving(state: GatewayState, endpoint: EndpointState, effects: list) -> bool:
+def set_said_leaving(
+    state: GatewayState, endpoint: EndpointState, source: str, effects: list
+) -> bool:
     """Record that an endpoint has said that it is stopping; return whether that is new.
 
-    Its record may say so already.
+    Its record may say so already. The source, an answer of the endpoint or another entry, is logged.
     """
     if endpoint.has_said_leaving:
         return False
     was_leaving = endpoint.is_leaving
     endpoint.has_said_leaving = True
     if not was_leaving:
-        log_endpoint("endpoint-leaving", endpoint.record, effects)
+        log_endpoint("endpoint-leaving", endpoint.record, effects, source=source)
         rebuild_service_index(state)
     return True
 
@@ -178,13 +180,15 @@
     state.rankings.clear()
 
 
-def log_endpoint(change: str, record: EndpointRecord, effects: list) -> None:
-    """Log a change of an endpoint."""
+def log_endpoint(change: str, record: EndpointRecord, effects: list, **more_fields: object) -> None:
+    """Log a change of an endpoint; keyword arguments are further fields."""
     fields = {
         "endpoint": record.name,
         "service": record.service,
         "zone": record.zone,
         "software": record.software_version,
+        "incarnation": record.incarnation,
+        **more_fields,
     }
     effects.append(LogChange(change, fields))
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -220,6 +220,7 @@
         "caller_id": request.caller_id,
         "attempt": request.attempt,
         "endpoint": endpoint.record.name,
+        "incarnation": endpoint.record.incarnation,
         "software": endpoint.record.software_version,
         "content": request.content_digest,
         "limit_per_s": endpoint.limit.requests_per_s,
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -202,6 +202,20 @@
     assert received == told[0][1]
 
 
+@pytest.mark.parametrize(
+    ("learn", "source"),
+    [(begin_response, "response"), (be_told, "entry"), (read_draining_record, "record")],
+)
+def test_log_tells_who_said_which_run_leaves(learn, source):
+    gateway = start_gateway(plain_endpoint(1, incarnation=7))
+    dispatch = send_request(gateway)
+    changes = effects_of(LogChange, learn(gateway, dispatch))
+    (fields,) = [change.fields for change in changes if change.change == "endpoint-leaving"]
+    assert (fields["endpoint"], fields["incarnation"], fields["source"]) == ("d1", 7, source)
+    sent = [e.fields for e in effects_of(fx.LogRequest, gateway.effects) if e.decision == "sent"]
+    assert [fields["incarnation"] for fields in sent] == [7]
+
+
 def test_record_that_follows_says_nothing_new():
     gateway = start_gateway(plain_endpoint(1), plain_endpoint(2))
     begin_response(gateway, next(d for d in iter(lambda: send_request(gateway), None)))
