A run of an endpoint that leaves is remembered beyond its record

Callers: a request could be sent to an endpoint that had said it is leaving, and be cut off. Cause: what a run had said lived in the state of its record. The record of a run expires and comes back (a failure of the store), is read in an earlier version, or is gone while the response that says it arrives; each time the entry forgot, or dropped it. Class: a fact about one thing (the run) kept with the life of another (its record). Change: runs that leave are kept by name and incarnation, with or without a record, for ten minutes; records of a known run do not take it back. Runs of unknown start are forgotten with their record, as they cannot be told from the next.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -26,6 +26,9 @@
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
 # record, which is written once per heartbeat interval and read some hundred milliseconds later.
 LEAD_VIEW_FRESH_S = 2.5
+# Seconds for which a run that is stopping is remembered after its record is gone. It ends within
+# seconds, at times many.
+LEAVING_MEMORY_S = 600.0
 # Weight of the latest result in the moving error rate; about the last ten results count.
 ERROR_RATE_WEIGHT = 0.1
 
@@ -33,12 +36,18 @@
 def on_seen(state: GatewayState, event: EndpointSeen, effects: list) -> None:
     """Apply a new or changed record of an endpoint."""
     record = event.record
+    # A run of unknown start cannot be told from the next one.
+    if record.draining and record.incarnation:
+        remember_leaving(state, record.name, record.incarnation, event.at)
     endpoint = state.endpoints.get(record.name)
     if endpoint is None:
         endpoint = EndpointState(record, event.at, held=dict(record.held or {}))
         state.endpoints[record.name] = endpoint
-        rebuild_service_index(state)
         log_endpoint("endpoint-new", record, effects)
+        endpoint.is_leaving = is_known_leaving(state, record)
+        if endpoint.is_leaving:
+            log_endpoint("endpoint-leaving", record, effects, source="record")
+        rebuild_service_index(state)
         return
     previous, was_leaving = endpoint.record, endpoint.is_leaving
     endpoint.record = record
@@ -47,6 +56,7 @@
         crashes.on_endpoint_crashed(state, previous, event.at, effects)
         reset_endpoint(endpoint)
         log_endpoint("endpoint-restarted", record, effects)
+    endpoint.is_leaving = is_known_leaving(state, record)
     if record.software_version != previous.software_version:
         streams.record_departure(state, previous, event.at)
     if endpoint.is_leaving and not was_leaving:
@@ -59,35 +69,60 @@
         record_warm(endpoint.warm_adapters, record.held or {})
 
 
-def on_said_leaving(state: GatewayState, endpoint: EndpointState, effects: list) -> None:
+def on_said_leaving(
+    state: GatewayState, name: str, incarnation: int, at: float, effects: list
+) -> None:
     """Apply that a response says that its endpoint is stopping, and tell the others if it is new."""
-    if set_said_leaving(state, endpoint, "response", effects):
-        record = endpoint.record
-        tell_others(state, EndpointLeaving(record.name, record.incarnation), effects)
+    if set_leaving(state, name, incarnation, "response", at, effects):
+        tell_others(state, EndpointLeaving(name, incarnation), effects)
 
 
-def on_told_leaving(state: GatewayState, message: EndpointLeaving, effects: list) -> None:
+def on_told_leaving(
+    state: GatewayState, message: EndpointLeaving, at: float, effects: list
+) -> None:
     """Apply that another entry has got such a response."""
-    endpoint = state.find_run(message.endpoint, message.incarnation)
-    if endpoint is not None:
-        set_said_leaving(state, endpoint, "entry", effects)
+    set_leaving(state, message.endpoint, message.incarnation, "entry", at, effects)
 
 
-def set_said_leaving(
-    state: GatewayState, endpoint: EndpointState, source: str, effects: list
+def set_leaving(
+    state: GatewayState, name: str, incarnation: int, source: str, at: float, effects: list
 ) -> bool:
-    """Record that an endpoint has said that it is stopping; return whether that is new.
+    """Record that a run of an endpoint has said that it is stopping; return whether that is new.
 
     Its record may say so already. The source, an answer of the endpoint or another entry, is logged.
     """
-    if endpoint.has_said_leaving:
-        return False
-    was_leaving = endpoint.is_leaving
-    endpoint.has_said_leaving = True
-    if not was_leaving:
+    is_new = remember_leaving(state, name, incarnation, at)
+    endpoint = state.find_run(name, incarnation)
+    if endpoint is not None and not endpoint.is_leaving:
+        endpoint.is_leaving = True
         log_endpoint("endpoint-leaving", endpoint.record, effects, source=source)
         rebuild_service_index(state)
-    return True
+    return is_new
+
+
+def remember_leaving(state: GatewayState, name: str, incarnation: int, at: float) -> bool:
+    """Remember that a run of an endpoint is stopping; return whether that is new.
+
+    It outlives the record of the run: that may expire and come back, and an earlier one may be read
+    later.
+    """
+    is_new = (name, incarnation) not in state.leaving_runs
+    state.leaving_runs.setdefault((name, incarnation), at)
+    return is_new
+
+
+def is_known_leaving(state: GatewayState, record: EndpointRecord) -> bool:
+    """Return whether the run that a record describes is stopping."""
+    return record.draining or (record.name, record.incarnation) in state.leaving_runs
+
+
+def forget_leaving(state: GatewayState, at: float) -> None:
+    """Forget runs that have ended by now."""
+    for name, incarnation in list(state.leaving_runs):
+        if at - state.leaving_runs[name, incarnation] <= LEAVING_MEMORY_S:
+            break
+        if state.find_run(name, incarnation) is None:
+            del state.leaving_runs[name, incarnation]
 
 
 def on_removed(state: GatewayState, event: EndpointRemoved, effects: list) -> None:
@@ -118,6 +153,7 @@
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Drop endpoints that are still missing `REREGISTRATION_S` after the store's return."""
+    forget_leaving(state, at)
     if state.store_unavailable:
         return
     for name, endpoint in list(state.endpoints.items()):
@@ -145,6 +181,7 @@
 def remove_endpoint(state: GatewayState, name: str, at: float, effects: list) -> None:
     """Remove an endpoint, its slot table and its pending asks; requests in flight continue."""
     endpoint = state.endpoints.pop(name)
+    state.leaving_runs.pop((name, 0), None)
     streams.record_departure(state, endpoint.record, at)
     crashes.on_endpoint_crashed(state, endpoint.record, at, effects)
     state.slot_tables.pop(name, None)
@@ -164,7 +201,6 @@
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
-    endpoint.has_said_leaving = False
     endpoint.paused_until = float("-inf")
 
 
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -113,7 +113,7 @@
         case messages.RequestLimit():
             request_limits.on_told(state, message, at, effects)
         case messages.EndpointLeaving():
-            endpoints.on_told_leaving(state, message, effects)
+            endpoints.on_told_leaving(state, message, at, effects)
         case messages.News():
             gossip.on_news(message, effects)
         case messages.StreamBegan():
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -322,10 +322,10 @@
         request.response_started_at = event.at
     request.response_started = True
     streams.on_first_bytes(state, request, event.at, effects)
+    apply_notice(state, request, event.notice, event.at, effects)
     endpoint = state.endpoints.get(request.endpoint_name)
     if endpoint is None:
         return
-    apply_notice(state, request, endpoint, event.notice, event.at, effects)
     endpoint.prefill_tokens_by_request.pop(request.request_id, None)
     if event.running >= 0:
         endpoint.reported_load = event.running + max(0, event.waiting)
@@ -338,18 +338,18 @@
 
 
 def apply_notice(
-    state: GatewayState,
-    request: RequestState,
-    endpoint: EndpointState,
-    notice: EndpointNotice,
-    at: float,
-    effects: list,
+    state: GatewayState, request: RequestState, notice: EndpointNotice, at: float, effects: list
 ) -> None:
-    """Apply what the head of a response says of its endpoint, unless that has restarted since."""
-    if request.attempt_incarnation != endpoint.record.incarnation:
-        return
+    """Apply what the head of a response says of the run of the endpoint that sent it.
+
+    A limit or a pause concerns the present run only.
+    """
+    name, incarnation = request.endpoint_name, request.attempt_incarnation
     if notice.is_leaving:
-        endpoints.on_said_leaving(state, endpoint, effects)
+        endpoints.on_said_leaving(state, name, incarnation, at, effects)
+    endpoint = state.find_run(name, incarnation)
+    if endpoint is None:
+        return
     pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
     request_limits.on_notice(
         state, endpoint, notice.requests_per_s, request.attempt_sent_at, at, effects
@@ -365,8 +365,8 @@
     effects.append(Count("attempt_ended", (event.outcome,)))
     if event.reason in BOUND_REASONS:
         effects.append(Count("response_past_bound", (event.reason,)))
-    if endpoint is not None and event.notice is not None:
-        apply_notice(state, request, endpoint, event.notice, event.at, effects)
+    if event.notice is not None:
+        apply_notice(state, request, event.notice, event.at, effects)
     if endpoint is not None:
         record_endpoint_result(state, request, endpoint, event, effects)
     if request.caller_disconnected or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -91,8 +91,8 @@
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
     limit : LimitState
         Limit on its requests that the endpoint names.
-    has_said_leaving : bool
-        Whether this run of the endpoint has said in a response that it is stopping.
+    is_leaving : bool
+        Whether this run of the endpoint is stopping and takes no new requests.
     paused_until : float
         Until this time the endpoint wants no requests from this entry.
     checked_at : float
@@ -122,15 +122,10 @@
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
-    has_said_leaving: bool = False
+    is_leaving: bool = False
     paused_until: float = float("-inf")
     checked_at: float = float("-inf")
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the endpoint is stopping and takes no new requests."""
-        return self.record.draining or self.has_said_leaving
-
 
 class Stage(enum.StrEnum):
     """Whether a request waits in this entry or runs at an endpoint."""
@@ -491,6 +486,9 @@
         Name of this entry, and the id of this process.
     regions : dict
         Region by availability zone.
+    leaving_runs : dict
+        Runs of endpoints that are stopping, whether they have a record or not, and when this entry
+        learned of it; by name and incarnation, oldest first.
     rankings : dict
         Cached rendezvous rankings of engines, by service and adapter.
     endpoints_listed, entries_listed, leads_listed : bool
@@ -543,6 +541,7 @@
     routes_by_host: dict[str, list[Route]] = field(factory=dict)
     endpoints: dict[str, EndpointState] = field(factory=dict)
     endpoints_by_service: dict[str, list[str]] = field(factory=dict)
+    leaving_runs: dict[tuple[str, int], float] = field(factory=dict)
     rankings: dict[tuple[str, AdapterKey], tuple[str, ...]] = field(factory=dict)
     endpoints_listed: bool = False
     entries_listed: bool = False
