An endpoint that leaves may say so in any answer, before any body

Callers: a request could be sent to an engine that had told this entry in a report, or in its answer to an order, that it is leaving; or in a head whose body was slow or never came. Cause: the notice was read by the code of callers' responses alone, and only with the first byte of the body or at the end of the attempt. Class: an instruction of a peer that is heard or not by the call that happens to bring it. Change: one event, EndpointSaidLeaving, from the head of every answer: responses, reports, orders, checks; and a report whose state says so. EndpointNotice keeps limits and pauses, which concern callers' requests.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -7,7 +7,12 @@
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway import crashes, pauses, request_limits, streams
 from poplarhoist.decisions.gateway.broadcast import tell_others
-from poplarhoist.decisions.gateway.events import EndpointRemoved, EndpointSeen, EndpointsListed
+from poplarhoist.decisions.gateway.events import (
+    EndpointRemoved,
+    EndpointSaidLeaving,
+    EndpointSeen,
+    EndpointsListed,
+)
 from poplarhoist.decisions.gateway.limits import (
     AVOID_BACKOFF_S,
     MAX_AVOID_BACKOFF_S,
@@ -69,18 +74,16 @@
         record_warm(endpoint.warm_adapters, record.held or {})
 
 
-def on_said_leaving(
-    state: GatewayState, name: str, incarnation: int, at: float, effects: list
-) -> None:
-    """Apply that a response says that its endpoint is stopping, and tell the others if it is new."""
-    if set_leaving(state, name, incarnation, "response", at, effects):
-        tell_others(state, EndpointLeaving(name, incarnation), effects)
+def on_said_leaving(state: GatewayState, event: EndpointSaidLeaving, effects: list) -> None:
+    """Apply that an answer says that its endpoint is stopping, and tell the others if it is new."""
+    if set_leaving(state, event.name, event.incarnation, "answer", event.at, effects):
+        tell_others(state, EndpointLeaving(event.name, event.incarnation), effects)
 
 
 def on_told_leaving(
     state: GatewayState, message: EndpointLeaving, at: float, effects: list
 ) -> None:
-    """Apply that another entry has got such a response."""
+    """Apply that another entry has got such an answer."""
     set_leaving(state, message.endpoint, message.incarnation, "entry", at, effects)
 
 
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -187,13 +187,25 @@
         limit.
     retry_after_s : float or None
         Seconds for which the endpoint wants no requests from this entry; None if it does not say.
-    is_leaving : bool
-        Whether the endpoint says that it is stopping.
     """
 
     requests_per_s: float | None = None
     retry_after_s: float | None = None
-    is_leaving: bool = False
+
+
+@frozen
+class EndpointSaidLeaving:
+    """An answer of an endpoint, of any kind, says that the endpoint is stopping.
+
+    Attributes
+    ----------
+    incarnation : int
+        Run of the endpoint that was asked.
+    """
+
+    at: float
+    name: str
+    incarnation: int
 
 
 @frozen
@@ -405,6 +417,7 @@
     | EndpointSeen
     | EndpointRemoved
     | EndpointsListed
+    | EndpointSaidLeaving
     | VersionSeen
     | EntryRecordChanged
     | EntriesListed
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -152,7 +152,7 @@
 
 @frozen
 class EndpointLeaving:
-    """Says that an endpoint is stopping, as a response of this run of it has said."""
+    """Says that an endpoint is stopping, as an answer of this run of it has said."""
 
     endpoint: str
     incarnation: int
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -202,12 +202,15 @@
         Version by base model and adapter that is loaded.
     loading : dict
         Version by adapter that is being loaded.
+    draining : bool
+        Whether the engine is stopping.
     """
 
     incarnation: int
     accepted_orders: int
     held: dict[AdapterKey, int]
     loading: dict[AdapterKey, int]
+    draining: bool = False
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -223,6 +223,7 @@
     ev.EndpointSeen: endpoints.on_seen,
     ev.EndpointRemoved: endpoints.on_removed,
     ev.EndpointsListed: endpoints.on_listed,
+    ev.EndpointSaidLeaving: endpoints.on_said_leaving,
     ev.VersionSeen: on_version,
     ev.EntryRecordChanged: leads.on_entry,
     ev.EntriesListed: leads.on_entries_listed,
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -340,14 +340,8 @@
 def apply_notice(
     state: GatewayState, request: RequestState, notice: EndpointNotice, at: float, effects: list
 ) -> None:
-    """Apply what the head of a response says of the run of the endpoint that sent it.
-
-    A limit or a pause concerns the present run only.
-    """
-    name, incarnation = request.endpoint_name, request.attempt_incarnation
-    if notice.is_leaving:
-        endpoints.on_said_leaving(state, name, incarnation, at, effects)
-    endpoint = state.find_run(name, incarnation)
+    """Apply what the head of a response says of its endpoint, unless that has restarted since."""
+    endpoint = state.find_run(request.endpoint_name, request.attempt_incarnation)
     if endpoint is None:
         return
     pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -305,12 +305,14 @@
 
 
 def request_bounded(
-    pool, method: str, url: str, total_s: float, max_bytes: int, **options
+    pool, method: str, url: str, total_s: float, max_bytes: int, on_head=None, **options
 ) -> tuple[int, bytes]:
     """Make a call whose whole response must arrive in time; return its status and body.
 
     Parameters
     ----------
+    on_head : callable or None
+        Is called with the headers of the response as soon as they have arrived.
     total_s : float
         Seconds for the whole exchange. The timeout of a pool holds for each read only.
     max_bytes : int
@@ -326,4 +328,6 @@
         response = pool.request(
             method, url, preload_content=False, redirect=False, retries=False, **options
         )
+        if on_head is not None:
+            on_head(response.headers)
         return response.status, read_bounded(response, max_bytes)
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -52,15 +52,22 @@
         )
 
     def request(
-        self, record, method: str, path: str, headers, body: bytes | None
+        self, record: EndpointRecord, method: str, path: str, headers, body: bytes | None
     ) -> tuple[int, bytes]:
         """Make an HTTP call to an engine and return the status and body of the response.
 
+        If the head of the response says that the engine is stopping, that is submitted at once.
+
         Raises
         ------
         urllib3.exceptions.HTTPError
             If no whole response arrived in time.
         """
+
+        def check_leaving(response_headers) -> None:
+            if self.dialect.says_leaving(response_headers.items()):
+                self.submit_leaving(record)
+
         pool = single_use_pool(socket_options=socket_options(CALL_TIMEOUT_S))
         try:
             return request_bounded(
@@ -69,6 +76,7 @@
                 f"http://{record.host}:{record.port}{path}",
                 RESPONSE_TIMEOUT_S,
                 MAX_RESPONSE_BYTES,
+                check_leaving,
                 body=body,
                 headers=dict(headers),
                 timeout=Timeout(total=CALL_TIMEOUT_S),
@@ -76,6 +84,12 @@
         finally:
             pool.clear()
 
+    def submit_leaving(self, record: EndpointRecord) -> None:
+        """Submit that an engine has said that it is stopping."""
+        self.decision_loop.submit(
+            ev.EndpointSaidLeaving(self.decision_loop.event_time(), record.name, record.incarnation)
+        )
+
     def send_order(self, effect: SendOrder) -> None:
         """Send an order and submit how it ended.
 
@@ -112,7 +126,12 @@
         """
         headers = self.dialect.build_report_headers(record)
         code, body = self.request(record, "GET", self.dialect.report_path(), headers, None)
-        return code, self.dialect.decode_report(body) if code == HTTPStatus.OK else None
+        if code != HTTPStatus.OK:
+            return code, None
+        report = self.dialect.decode_report(body)
+        if report.draining:
+            self.submit_leaving(record)
+        return code, report
 
     def read_report(self, effect: ReadReport) -> None:
         """Read an engine's report and submit it; None if it did not arrive or cannot be decoded."""
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -20,6 +20,7 @@
 from poplarhoist.decisions.gateway.events import (
     BodyEnd,
     EndpointNotice,
+    EndpointSaidLeaving,
     Framing,
     Outcome,
     ResponseStarted,
@@ -251,6 +252,14 @@
         """
         status = self.response.status
         self.response_head = self.dialect.parse_response_head(status, self.response.headers.items())
+        if self.response_head.is_leaving:
+            # Told at once: the body may take long, or never come.
+            record = self.dispatch.endpoint
+            self.decision_loop.submit(
+                EndpointSaidLeaving(
+                    self.decision_loop.event_time(), record.name, record.incarnation
+                )
+            )
         if self.response_head.not_run:
             self.result = AttemptResult(Outcome.NOT_RUN, f"status {status}", status)
             return False
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -59,6 +59,8 @@
         Requests that run and wait at the endpoint; -1 if the response does not say.
     notice : EndpointNotice
         What else the endpoint says of itself.
+    is_leaving : bool
+        Whether the endpoint says that it is stopping.
     """
 
     caller_request_id: str
@@ -68,6 +70,7 @@
     running: int = -1
     waiting: int = -1
     notice: EndpointNotice = EndpointNotice()
+    is_leaving: bool = False
 
 
 class Dialect(Protocol):
@@ -95,6 +98,9 @@
     def parse_response_head(self, status: int, headers: Iterable[tuple[str, str]]) -> ResponseHead:
         """Parse the head of an endpoint's response."""
 
+    def says_leaving(self, headers: Iterable[tuple[str, str]]) -> bool:
+        """Return whether the headers of an endpoint's answer say that the endpoint is stopping."""
+
     def report_path(self) -> str:
         """Return the path of an engine's report."""
 
--- a/poplarhoist/platform/dialect.py
+++ b/poplarhoist/platform/dialect.py
@@ -38,6 +38,10 @@
         """Parse the head of an endpoint's response."""
         return headers.parse_response_head(status, pairs)
 
+    def says_leaving(self, pairs: Iterable[tuple[str, str]]) -> bool:
+        """Return whether the headers of an endpoint's answer say that the endpoint is stopping."""
+        return headers.says_leaving(pairs)
+
     def report_path(self) -> str:
         """Return the path of an engine's report."""
         return "/api/report"
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -162,6 +162,7 @@
         accepted_orders=int(data["seq"]),
         held=decode_loaded_versions(data.get("models") or []),
         loading=loading_version_by_key,
+        draining=data.get("state") == "draining",
     )
 
 
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -142,6 +142,7 @@
     Hop-by-hop headers are not returned to the caller, except Content-Length. Status 421 means, like
     the header X-Not-Executed, that the endpoint did not run the request.
     """
+    headers = list(headers)
     returned_headers: Headers = []
     value_by_name: dict[str, str] = {}
     for name, value in headers:
@@ -161,8 +162,8 @@
         notice=EndpointNotice(
             requests_per_s=parse_limit(value_by_name.get("server-limit")),
             retry_after_s=parse_pause(status, value_by_name.get("retry-after")),
-            is_leaving=parse_leaving(value_by_name.get("server-leaving")),
         ),
+        is_leaving=says_leaving(headers),
     )
 
 
@@ -189,9 +190,10 @@
     return UNREADABLE_PAUSE_S if seconds is None else seconds
 
 
-def parse_leaving(text: str | None) -> bool:
+def says_leaving(headers: Iterable[tuple[str, str]]) -> bool:
     """Return whether an endpoint says that it is stopping; a value that cannot be read does not."""
-    return text is not None and parse_number("Server-Leaving", text) == 1.0
+    values = [value for name, value in headers if name.lower() == "server-leaving"]
+    return any(parse_number("Server-Leaving", value) == 1.0 for value in values)
 
 
 def parse_number(header: str, text: str) -> float | None:
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -248,12 +248,20 @@
             return
         run.started.add(key)
         request.is_begun = request.is_begun or dispatch.attempt == 1
+        if run.is_leaving:
+            record = run.record
+            self.submit(
+                name,
+                ev.EndpointSaidLeaving,
+                name=record.name,
+                incarnation=record.incarnation,
+            )
         self.submit(
             name,
             ev.ResponseStarted,
             request_id=dispatch.request_id,
             attempt=dispatch.attempt,
-            notice=ev.EndpointNotice(run.requests_per_s, is_leaving=run.is_leaving),
+            notice=ev.EndpointNotice(run.requests_per_s),
         )
         if run.is_leaving:
             run.told_leaving_at.setdefault(name, self.at)
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -5,7 +5,13 @@
 import pytest
 
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.effects import CheckEndpoint
+from poplarhoist.decisions.gateway.effects import (
+    CheckEndpoint,
+    OrderKind,
+    ReadReport,
+    SendOrder,
+)
+from poplarhoist.decisions.gateway.models import AdapterKey
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.platform.dialect import PlatformDialect
 from tests.gateway import engine
@@ -37,6 +43,54 @@
     standin.stop()
 
 
+class LeavingReport(Endpoint):
+    """An engine whose report alone says that it is stopping."""
+
+    def report(self) -> dict:
+        return super().report() | {"state": "draining"}
+
+
+def send_order(client: EngineClient, record) -> None:
+    client.send_order(SendOrder(record, 1, OrderKind.LOAD, AdapterKey("base", "a1"), 1, 0))
+
+
+def read_report(client: EngineClient, record) -> None:
+    client.read_report(ReadReport(record))
+
+
+def check_engine(client: EngineClient, record) -> None:
+    client.check(CheckEndpoint(record))
+
+
+# The call, how the engine answers it, and how often it is told that the engine leaves.
+@pytest.mark.parametrize(
+    ("call", "engine_class", "says_leaving", "times_told"),
+    [
+        (send_order, Endpoint, True, 1),
+        (read_report, Endpoint, True, 1),
+        (check_engine, Endpoint, True, 1),
+        (read_report, LeavingReport, False, 1),
+        (check_engine, LeavingReport, False, 1),
+        (send_order, Endpoint, False, 0),
+        (read_report, Endpoint, False, 0),
+        (check_engine, Endpoint, False, 0),
+    ],
+)
+@pytest.mark.parametrize("order_fault", ["", "refused"])
+def test_engine_that_leaves_says_so_in_answers_of_any_kind(
+    call, engine_class, says_leaving, times_told, order_fault
+):
+    standin = engine_class("e1", "models")
+    standin.says_leaving = says_leaving
+    standin.order_faults = [order_fault]
+    recorder = EventRecorder()
+    record = engine(1, host=HOST, port=standin.port, incarnation=7)
+    call(EngineClient(recorder, PlatformDialect(), "entry-1"), record)
+    standin.stop()
+    told = [event for event in recorder.events if isinstance(event, ev.EndpointSaidLeaving)]
+    assert told == [ev.EndpointSaidLeaving(1.0, "e1", 7)] * times_told
+
+
 def check(port: int, incarnation: int = 1) -> bool:
     recorder = EventRecorder()
     client = EngineClient(recorder, PlatformDialect(), "entry-1")
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -22,26 +22,33 @@
     start_gateway,
 )
 
-LEAVING = ev.EndpointNotice(is_leaving=True)
 REQUEST_INTERVAL_S = 0.04
 # Seconds in which an entry that got such a response, or was told, may still have requests under way.
 UNDER_WAY_S = 0.01
 
 
+def say_leaving(gateway: Gateway, dispatch: fx.Dispatch) -> list:
+    """Let the endpoint say in an answer, of any kind, that it is stopping."""
+    record = dispatch.endpoint
+    return gateway.submit(ev.EndpointSaidLeaving, name=record.name, incarnation=record.incarnation)
+
+
 def begin_response(gateway: Gateway, dispatch: fx.Dispatch) -> list:
     """Let a response begin that says that its endpoint is stopping."""
     fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
-    return gateway.submit(ev.ResponseStarted, notice=LEAVING, **fields)
+    return say_leaving(gateway, dispatch) + gateway.submit(ev.ResponseStarted, **fields)
 
 
 def fail(gateway: Gateway, dispatch: fx.Dispatch) -> list:
     """Let an attempt fail with a response that says that its endpoint is stopping."""
-    return gateway.end_attempt(dispatch, ev.Outcome.FAILED, status=503, notice=LEAVING)
+    said = say_leaving(gateway, dispatch)
+    return said + gateway.end_attempt(dispatch, ev.Outcome.FAILED, status=503)
 
 
 def turn_away(gateway: Gateway, dispatch: fx.Dispatch) -> list:
     """Let a stopping endpoint turn a request away."""
-    return gateway.end_attempt(dispatch, ev.Outcome.NOT_RUN, status=503, notice=LEAVING)
+    said = say_leaving(gateway, dispatch)
+    return said + gateway.end_attempt(dispatch, ev.Outcome.NOT_RUN, status=503)
 
 
 def be_told(gateway: Gateway, dispatch: fx.Dispatch) -> list:
@@ -51,7 +58,7 @@
     return gateway.receive("entry-2", message)
 
 
-NEWS = pytest.mark.parametrize("learn", [begin_response, fail, turn_away, be_told])
+NEWS = pytest.mark.parametrize("learn", [say_leaving, begin_response, fail, turn_away, be_told])
 
 
 @NEWS
@@ -113,7 +120,7 @@
 
 
 ALL_NEWS = pytest.mark.parametrize(
-    "learn", [begin_response, fail, turn_away, be_told, read_draining_record]
+    "learn", [say_leaving, begin_response, fail, turn_away, be_told, read_draining_record]
 )
 
 
@@ -204,7 +211,7 @@
 
 @pytest.mark.parametrize(
     ("learn", "source"),
-    [(begin_response, "response"), (be_told, "entry"), (read_draining_record, "record")],
+    [(say_leaving, "answer"), (be_told, "entry"), (read_draining_record, "record")],
 )
 def test_log_tells_who_said_which_run_leaves(learn, source):
     gateway = start_gateway(plain_endpoint(1, incarnation=7))
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -15,7 +15,7 @@
 def test_endpoint_that_leaves_says_so_with_1(value, expected):
     headers = [("Server-Leaving", value)] if value is not None else []
     for status in (200, 404, 503):
-        assert parse_response_head(status, headers).notice.is_leaving == expected
+        assert parse_response_head(status, headers).is_leaving == expected
 
 
 @pytest.mark.parametrize(
