A pause and a limit outlast the loss of an endpoint's record

Callers: requests went to an endpoint that had asked for a pause, or got more than its limit, after its record had expired and come back within that time. Cause and class: as for leaving runs: what a run asked for was kept with the life of its record. Evidence: the new case of tests/test_gateway_pauses.py failed before (no pause, no limit after the record's return) and passes; a new run starts without either, as before. Change: limit and pause of a run whose record is removed are kept for ten minutes and restored if the same run returns.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -22,6 +22,7 @@
 from poplarhoist.decisions.gateway.messages import EndpointLeaving
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.state import (
+    DepartedRun,
     EndpointState,
     GatewayState,
     LimitState,
@@ -31,9 +32,9 @@
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
 # record, which is written once per heartbeat interval and read some hundred milliseconds later.
 LEAD_VIEW_FRESH_S = 2.5
-# Seconds for which a run that is stopping is remembered after its record is gone. It ends within
+# Seconds for which a run is remembered whose record is gone. One that is stopping ends within
 # seconds, at times many.
-LEAVING_MEMORY_S = 600.0
+RUN_MEMORY_S = 600.0
 # Weight of the latest result in the moving error rate; about the last ten results count.
 ERROR_RATE_WEIGHT = 0.1
 
@@ -47,6 +48,7 @@
     endpoint = state.endpoints.get(record.name)
     if endpoint is None:
         endpoint = EndpointState(record, event.at, held=dict(record.held or {}))
+        restore_run(state, endpoint)
         state.endpoints[record.name] = endpoint
         log_endpoint("endpoint-new", record, effects)
         endpoint.is_leaving = is_known_leaving(state, record)
@@ -119,13 +121,26 @@
     return record.draining or (record.name, record.incarnation) in state.leaving_runs
 
 
-def forget_leaving(state: GatewayState, at: float) -> None:
+def restore_run(state: GatewayState, endpoint: EndpointState) -> None:
+    """Restore what a run had asked for before its record was removed, if it is the same run."""
+    record = endpoint.record
+    departed = state.departed_runs.pop((record.name, record.incarnation), None)
+    if departed is not None:
+        endpoint.limit = departed.limit
+        endpoint.paused_until = departed.paused_until
+
+
+def forget_ended_runs(state: GatewayState, at: float) -> None:
     """Forget runs that have ended by now."""
-    for name, incarnation in list(state.leaving_runs):
-        if at - state.leaving_runs[name, incarnation] <= LEAVING_MEMORY_S:
+    for run, learned_at in list(state.leaving_runs.items()):
+        if at - learned_at <= RUN_MEMORY_S:
+            break
+        if state.find_run(*run) is None:
+            del state.leaving_runs[run]
+    for run, departed in list(state.departed_runs.items()):
+        if at - departed.removed_at <= RUN_MEMORY_S:
             break
-        if state.find_run(name, incarnation) is None:
-            del state.leaving_runs[name, incarnation]
+        del state.departed_runs[run]
 
 
 def on_removed(state: GatewayState, event: EndpointRemoved, effects: list) -> None:
@@ -156,7 +171,7 @@
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Drop endpoints that are still missing `REREGISTRATION_S` after the store's return."""
-    forget_leaving(state, at)
+    forget_ended_runs(state, at)
     if state.store_unavailable:
         return
     for name, endpoint in list(state.endpoints.items()):
@@ -185,6 +200,9 @@
     """Remove an endpoint, its slot table and its pending asks; requests in flight continue."""
     endpoint = state.endpoints.pop(name)
     state.leaving_runs.pop((name, 0), None)
+    if endpoint.record.incarnation:
+        run = name, endpoint.record.incarnation
+        state.departed_runs[run] = DepartedRun(endpoint.limit, endpoint.paused_until, at)
     streams.record_departure(state, endpoint.record, at)
     crashes.on_endpoint_crashed(state, endpoint.record, at, effects)
     state.slot_tables.pop(name, None)
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -127,6 +127,21 @@
     checked_at: float = float("-inf")
 
 
+@define
+class DepartedRun:
+    """What a run of an endpoint had asked for when its record was removed.
+
+    Attributes
+    ----------
+    removed_at : float
+        When the record was removed.
+    """
+
+    limit: LimitState
+    paused_until: float
+    removed_at: float
+
+
 class Stage(enum.StrEnum):
     """Whether a request waits in this entry or runs at an endpoint."""
 
@@ -489,6 +504,8 @@
     leaving_runs : dict
         Runs of endpoints that are stopping, whether they have a record or not, and when this entry
         learned of it; by name and incarnation, oldest first.
+    departed_runs : dict
+        Runs of endpoints whose record was removed; by name and incarnation, oldest first.
     rankings : dict
         Cached rendezvous rankings of engines, by service and adapter.
     endpoints_listed, entries_listed, leads_listed : bool
@@ -542,6 +559,7 @@
     endpoints: dict[str, EndpointState] = field(factory=dict)
     endpoints_by_service: dict[str, list[str]] = field(factory=dict)
     leaving_runs: dict[tuple[str, int], float] = field(factory=dict)
+    departed_runs: dict[tuple[str, int], DepartedRun] = field(factory=dict)
     rankings: dict[tuple[str, AdapterKey], tuple[str, ...]] = field(factory=dict)
     endpoints_listed: bool = False
     entries_listed: bool = False
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -51,6 +51,22 @@
     assert endpoints_of(gateway) == {"d1", "d2"}
 
 
+@pytest.mark.parametrize(("incarnation", "is_kept"), [(1, True), (2, False)])
+def test_pause_and_limit_of_a_run_outlast_the_loss_of_its_record(incarnation, is_kept):
+    gateway = start_gateway(plain_endpoint(1))
+    dispatch = send_request(gateway)
+    turn_away(gateway, dispatch, 10.0)
+    gateway.receive("entry-2", messages.RequestLimit("d1", 1, 0.5))
+    gateway.submit(ev.EndpointRemoved, name="d1")
+    gateway.advance(1.0)
+    gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=incarnation))
+    endpoint = gateway.state.endpoints["d1"]
+    assert endpoint.limit.requests_per_s == (0.5 if is_kept else None)
+    assert bool(effects_of(fx.Dispatch, gateway.request("/read/x")[1])) is not is_kept
+    gateway.advance(8.5)
+    assert bool(effects_of(fx.Dispatch, gateway.request("/read/x")[1])) is not is_kept
+
+
 @pytest.mark.parametrize("outcome", [ev.Outcome.NOT_RUN, ev.Outcome.FAILED])
 @pytest.mark.parametrize("path", ["/read/x", "/once/x"])
 def test_pause_holds_whether_or_not_the_request_may_be_sent_again(path, outcome):
