Failing test: callers of entries without links to endpoints get 503

Three real entries, each with links of its own; two of them lose theirs for nine seconds: new connections refused, open ones reset too, or all silent.

--- /dev/null
+++ b/tests/test_gateway_cut_off_end_to_end.py
@@ -0,0 +1,234 @@
+"""Three real entries, of which two lose their links to all endpoints for some seconds."""
+
+import contextlib
+import http.client
+import itertools
+import json
+import socket
+import threading
+import time
+from collections import Counter
+
+import pytest
+from attrs import frozen
+
+from tests.platform_site import PlatformEntry
+from tests.platform_standins import BASE_MODEL, Endpoint, configuration
+from tests.platform_store import Store, StoreHandler
+from tests.soak.proxy import Proxy, ProxyFault
+from tests.standin_server import HOST, StandIn
+
+# The users' bounds: seconds after the beginning of a cut from which on they count, failures of first
+# attempts that are allowed at the entries that are cut off, and the least they must serve compared
+# with the others.
+COUNTED_AFTER_S = 4.0
+ALLOWED_FAILURES = 10
+ALLOWED_FAILURE_SHARE = 0.02
+LEAST_RATIO = 2 / 3
+CUT_S = 9.0
+HEALED_S = 4.0
+# Seconds after the end of a cut within which entries use their own links again.
+BACK_WITHIN_S = 2.0
+REQUEST_INTERVAL_S = 0.04
+CUT_ENTRIES = ("entry-2", "entry-3")
+
+
+class Link(Proxy):
+    """A proxy that can be cut: its port refuses connections, or they are never established."""
+
+    def cut(self, how: str) -> None:
+        """Cut the link; `how` says what becomes of new and of open connections."""
+        self.close_listener()
+        if how == "hang":
+            self.fault = ProxyFault.SILENCE
+            self.fill_backlog()
+        elif how == "reset":
+            self.reset_all_connections()
+
+    def close_listener(self) -> None:
+        """Refuse new connections."""
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def fill_backlog(self) -> None:
+        """Let new connections hang: the kernel drops their first packets while a backlog is full."""
+        self.blocker = socket.socket()
+        self.blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.blocker.bind((HOST, self.port))
+        self.blocker.listen(0)
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self.port))
+
+    def heal(self) -> None:
+        """Restore the link; connections that were silent are reset."""
+        if self.fault is ProxyFault.SILENCE:
+            for sock in (*self.fillers, self.blocker):
+                sock.close()
+            self.fault = ProxyFault.NONE
+            self.reset_all_connections()
+        self.listener = socket.create_server((HOST, self.port), backlog=128)
+        threading.Thread(target=self.accept_connections, daemon=True).start()
+
+
+class StoreView(StandIn):
+    """The store as one entry sees it: endpoints have the addresses of the entry's own links."""
+
+    unavailable = hangs = lose_responses = False
+
+    def __init__(self, store: Store, links: dict[int, Link]) -> None:
+        self.store = store
+        self.links = links
+        super().__init__(StoreHandler)
+
+    def handle(self, *call):
+        """Carry out a call; return status and response data."""
+        status, data = self.store.handle(*call)
+        text = json.dumps(data)
+        for port, link in self.links.items():
+            text = text.replace(f"{HOST}:{port}", f"{HOST}:{link.port}")
+        return status, json.loads(text)
+
+
+@frozen
+class Result:
+    """A caller's request: when it was sent, to which entry, and the status; 0 if it broke off."""
+
+    sent_at: float
+    entry: str
+    request_id: str
+    status: int
+
+
+class CountingEndpoint(Endpoint):
+    """An endpoint that counts the runs of each request."""
+
+    runs_by_id: Counter
+
+    def record_run(self, request_id: str, headers: dict) -> None:
+        """Count a run, unless it continues a stream."""
+        if "last-event-id" not in headers:
+            self.runs_by_id[request_id] += 1
+
+
+class CutSite:
+    """Entries, each with its own links to all endpoints, and callers of all entries in turn."""
+
+    def __init__(self, directory) -> None:
+        self.store = Store()
+        self.runs_by_id: Counter = Counter()
+        services = {"e1": "models", "e2": "models", "d1": "desk", "d2": "desk"}
+        self.endpoints = [CountingEndpoint(name, service) for name, service in services.items()]
+        for endpoint in self.endpoints:
+            endpoint.runs_by_id = self.runs_by_id
+            endpoint.adapters = {"a1": 1}
+            self.store.put("servers", endpoint.name, endpoint.record())
+        self.store.put("config", "main", configuration())
+        self.links: dict[str, dict[int, Link]] = {}
+        self.views = []
+        self.entries = []
+        for name in ("entry-1", *CUT_ENTRIES):
+            self.links[name] = {endpoint.port: Link(endpoint.port) for endpoint in self.endpoints}
+            self.views.append(StoreView(self.store, self.links[name]))
+            self.entries.append(PlatformEntry(name, directory, self.views[-1].port))
+        self.numbers = itertools.count(1)
+        self.results: list[Result] = []
+
+    def start(self) -> None:
+        """Start the entries and wait until all are ready and have led their engines."""
+        for entry in self.entries:
+            entry.launch()
+        deadline_at = time.monotonic() + 20.0
+        while any(entry.get_status() != 200 for entry in self.entries):
+            assert time.monotonic() < deadline_at, self.entries[0].log_path.read_text()[-2000:]
+            time.sleep(0.05)
+        time.sleep(2.0)
+
+    def for_links(self, action) -> None:
+        """Do something to all links of the entries that are cut off."""
+        for name in CUT_ENTRIES:
+            for link in self.links[name].values():
+                action(link)
+
+    def send(self, number: int) -> None:
+        """Send a request of one of three kinds and keep its result."""
+        entry = self.entries[number % len(self.entries)]
+        path, body = (("/stream/x", b"s"), ("/once/x", b"o"), ("/read/x", b"r"))[number // 3 % 3]
+        request_id, sent_at, status = f"c{number}", time.monotonic(), 0
+        headers = {"Host": "host.test", "X-Request-Id": request_id, "X-Deadline-Ms": "3000"}
+        if path == "/stream/x":
+            headers |= {"X-Model": f"{BASE_MODEL}/a1", "X-Token-Usage": "100,20"}
+        connection = http.client.HTTPConnection(HOST, entry.port, timeout=10)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("POST", path, body, headers)
+            response = connection.getresponse()
+            response.read()
+            status = response.status
+        connection.close()
+        self.results.append(Result(sent_at, entry.name, request_id, status))
+
+    def send_regularly(self, seconds: float) -> None:
+        """Send requests to all entries in turn, and wait for their ends."""
+        threads = []
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            threads.append(threading.Thread(target=self.send, args=(next(self.numbers),)))
+            threads[-1].start()
+            time.sleep(REQUEST_INTERVAL_S)
+        for thread in threads:
+            thread.join()
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for entry in self.entries:
+            entry.kill()
+        for server in (*self.endpoints, *self.views, self.store):
+            server.stop()
+        for links in self.links.values():
+            for link in links.values():
+                link.stop()
+        for entry in self.entries:
+            entry.check_no_faults()
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = CutSite(tmp_path)
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
+def served_share(results: list[Result]) -> float:
+    """Return the share of requests that got a success."""
+    return sum(result.status == 200 for result in results) / len(results)
+
+
+# What becomes of new connections over a cut link, and of open ones.
+@pytest.mark.parametrize("how", ["refuse", "reset", "hang"])
+def test_callers_of_entries_without_links_to_endpoints_are_served_by_way_of_others(site, how):
+    site.send_regularly(1.0)
+    cut_at = time.monotonic()
+    site.for_links(lambda link: link.cut(how))
+    site.send_regularly(CUT_S)
+    counted = [result for result in site.results if result.sent_at > cut_at + COUNTED_AFTER_S]
+    cut_off = [result for result in counted if result.entry in CUT_ENTRIES]
+    others = [result for result in counted if result.entry not in CUT_ENTRIES]
+    failures = Counter(result.status for result in cut_off if result.status != 200)
+    assert served_share(cut_off) >= LEAST_RATIO * served_share(others), failures
+    assert failures.total() <= ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(cut_off), failures
+    site.for_links(Link.heal)
+    healed_at = time.monotonic()
+    site.send_regularly(HEALED_S)
+    late = [result for result in site.results if result.sent_at > healed_at + BACK_WITHIN_S]
+    assert served_share(late) >= 0.95
+    refused = {result.request_id for result in site.results if result.status == 503}
+    assert not [request_id for request_id in refused if site.runs_by_id[request_id]]
+    assert not [request_id for request_id, runs in site.runs_by_id.items() if runs > 2]
+    for result in site.results:
+        number = int(result.request_id[1:])
+        assert number // 3 % 3 == 2 or site.runs_by_id[result.request_id] <= 1
