Connections that were never made cost no retry budget

Cause and class: a budget that protects endpoints was charged for what never reached one. Evidence: test_attempts_that_did_not_reach_an_endpoint_cost_no_retry_budget failed before. test_retries_stay_within_this_entrys_share_of_the_budget counted such attempts; the users' rule counts arrivals at a service beyond the first of each request. It now plays the three outcomes that may have arrived, with the same bound; attempts at unreachable endpoints keep their bound of six, in a test.

--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -428,7 +428,10 @@
 def may_retry(
     state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
 ) -> bool:
-    """Return whether a request may be sent again; if so, a retry is spent from the budget."""
+    """Return whether a request may be sent again.
+
+    If so, a retry is spent from the budget, unless nothing has reached the endpoint.
+    """
     if event.at >= request.deadline_at - RESPONSE_MARGIN_S or request.attempt >= MAX_DISPATCHES:
         return False
     if event.outcome is Outcome.TIMED_OUT:
@@ -442,6 +445,8 @@
         return False
     if crashes.is_refused(state, request.content_digest, request.prompt, event.at, effects):
         return False
+    if event.outcome is Outcome.NOT_SENT:
+        return True
     return retry_budget.try_spend_retry(state, request.service, event.at)
 
 
