Entries without links to endpoints let others pass their requests on

Cause: an entry had no way to an engine but its own connections. Class: a resource of the whole taken for one of each part; no path around the loss of a part that only some have lost. Change: three endpoints in a row without a connection, and none made in between: the links are lost. The entry tells the others, gives up its engines, probes endpoints every half second, and sends requests to another entry, of its region if possible, which handles them as its own callers'. So limits, pauses, the retry budget, deadlines and versions hold by what that entry knows; attempts made before count there too. A request goes to a second entry only if no connection to the first was made; after any other end it is refused as the first says, or as possibly run.

--- a/poplarhoist/ctl/trace.py
+++ b/poplarhoist/ctl/trace.py
@@ -35,7 +35,15 @@
 )
 # Events of a whole entry that are shown if the entry handled the request.
 ENTRY_EVENTS = frozenset(
-    ("lines-left-out", "store-lost", "store-regained", "entry-was-paused", "entry-draining")
+    (
+        "lines-left-out",
+        "store-lost",
+        "store-regained",
+        "links-lost",
+        "links-regained",
+        "entry-was-paused",
+        "entry-draining",
+    )
 )
 # Such events are shown from this long before the first line of the request, because an order or
 # the loss of a lead comes shortly before the request that it affects.
--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -6,7 +6,7 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange, Observe, Stop
 from poplarhoist.decisions.gateway.messages import Message
-from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord, Refused
+from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord, Refused, RelayTerms
 
 
 @frozen
@@ -17,8 +17,12 @@
     ----------
     remaining_s : float
         Seconds that the endpoint may take.
+    endpoint : EndpointRecord
+        The endpoint, or the entry that passes the request on.
     version : int
         Version of the adapter that the endpoint must have; 0 for any.
+    relay : RelayTerms or None
+        What the entry must keep to that passes the request on; None if it goes to an endpoint.
     """
 
     request_id: str
@@ -28,6 +32,7 @@
     priority: int
     stream: bool
     version: int = 0
+    relay: RelayTerms | None = None
 
 
 @frozen
@@ -114,6 +119,13 @@
     record: EndpointRecord
 
 
+@frozen
+class ProbeEndpoint:
+    """Try to connect to an endpoint, without a request."""
+
+    record: EndpointRecord
+
+
 @frozen
 class SendPeer:
     """Send a message to an entry."""
@@ -152,6 +164,7 @@
     | SendOrder
     | ReadReport
     | CheckEndpoint
+    | ProbeEndpoint
     | SendPeer
     | RereadChanges
     | StopListening
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -14,6 +14,7 @@
     EndpointRecord,
     EngineReport,
     Prompt,
+    RelayTerms,
 )
 
 
@@ -75,6 +76,7 @@
     host: str = ""
     port: int = 0
     zone: str = ""
+    relay_port: int = 0
 
 
 @frozen
@@ -141,6 +143,8 @@
         Id of the event after which the caller resumes a stream; empty if it begins one.
     resumed_caller_id : str
         Id of the caller's attempt that began the stream; empty if it does not say.
+    relay : RelayTerms or None
+        What the entry asks for that sent the request here; None if its caller did.
     """
 
     at: float
@@ -153,6 +157,7 @@
     content_digest: str = ""
     last_event_id: str = ""
     resumed_caller_id: str = ""
+    relay: RelayTerms | None = None
 
 
 class Outcome(enum.StrEnum):
@@ -378,6 +383,22 @@
     has_crashed: bool
 
 
+@frozen
+class EndpointProbed:
+    """A connection to an endpoint was tried, without a request.
+
+    Attributes
+    ----------
+    began_at : float
+        When the attempt began.
+    """
+
+    at: float
+    name: str
+    began_at: float
+    is_reachable: bool
+
+
 @frozen
 class StoreAvailabilityChanged:
     """The store answers again, or no longer answers."""
@@ -432,6 +453,7 @@
     | OrderEnded
     | ReportReceived
     | EndpointChecked
+    | EndpointProbed
     | StoreAvailabilityChanged
     | StoreChangesRead
     | LimitsChanged
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -59,11 +59,14 @@
 
 
 def is_silent(state: GatewayState, entry: str, at: float) -> bool:
-    """Return whether another entry is not registered or did not answer lately."""
+    """Return whether another entry cannot lead.
+
+    It is not registered, did not answer lately, or has no links to endpoints.
+    """
     if entry == state.name:
         return False
     known = state.entries.get(entry)
-    return known is None or known.silent_until > at
+    return known is None or max(known.silent_until, known.links_lost_until) > at
 
 
 def interval_factor(state: GatewayState, full_rate_entries: int = FULL_RATE_ENTRIES) -> float:
@@ -80,7 +83,9 @@
     known = state.entries.get(event.name)
     if known is None or (known.host, known.port) != (event.host, event.port):
         effects.append(LogChange("entry-known", {"peer": event.name, "host": event.host}))
-    state.entries[event.name] = EntryState(event.name, event.host, event.port, event.zone)
+        known = EntryState(event.name, event.host, event.port)
+        state.entries[event.name] = known
+    known.zone, known.relay_port = event.zone, event.relay_port
 
 
 def on_entries_listed(state: GatewayState, event: EntriesListed, effects: list) -> None:
@@ -117,6 +122,11 @@
         effects.append(LogChange("lead-lost", fields))
 
 
+def may_lead(state: GatewayState) -> bool:
+    """Return whether this entry may lead engines: it is not stopping, and has links to endpoints."""
+    return state.draining_since is None and state.links.lost_since is None
+
+
 def preferred_lead(state: GatewayState, engine: str, at: float) -> str:
     """Return the entry that should claim an engine without a lead: one that is close to it.
 
@@ -143,7 +153,7 @@
     engines and need not wait until orders of another lead have expired.
     """
     all_listed = state.endpoints_listed and state.entries_listed and state.leads_listed
-    if state.draining_since is not None or not all_listed:
+    if not may_lead(state) or not all_listed:
         return
     for engine, endpoint in state.endpoints.items():
         if engine in state.slot_tables or endpoint.is_leaving or not is_engine(state, endpoint):
@@ -166,12 +176,12 @@
 def claim(state: GatewayState, engine: str, at: float, effects: list) -> None:
     """Claim the leadership of an engine.
 
-    Nothing is sent if this entry leads the engine already or is stopping, while the store is
+    Nothing is sent if this entry leads the engine already or may not lead, while the store is
     unavailable, or too soon after the latest claim (see `CLAIM_RETRY_S`).
     """
     if engine in state.slot_tables or at < state.next_claim_at.get(engine, float("-inf")):
         return
-    if state.draining_since is not None or state.store_unavailable:
+    if not may_lead(state) or state.store_unavailable:
         return
     endpoint = state.endpoints.get(engine)
     if endpoint is None or not is_engine(state, endpoint):
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -158,6 +158,13 @@
     incarnation: int
 
 
+@frozen
+class LinksChanged:
+    """Says whether the sender has lost its links to all endpoints; repeated while it has."""
+
+    is_lost: bool
+
+
 @frozen
 class News:
     """Says that records of a kind changed in the store, up to a revision."""
@@ -202,6 +209,7 @@
     | PartsSound
     | RequestLimit
     | EndpointLeaving
+    | LinksChanged
     | News
     | StreamBegan
     | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -239,6 +239,25 @@
     prefix_segments: tuple[PrefixSegment, ...] = ()
 
 
+@frozen
+class RelayTerms:
+    """What an entry that passes a request on must keep to.
+
+    Attributes
+    ----------
+    configuration_version : int
+        Lowest version of the configuration that it must have.
+    possible_runs : int
+        Attempts of the request that may have run at an endpoint before.
+    software_version : str or None
+        Software version at which alone a stream may go on; None for any.
+    """
+
+    configuration_version: int
+    possible_runs: int = 0
+    software_version: str | None = None
+
+
 class Refused(enum.StrEnum):
     """Why the gateway itself answers a request with an error.
 
@@ -257,6 +276,8 @@
     LIMITED: the endpoints have named limits and take no more requests now.
     SOFTWARE_VERSION: a stream may go on only at the software version that began it, and no endpoint
     runs that version, or it is not known.
+    RELAY: this entry has no link to the endpoints, and the entry that was to pass the request on
+    turned it away.
     """
 
     NOT_CONFIGURED = "no configuration yet"
@@ -270,3 +291,4 @@
     DRAINING = "entry is stopping"
     LIMITED = "endpoints take no more requests now"
     SOFTWARE_VERSION = "no endpoint of the stream's software version"
+    RELAY = "turned away by the entry that was to pass it on"
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -12,6 +12,7 @@
     endpoints,
     gossip,
     leads,
+    links,
     messages,
     request_limits,
     requests,
@@ -114,6 +115,8 @@
             request_limits.on_told(state, message, at, effects)
         case messages.EndpointLeaving():
             endpoints.on_told_leaving(state, message, at, effects)
+        case messages.LinksChanged():
+            links.on_told(state, sender, message, at)
         case messages.News():
             gossip.on_news(message, effects)
         case messages.StreamBegan():
@@ -146,6 +149,7 @@
     streams.on_tick(state, at, effects)
     crashes.on_slow_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
+    links.on_slow_tick(state, at, effects)
     leads.on_tick(state, at, effects)
 
 
@@ -242,6 +246,7 @@
     ev.OrderEnded: residency.on_order_ended,
     ev.ReportReceived: residency.on_report,
     ev.EndpointChecked: crashes.on_checked,
+    ev.EndpointProbed: links.on_probed,
     ev.LimitsChanged: on_limits,
     ev.DrainRequested: on_drain,
 }
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -7,7 +7,9 @@
     adapter_asks,
     crashes,
     endpoints,
+    links,
     pauses,
+    relays,
     request_limits,
     retry_budget,
     routing,
@@ -57,6 +59,8 @@
 MAX_DISPATCHES = 6
 # Error statuses of an endpoint after which a repeatable request is sent to another endpoint.
 RETRYABLE_STATUSES = frozenset((500, 502, 503, 504))
+# Outcomes of attempts for which a connection to the endpoint was certainly made.
+CONNECTED_OUTCOMES = frozenset((Outcome.DONE, Outcome.FAILED, Outcome.NOT_RUN))
 # Reasons of attempts whose response was past a bound, or unclear about its end; names of exceptions.
 BOUND_REASONS = frozenset(("HeadTooLong", "BodyTooLong", "BadFraming"))
 
@@ -70,8 +74,13 @@
     if route is None:
         refuse_unadmitted(event, Refused.NO_ROUTE, 0.0, effects)
         return
+    relay = event.relay
+    if relay is not None and state.configuration.version < relay.configuration_version:
+        refuse_unadmitted(event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
+        return
     service = choose_service(state, route)
-    retry_budget.record_request(state, service, event.at)
+    if relay is None:
+        retry_budget.record_request(state, service, event.at)
     is_refused = crashes.is_refused(state, event.content_digest, event.prompt, event.at, effects)
     is_trial = is_refused and crashes.begin_trial(
         state, event.content_digest, event.prompt, event.at
@@ -101,6 +110,10 @@
         last_event_id=event.last_event_id,
         resumed_caller_id=event.resumed_caller_id,
     )
+    if relay is not None:
+        request.is_relayed = True
+        request.possible_runs = relay.possible_runs
+        request.software_version = relay.software_version
     state.requests[request.request_id] = request
     place_request(state, request, event.at, effects)
 
@@ -121,6 +134,11 @@
     if at >= request.deadline_at - RESPONSE_MARGIN_S:
         refuse(state, request, Refused.DEADLINE, effects)
         return
+    relay_entry = relays.choose_entry(state, request, at)
+    if relay_entry is not None:
+        stop_waiting(state, request)
+        relays.start(state, request, relay_entry, remaining_s(request, at), at, effects)
+        return
     placement = streams.check_placement(state, request, at, effects)
     if placement is streams.Placement.WAIT:
         state.waiting.add(request.request_id)
@@ -210,7 +228,7 @@
             request_id=request.request_id,
             attempt=request.attempt,
             endpoint=endpoint.record,
-            remaining_s=max(RESPONSE_MARGIN_S, request.deadline_at - at - RESPONSE_MARGIN_S),
+            remaining_s=remaining_s(request, at),
             priority=request.route.priority,
             stream=request.route.kind == "stream",
             version=version,
@@ -225,6 +243,7 @@
         "content": request.content_digest,
         "limit_per_s": endpoint.limit.requests_per_s,
         "trial": request.is_trial,
+        "for_entry": request.is_relayed,
         "waited_s": round(at - request.arrived_at, 4),
         "backlog_s": round(routing.backlog_s(endpoint, at), 4),
         "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
@@ -246,6 +265,11 @@
     effects.append(LogRequest("sent", request.request_id, fields))
 
 
+def remaining_s(request: RequestState, at: float) -> float:
+    """Return the seconds that an endpoint, or the entry that passes a request on, may take."""
+    return max(RESPONSE_MARGIN_S, request.deadline_at - at - RESPONSE_MARGIN_S)
+
+
 def stop_waiting(state: GatewayState, request: RequestState) -> None:
     """Remove a request from the waiting requests and from its pending Ask."""
     state.waiting.discard(request.request_id)
@@ -321,6 +345,9 @@
     if not request.response_started:
         request.response_started_at = event.at
     request.response_started = True
+    if request.relay:
+        return
+    links.on_connected(state, request.attempt_sent_at, event.at, effects)
     streams.on_first_bytes(state, request, event.at, effects)
     apply_notice(state, request, event.notice, event.at, effects)
     endpoint = state.endpoints.get(request.endpoint_name)
@@ -355,10 +382,17 @@
     request = state.requests.get(event.request_id)
     if request is None or request.attempt != event.attempt:
         return
-    endpoint = release_endpoint(state, request)
     effects.append(Count("attempt_ended", (event.outcome,)))
     if event.reason in BOUND_REASONS:
         effects.append(Count("response_past_bound", (event.reason,)))
+    if request.relay:
+        on_relay_ended(state, request, event, effects)
+        return
+    endpoint = release_endpoint(state, request)
+    if event.outcome in CONNECTED_OUTCOMES:
+        links.on_connected(state, request.attempt_sent_at, event.at, effects)
+    elif event.outcome is Outcome.NOT_SENT:
+        links.on_failed(state, request.endpoint_name, request.attempt_sent_at, event.at, effects)
     if event.notice is not None:
         apply_notice(state, request, event.notice, event.at, effects)
     if endpoint is not None:
@@ -390,6 +424,35 @@
     end_failed_request(state, request, event, effects)
 
 
+def on_relay_ended(
+    state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
+) -> None:
+    """Finish a request that another entry was to pass on, or refuse it.
+
+    It is sent again only if that entry did not get it.
+    """
+    entry = relays.release(state, request)
+    if request.caller_disconnected or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
+        finish(state, request, event, effects)
+    elif event.outcome is Outcome.NOT_SENT:
+        if entry is not None:
+            relays.avoid_temporarily(entry, event.at)
+        request.stage = Stage.WAITING
+        place_request(state, request, event.at, effects)
+    elif event.outcome is Outcome.NOT_RUN:
+        retry_after_s = event.notice.retry_after_s if event.notice is not None else None
+        refuse(
+            state,
+            request,
+            Refused.RELAY,
+            effects,
+            RETRY_AFTER_S if retry_after_s is None else retry_after_s,
+        )
+    else:
+        request.possible_runs += 1
+        end_failed_request(state, request, event, effects)
+
+
 def record_endpoint_result(
     state, request, endpoint: EndpointState, event: AttemptEnded, effects: list
 ) -> None:
@@ -529,6 +592,8 @@
             state.waiting.discard(request_id)
         elif at >= request.deadline_at - RESPONSE_MARGIN_S:
             refuse(state, request, Refused.DEADLINE, effects)
+        elif links.are_lost(state) and relays.choose_entry(state, request, at) is not None:
+            place_request(state, request, at, effects)
         elif (
             request.asked_engine
             and request.adapter_ready_at == float("inf")
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import Count, LogChange
-from poplarhoist.decisions.gateway import eviction
+from poplarhoist.decisions.gateway import eviction, links
 from poplarhoist.decisions.gateway.configuration import find_service
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.endpoints import record_warm
@@ -273,6 +273,8 @@
     if table is None:
         return
     report = event.report
+    if report is not None:
+        links.on_connected(state, event.requested_at, event.at, effects)
     if report is None or table.open_order is not None:
         table.report_due_at = event.at + REPORT_LAG_S
         return
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -192,6 +192,12 @@
         Software version that began the stream, at which alone it may go on; None for any.
     origin_asked_at : float or None
         When other entries were asked where the stream began; None if they were not.
+    is_relayed : bool
+        Whether another entry sent the request here, which has no link to its endpoints.
+    relay : str
+        Entry that passes the latest attempt on; empty if it goes to an endpoint.
+    tried_relays : set
+        Entries that the request was sent to.
     """
 
     request_id: str
@@ -224,6 +230,9 @@
     attempt_software: str = ""
     software_version: str | None = None
     origin_asked_at: float | None = None
+    is_relayed: bool = False
+    relay: str = ""
+    tried_relays: set[str] = field(factory=set)
 
 
 @define
@@ -293,15 +302,50 @@
 
     Attributes
     ----------
+    relay_port : int
+        Port at which it passes on requests of other entries; 0 if it does not.
     silent_until : float
         Until this time the entry counts as silent, as it did not answer.
+    links_lost_until : float
+        Until this time the entry counts as having no links to endpoints.
+    avoid_until : float
+        Until this time it gets no requests to pass on, as no connection to it could be made.
+    relaying : set
+        Ids of this entry's requests that it passes on.
     """
 
     name: str
     host: str
     port: int
     zone: str = ""
+    relay_port: int = 0
     silent_until: float = float("-inf")
+    links_lost_until: float = float("-inf")
+    avoid_until: float = float("-inf")
+    relaying: set[str] = field(factory=set)
+
+
+@define
+class LinkState:
+    """What this entry knows of its links to endpoints.
+
+    Attributes
+    ----------
+    connected_at : float
+        When the connection attempt began that succeeded and was begun last.
+    failed_at : dict
+        When the latest failed connection attempt began, by endpoint, of those begun after that.
+    lost_since : float or None
+        Since when the links to all endpoints count as lost; None while they do not.
+    told_at, probed_at : float
+        When other entries were last told, and when an endpoint was last probed.
+    """
+
+    connected_at: float = float("-inf")
+    failed_at: dict[str, float] = field(factory=dict)
+    lost_since: float | None = None
+    told_at: float = float("-inf")
+    probed_at: float = float("-inf")
 
 
 @define
@@ -540,6 +584,8 @@
         When others were last asked for crashes, and when some were last told what is refused.
     stream_origins : dict
         Where streams began, by the id of the caller's attempt, least recent first.
+    links : LinkState
+        This entry's links to endpoints.
     departed_software : dict
         When the latest endpoint of a software version was removed, by service and version.
     last_event_at : float
@@ -586,6 +632,7 @@
     crashes_repeated_at: float = float("-inf")
     stream_origins: dict[str, StreamOrigin] = field(factory=dict)
     departed_software: dict[str, dict[str, float]] = field(factory=dict)
+    links: LinkState = field(factory=LinkState)
     started_at: float = 0.0
     last_event_at: float = float("inf")
     last_slow_tick_at: float = float("-inf")
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -15,11 +15,12 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.models import CallerLimits, Refused
+from poplarhoist.decisions.gateway.models import CallerLimits, Refused, RelayTerms
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
-from poplarhoist.gateway.interfaces import Dialect
+from poplarhoist.gateway.interfaces import Dialect, Headers
 
 # WSGI environ key of the connection's protocol object.
 PROTOCOL_KEY = "poplarhoist.protocol"
@@ -50,12 +51,18 @@
         Takes the events of all requests and returns their effects.
     request_numbers : iterator
         Source of the request ids, which are unique within this process.
+    is_relay : bool
+        Whether the requests come from other entries, which have no links to endpoints.
     """
 
-    def __init__(self, decision_loop: DecisionLoop, dialect: Dialect) -> None:
+    request_numbers = itertools.count(1)
+
+    def __init__(
+        self, decision_loop: DecisionLoop, dialect: Dialect, is_relay: bool = False
+    ) -> None:
         self.decision_loop = decision_loop
         self.dialect = dialect
-        self.request_numbers = itertools.count(1)
+        self.is_relay = is_relay
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Read one request and return its response body.
@@ -69,11 +76,12 @@
             protocol.close_connection = 1
         try:
             body = read_body(environ, self.limits())
-        except BadBody as error:
+            header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
+        except BadRequest as error:
             protocol.close_connection = 1
             return json_error(start_response, error.status, str(error))
         target = protocol.path
-        head = self.dialect.parse_request_head(environ["headers_raw"])
+        head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
         method = environ["REQUEST_METHOD"]
         content_digest = xxhash.xxh3_64_hexdigest(
@@ -98,9 +106,27 @@
             content_digest=content_digest,
             last_event_id=head.last_event_id,
             resumed_caller_id=head.resumed_caller_id,
+            relay=relay,
         )
         return RequestHandler(self, environ, start_response, request).run(event)
 
+    def split_relay_headers(self, pairs: Headers) -> tuple[Headers, RelayTerms | None]:
+        """Return a caller's headers, and what the entry asks for that sent the request, if one did.
+
+        Raises
+        ------
+        BadRequest
+            If the request should come from an entry and does not.
+        """
+        if not self.is_relay:
+            return pairs, None
+        try:
+            terms = relay_headers.parse_request_headers(pairs)
+        except ValueError as error:
+            message = f"no request of another entry: {error}"
+            raise BadRequest(HTTPStatus.BAD_REQUEST, message) from error
+        return relay_headers.without_relay_headers(pairs), terms
+
     def limits(self) -> CallerLimits:
         """Return the limits on requests; the defaults while there is no configuration."""
         configuration = self.decision_loop.state.configuration
@@ -118,19 +144,25 @@
         Whether the caller closed its connection before the response was complete.
     last_failure : AttemptResult or None
         Result of the latest failed attempt, which ForwardFailure returns to the caller.
+    last_exchange : Exchange or None
+        The latest attempt.
     caller_watch : CallerWatch
         Calls `on_caller_disconnected` when the caller closes its connection.
+    is_relay : bool
+        Whether the caller is another entry.
     """
 
     def __init__(self, app: CallerApplication, environ, start_response, request) -> None:
         self.decision_loop = app.decision_loop
         self.dialect = app.dialect
+        self.is_relay = app.is_relay
         self.start_response = start_response
         self.environ = environ
         self.request: CallerRequest = request
         self.mailbox: LightQueue = self.decision_loop.open_mailbox(request.request_id)
         self.caller_disconnected = False
         self.last_failure = None
+        self.last_exchange: Exchange | None = None
         self.caller_watch = CallerWatch(environ, self.on_caller_disconnected)
 
     def run(self, event: ev.RequestArrived) -> Iterable[bytes]:
@@ -186,6 +218,7 @@
         """Create the exchange of an attempt and make it the one that a disconnect cancels."""
         exchange = Exchange(self.decision_loop, self.dialect, self.request, effect)
         exchange.cancelled = self.caller_disconnected
+        self.last_exchange = exchange
         self.request.active_exchange = exchange
         return exchange
 
@@ -213,6 +246,13 @@
             exchange.close()
         return exchange, first_chunk, chunks
 
+    def endpoint_headers(self, exchange: Exchange | None) -> Headers:
+        """Return the headers that tell another entry which endpoint responds."""
+        if not self.is_relay or exchange is None:
+            return []
+        record = exchange.dispatch.endpoint
+        return [relay_headers.build_endpoint_header(record.name, record.incarnation)]
+
     def respond(self, result) -> list[bytes]:
         """Return an endpoint's response.
 
@@ -222,6 +262,7 @@
         headers = [h for h in result.headers if h[0].lower() != "content-length"]
         if self.request.method == "HEAD":
             headers = result.headers
+        headers = headers + self.endpoint_headers(self.last_exchange)
         self.start_response(status_line(result.status), headers)
         return [result.body]
 
@@ -237,7 +278,9 @@
         headers = [JSON_CONTENT_TYPE]
         if effect.retry_after_s and status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers.append(("Retry-After", f"{effect.retry_after_s:.2f}"))
-        if status == HTTPStatus.NOT_FOUND:
+        if self.is_relay:
+            headers.append(relay_headers.build_refusal_header(effect.ran))
+        elif status == HTTPStatus.NOT_FOUND:
             return json_error(self.start_response, status, effect.reason)
         self.start_response(status_line(status), headers)
         return [orjson.dumps({"error": effect.reason, "ran": effect.ran})]
@@ -314,6 +357,7 @@
         self.exchange: Exchange | None = exchange
         self.chunks = itertools.chain((first_chunk,), chunks)
         headers = [h for h in exchange.result.headers if h[0].lower() != "content-length"]
+        headers += handler.endpoint_headers(exchange)
         handler.start_response(status_line(exchange.result.status), headers)
 
     def __iter__(self) -> Iterator[bytes]:
@@ -371,8 +415,8 @@
         self.handler.finish()
 
 
-class BadBody(Exception):
-    """A request body is rejected.
+class BadRequest(Exception):
+    """A request cannot be read.
 
     Attributes
     ----------
@@ -390,24 +434,24 @@
 
     Raises
     ------
-    BadBody
+    BadRequest
         If it is larger than the limit, does not arrive in time, is cut off, or is shorter than its
         Content-Length.
     """
     length = environ.get("CONTENT_LENGTH") or ""
     if length.isdigit() and int(length) > limits.max_body_bytes:
-        raise BadBody(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
     body_stream = environ["wsgi.input"]
-    timeout_error = BadBody(HTTPStatus.REQUEST_TIMEOUT, "request body not received in time")
+    timeout_error = BadRequest(HTTPStatus.REQUEST_TIMEOUT, "request body not received in time")
     try:
         with eventlet.Timeout(BODY_TIMEOUT_S, timeout_error):
             body = body_stream.read(limits.max_body_bytes + 1) if announces_body(environ) else b""
     except (OSError, ValueError) as error:
-        raise BadBody(HTTPStatus.BAD_REQUEST, f"request body incomplete: {error}") from error
+        raise BadRequest(HTTPStatus.BAD_REQUEST, f"request body incomplete: {error}") from error
     if len(body) > limits.max_body_bytes:
-        raise BadBody(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
     if length.isdigit() and len(body) != int(length):
-        raise BadBody(HTTPStatus.BAD_REQUEST, "body shorter than announced")
+        raise BadRequest(HTTPStatus.BAD_REQUEST, "body shorter than announced")
     return body
 
 
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -4,11 +4,17 @@
 
 import eventlet
 import structlog
+from eventlet.green import socket
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.effects import CheckEndpoint, ReadReport, SendOrder
+from poplarhoist.decisions.gateway.effects import (
+    CheckEndpoint,
+    ProbeEndpoint,
+    ReadReport,
+    SendOrder,
+)
 from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport
 from poplarhoist.entry.http import (
     is_connection_refused,
@@ -23,13 +29,16 @@
 # Seconds until an order or a report request counts as unanswered. An engine responds within
 # milliseconds; connecting and one round trip between regions take 0.12 s.
 CALL_TIMEOUT_S = 0.35
+# Seconds to connect for a probe: longer than the time in which TCP repeats nothing, and shorter than
+# the interval of probes.
+PROBE_TIMEOUT_S = 0.45
 # Seconds for the whole response, and its longest body; a report lists some dozens of adapters.
 RESPONSE_TIMEOUT_S = 2 * CALL_TIMEOUT_S
 MAX_RESPONSE_BYTES = 1048576
 
 
 class EngineClient:
-    """Runs SendOrder and ReadReport effects, each in a green thread and over a new connection.
+    """Calls engines and probes endpoints, each in a green thread and over a new connection.
 
     Attributes
     ----------
@@ -50,6 +59,9 @@
         decision_loop.set_handler(
             CheckEndpoint, lambda effect: eventlet.spawn_n(self.check, effect)
         )
+        decision_loop.set_handler(
+            ProbeEndpoint, lambda effect: eventlet.spawn_n(self.probe, effect)
+        )
 
     def request(
         self, record: EndpointRecord, method: str, path: str, headers, body: bytes | None
@@ -167,3 +179,17 @@
         self.decision_loop.submit(
             ev.EndpointChecked(self.decision_loop.event_time(), record, has_crashed)
         )
+
+    def probe(self, effect: ProbeEndpoint) -> None:
+        """Connect to an endpoint, and submit whether that succeeded."""
+        record = effect.record
+        began_at = self.decision_loop.event_time()
+        detail = ""
+        try:
+            socket.create_connection((record.host, record.port), PROBE_TIMEOUT_S).close()
+        except OSError as error:
+            detail = type(error).__name__
+        structlog.get_logger().info("endpoint-probed", endpoint=record.name, failure=detail)
+        self.decision_loop.submit(
+            ev.EndpointProbed(self.decision_loop.event_time(), record.name, began_at, not detail)
+        )
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -28,6 +28,7 @@
 from poplarhoist.entry.event_stream import EventSplitter, find_last_event_id
 from poplarhoist.entry.http import READ_CHUNK_BYTES, BodyTooLong, StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
 from poplarhoist.gateway.sockets import reset_on_close, socket_options
 
@@ -93,7 +94,7 @@
 
 
 class Exchange:
-    """Sends a request to an endpoint and reads the response.
+    """Sends a request to an endpoint, or an entry that passes it on, and reads the response.
 
     Attributes
     ----------
@@ -190,6 +191,8 @@
             self.request.head, self.dispatch, last_event_id
         ):
             headers.add(name, value)
+        if self.dispatch.relay is not None:
+            headers.extend(relay_headers.build_request_headers(self.dispatch.relay))
         for name in SUPPRESSED_HEADERS:
             if name not in headers:
                 headers[name] = SKIP_HEADER
@@ -248,18 +251,22 @@
         """Set the result by the response head; return whether the body is to be read.
 
         A response that names another request id counts as BROKEN, and so does a successful response
-        without a seal. Status 500 and above counts as FAILED.
+        without a seal. Status 500 and above counts as FAILED, and so does the response of an entry
+        that was to pass the request on, unless that says that the request did not run.
         """
         status = self.response.status
         self.response_head = self.dialect.parse_response_head(status, self.response.headers.items())
-        if self.response_head.is_leaving:
+        if self.response_head.is_leaving and (run := self.responding_run()) is not None:
             # Told at once: the body may take long, or never come.
-            record = self.dispatch.endpoint
-            self.decision_loop.submit(
-                EndpointSaidLeaving(
-                    self.decision_loop.event_time(), record.name, record.incarnation
-                )
-            )
+            self.decision_loop.submit(EndpointSaidLeaving(self.decision_loop.event_time(), *run))
+        refusal = self.relay_refusal()
+        if refusal is not None:
+            outcome = Outcome.FAILED
+            if refusal == relay_headers.Refusal.NOT_RUN:
+                outcome = Outcome.NOT_RUN
+            headers = relay_headers.without_relay_headers(self.response_head.returned_headers)
+            self.result = AttemptResult(outcome, f"refused with {status}", status, headers)
+            return outcome is Outcome.FAILED
         if self.response_head.not_run:
             self.result = AttemptResult(Outcome.NOT_RUN, f"status {status}", status)
             return False
@@ -270,9 +277,25 @@
             self.result = AttemptResult(Outcome.BROKEN, "response without a seal", status)
             return False
         outcome = Outcome.DONE if status < 500 else Outcome.FAILED
-        self.result = AttemptResult(outcome, "", status, self.response_head.returned_headers)
+        headers = self.response_head.returned_headers
+        if self.dispatch.relay is not None:
+            headers = relay_headers.without_relay_headers(headers)
+        self.result = AttemptResult(outcome, "", status, headers)
         return True
 
+    def responding_run(self) -> tuple[str, int] | None:
+        """Return name and incarnation of the endpoint that responds; None if it is not known."""
+        if self.dispatch.relay is not None:
+            text = self.response.headers.get(relay_headers.ENDPOINT_HEADER)
+            return relay_headers.parse_endpoint_header(text)
+        return self.dispatch.endpoint.name, self.dispatch.endpoint.incarnation
+
+    def relay_refusal(self) -> str | None:
+        """Return how the entry that was to pass the request on ended it; None if it did not."""
+        if self.dispatch.relay is None:
+            return None
+        return self.response.headers.get(relay_headers.REFUSAL_HEADER)
+
     def submit_response_started(self) -> None:
         """Submit the arrival of the first byte, once."""
         if self.response_started:
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -201,8 +201,8 @@
     def watch(self, spec: WatchSpec, since: int) -> StoreChanges:
         """Wait for changes of a kind after revision `since`; no events if the long poll ended."""
 
-    def register(self, name: str, zone: str, host: str, port: int) -> CallStatus:
-        """Create or replace the record of this entry: its zone and its address for peers."""
+    def register(self, name: str, zone: str, host: str, port: int, relay_port: int) -> CallStatus:
+        """Create or replace the record of this entry: its zone and its addresses for peers."""
 
     def unregister(self, name: str) -> CallStatus:
         """Remove the record of this entry."""
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -105,10 +105,8 @@
     ----------
     stopped : Event
         Sent when the graceful stop is complete.
-    listener : StoppableListener
-        Accepts callers' connections; set by `start`.
-    server_thread : GreenThread
-        Runs the WSGI server for callers; set by `start`.
+    request_servers : list
+        Listener and green thread of the WSGI servers for callers and for other entries.
     """
 
     def __init__(
@@ -148,6 +146,7 @@
         self.peer_transport = PeerTransport(
             self.decision_loop, settings.host, settings.listen.inner_port
         )
+        self.request_servers: list[tuple[StoppableListener, eventlet.greenthread.GreenThread]] = []
         self.stopped = eventlet.event.Event()
 
     def log_request(self, effect: fx.LogRequest) -> None:
@@ -161,16 +160,33 @@
         the inner port, which also receives the datagrams of peers (UDP).
         """
         callers_address = Address.parse(self.settings.listen.callers)
-        listener = eventlet.listen(
-            (callers_address.host, callers_address.port), backlog=ACCEPT_BACKLOG
+        self.serve_requests(callers_address, is_relay=False)
+        relay_port = self.settings.listen.relay_port
+        if relay_port:
+            self.serve_requests(Address(self.settings.host, relay_port), is_relay=True)
+        ready_address = Address.parse(self.settings.listen.ready)
+        self.serve_status(ready_address.host, ready_address.port)
+        self.serve_status(self.settings.host, self.settings.listen.inner_port)
+        eventlet.spawn(self.peer_transport.run)
+        eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
+        self.store_watcher.start(
+            self.settings.name,
+            self.settings.zone,
+            self.settings.host,
+            self.settings.listen.inner_port,
+            relay_port,
         )
+
+    def serve_requests(self, address: Address, is_relay: bool) -> None:
+        """Spawn a server for requests of callers, or of entries for which this one passes them on."""
+        listener = eventlet.listen((address.host, address.port), backlog=ACCEPT_BACKLOG)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.listener = StoppableListener(listener)
-        self.server_thread = eventlet.spawn(
+        stoppable = StoppableListener(listener)
+        thread = eventlet.spawn(
             eventlet.wsgi.server,
-            self.listener,
-            CallerApplication(self.decision_loop, self.dialect),
+            stoppable,
+            CallerApplication(self.decision_loop, self.dialect, is_relay),
             log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
@@ -180,17 +196,7 @@
             keepalive=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
             socket_timeout=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
         )
-        ready_address = Address.parse(self.settings.listen.ready)
-        self.serve_status(ready_address.host, ready_address.port)
-        self.serve_status(self.settings.host, self.settings.listen.inner_port)
-        eventlet.spawn(self.peer_transport.run)
-        eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
-        self.store_watcher.start(
-            self.settings.name,
-            self.settings.zone,
-            self.settings.host,
-            self.settings.listen.inner_port,
-        )
+        self.request_servers.append((stoppable, thread))
 
     def serve_status(self, host: str, port: int) -> None:
         """Spawn a server for readiness and metrics."""
@@ -235,10 +241,13 @@
 
     def close_listener(self) -> None:
         """Refuse new connections, close idle ones, and stop once all requests are answered."""
-        self.listener.stop()
+        for listener, _ in self.request_servers:
+            listener.stop()
         eventlet.sleep(LAST_REQUEST_GRACE_S)
-        self.listener.release()
-        self.server_thread.wait()
+        for listener, _ in self.request_servers:
+            listener.release()
+        for _, thread in self.request_servers:
+            thread.wait()
         self.signal_stopped()
 
     def signal_stopped(self) -> None:
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -42,11 +42,15 @@
         As ``host:port``; ``ready`` serves readiness and metrics.
     inner_port : int
         Port on the entry's host for datagrams of other entries (UDP), readiness and metrics (TCP).
+    relay_port : int
+        Port on the entry's host at which it passes on requests of entries without links to
+        endpoints (TCP); 0 for none.
     """
 
     callers: str
     ready: str
     inner_port: int
+    relay_port: int = 0
 
 
 @frozen
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -77,16 +77,16 @@
             ),
         )
 
-    def start(self, name: str, zone: str, host: str, port: int) -> None:
+    def start(self, name: str, zone: str, host: str, port: int, relay_port: int = 0) -> None:
         """Spawn the green threads that register this entry and watch each kind of record."""
         for spec in self.store.watch_specs:
             eventlet.spawn(self.follow_kind, spec)
-        eventlet.spawn(self.register, name, zone, host, port)
+        eventlet.spawn(self.register, name, zone, host, port, relay_port)
 
-    def register(self, name: str, zone: str, host: str, port: int) -> None:
+    def register(self, name: str, zone: str, host: str, port: int, relay_port: int) -> None:
         """Write this entry's record; retry until the store accepts it."""
         wait_s = RETRY_BACKOFF_S
-        while self.store.register(name, zone, host, port) is not ev.CallStatus.OK:
+        while self.store.register(name, zone, host, port, relay_port) is not ev.CallStatus.OK:
             wait_s = self.sleep_with_jitter(wait_s)
         self.decision_loop.log.info("entry-registered", host=host, port=port)
 
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -171,9 +171,11 @@
             log.warning("record-unreadable", kind=kind, name=name, detail=repr(error))
             return []
 
-    def register(self, name: str, zone: str, host: str, port: int) -> ev.CallStatus:
-        """Create or replace the record of this entry: its zone and its address for peers."""
-        spec = {"host": host, "port": port, "zone": zone}
+    def register(
+        self, name: str, zone: str, host: str, port: int, relay_port: int
+    ) -> ev.CallStatus:
+        """Create or replace the record of this entry: its zone and its addresses for peers."""
+        spec = {"host": host, "port": port, "zone": zone, "relay_port": relay_port}
         return self.write_record(ENTRY_KIND, name, spec, None)[0]
 
     def unregister(self, name: str) -> ev.CallStatus:
@@ -290,7 +292,11 @@
     if is_removed:
         return [ev.EntryRecordChanged(at, name)]
     spec = item["spec"]
-    return [ev.EntryRecordChanged(at, name, spec["host"], int(spec["port"]), spec["zone"])]
+    # Entries of earlier versions pass nothing on.
+    relay_port = int(spec.get("relay_port") or 0)
+    return [
+        ev.EntryRecordChanged(at, name, spec["host"], int(spec["port"]), spec["zone"], relay_port)
+    ]
 
 
 def decode_lead_event(at: float, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -26,8 +26,8 @@
 
     Attributes
     ----------
-    port, ready_port, inner_port : int
-        Ports for callers, for readiness, and for peers and metrics.
+    port, ready_port, inner_port, relay_port : int
+        Ports for callers, for readiness, for peers and metrics, and for requests to be passed on.
     log_path : Path
         File to which the process writes its standard output and standard error.
     process : Popen or None
@@ -36,13 +36,13 @@
 
     def __init__(self, name: str, directory: Path, store_port: int) -> None:
         self.name = name
-        self.port, self.ready_port, self.inner_port = free_ports(3)
+        self.port, self.ready_port, self.inner_port, self.relay_port = free_ports(4)
         self.settings_path = directory / f"{name}.toml"
         self.settings_path.write_text(
             f'name = "{name}"\nzone = "north-a"\nhost = "{HOST}"\n'
             f'store = "{HOST}:{store_port}"\n'
             f'[listen]\ncallers = "{HOST}:{self.port}"\nready = "{HOST}:{self.ready_port}"\n'
-            f"inner_port = {self.inner_port}\n"
+            f"inner_port = {self.inner_port}\nrelay_port = {self.relay_port}\n"
             '[bounds]\nstop_s = 8\n[regions]\n"north-a" = "north"\n'
         )
         self.log_path = directory / f"{name}.log"
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -67,7 +67,7 @@
         eventlet.sleep(spec.long_poll_s)
         return StoreChanges(CallStatus.OK, since)
 
-    def register(self, name: str, zone: str, host: str, port: int) -> CallStatus:
+    def register(self, name: str, zone: str, host: str, port: int, relay_port: int) -> CallStatus:
         """Accept the record of this entry."""
         return CallStatus.OK
 
