Revert: a lead that cannot reach its engine gives it up

Where an entry reaches no engine at all it still gives up its engines. What remains: an engine whose lead alone cannot reach it gets no new adapters until the link is back.

--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -43,10 +43,6 @@
 # Seconds after which a new lead knows what other entries use at an engine: they read the lead's
 # record up to 1.2 s later and report with their next Use message.
 PEER_USAGE_DELAY_S = 1.5
-# Seconds for which a lead cannot read its engine's reports until it gives the engine up, and seconds
-# for which it then leaves the engine to others.
-UNREACHABLE_RELEASE_S = 1.5
-UNREACHABLE_BACKOFF_S = 8.0
 # Separates the name of an entry from the id of its process.
 HOLDER_SEPARATOR = "#"
 
@@ -156,7 +152,6 @@
     engine whose lead is silent. After a power loss of all entries each one thus resumes its own
     engines and need not wait until orders of another lead have expired.
     """
-    release_unreachable(state, at, effects)
     all_listed = state.endpoints_listed and state.entries_listed and state.leads_listed
     if not may_lead(state) or not all_listed:
         return
@@ -181,15 +176,15 @@
 def claim(state: GatewayState, engine: str, at: float, effects: list) -> None:
     """Claim the leadership of an engine.
 
-    Nothing is sent if this entry leads the engine already, may not lead or has just failed to connect
-    to it, while the store is unavailable, or too soon after the latest claim (see `CLAIM_RETRY_S`).
+    Nothing is sent if this entry leads the engine already or may not lead, while the store is
+    unavailable, or too soon after the latest claim (see `CLAIM_RETRY_S`).
     """
     if engine in state.slot_tables or at < state.next_claim_at.get(engine, float("-inf")):
         return
     if not may_lead(state) or state.store_unavailable:
         return
     endpoint = state.endpoints.get(engine)
-    if endpoint is None or not is_engine(state, endpoint) or endpoint.avoid_until > at:
+    if endpoint is None or not is_engine(state, endpoint):
         return
     record = state.leads.get(engine) or LeadRecord("", 0, 0)
     pending = state.pending_claims.get(engine)
@@ -240,28 +235,12 @@
 
 def release_all(state: GatewayState, effects: list) -> None:
     """Release the leadership of all engines, so that other entries claim them at once."""
-    for engine in list(state.slot_tables):
-        release(state, engine, effects)
-
-
-def release(state: GatewayState, engine: str, effects: list) -> None:
-    """Release the leadership of an engine."""
-    table = state.slot_tables.pop(engine)
-    record = state.leads.get(engine)
-    if record is not None:
-        effects.append(Claim(engine, table.epoch, record.revision, ""))
-        effects.append(LogChange("lead-released", {"engine": engine, "epoch": table.epoch}))
-
-
-def release_unreachable(state: GatewayState, at: float, effects: list) -> None:
-    """Release engines that this entry cannot reach, for those that can."""
-    if state.store_unavailable:
-        return
     for engine, table in list(state.slot_tables.items()):
-        if table.unread_since is None or at - table.unread_since < UNREACHABLE_RELEASE_S:
-            continue
-        release(state, engine, effects)
-        state.next_claim_at[engine] = at + UNREACHABLE_BACKOFF_S
+        record = state.leads.get(engine)
+        del state.slot_tables[engine]
+        if record is not None:
+            effects.append(Claim(engine, table.epoch, record.revision, ""))
+            effects.append(LogChange("lead-released", {"engine": engine, "epoch": table.epoch}))
 
 
 def log_silent(
--- a/poplarhoist/decisions/gateway/links.py
+++ b/poplarhoist/decisions/gateway/links.py
@@ -95,7 +95,7 @@
         probe(state, at, effects)
     if links.lost_since is None:
         return
-    if at - links.lost_since >= RELEASE_AFTER_S and not state.store_unavailable:
+    if at - links.lost_since >= RELEASE_AFTER_S:
         leads.release_all(state, effects)
     if at - links.told_at >= NOTICE_INTERVAL_S * leads.interval_factor(state):
         links.told_at = at
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -275,9 +275,6 @@
     report = event.report
     if report is not None:
         links.on_connected(state, event.requested_at, event.at, effects)
-        table.unread_since = None
-    elif table.unread_since is None:
-        table.unread_since = event.requested_at
     if report is None or table.open_order is not None:
         table.report_due_at = event.at + REPORT_LAG_S
         return
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -466,9 +466,6 @@
         unsynced.
     report_due_at, report_requested_at : float
         Earliest time of the next report, and when the latest one was requested.
-    unread_since : float or None
-        When the first of the reports was requested that could not be read since the latest one that
-        was; None if there are none.
     incarnation : int
         Incarnation of the engine in its latest report.
     accepted_orders : int
@@ -503,7 +500,6 @@
     synced: bool = False
     report_due_at: float = 0.0
     report_requested_at: float = float("-inf")
-    unread_since: float | None = None
     incarnation: int = 0
     accepted_orders: int = 0
     last_order_accepted_at: float = float("-inf")
--- a/tests/test_gateway_leads.py
+++ b/tests/test_gateway_leads.py
@@ -134,42 +134,6 @@
         assert bool(claims(effects)) is not answers
 
 
-def lead_unreachable_engine(seconds: float) -> Gateway:
-    """Let an entry lead an engine whose reports cannot be read for some seconds."""
-    gateway = gateway_with_engine("other")
-    gateway.set_lead("e1")
-    gateway.effects.clear()
-    ends_at = gateway.at + seconds
-    while gateway.at < ends_at:
-        for request in effects_of(fx.ReadReport, gateway.advance(0.1)):
-            fields = {"requested_at": gateway.at, "engine": request.engine.name}
-            gateway.submit(ev.ReportReceived, report=None, **fields)
-    return gateway
-
-
-def test_lead_that_does_not_reach_its_engine_gives_it_up_and_leaves_it_to_others():
-    gateway = lead_unreachable_engine(3.0)
-    released = only_effect(fx.Claim, gateway.effects)
-    assert (released.engine, released.holder) == ("e1", "")
-    gateway.submit(ev.LeadSeen, engine="e1", holder="", epoch=1, revision=9)
-    assert claims(gateway.advance(5.0)) == []
-    assert claims(gateway.advance(5.0))
-
-
-def test_lead_that_reaches_its_engine_in_time_keeps_it():
-    gateway = lead_unreachable_engine(1.0)
-    gateway.report("e1")
-    assert claims(gateway.advance(5.0)) == []
-    assert "e1" in gateway.state.slot_tables
-
-
-def test_engine_is_not_claimed_by_an_entry_that_has_just_failed_to_connect():
-    gateway = gateway_with_engine("other")
-    gateway.state.endpoints["e1"].avoid_until = 4.0
-    assert claims(gateway.advance(3.9)) == []
-    assert claims(gateway.advance(1.0))
-
-
 def test_paused_lead_reads_a_report_before_orders():
     gateway = gateway_with_engine("other")
     gateway.set_lead("e1")
