--- a/poplarhoist/decisions/gateway/links.py
+++ b/poplarhoist/decisions/gateway/links.py
@@ -95,7 +95,8 @@
         probe(state, at, effects)
     if links.lost_since is None:
         return
-    if at - links.lost_since >= RELEASE_AFTER_S:
+    # Nobody could claim them while the store is away.
+    if at - links.lost_since >= RELEASE_AFTER_S and not state.store_unavailable:
         leads.release_all(state, effects)
     if at - links.told_at >= NOTICE_INTERVAL_S * leads.interval_factor(state):
         links.told_at = at
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -286,6 +286,16 @@
     assert effects_of(fx.Claim, gateway.advance(1.0))
 
 
+def test_entry_without_links_keeps_its_engines_while_the_store_is_away():
+    gateway = start_entry(engine(1, ("a1",)), engine(2, ("a1",)))
+    gateway.set_lead("e1")
+    gateway.submit(ev.StoreAvailabilityChanged, available=False)
+    lose_links(gateway)
+    assert not effects_of(fx.Claim, gateway.advance(3.0))
+    gateway.submit(ev.StoreAvailabilityChanged, available=True)
+    assert only_effect(fx.Claim, gateway.advance(0.5)).holder == ""
+
+
 def test_engines_of_an_entry_without_links_are_claimed_by_those_that_need_them():
     gateway = start_entry(engine(1), engine(2))
     for name in ("e1", "e2"):
