--- a/tests/test_gateway_cut_off_end_to_end.py
+++ b/tests/test_gateway_cut_off_end_to_end.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import json
+import signal
 import socket
 import threading
 import time
@@ -232,3 +233,62 @@
     for result in site.results:
         number = int(result.request_id[1:])
         assert number // 3 % 3 == 2 or site.runs_by_id[result.request_id] <= 1
+
+
+def cut_and_wait(site) -> None:
+    """Refuse connections over the links of the entries that are cut off, and let them find out."""
+    site.for_links(lambda link: link.cut("refuse"))
+    site.send_regularly(1.0)
+    site.results.clear()
+
+
+def test_caller_that_leaves_a_cut_off_entry_ends_the_work_of_its_endpoint(site):
+    cut_and_wait(site)
+    for endpoint in site.endpoints:
+        endpoint.service_time_s = 0.2
+    left_at = time.monotonic()
+    with socket.create_connection((HOST, site.entries[1].port), timeout=5) as caller:
+        head = "POST /stream/x HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: left\r\n"
+        caller.sendall(f"{head}X-Model: {BASE_MODEL}/a1\r\nContent-Length: 0\r\n\r\n".encode())
+        assert b" 200 " in caller.recv(65536)
+        left_at = time.monotonic()
+    aborted = [endpoint.aborted_request_ids for endpoint in site.endpoints]
+    while not any("left" in request_ids for request_ids in aborted):
+        # The stand-in notices the end of a connection with its next event but one.
+        assert time.monotonic() < left_at + 0.5 + 2 * 0.2
+        time.sleep(0.02)
+
+
+def test_entry_that_stops_completes_what_it_passes_on_and_refuses_nothing_as_possibly_run(site):
+    cut_and_wait(site)
+    for endpoint in site.endpoints:
+        endpoint.service_time_s = 0.3
+    before = threading.Thread(target=site.send_regularly, args=(1.0,))
+    before.start()
+    time.sleep(0.8)
+    site.entries[0].send_signal(signal.SIGTERM)
+    before.join()
+    site.entries[0].process.wait(timeout=10.0)
+    in_flight = [result for result in site.results if result.entry in CUT_ENTRIES]
+    assert {result.status for result in in_flight} <= {200, 503}
+    assert served_share(in_flight) >= LEAST_RATIO
+    site.results.clear()
+    started_at = time.monotonic()
+    site.send(3001)
+    assert [result.status for result in site.results] == [503]
+    assert time.monotonic() - started_at < 1.0
+    assert not [result for result in site.results if site.runs_by_id[result.request_id]]
+
+
+def test_requests_of_a_cut_off_entry_are_not_repeated_when_the_helper_is_killed(site):
+    cut_and_wait(site)
+    for endpoint in site.endpoints:
+        endpoint.service_time_s = 0.3
+    before = threading.Thread(target=site.send_regularly, args=(1.0,))
+    before.start()
+    time.sleep(0.6)
+    site.entries[0].kill()
+    before.join()
+    assert not [request_id for request_id, runs in site.runs_by_id.items() if runs > 1]
+    refused = [result.request_id for result in site.results if result.status == 503]
+    assert not [request_id for request_id in refused if site.runs_by_id[request_id]]
