--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -27,6 +27,9 @@
 RECORD_EXPIRY_S = 3.6
 # Seconds that a message between entries takes.
 MESSAGE_S = 0.001
+# Seconds until an entry gives up a connection that is not established, and until a probe does.
+CONNECT_TIMEOUT_S = 1.2
+PROBE_TIMEOUT_S = 0.45
 TICK_S = 0.025
 # The route of all requests; its streams may be resumed.
 ROUTE = route("/resume/", resumable=True, max_attempts=3)
@@ -77,11 +80,14 @@
         When it reached an engine, for each attempt.
     is_begun : bool
         Whether its first attempt delivered the beginning of a response.
+    fields : dict
+        What else the caller sent.
     """
 
     at: float
     entry: str
     parts: tuple[str, ...]
+    fields: dict = field(factory=dict)
     reached_at: list[float] = field(factory=list)
     refused: Refused | None = None
     refused_at: float = 0.0
@@ -103,6 +109,10 @@
         Entries whose messages to and from others are lost, and share of all messages that are.
     crashed_at_by_part : dict
         When engines crashed under each of `crashing_parts`.
+    without_links, refuses_connections : set, bool
+        Entries that reach no engine, and whether their connections are refused or hang.
+    relays : dict
+        Entry and attempt for which another entry handles a request, by that entry and request.
     """
 
     def __init__(self, entry_count: int = 5, engine_count: int = 6) -> None:
@@ -113,6 +123,9 @@
         self.sends_head = True
         self.cut_off: set[str] = set()
         self.lost_share = 0.0
+        self.without_links: set[str] = set()
+        self.refuses_connections = True
+        self.relays: dict[tuple[str, str], tuple[str, fx.Dispatch]] = {}
         self.rng = random.Random(1)
         self.crashed_at_by_part: dict[str, list[float]] = {}
         self.requests: dict[tuple[str, str], SentRequest] = {}
@@ -148,6 +161,9 @@
         entry = Gateway(name, tuple(peer for peer in self.names if peer != name))
         entry.state.started_at = entry.at = self.at
         entry.configure(routes=(ROUTE,))
+        for peer in self.names:
+            address = {"host": "10.0.2.1", "port": 7000, "relay_port": 9000}
+            entry.submit(ev.EntryRecordChanged, name=peer, zone="north-a", **address)
         entry.list_endpoints(*(run.record for run in self.runs_by_name.values() if run.is_alive))
         self.entries[name] = entry
 
@@ -169,10 +185,23 @@
             if effect.peer in self.entries and not {name, effect.peer} & self.cut_off:
                 self.call_in(MESSAGE_S, lambda e=effect: self.deliver(name, e))
         for effect in effects_of(fx.Dispatch, effects):
-            self.call_in(SEND_S, lambda e=effect: self.reach_engine(name, e))
+            if effect.relay is not None:
+                self.call_in(MESSAGE_S, lambda e=effect: self.reach_helper(name, e))
+            elif name in self.without_links:
+                delay_s = SEND_S if self.refuses_connections else CONNECT_TIMEOUT_S
+                self.call_in(delay_s, lambda e=effect: self.fail_to_connect(name, e))
+            else:
+                self.call_in(SEND_S, lambda e=effect: self.reach_engine(name, e))
+        for effect in effects_of(fx.ProbeEndpoint, effects):
+            self.call_in(PROBE_TIMEOUT_S, lambda e=effect, at=self.at: self.end_probe(name, e, at))
         for effect in effects_of(fx.CheckEndpoint, effects):
             self.call_in(SEND_S, lambda e=effect: self.check_engine(name, e.record))
         for effect in effects_of(fx.Refuse, effects):
+            if (name, effect.request_id) in self.relays:
+                outcome = ev.Outcome.FAILED if effect.ran else ev.Outcome.NOT_RUN
+                notice = ev.EndpointNotice(retry_after_s=effect.retry_after_s)
+                self.end_relay(name, effect.request_id, outcome, notice=notice)
+                continue
             request = self.requests[name, effect.request_id]
             request.refused, request.refused_at = effect.reason, self.at
             request.retry_after_s = effect.retry_after_s
@@ -196,10 +225,10 @@
         parts = (*parts, f"own-{number}")
         segments = tuple(PrefixSegment(part, 100) for part in parts)
         prompt = Prompt(AdapterKey("base", "a1"), 100 * len(parts) + 50, 50, segments)
-        request = SentRequest(self.at, name, parts)
-        request_id, effects = entry.request(
-            "/resume/x", prompt=prompt, content_digest=f"content-{number}", caller_id=f"c{number}"
-        )
+        fields = {"prompt": prompt, "content_digest": f"content-{number}"}
+        fields |= {"caller_id": f"c{number}"}
+        request = SentRequest(self.at, name, parts, fields)
+        request_id, effects = entry.request("/resume/x", **fields)
         self.requests[name, request_id] = request
         self.carry_out(name, effects)
         return request
@@ -215,6 +244,34 @@
         send()
         return requests
 
+    def fail_to_connect(self, name: str, dispatch: fx.Dispatch) -> None:
+        """Let an attempt end without a connection."""
+        self.end(name, dispatch.request_id, dispatch.attempt, ev.Outcome.NOT_SENT)
+
+    def end_probe(self, name: str, effect: fx.ProbeEndpoint, began_at: float) -> None:
+        """Let an entry learn whether it reached an engine."""
+        is_reachable = name not in self.without_links
+        fields = {"name": effect.record.name, "began_at": began_at, "is_reachable": is_reachable}
+        self.submit(name, ev.EndpointProbed, **fields)
+
+    def reach_helper(self, name: str, dispatch: fx.Dispatch) -> None:
+        """Let a request arrive at the entry that is to pass it on."""
+        helper = self.entries[dispatch.endpoint.name]
+        helper.at = self.at
+        request = self.requests[name, dispatch.request_id]
+        helper.request_count += 1
+        request_id = f"r{helper.request_count}"
+        self.requests[helper.state.name, request_id] = request
+        self.relays[helper.state.name, request_id] = name, dispatch
+        fields = {"request_id": request_id, "host": "host.test", "path": "/resume/x"}
+        fields |= {"deadline_s": dispatch.remaining_s, "relay": dispatch.relay}
+        self.submit(helper.state.name, ev.RequestArrived, **fields, **request.fields)
+
+    def end_relay(self, helper: str, request_id: str, outcome: ev.Outcome, **fields) -> None:
+        """Let the entry that sent a request to another one learn its end."""
+        name, dispatch = self.relays.pop((helper, request_id))
+        self.end(name, dispatch.request_id, dispatch.attempt, outcome, **fields)
+
     def reach_engine(self, name: str, dispatch: fx.Dispatch) -> None:
         """Let an attempt reach its engine, which refuses the connection if it has crashed."""
         run = self.runs_by_name[dispatch.endpoint.name]
@@ -276,6 +333,8 @@
             del run.attempts[key]
             self.requests[key].is_done = True
             self.end(name, dispatch.request_id, dispatch.attempt, ev.Outcome.DONE)
+            if key in self.relays:
+                self.end_relay(*key, ev.Outcome.DONE)
 
     def crash_engine(
         self, run: EngineRun, framing_by_key: dict[tuple[str, str], ev.Framing] | None = None
