A new lead's View does not say that its engine holds nothing

Callers: after an engine had got a new lead, an entry could take it for an engine without its base model, and send nothing there until the next View or change of the record; with other engines busy, requests waited or were refused. Cause: a lead answers messages before it has read a report, with an empty table, and entries replaced what they knew by it. Evidence: the new case of test_gateway_residency failed before. Change: a View says whether its lead has read a report; if not, entries keep what they knew. Entries of earlier versions send none and are read as before.

--- a/poplarhoist/decisions/gateway/adapter_asks.py
+++ b/poplarhoist/decisions/gateway/adapter_asks.py
@@ -117,9 +117,9 @@
         return set()
     endpoint.lead_view = message
     endpoint.lead_view_at = at
-    endpoints.set_held(
-        endpoint, {AdapterKey.parse(text): version for text, version in message.held.items()}
-    )
+    if message.is_known:
+        held = {AdapterKey.parse(text): version for text, version in message.held.items()}
+        endpoints.set_held(endpoint, held)
     to_reroute: set[str] = set()
     for pending in [ask for ask in state.pending_asks.values() if ask.engine == message.engine]:
         if not update_ready_times(state, pending, endpoint, at) and message.room < 0:
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -48,6 +48,8 @@
         Headroom of the engine, as `residency.load_headroom` computes it: how many more adapters
         could be loaded now, less the unmet demands; negative if these exceed the free capacity,
         and 0 while the lead may not send orders.
+    is_known : bool
+        Whether the lead has read a report of the engine; if not, `held` and `coming` say nothing.
     """
 
     engine: str
@@ -56,6 +58,7 @@
     running: int
     prefill_tokens: int
     room: int = 0
+    is_known: bool = True
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -176,6 +176,7 @@
         prefill_tokens=sum(usage.prefill_tokens for usage in fresh_usages)
         + sum(endpoint.prefill_tokens_by_request.values()),
         room=load_headroom(state, table, at),
+        is_known=table.has_report,
     )
 
 
@@ -312,7 +313,7 @@
     `REPORT_LAG_S` old.
     """
     was_synced = table.synced
-    table.synced = True
+    table.synced = table.has_report = True
     table.accepted_orders = report.accepted_orders
     table.base_models = {key.model for key in report.held if not key.adapter}
     adapters = {key: version for key, version in report.held.items() if key.adapter}
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -461,6 +461,8 @@
         Before this time the lead sends no orders.
     peer_usage_known_at : float
         By this time the other entries have reported to this lead what they use at the engine.
+    has_report : bool
+        Whether a report was applied since the leadership began.
     synced : bool
         Whether a report was applied since the leadership began or the table was last marked as
         unsynced.
@@ -497,6 +499,7 @@
     epoch: int
     orders_allowed_at: float
     peer_usage_known_at: float
+    has_report: bool = False
     synced: bool = False
     report_due_at: float = 0.0
     report_requested_at: float = float("-inf")
--- a/tests/test_gateway_residency.py
+++ b/tests/test_gateway_residency.py
@@ -51,6 +51,23 @@
 
 
 # A new version is announced, or another adapter is requested; 0 and "" stand for neither.
+@pytest.mark.parametrize("has_report", [False, True])
+def test_new_lead_without_a_report_does_not_say_that_its_engine_holds_nothing(has_report):
+    lead = Gateway(peers=("entry-2",))
+    lead.configure()
+    lead.list_endpoints(engine(1, ("a1",)))
+    lead.set_lead("e1")
+    if has_report:
+        lead.report("e1", ("a2",))
+    sent = effects_of(fx.SendPeer, lead.receive("entry-2", messages.Use("e1", {"base/a1": 1})))
+    other = Gateway("entry-2", ("entry-1",))
+    other.configure()
+    other.list_endpoints(engine(1, ("a1",)))
+    other.receive("entry-1", only_effect(fx.SendPeer, sent).message)
+    adapter = "a2" if has_report else "a1"
+    assert effects_of(fx.Dispatch, other.request("/stream/x", adapter)[1])
+
+
 @pytest.mark.parametrize(("announced_version", "asked_adapter"), [(0, "b1"), (2, "")])
 def test_new_lead_evicts_nothing_before_peer_usage_is_known(announced_version, asked_adapter):
     gateway = Gateway(peers=("other",))
