Requests of callers are read strictly, within bounds of time and bytes

And lengths and codings that the server library takes differently from others could hide a request behind another. Cause: eventlet's input reads lines of chunked bodies without a bound; its timeout holds from read to read. Class: a loop of a library whose parts each come in time and size. Change: StrictProtocol in place of HeadTimeoutProtocol, for all servers here: 16 KB of lines that follow one another, the configured header and idle times over the whole head and body, turns for others after 64 KB or 32 lines, one length or chunked and nothing else. Log request-not-read, counter request_unreadable.

--- a/poplarhoist/entry/application.py
+++ b/poplarhoist/entry/application.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from eventlet.wsgi import ChunkReadError
 from prometheus_client import generate_latest
 from werkzeug.exceptions import BadRequest, HTTPException, InternalServerError
 from werkzeug.routing import Map, Rule
@@ -58,6 +59,9 @@
             response = handler(request, **url_arguments)
         except HTTPException as error:
             response = problems.http_error_response(error)
+        except (ChunkReadError, TimeoutError) as error:
+            self.core.log.warning("request-not-read", detail=str(error), path=request.path)
+            response = problems.http_error_response(BadRequest(str(error)))
         except Exception:
             # The response has no internal details; the log has the traceback.
             self.core.log.exception("request-failed", path=request.path)
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -25,6 +25,7 @@
     "peer_bytes": ("Bytes sent to peers", ("crossing",)),
     "cancel_failed": ("Streams that could not be cancelled at their endpoint", ()),
     "endpoint_taken_out": ("Endpoints taken out of use for a while", ("cause",)),
+    "request_unreadable": ("Requests of callers that cannot be read", ("status",)),
     "response_past_bound": ("Responses of endpoints past a bound, or unclear", ("bound",)),
     "endpoint_limit": ("Changes of the limits that endpoints name", ("change",)),
     "suspect_refused": ("Requests' contents and parts found to crash engines", ("kind",)),
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -1,26 +1,282 @@
-"""HTTP protocol of the WSGI server with a timeout for the whole request head."""
+"""HTTP protocol of the WSGI servers: requests are read strictly, within bounds of time and bytes.
+
+eventlet's own protocol reads lines of chunked bodies without a bound, restarts its timeout with each
+byte, and takes lengths and codings that other servers take differently, behind which a request
+could be hidden.
+"""
+
+import re
+from email import errors
 
 import eventlet
-from eventlet.wsgi import HttpProtocol
+from eventlet.hubs import get_hub
+from eventlet.wsgi import ChunkReadError, HttpProtocol, Input
+
+# Bytes of lines that may follow one another: chunk sizes with their extensions, and trailers.
+MAX_LINE_BYTES = 16384
+# Bytes after which other green threads run, and bytes that a line counts as, since each one costs
+# time however short it is. A read of data that is there already lets no others run.
+TURN_BYTES = 65536
+BYTES_PER_LINE = 2048
+# Bytes of a body that are read for the next request on its connection if the application left them.
+MAX_DISCARDED_BYTES = 65536
+LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+# Defects of a head that the parser does not take for an error; it also reports some of bodies.
+HEAD_DEFECTS = (
+    errors.MissingHeaderBodySeparatorDefect,
+    errors.FirstHeaderLineIsContinuationDefect,
+    errors.MisplacedEnvelopeHeaderDefect,
+)
+BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+class LineReader:
+    """Passes reads to a file, and records whether a line ended without a carriage return.
+
+    Attributes
+    ----------
+    has_bare_line_feed : bool
+        Whether there was such a line since this was last set to False.
+    """
+
+    def __init__(self, file) -> None:
+        self.file = file
+        self.has_bare_line_feed = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line, or the first `size` bytes of it."""
+        line = self.file.readline(size)
+        if line.endswith(b"\n") and not line.endswith(b"\r\n"):
+            self.has_bare_line_feed = True
+        return line
+
+    def __getattr__(self, name: str) -> object:
+        """Delegate all other attributes to the file."""
+        return getattr(self.file, name)
 
 
-class HeadTimeoutProtocol(HttpProtocol):
-    """Closes a connection whose request line and headers do not arrive within the socket timeout.
+class StrictInput(Input):
+    """Reads the body of a request.
 
-    The server's own timeout restarts with each byte, so a caller that sends single bytes slowly
-    would keep its connection open indefinitely.
+    Parameters
+    ----------
+    library_input : Input
+        The input that the library has made for the request.
+    timeout_s : float or None
+        Seconds for the whole body; None for no bound.
+
+    Attributes
+    ----------
+    ends_at : float
+        Monotonic time until which the body may be read.
+    line_bytes : int
+        Bytes of lines since data was last read.
+    turn_bytes : int
+        Bytes read since other green threads last ran, with `BYTES_PER_LINE` for each line.
+    has_failed : bool
+        Whether reading has failed, so that what follows cannot be understood.
     """
 
+    def __init__(self, library_input: Input, timeout_s: float | None) -> None:
+        super().__init__(
+            library_input.rfile,
+            library_input.content_length,
+            library_input.get_socket(),
+            library_input.wfile,
+            library_input.wfile_line,
+            library_input.chunked_input,
+        )
+        self.ends_at = float("inf") if timeout_s is None else get_hub().clock() + timeout_s
+        self.line_bytes = 0
+        self.turn_bytes = 0
+        self.has_failed = False
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return `length` bytes of the body, or all that are left.
+
+        Raises
+        ------
+        TimeoutError
+            If the body does not arrive in time.
+        eventlet.wsgi.ChunkReadError
+            If a chunked body is malformed.
+        """
+        left_s = self.ends_at - get_hub().clock()
+        timeout_s = None if left_s == float("inf") else max(0.0, left_s)
+        try:
+            with eventlet.Timeout(timeout_s, TimeoutError("request body not received in time")):
+                return super().read(length)
+        except (OSError, ChunkReadError):
+            self.has_failed = True
+            raise
+
+    def discard(self, buffer_size: int = MAX_DISCARDED_BYTES) -> None:
+        """Read what is left of the body, so that its connection can be used again.
+
+        Raises
+        ------
+        eventlet.wsgi.ChunkReadError
+            If that is too much, or cannot be read.
+        """
+        if self.has_failed:
+            raise ChunkReadError("rest of a body that could not be read")
+        if len(self.read(buffer_size)) >= buffer_size:
+            raise ChunkReadError(f"more than {buffer_size} bytes of a body were left")
+
+    def _chunked_read(self, rfile, length=None, use_readline=False) -> bytes:
+        """Read from a chunked body; replaces a method of the library, which checks little.
+
+        Raises
+        ------
+        eventlet.wsgi.ChunkReadError
+            If there is no size of a chunk, or no end, where there has to be one, or if the body
+            breaks off.
+        """
+        if self.should_send_hundred_continue:
+            self.send_hundred_continue_response()
+            self.is_hundred_continue_response_sent = True
+        reader = rfile.readline if use_readline else rfile.read
+        wanted = float("inf") if length is None or length < 0 else length
+        body = bytearray()
+        while wanted > 0 and self.chunk_length != 0:
+            left = self.chunk_length - self.position
+            if left <= 0:
+                self.begin_chunk(rfile)
+                continue
+            data = reader(int(min(left, wanted, TURN_BYTES)))
+            if not data:
+                raise ChunkReadError("body ended within a chunk")
+            self.take_turn(len(data))
+            self.line_bytes = 0
+            body += data
+            self.position += len(data)
+            wanted -= len(data)
+            if self.position == self.chunk_length and self.read_line(rfile) != b"":
+                raise ChunkReadError("chunk without an end")
+            if use_readline and data.endswith(b"\n"):
+                break
+        return bytes(body)
+
+    def begin_chunk(self, rfile) -> None:
+        """Read the size of the next chunk, and the trailers after the last one."""
+        size = self.read_line(rfile).partition(b";")[0].strip(b" \t")
+        if not CHUNK_SIZE.fullmatch(size):
+            raise ChunkReadError(f"chunk size {size[:20]!r}")
+        self.chunk_length, self.position = int(size, 16), 0
+        while self.chunk_length == 0 and self.read_line(rfile) != b"":
+            # A trailer; none is used.
+            pass
+
+    def read_line(self, rfile) -> bytes:
+        """Return the next line of the framing, without its end."""
+        line = rfile.readline(MAX_LINE_BYTES + 1 - self.line_bytes)
+        self.line_bytes += len(line)
+        self.take_turn(BYTES_PER_LINE)
+        if self.line_bytes > MAX_LINE_BYTES:
+            raise ChunkReadError(f"more than {MAX_LINE_BYTES} bytes of lines")
+        if not line.endswith(b"\r\n"):
+            raise ChunkReadError("line without an end")
+        return line[:-2]
+
+    def take_turn(self, count: int) -> None:
+        """Let other green threads run after each `TURN_BYTES` bytes."""
+        self.turn_bytes += count
+        if self.turn_bytes >= TURN_BYTES:
+            self.turn_bytes = 0
+            eventlet.sleep(0)
+
+
+class StrictProtocol(HttpProtocol):
+    """Reads requests strictly; the head, and the whole body, have to arrive in time.
+
+    A connection whose request line and headers take too long is closed. The server's own timeout
+    restarts with each byte, so a caller that sends single bytes slowly would keep its connection
+    open indefinitely.
+    """
+
+    head_timeout = None
+
+    def setup(self) -> None:
+        """Open the files of the connection."""
+        super().setup()
+        self.rfile = LineReader(self.rfile)
+
+    def head_timeout_s(self) -> float | None:
+        """Return the seconds within which a head must arrive after its first byte."""
+        return self.server.socket_timeout
+
+    def body_timeout_s(self) -> float | None:
+        """Return the seconds within which a body must arrive after its head."""
+        return self.server.socket_timeout
+
     def handle_one_request(self) -> None:
-        """Read and answer one request; the timeout covers its head."""
-        timeout_error = TimeoutError("timeout reading the request head")
-        self.head_timeout = eventlet.Timeout(self.server.socket_timeout, timeout_error)
+        """Read and answer one request."""
         try:
             super().handle_one_request()
         finally:
-            self.head_timeout.cancel()
+            self.cancel_head_timeout()
+
+    def _read_request_line(self) -> bytes | str:
+        """Wait for a request and return its first line; the time for its head begins."""
+        if self.server.keepalive and not isinstance(self.server.keepalive, bool):
+            self.connection.settimeout(self.server.keepalive)
+        try:
+            self.rfile.peek(1)
+        except (OSError, ValueError):
+            # The connection was idle for too long, or is closed.
+            self.close_connection = 1
+            return ""
+        error = TimeoutError("timeout reading the request head")
+        self.head_timeout = eventlet.Timeout(self.head_timeout_s(), error)
+        self.rfile.has_bare_line_feed = False
+        return super()._read_request_line()
+
+    def parse_request(self) -> bool:
+        """Parse the head; answer 400 and return False if it is unclear how its body ends."""
+        if not super().parse_request():
+            return False
+        problem = self.find_problem()
+        if not problem:
+            return True
+        self.on_unreadable(problem)
+        self.wfile.write(BAD_REQUEST)
+        self.close_connection = 1
+        return False
+
+    def on_unreadable(self, problem: str) -> None:
+        """Log a request whose framing is unclear."""
+        self.server.log.error(f"{problem}, from {self.get_client_address()[0]}")
+
+    def find_problem(self) -> str:
+        """Return what is wrong with the framing of the request; empty if nothing is."""
+        lengths = [text.strip() for text in self.headers.get_all("Content-Length", ())]
+        codings = [text.strip().lower() for text in self.headers.get_all("Transfer-Encoding", ())]
+        if any(isinstance(defect, HEAD_DEFECTS) for defect in self.headers.defects):
+            return "malformed header line"
+        # While it reads a head, the library wraps the file.
+        if self.rfile.fp.has_bare_line_feed:
+            return "line of the head without a carriage return"
+        if codings and (codings != ["chunked"] or lengths):
+            return f"codings {codings!r:.60} with {len(lengths)} lengths"
+        if not all(LENGTH.fullmatch(text) for text in lengths) or len(set(lengths)) > 1:
+            return f"lengths {lengths!r:.60}"
+        return ""
+
+    def get_environ(self) -> dict:
+        """Return the WSGI environ of a request, with a strict input."""
+        environ = super().get_environ()
+        strict_input = StrictInput(environ["eventlet.input"], self.body_timeout_s())
+        environ["wsgi.input"] = environ["eventlet.input"] = strict_input
+        return environ
 
     def handle_one_response(self) -> None:
         """Answer a request whose head has arrived."""
-        self.head_timeout.cancel()
+        self.cancel_head_timeout()
         super().handle_one_response()
+
+    def cancel_head_timeout(self) -> None:
+        """End the time for the head."""
+        if self.head_timeout is not None:
+            self.head_timeout.cancel()
+            self.head_timeout = None
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -23,7 +23,7 @@
 from poplarhoist.entry.peers import PeerTransport
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.entry.platform_effects import PlatformEffects
-from poplarhoist.entry.protocol import HeadTimeoutProtocol
+from poplarhoist.entry.protocol import StrictProtocol
 from poplarhoist.entry.server_log import ServerLog
 from poplarhoist.models import Instance
 from poplarhoist.settings.loader import to_instance, to_limits, to_services
@@ -80,7 +80,7 @@
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
             minimum_chunk_size=1,
-            protocol=HeadTimeoutProtocol,
+            protocol=StrictProtocol,
             max_size=self.site.interfaces.connections,
             socket_timeout=self.site.interfaces.read_s,
             url_length_limit=MAX_REQUEST_LINE_BYTES,
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 
-import eventlet
 import orjson
 import xxhash
 from eventlet.queue import LightQueue
@@ -25,8 +24,6 @@
 # WSGI environ key of the connection's protocol object.
 PROTOCOL_KEY = "poplarhoist.protocol"
 JSON_CONTENT_TYPE = ("Content-Type", "application/json")
-# Seconds within which the whole request body must arrive.
-BODY_TIMEOUT_S = 10.0
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
     Refused.NO_ROUTE: HTTPStatus.NOT_FOUND,
@@ -79,6 +76,10 @@
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
         except BadRequest as error:
             protocol.close_connection = 1
+            self.count_unreadable(error.status)
+            self.decision_loop.log.warning(
+                "request-not-read", detail=str(error), caller=environ["REMOTE_ADDR"]
+            )
             return json_error(start_response, error.status, str(error))
         target = protocol.path
         head = self.dialect.parse_request_head(header_pairs)
@@ -127,6 +128,10 @@
             raise BadRequest(HTTPStatus.BAD_REQUEST, message) from error
         return relay_headers.without_relay_headers(pairs), terms
 
+    def count_unreadable(self, status: HTTPStatus) -> None:
+        """Count a request that cannot be read, by the status with which it is refused."""
+        self.decision_loop.metrics.count("request_unreadable", (str(int(status)),))
+
     def limits(self) -> CallerLimits:
         """Return the limits on requests; the defaults while there is no configuration."""
         configuration = self.decision_loop.state.configuration
@@ -442,10 +447,11 @@
     if length.isdigit() and int(length) > limits.max_body_bytes:
         raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
     body_stream = environ["wsgi.input"]
-    timeout_error = BadRequest(HTTPStatus.REQUEST_TIMEOUT, "request body not received in time")
     try:
-        with eventlet.Timeout(BODY_TIMEOUT_S, timeout_error):
-            body = body_stream.read(limits.max_body_bytes + 1) if announces_body(environ) else b""
+        body = body_stream.read(limits.max_body_bytes + 1) if announces_body(environ) else b""
+    except TimeoutError as error:
+        message = "request body not received in time"
+        raise BadRequest(HTTPStatus.REQUEST_TIMEOUT, message) from error
     except (OSError, ValueError) as error:
         raise BadRequest(HTTPStatus.BAD_REQUEST, f"request body incomplete: {error}") from error
     if len(body) > limits.max_body_bytes:
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -6,6 +6,7 @@
 import socket
 import uuid
 from collections.abc import Callable
+from http import HTTPStatus
 
 import eventlet
 import eventlet.wsgi
@@ -22,7 +23,7 @@
 from poplarhoist.entry.listener import StoppableListener
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
-from poplarhoist.entry.protocol import HeadTimeoutProtocol
+from poplarhoist.entry.protocol import StrictProtocol
 from poplarhoist.entry.server_log import ServerLog
 from poplarhoist.gateway.callers import PROTOCOL_KEY, CallerApplication, StreamBroken
 from poplarhoist.gateway.engines import EngineClient
@@ -45,13 +46,15 @@
 MAX_CALLER_CONNECTIONS = 2000
 # Seconds of idleness up to which callers rely on a connection to stay open.
 IDLE_TIMEOUT_S = 15.0
+# Seconds within which a request for readiness or metrics must arrive.
+STATUS_TIMEOUT_S = 5.0
 # Seconds to wait, after accepting stops, for the request of the connection accepted last.
 LAST_REQUEST_GRACE_S = 0.1
 # Effects that go into the mailbox of their request.
 REQUEST_EFFECTS = (fx.Dispatch, fx.Refuse, fx.ForwardFailure)
 
 
-class GatewayProtocol(HeadTimeoutProtocol):
+class GatewayProtocol(StrictProtocol):
     """HTTP protocol of callers' connections.
 
     It puts itself into the WSGI environ, since the application needs the request target as it was
@@ -65,6 +68,19 @@
 
     resets_connection = False
 
+    def head_timeout_s(self) -> float:
+        """Return the seconds within which a head must arrive after its first byte."""
+        return self.server.app.limits().header_timeout_s
+
+    def body_timeout_s(self) -> float:
+        """Return the seconds within which a body must arrive after its head."""
+        return self.server.app.limits().idle_timeout_s
+
+    def on_unreadable(self, problem: str) -> None:
+        """Log and count a request whose framing is unclear."""
+        super().on_unreadable(problem)
+        self.server.app.count_unreadable(HTTPStatus.BAD_REQUEST)
+
     def get_environ(self) -> dict:
         """Return the WSGI environ of a request, with this protocol under `PROTOCOL_KEY`."""
         environ = super().get_environ()
@@ -207,6 +223,9 @@
             log=ServerLog(self.decision_loop.log),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
+            protocol=StrictProtocol,
+            keepalive=IDLE_TIMEOUT_S,
+            socket_timeout=STATUS_TIMEOUT_S,
         )
 
     def handle_status(self, environ: dict, start_response: Callable) -> list[bytes]:
--- a/poplarhoist/standins/web.py
+++ b/poplarhoist/standins/web.py
@@ -13,6 +13,8 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from poplarhoist.entry.protocol import StrictProtocol
+
 ACCEPT_BACKLOG = 512
 MAX_CONNECTIONS = 4096
 SILENCE_POLL_S = 0.05
@@ -117,6 +119,7 @@
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
+            protocol=StrictProtocol,
         )
 
     def restart(self, downtime_s: float) -> None:
--- /dev/null
+++ b/tests/test_endless_requests.py
@@ -0,0 +1,125 @@
+"""Requests of callers that do not end, or are unclear, are cut off in time and bounded memory."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from tests.endless_requests import (
+    BAD_REQUESTS,
+    ENDLESS_PARTS,
+    HIDDEN,
+    SOUND_REQUESTS,
+    send_raw,
+    send_without_end,
+)
+from tests.platform_site import PlatformSite
+
+# Seconds after which a request that does not end is cut off: the idle time of the stand-in's
+# configuration, and time for a busy machine.
+IDLE_TIMEOUT_S = 3.0
+CUT_WITHIN_S = IDLE_TIMEOUT_S + 1.0
+# The bound on all such connections together, in KB, and their number.
+MAX_GROWTH_KB = 32 * 1024
+CONNECTION_COUNT = 64
+PACES = {"fast": (65536, 0.0), "a-byte-at-a-time": (1, 0.02)}
+
+
+class IdleSite(PlatformSite):
+    """A site with a short idle time."""
+
+    def configure(self, version: int = 1, *more: dict) -> None:
+        """Write the configuration."""
+        super().configure(version, *more)
+        document = self.store.objects["config", "main"]["spec"]
+        document["limits"]["idleTimeoutMs"] = int(IDLE_TIMEOUT_S * 1000)
+        self.store.put("config", "main", document)
+
+    def memory_kb(self, name: str) -> int:
+        """Return a size of the entry's memory; VmHWM is the largest since it was reset."""
+        lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith(name))
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    site = IdleSite(tmp_path_factory.mktemp("site"))
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
+def port_of(site, address: str) -> int:
+    """Return the port of one of the entry's addresses."""
+    return {"callers": site.port, "ready": site.ready_port, "relay": site.relay_port}[address]
+
+
+@pytest.mark.parametrize("address", ["callers", "ready", "relay"])
+@pytest.mark.parametrize("pace", PACES)
+@pytest.mark.parametrize("part", ENDLESS_PARTS)
+def test_request_of_which_a_part_does_not_end_is_cut_off(site, part, pace, address):
+    piece_bytes, pause_s = PACES[pace]
+    Path(f"/proc/{site.process.pid}/clear_refs").write_text("5")
+    before_kb = site.memory_kb("VmRSS")
+    ending = send_without_end(
+        port_of(site, address), "/once/x", part, piece_bytes, pause_s, CUT_WITHIN_S + 2.0
+    )
+    # The readiness and metrics addresses know no idle time.
+    assert ending.seconds < CUT_WITHIN_S or (address == "ready" and pace != "fast")
+    assert set(ending.statuses()) <= {400, 404, 408, 413, 431}
+    assert site.memory_kb("VmHWM") - before_kb < MAX_GROWTH_KB / CONNECTION_COUNT + 3072
+
+
+@pytest.mark.parametrize("part", ["chunk-size", "chunk-extension", "trailer", "chunks"])
+def test_many_requests_without_end_take_bounded_memory_and_leave_others_time(site, part):
+    Path(f"/proc/{site.process.pid}/clear_refs").write_text("5")
+    before_kb = site.memory_kb("VmRSS")
+    with ThreadPoolExecutor(CONNECTION_COUNT) as pool:
+        arguments = (site.port, "/once/x", part, 65536, 0.0, CUT_WITHIN_S + 2.0)
+        endings = [pool.submit(send_without_end, *arguments) for _ in range(CONNECTION_COUNT)]
+        time.sleep(0.3)
+        started_at = time.monotonic()
+        assert site.send_request("/read/x", method="GET")[0] == 200
+        assert time.monotonic() - started_at < 1.5
+        assert all(ending.result().seconds < CUT_WITHIN_S + 2.0 for ending in endings)
+    assert site.memory_kb("VmHWM") - before_kb < MAX_GROWTH_KB
+
+
+@pytest.mark.parametrize("name", BAD_REQUESTS)
+@pytest.mark.parametrize("address", ["callers", "relay"])
+def test_request_with_unclear_framing_is_refused_and_hides_no_other(site, name, address):
+    site.endpoints["d1"].requests.clear()
+    ending = send_raw(port_of(site, address), "/once/x", BAD_REQUESTS[name] + HIDDEN)
+    assert ending.statuses() == [400]
+    assert ending.seconds < CUT_WITHIN_S
+    assert site.endpoints["d1"].requests == []
+
+
+@pytest.mark.parametrize("name", SOUND_REQUESTS)
+def test_unusual_but_whole_request_is_forwarded(site, name):
+    site.endpoints["d1"].requests.clear()
+    rest, body = SOUND_REQUESTS[name]
+    ending = send_raw(site.port, "/once/x", rest + HIDDEN, 1.0)
+    assert ending.statuses() == [200, 200]
+    assert [request[3] for request in site.endpoints["d1"].requests] == [body, b""]
+
+
+def test_slow_upload_within_the_idle_time_is_read(site):
+    """The body comes byte by byte, in two thirds of the time that it may take."""
+    results = []
+
+    def slow_body():
+        for _ in range(20):
+            time.sleep(IDLE_TIMEOUT_S * 2 / 3 / 20)
+            yield b"x"
+
+    thread = threading.Thread(
+        target=lambda: results.append(site.send_request("/once/x", body=slow_body())[0])
+    )
+    thread.start()
+    thread.join()
+    assert results == [200]
