Brittle endpoints get what they have room for

Users' new promise: an engine that is brittle and has to turn more than N requests away in a second falls over. Change: windows of requests in flight for each entry and endpoint (room.py); what waits is ordered by urgency and age; a fall within 1.5 s after a request was turned away convicts no request.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.common_effects import LogChange
-from poplarhoist.decisions.gateway import crashes, pauses, request_limits, streams
+from poplarhoist.decisions.gateway import crashes, pauses, request_limits, room, streams
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.events import (
     EndpointRemoved,
@@ -27,6 +27,7 @@
     GatewayState,
     LimitState,
     RequestState,
+    RoomState,
 )
 
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
@@ -222,6 +223,7 @@
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
+    endpoint.room = RoomState()
     endpoint.paused_until = float("-inf")
 
 
@@ -285,7 +287,7 @@
     """Return whether an endpoint takes another request of this entry now, by what it has said."""
     if endpoint.is_leaving or pauses.free_in_s(endpoint, at) > 0.0:
         return False
-    return request_limits.may_send(state, endpoint, at)
+    return request_limits.may_send(state, endpoint, at) and room.may_send(state, endpoint, at)
 
 
 def free_in_s(state: GatewayState, endpoint: EndpointState, at: float) -> float:
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -192,10 +192,14 @@
         limit.
     retry_after_s : float or None
         Seconds for which the endpoint wants no requests from this entry; None if it does not say.
+    bears_per_s : float or None
+        Requests that the endpoint, which is brittle, bears to turn away in a second; None if it is
+        not.
     """
 
     requests_per_s: float | None = None
     retry_after_s: float | None = None
+    bears_per_s: float | None = None
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -161,6 +161,21 @@
     incarnation: int
 
 
+@frozen
+class NoRoom:
+    """Says that a brittle endpoint turned a request away for want of room.
+
+    Attributes
+    ----------
+    bears_per_s : float
+        Requests that it bears to turn away in a second.
+    """
+
+    endpoint: str
+    incarnation: int
+    bears_per_s: float
+
+
 @frozen
 class LinksChanged:
     """Says whether the sender has lost its links to all endpoints; repeated while it has."""
@@ -213,6 +228,7 @@
     | RequestLimit
     | EndpointLeaving
     | LinksChanged
+    | NoRoom
     | News
     | StreamBegan
     | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -17,6 +17,7 @@
     request_limits,
     requests,
     residency,
+    room,
     streams,
 )
 from poplarhoist.decisions.gateway import events as ev
@@ -115,6 +116,8 @@
             request_limits.on_told(state, message, at, effects)
         case messages.EndpointLeaving():
             endpoints.on_told_leaving(state, message, at, effects)
+        case messages.NoRoom():
+            room.on_told(state, message, at, effects)
         case messages.LinksChanged():
             links.on_told(state, sender, message, at)
         case messages.News():
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -12,6 +12,7 @@
     relays,
     request_limits,
     retry_budget,
+    room,
     routing,
     streams,
 )
@@ -178,7 +179,11 @@
         if streams.runs_software(endpoint, request)
         and not endpoints.takes_requests(state, endpoint, at)
     ]
-    if busy and not any(pauses.ends_within(endpoint, may_wait_s, at) for endpoint in busy):
+    if any(room.is_full(endpoint) for endpoint in busy):
+        # Its place becomes free with any response.
+        waited_s = at - request.arrived_at
+        may_wait_s = NO_SLOT_WAIT_SHARE * request.route.latency_target_s - waited_s
+    elif busy and not any(pauses.ends_within(endpoint, may_wait_s, at) for endpoint in busy):
         free_in_s = min(endpoints.free_in_s(state, endpoint, at) for endpoint in busy)
         # Spread, so that the callers that are refused now do not come back together.
         retry_after_s = max(RETRY_AFTER_S, free_in_s) * state.random.uniform(1.0, 2.0)
@@ -187,6 +192,10 @@
     if may_wait_s > 0.0:
         state.waiting.add(request.request_id)
         return
+    if busy:
+        retry_after_s = RETRY_AFTER_S * state.random.uniform(1.0, 2.0)
+        refuse(state, request, Refused.LIMITED, effects, retry_after_s)
+        return
     refuse(state, request, Refused.NO_ENDPOINT, effects)
 
 
@@ -372,9 +381,9 @@
     if endpoint is None:
         return
     pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
-    request_limits.on_notice(
-        state, endpoint, notice.requests_per_s, request.attempt_sent_at, at, effects
-    )
+    sent_at = request.attempt_sent_at
+    request_limits.on_notice(state, endpoint, notice.requests_per_s, sent_at, at, effects)
+    room.on_notice(state, endpoint, notice.bears_per_s, sent_at, at, effects)
 
 
 def on_attempt_ended(state: GatewayState, event: AttemptEnded, effects: list) -> None:
@@ -463,6 +472,9 @@
     recorded as absent.
     """
     key = request.prompt.key if request.prompt is not None else None
+    is_turned_away = event.outcome is Outcome.NOT_RUN and event.status == 503
+    if is_turned_away:
+        room.on_turned_away(state, endpoint, event.at, effects)
     match event.outcome:
         case Outcome.DONE:
             endpoints.record_result(endpoint, False)
@@ -478,8 +490,9 @@
         case Outcome.BROKEN:
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
-            crashes.on_attempt_broken(state, request, endpoint, event, effects)
-        case Outcome.NOT_RUN if event.notice and event.notice.retry_after_s is not None:
+            if not room.explains_fall(endpoint, event.at):
+                crashes.on_attempt_broken(state, request, endpoint, event, effects)
+        case Outcome.NOT_RUN if is_turned_away and says_busy(event):
             # It is busy, which says nothing of its adapters.
             request.avoided_endpoints.add(request.endpoint_name)
         case Outcome.NOT_RUN if key is not None and key.adapter:
@@ -488,6 +501,14 @@
             request.avoided_endpoints.add(request.endpoint_name)
 
 
+def says_busy(event: AttemptEnded) -> bool:
+    """Return whether an endpoint that did not run a request says that it has no time or room."""
+    notice = event.notice
+    return notice is not None and (
+        notice.retry_after_s is not None or notice.bears_per_s is not None
+    )
+
+
 def may_retry(
     state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
 ) -> bool:
@@ -586,7 +607,7 @@
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Dispatch requests whose adapter is ready, and retry or refuse those that wait."""
-    for request_id in sorted(state.waiting):
+    for request_id in sorted(state.waiting, key=lambda name: waiting_order(state, name)):
         request = state.requests.get(request_id)
         if request is None:
             state.waiting.discard(request_id)
@@ -611,6 +632,14 @@
             place_request(state, request, at, effects)
 
 
+def waiting_order(state: GatewayState, request_id: str) -> tuple:
+    """Return the key by which waiting requests are ordered: the most urgent and oldest first."""
+    request = state.requests.get(request_id)
+    if request is None:
+        return (0, 0.0, request_id)
+    return (request.route.priority, request.first_requested_at, request_id)
+
+
 def has_waited_too_long(state: GatewayState, request: RequestState, at: float) -> bool:
     """Return whether a request has waited so long for a slot that its caller should retry."""
     endpoint = state.endpoints.get(request.asked_engine)
--- /dev/null
+++ b/poplarhoist/decisions/gateway/room.py
@@ -0,0 +1,138 @@
+"""Keeps brittle endpoints from having to turn requests away, which makes them fall over.
+
+While an endpoint says that it is brittle, each entry has a window of requests that it may have in
+flight there. The windows of all entries begin with the endpoint's slots. When the endpoint turns a
+request away, the entry tells all others, and each shrinks its window to what it has in flight: that
+is what the endpoint had room for. Windows in full use grow by one from time to time, over all
+entries rarely enough for the endpoint to bear what that may cost.
+"""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.common_effects import Count, LogChange
+from poplarhoist.decisions.gateway.broadcast import tell_others
+from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.messages import NoRoom
+from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
+
+# Seconds between two growths of a window over all entries, if the endpoint bears one request turned
+# away in a second; fewer if it bears more.
+GROWTH_INTERVAL_S = 4.0
+# Seconds after a request was turned away in which the end of the endpoint's responses is no sign that
+# one of its requests crashed it.
+BLAME_EXEMPT_S = 1.5
+
+
+def on_notice(
+    state: GatewayState,
+    endpoint: EndpointState,
+    bears_per_s: float | None,
+    sent_at: float,
+    at: float,
+    effects: list,
+) -> None:
+    """Apply how many requests an endpoint bears to turn away in a second; None if it is sound.
+
+    A response to a request that was sent before brittleness was last seen does not end it.
+    """
+    room = endpoint.room
+    if bears_per_s is None:
+        if room.bears_per_s is not None and sent_at > room.seen_at:
+            room.bears_per_s = None
+            log_change(endpoint, effects)
+        return
+    room.seen_at = at
+    if room.bears_per_s == bears_per_s:
+        return
+    is_new = room.bears_per_s is None
+    room.bears_per_s = bears_per_s
+    if is_new:
+        room.window = max(share_of_slots(state, endpoint), len(endpoint.in_flight))
+        room.grows_at = at + growth_interval_s(state, endpoint)
+    log_change(endpoint, effects)
+
+
+def log_change(endpoint: EndpointState, effects: list) -> None:
+    """Log that an endpoint became brittle or sound, or bears another number."""
+    room = endpoint.room
+    fields = {"endpoint": endpoint.record.name, "bears_per_s": room.bears_per_s}
+    effects.append(LogChange("endpoint-brittle", fields | {"window": room.window}))
+    change = "ended" if room.bears_per_s is None else "named"
+    effects.append(Count("endpoint_brittle", (change,)))
+
+
+def share_of_slots(state: GatewayState, endpoint: EndpointState) -> int:
+    """Return this entry's part of an endpoint's slots, one at least.
+
+    With more entries than slots the parts add up to more than the slots. So many requests at once
+    come only under a load at which one is soon turned away, and the windows shrink.
+    """
+    record = endpoint.record
+    entries = sorted(
+        state.entries or (state.name,),
+        key=lambda entry: -rendezvous_weight(record.name, entry),
+    )
+    part, left = divmod(record.max_concurrent_requests, len(entries))
+    return max(1, part + (state.name in entries[:left]))
+
+
+def on_turned_away(state: GatewayState, endpoint: EndpointState, at: float, effects: list) -> None:
+    """Apply that a brittle endpoint had no room for a request, and tell the others."""
+    room = endpoint.room
+    if room.bears_per_s is None:
+        return
+    shrink(state, endpoint, at, effects)
+    record = endpoint.record
+    tell_others(state, NoRoom(record.name, record.incarnation, room.bears_per_s), effects)
+
+
+def on_told(state: GatewayState, message: NoRoom, at: float, effects: list) -> None:
+    """Apply that a brittle endpoint had no room for a request of another entry."""
+    endpoint = state.find_run(message.endpoint, message.incarnation)
+    if endpoint is None:
+        return
+    on_notice(state, endpoint, message.bears_per_s, at, at, effects)
+    shrink(state, endpoint, at, effects)
+
+
+def shrink(state: GatewayState, endpoint: EndpointState, at: float, effects: list) -> None:
+    """Shrink the window to what this entry has in flight."""
+    room = endpoint.room
+    room.window = len(endpoint.in_flight)
+    room.turned_away_at = at
+    room.grows_at = at + growth_interval_s(state, endpoint)
+    fields = {"endpoint": endpoint.record.name, "window": room.window}
+    effects.append(LogChange("endpoint-full", fields))
+
+
+def growth_interval_s(state: GatewayState, endpoint: EndpointState) -> float:
+    """Return the seconds until the window may grow; infinity if no request may be turned away."""
+    bears_per_s = endpoint.room.bears_per_s
+    if bears_per_s < 1.0:
+        return float("inf")
+    entries = max(1, len(state.entries))
+    return GROWTH_INTERVAL_S / bears_per_s * entries * state.random.uniform(0.5, 1.5)
+
+
+def may_send(state: GatewayState, endpoint: EndpointState, at: float) -> bool:
+    """Return whether an endpoint has room for another request of this entry, as far as is known."""
+    room = endpoint.room
+    if room.bears_per_s is None or len(endpoint.in_flight) < room.window:
+        return True
+    if at < room.grows_at:
+        return False
+    room.window += 1
+    room.grows_at = at + growth_interval_s(state, endpoint)
+    return True
+
+
+def is_full(endpoint: EndpointState) -> bool:
+    """Return whether an endpoint is brittle and has as many requests of this entry as it may."""
+    room = endpoint.room
+    return room.bears_per_s is not None and len(endpoint.in_flight) >= room.window
+
+
+def explains_fall(endpoint: EndpointState, at: float) -> bool:
+    """Return whether a brittle endpoint has just turned requests away, and may fall over for it."""
+    room = endpoint.room
+    return room.bears_per_s is not None and at - room.turned_away_at <= BLAME_EXEMPT_S
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -48,6 +48,31 @@
     refilled_at: float = float("-inf")
 
 
+@define
+class RoomState:
+    """What this entry knows of the room at an endpoint that is brittle.
+
+    Attributes
+    ----------
+    bears_per_s : float or None
+        Requests that it bears to turn away in a second; None while it is not brittle.
+    seen_at : float
+        When an answer last told that.
+    window : int
+        Requests that this entry may have in flight there.
+    grows_at : float
+        From this time on the window may grow by one.
+    turned_away_at : float
+        When it last turned a request of any entry away.
+    """
+
+    bears_per_s: float | None = None
+    seen_at: float = float("-inf")
+    window: int = 0
+    grows_at: float = float("-inf")
+    turned_away_at: float = float("-inf")
+
+
 @define
 class EndpointState:
     """What this entry knows about an endpoint.
@@ -91,6 +116,8 @@
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
     limit : LimitState
         Limit on its requests that the endpoint names.
+    room : RoomState
+        Room there while it is brittle.
     is_leaving : bool
         Whether this run of the endpoint is stopping and takes no new requests.
     paused_until : float
@@ -122,6 +149,7 @@
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
+    room: RoomState = field(factory=RoomState)
     is_leaving: bool = False
     paused_until: float = float("-inf")
     checked_at: float = float("-inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -30,6 +30,7 @@
     "endpoint_limit": ("Changes of the limits that endpoints name", ("change",)),
     "suspect_refused": ("Requests' contents and parts found to crash engines", ("kind",)),
     "order_ended": ("Orders to engines ended", ("status",)),
+    "endpoint_brittle": ("Endpoints that became brittle, or sound again", ("change",)),
     "links_changed": ("Losses and returns of this entry's links to endpoints", ("change",)),
     "relayed": ("Requests that other entries were to pass on", ()),
     "lead_silent": ("Leads of engines that did not answer", ()),
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -162,6 +162,7 @@
         notice=EndpointNotice(
             requests_per_s=parse_limit(value_by_name.get("server-limit")),
             retry_after_s=parse_pause(status, value_by_name.get("retry-after")),
+            bears_per_s=parse_brittle(value_by_name.get("server-brittle")),
         ),
         is_leaving=says_leaving(headers),
     )
@@ -190,6 +191,17 @@
     return UNREADABLE_PAUSE_S if seconds is None else seconds
 
 
+def parse_brittle(text: str | None) -> float | None:
+    """Parse how many requests a brittle endpoint bears to turn away in a second; None if sound.
+
+    A value that cannot be read counts as 0, the safest: nothing must be turned away.
+    """
+    if text is None:
+        return None
+    number = parse_number("Server-Brittle", text)
+    return 0.0 if number is None else number
+
+
 def says_leaving(headers: Iterable[tuple[str, str]]) -> bool:
     """Return whether an endpoint says that it is stopping; a value that cannot be read does not."""
     values = [value for name, value in headers if name.lower() == "server-leaving"]
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -53,6 +53,11 @@
         Until this time it turns requests away, and says for how long.
     turned_away : list
         When it turned a request away, of which entry, and when it wants requests again.
+    bears_per_s, waiting_room : float or None, int
+        Requests that it bears to turn away in a second; None if it is sound. Requests that it lets
+        wait beyond its slots while it is brittle.
+    had_no_room : list
+        When it turned a request away for want of room.
     is_leaving, told_leaving_at : bool, dict
         Whether its responses say that it is stopping, and when an entry first got one of these.
     """
@@ -66,6 +71,9 @@
     told_at: dict[str, float] = field(factory=dict)
     busy_until: float = float("-inf")
     turned_away: list[tuple[float, str, float]] = field(factory=list)
+    bears_per_s: float | None = None
+    waiting_room: int = 1
+    had_no_room: list[float] = field(factory=list)
     is_leaving: bool = False
     told_leaving_at: dict[str, float] = field(factory=dict)
 
@@ -109,13 +117,15 @@
         Entries whose messages to and from others are lost, and share of all messages that are.
     crashed_at_by_part : dict
         When engines crashed under each of `crashing_parts`.
+    fallen_at : list
+        When engines fell over for want of room.
     without_links, refuses_connections : set, bool
         Entries that reach no engine, and whether their connections are refused or hang.
     relays : dict
         Entry and attempt for which another entry handles a request, by that entry and request.
     """
 
-    def __init__(self, entry_count: int = 5, engine_count: int = 6) -> None:
+    def __init__(self, entry_count: int = 5, engine_count: int = 6, slots: int = 64) -> None:
         self.at = 0.0
         self.agenda: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count(1)
@@ -128,12 +138,13 @@
         self.relays: dict[tuple[str, str], tuple[str, fx.Dispatch]] = {}
         self.rng = random.Random(1)
         self.crashed_at_by_part: dict[str, list[float]] = {}
+        self.fallen_at: list[float] = []
         self.requests: dict[tuple[str, str], SentRequest] = {}
         self.names = [f"entry-{number}" for number in range(1, entry_count + 1)]
         self.runs_by_name: dict[str, EngineRun] = {}
         self.entries: dict[str, Gateway] = {}
         for number in range(1, engine_count + 1):
-            self.start_engine(engine(number, held=("a1",)))
+            self.start_engine(engine(number, held=("a1",), max_concurrent_requests=slots))
         for name in self.names:
             self.start_entry(name)
         self.call_in(TICK_S, self.tick)
@@ -287,9 +298,32 @@
             request_id, attempt = dispatch.request_id, dispatch.attempt
             self.end(name, request_id, attempt, ev.Outcome.NOT_RUN, status=503, notice=notice)
             return
+        if self.has_no_room(run):
+            notice = ev.EndpointNotice(bears_per_s=run.bears_per_s)
+            request_id, attempt = dispatch.request_id, dispatch.attempt
+            self.end(name, request_id, attempt, ev.Outcome.NOT_RUN, status=503, notice=notice)
+            self.fall_if_too_many(run)
+            return
         run.attempts[name, dispatch.request_id] = (dispatch.attempt, request.parts)
         self.call_in(HEAD_S, lambda: self.begin_response(run, name, dispatch))
 
+    def has_no_room(self, run: EngineRun) -> bool:
+        """Return whether an engine has no room for another request, and count that."""
+        if run.bears_per_s is None:
+            return False
+        room = run.record.max_concurrent_requests + run.waiting_room
+        if len(run.attempts) < room:
+            return False
+        run.had_no_room.append(self.at)
+        return True
+
+    def fall_if_too_many(self, run: EngineRun) -> None:
+        """Let an engine fall over if it had to turn too many requests away within a second."""
+        recent = [at for at in run.had_no_room if at > self.at - 1.0]
+        if run.is_alive and len(recent) > run.bears_per_s:
+            self.fallen_at.append(self.at)
+            self.crash_engine(run)
+
     def begin_response(self, run: EngineRun, name: str, dispatch: fx.Dispatch) -> None:
         """Let an engine begin a response, or crash at it."""
         key = name, dispatch.request_id
@@ -318,7 +352,7 @@
             ev.ResponseStarted,
             request_id=dispatch.request_id,
             attempt=dispatch.attempt,
-            notice=ev.EndpointNotice(run.requests_per_s),
+            notice=ev.EndpointNotice(run.requests_per_s, bears_per_s=run.bears_per_s),
         )
         if run.is_leaving:
             run.told_leaving_at.setdefault(name, self.at)
@@ -344,8 +378,15 @@
         self.break_attempts(run, framing_by_key or {})
         record = run.record
         self.call_in(RECORD_EXPIRY_S, lambda: self.remove_record(record.name))
+        bears_per_s, waiting_room = run.bears_per_s, run.waiting_room
         restarted = evolve(record, name=f"{record.name}+", incarnation=record.incarnation + 1)
-        self.call_in(RESTART_S, lambda: self.start_engine(restarted))
+
+        def restart() -> None:
+            self.start_engine(restarted)
+            self.runs_by_name[restarted.name].bears_per_s = bears_per_s
+            self.runs_by_name[restarted.name].waiting_room = waiting_room
+
+        self.call_in(RESTART_S, restart)
 
     def break_attempts(
         self, run: EngineRun, framing_by_key: dict, entry_name: str | None = None
--- /dev/null
+++ b/tests/test_gateway_room.py
@@ -0,0 +1,199 @@
+"""Brittle engines fall over if they have to turn too many requests away."""
+
+import orjson
+import pytest
+from attrs import evolve
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.models import Refused, RouteKind
+from poplarhoist.decisions.gateway.state import RoomState
+from poplarhoist.gateway.peers import message_converter
+from poplarhoist.platform.headers import parse_response_head
+from tests.engine_site import HEAD_S, RUN_S, EngineSite
+from tests.gateway import (
+    ROUTES,
+    Gateway,
+    effects_of,
+    engine,
+    only_effect,
+    plain_endpoint,
+    route,
+    send_request,
+    start_gateway,
+)
+
+ENGINE_COUNT = 6
+SLOTS = 4
+# Requests a second that the slots of all engines run.
+CAPACITY_PER_S = ENGINE_COUNT * SLOTS / (HEAD_S + RUN_S)
+# The users' bounds: seconds from the first sign on which falls count, and falls allowed.
+COUNTED_AFTER_S = 4.0
+ALLOWED_FALLS = 2 + 0.1 * ENGINE_COUNT
+BRITTLE_S = 24.0
+# Part of what the engines can run that is to be served.
+LEAST_SHARE = 0.9
+
+
+def played_site(entry_count: int, load: float, bears_per_s: float) -> tuple[EngineSite, list]:
+    """Let engines be brittle under a load; return the site and the requests that count."""
+    site = EngineSite(entry_count, ENGINE_COUNT, SLOTS)
+    requests = site.send_steadily(1.0 / (load * CAPACITY_PER_S), "shared")
+    site.run(4.0)
+    for run in site.runs_by_name.values():
+        run.bears_per_s = bears_per_s
+    site.run(BRITTLE_S)
+    began_at = site.at - BRITTLE_S + COUNTED_AFTER_S
+    counted = [request for request in requests if began_at < request.at < site.at - 4.0]
+    return site, counted
+
+
+@pytest.mark.parametrize("bears_per_s", [1.0, 3.0])
+@pytest.mark.parametrize("load", [0.7, 1.5, 3.0])
+@pytest.mark.parametrize("entry_count", [3, 9, 40])
+def test_brittle_engines_do_not_fall_and_are_used(entry_count, load, bears_per_s):
+    site, counted = played_site(entry_count, load, bears_per_s)
+    falls = [at for at in site.fallen_at if at > site.at - BRITTLE_S + COUNTED_AFTER_S]
+    done = sum(request.is_done for request in counted)
+    possible = min(len(counted), len(counted) / load)
+    assert len(falls) <= ALLOWED_FALLS
+    assert done >= LEAST_SHARE * possible
+
+
+def brittle(bears_per_s: float | None = 3.0) -> ev.EndpointNotice:
+    return ev.EndpointNotice(bears_per_s=bears_per_s)
+
+
+def answer(gateway: Gateway, dispatch: fx.Dispatch, bears_per_s: float | None = 3.0) -> list:
+    """Let a response begin and end."""
+    fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
+    gateway.submit(ev.ResponseStarted, notice=brittle(bears_per_s), **fields)
+    return gateway.end_attempt(dispatch, ev.Outcome.DONE)
+
+
+def turn_away(gateway: Gateway, dispatch: fx.Dispatch, bears_per_s: float = 3.0) -> list:
+    notice = brittle(bears_per_s)
+    return gateway.end_attempt(dispatch, ev.Outcome.NOT_RUN, status=503, notice=notice)
+
+
+def start_brittle(slots: int) -> Gateway:
+    """Return one of three entries, which has read that its only endpoint is brittle."""
+    gateway = start_gateway(plain_endpoint(1, max_concurrent_requests=slots))
+    answer(gateway, send_request(gateway))
+    return gateway
+
+
+@pytest.mark.parametrize("slots", [1, 6, 7, 64])
+def test_windows_of_all_entries_begin_with_the_slots(slots):
+    names = ("entry-1", "entry-2", "entry-3")
+    windows = []
+    for name in names:
+        gateway = Gateway(name, tuple(peer for peer in names if peer != name))
+        gateway.configure()
+        gateway.list_endpoints(plain_endpoint(1, max_concurrent_requests=slots))
+        answer(gateway, send_request(gateway))
+        windows.append(gateway.state.endpoints["d1"].room.window)
+    assert sum(windows) == max(slots, len(names))
+
+
+@pytest.mark.parametrize("told", [False, True], ids=["own", "other"])
+def test_window_shrinks_to_what_is_in_flight_and_grows_slowly(told):
+    gateway = start_brittle(64)
+    running = [send_request(gateway) for _ in range(5)]
+    if told:
+        gateway.receive("entry-2", messages.NoRoom("d1", 1, 3.0))
+    else:
+        effects = turn_away(gateway, running.pop())
+        told_entries = {e.peer for e in effects_of(fx.SendPeer, effects)}
+        assert told_entries == {"entry-2", "entry-3"}
+    room = gateway.state.endpoints["d1"].room
+    assert room.window == len(running)
+    _, effects = gateway.request("/read/x")
+    assert not effects_of(fx.Dispatch, effects + gateway.advance(0.3))
+    for dispatch in running:
+        answer(gateway, dispatch)
+    gateway.advance(30.0)
+    for _ in range(len(running) + 1):
+        send_request(gateway)
+    assert room.window == len(running) + 1
+
+
+def test_nothing_beyond_the_window_is_sent_to_one_that_bears_no_request_turned_away():
+    gateway = start_gateway(plain_endpoint(1, max_concurrent_requests=6))
+    answer(gateway, send_request(gateway), 0.0)
+    for _ in range(gateway.state.endpoints["d1"].room.window):
+        send_request(gateway)
+    gateway.advance(600.0)
+    assert not effects_of(fx.Dispatch, gateway.request("/read/x")[1])
+
+
+@pytest.mark.parametrize(("sent_before", "is_sound"), [(False, True), (True, False)])
+def test_brittleness_ends_with_an_answer_to_a_later_request(sent_before, is_sound):
+    gateway = start_brittle(64)
+    early = send_request(gateway)
+    gateway.advance(0.1)
+    late = send_request(gateway)
+    gateway.advance(0.1)
+    answer(gateway, send_request(gateway))
+    gateway.advance(0.1)
+    answer(gateway, early if sent_before else send_request(gateway), None)
+    gateway.end_attempt(late, ev.Outcome.DONE)
+    assert (gateway.state.endpoints["d1"].room.bears_per_s is None) is is_sound
+
+
+def test_request_without_room_waits_for_a_place_and_the_most_urgent_gets_it():
+    urgent = route("/urgent/", "desk", kind=RouteKind.REPEATABLE, priority=0)
+    gateway = start_gateway(plain_endpoint(1, max_concurrent_requests=3))
+    gateway.configure(2, (*ROUTES, evolve(urgent), route("/later/", "desk", priority=5)))
+    answer(gateway, send_request(gateway))
+    first = send_request(gateway)
+    gateway.request("/later/x")
+    urgent_id, _ = gateway.request("/urgent/x")
+    effects = answer(gateway, first) + gateway.advance(0.05)
+    assert only_effect(fx.Dispatch, effects).request_id == urgent_id
+
+
+def test_request_that_finds_no_room_is_refused_as_not_run_with_a_time_to_return():
+    gateway = start_brittle(3)
+    send_request(gateway)
+    _, effects = gateway.request("/read/x")
+    refusal = only_effect(fx.Refuse, effects + gateway.advance(0.2))
+    assert (refusal.reason, refusal.ran) == (Refused.LIMITED, False)
+    assert refusal.retry_after_s >= 0.5
+
+
+def test_requests_at_an_engine_that_falls_for_want_of_room_are_not_taken_for_its_cause():
+    gateway = start_gateway(engine(1, ("a1",)), engine(2, ("a1",)))
+    for bears_per_s, expected in ((3.0, 0), (None, 1)):
+        _, effects = gateway.request("/resume/x", "a1", content_digest="c")
+        dispatch = only_effect(fx.Dispatch, effects)
+        record = dispatch.endpoint
+        other = send_request(gateway, "/resume/x", "a1")
+        while other.endpoint.name != record.name:
+            other = send_request(gateway, "/resume/x", "a1")
+        if bears_per_s is not None:
+            turn_away(gateway, other, bears_per_s)
+        gateway.end_attempt(dispatch, ev.Outcome.BROKEN)
+        gateway.submit(ev.EndpointChecked, record=record, has_crashed=True)
+        assert len(gateway.state.crash_reports) == expected
+        for endpoint in gateway.state.endpoints.values():
+            endpoint.room = RoomState()
+
+
+def test_message_survives_its_datagram():
+    message = messages.NoRoom("d1", 1, 3.0)
+    sent = message_converter.unstructure(message, unstructure_as=messages.Message)
+    assert (
+        message_converter.structure(orjson.loads(orjson.dumps(sent)), messages.Message) == message
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [(None, None), ("3", 3.0), (" 1 ", 1.0), ("0", 0.0), ("2.5", 2.5)]
+    + [("-1", 0.0), ("x", 0.0), ("", 0.0), ("nan", 0.0), ("inf", 0.0)],
+)
+def test_brittleness_that_cannot_be_read_counts_as_the_safest(text, expected):
+    headers = [("Server-Brittle", text)] if text is not None else []
+    assert parse_response_head(200, headers).notice.bears_per_s == expected
