--- a/poplarhoist/decisions/gateway/room.py
+++ b/poplarhoist/decisions/gateway/brittle.py
@@ -35,29 +35,29 @@
 
     A response to a request that was sent before brittleness was last seen does not end it.
     """
-    room = endpoint.room
+    brittle = endpoint.brittle
     if bears_per_s is None:
-        if room.bears_per_s is not None and sent_at > room.seen_at:
-            room.bears_per_s = None
+        if brittle.bears_per_s is not None and sent_at > brittle.seen_at:
+            brittle.bears_per_s = None
             log_change(endpoint, effects)
         return
-    room.seen_at = at
-    if room.bears_per_s == bears_per_s:
+    brittle.seen_at = at
+    if brittle.bears_per_s == bears_per_s:
         return
-    is_new = room.bears_per_s is None
-    room.bears_per_s = bears_per_s
+    is_new = brittle.bears_per_s is None
+    brittle.bears_per_s = bears_per_s
     if is_new:
-        room.window = max(share_of_slots(state, endpoint), len(endpoint.in_flight))
-        room.grows_at = at + growth_interval_s(state, endpoint)
+        brittle.window = max(share_of_slots(state, endpoint), len(endpoint.in_flight))
+        brittle.grows_at = at + growth_interval_s(state, endpoint)
     log_change(endpoint, effects)
 
 
 def log_change(endpoint: EndpointState, effects: list) -> None:
     """Log that an endpoint became brittle or sound, or bears another number."""
-    room = endpoint.room
-    fields = {"endpoint": endpoint.record.name, "bears_per_s": room.bears_per_s}
-    effects.append(LogChange("endpoint-brittle", fields | {"window": room.window}))
-    change = "ended" if room.bears_per_s is None else "named"
+    brittle = endpoint.brittle
+    fields = {"endpoint": endpoint.record.name, "bears_per_s": brittle.bears_per_s}
+    effects.append(LogChange("endpoint-brittle", fields | {"window": brittle.window}))
+    change = "ended" if brittle.bears_per_s is None else "named"
     effects.append(Count("endpoint_brittle", (change,)))
 
 
@@ -78,12 +78,12 @@
 
 def on_turned_away(state: GatewayState, endpoint: EndpointState, at: float, effects: list) -> None:
     """Apply that a brittle endpoint had no room for a request, and tell the others."""
-    room = endpoint.room
-    if room.bears_per_s is None:
+    brittle = endpoint.brittle
+    if brittle.bears_per_s is None:
         return
     shrink(state, endpoint, at, effects)
     record = endpoint.record
-    tell_others(state, NoRoom(record.name, record.incarnation, room.bears_per_s), effects)
+    tell_others(state, NoRoom(record.name, record.incarnation, brittle.bears_per_s), effects)
 
 
 def on_told(state: GatewayState, message: NoRoom, at: float, effects: list) -> None:
@@ -97,17 +97,17 @@
 
 def shrink(state: GatewayState, endpoint: EndpointState, at: float, effects: list) -> None:
     """Shrink the window to what this entry has in flight."""
-    room = endpoint.room
-    room.window = len(endpoint.in_flight)
-    room.turned_away_at = at
-    room.grows_at = at + growth_interval_s(state, endpoint)
-    fields = {"endpoint": endpoint.record.name, "window": room.window}
+    brittle = endpoint.brittle
+    brittle.window = len(endpoint.in_flight)
+    brittle.turned_away_at = at
+    brittle.grows_at = at + growth_interval_s(state, endpoint)
+    fields = {"endpoint": endpoint.record.name, "window": brittle.window}
     effects.append(LogChange("endpoint-full", fields))
 
 
 def growth_interval_s(state: GatewayState, endpoint: EndpointState) -> float:
     """Return the seconds until the window may grow; infinity if no request may be turned away."""
-    bears_per_s = endpoint.room.bears_per_s
+    bears_per_s = endpoint.brittle.bears_per_s
     if bears_per_s < 1.0:
         return float("inf")
     entries = max(1, len(state.entries))
@@ -116,23 +116,23 @@
 
 def may_send(state: GatewayState, endpoint: EndpointState, at: float) -> bool:
     """Return whether an endpoint has room for another request of this entry, as far as is known."""
-    room = endpoint.room
-    if room.bears_per_s is None or len(endpoint.in_flight) < room.window:
+    brittle = endpoint.brittle
+    if brittle.bears_per_s is None or len(endpoint.in_flight) < brittle.window:
         return True
-    if at < room.grows_at:
+    if at < brittle.grows_at:
         return False
-    room.window += 1
-    room.grows_at = at + growth_interval_s(state, endpoint)
+    brittle.window += 1
+    brittle.grows_at = at + growth_interval_s(state, endpoint)
     return True
 
 
 def is_full(endpoint: EndpointState) -> bool:
     """Return whether an endpoint is brittle and has as many requests of this entry as it may."""
-    room = endpoint.room
-    return room.bears_per_s is not None and len(endpoint.in_flight) >= room.window
+    brittle = endpoint.brittle
+    return brittle.bears_per_s is not None and len(endpoint.in_flight) >= brittle.window
 
 
 def explains_fall(endpoint: EndpointState, at: float) -> bool:
     """Return whether a brittle endpoint has just turned requests away, and may fall over for it."""
-    room = endpoint.room
-    return room.bears_per_s is not None and at - room.turned_away_at <= BLAME_EXEMPT_S
+    brittle = endpoint.brittle
+    return brittle.bears_per_s is not None and at - brittle.turned_away_at <= BLAME_EXEMPT_S
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.common_effects import LogChange
-from poplarhoist.decisions.gateway import crashes, pauses, request_limits, room, streams
+from poplarhoist.decisions.gateway import brittle, crashes, pauses, request_limits, streams
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.events import (
     EndpointRemoved,
@@ -22,12 +22,12 @@
 from poplarhoist.decisions.gateway.messages import EndpointLeaving
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.state import (
+    BrittleState,
     DepartedRun,
     EndpointState,
     GatewayState,
     LimitState,
     RequestState,
-    RoomState,
 )
 
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
@@ -128,6 +128,7 @@
     departed = state.departed_runs.pop((record.name, record.incarnation), None)
     if departed is not None:
         endpoint.limit = departed.limit
+        endpoint.brittle = departed.brittle
         endpoint.paused_until = departed.paused_until
 
 
@@ -203,7 +204,9 @@
     state.leaving_runs.pop((name, 0), None)
     if endpoint.record.incarnation:
         run = name, endpoint.record.incarnation
-        state.departed_runs[run] = DepartedRun(endpoint.limit, endpoint.paused_until, at)
+        state.departed_runs[run] = DepartedRun(
+            endpoint.limit, endpoint.brittle, endpoint.paused_until, at
+        )
     streams.record_departure(state, endpoint.record, at)
     crashes.on_endpoint_crashed(state, endpoint.record, at, effects)
     state.slot_tables.pop(name, None)
@@ -223,7 +226,7 @@
     endpoint.consecutive_failures = 0
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
-    endpoint.room = RoomState()
+    endpoint.brittle = BrittleState()
     endpoint.paused_until = float("-inf")
 
 
@@ -287,7 +290,7 @@
     """Return whether an endpoint takes another request of this entry now, by what it has said."""
     if endpoint.is_leaving or pauses.free_in_s(endpoint, at) > 0.0:
         return False
-    return request_limits.may_send(state, endpoint, at) and room.may_send(state, endpoint, at)
+    return request_limits.may_send(state, endpoint, at) and brittle.may_send(state, endpoint, at)
 
 
 def free_in_s(state: GatewayState, endpoint: EndpointState, at: float) -> float:
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -7,6 +7,7 @@
 from poplarhoist.decisions.common_effects import LogChange, Stop
 from poplarhoist.decisions.gateway import (
     adapter_asks,
+    brittle,
     configuration,
     crashes,
     endpoints,
@@ -17,7 +18,6 @@
     request_limits,
     requests,
     residency,
-    room,
     streams,
 )
 from poplarhoist.decisions.gateway import events as ev
@@ -117,7 +117,7 @@
         case messages.EndpointLeaving():
             endpoints.on_told_leaving(state, message, at, effects)
         case messages.NoRoom():
-            room.on_told(state, message, at, effects)
+            brittle.on_told(state, message, at, effects)
         case messages.LinksChanged():
             links.on_told(state, sender, message, at)
         case messages.News():
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -5,6 +5,7 @@
 from poplarhoist.decisions.common_effects import Count, Observe
 from poplarhoist.decisions.gateway import (
     adapter_asks,
+    brittle,
     crashes,
     endpoints,
     links,
@@ -12,7 +13,6 @@
     relays,
     request_limits,
     retry_budget,
-    room,
     routing,
     streams,
 )
@@ -179,7 +179,7 @@
         if streams.runs_software(endpoint, request)
         and not endpoints.takes_requests(state, endpoint, at)
     ]
-    if any(room.is_full(endpoint) for endpoint in busy):
+    if any(brittle.is_full(endpoint) for endpoint in busy):
         # Its place becomes free with any response.
         waited_s = at - request.arrived_at
         may_wait_s = NO_SLOT_WAIT_SHARE * request.route.latency_target_s - waited_s
@@ -383,7 +383,7 @@
     pauses.on_notice(endpoint, notice.retry_after_s, at, effects)
     sent_at = request.attempt_sent_at
     request_limits.on_notice(state, endpoint, notice.requests_per_s, sent_at, at, effects)
-    room.on_notice(state, endpoint, notice.bears_per_s, sent_at, at, effects)
+    brittle.on_notice(state, endpoint, notice.bears_per_s, sent_at, at, effects)
 
 
 def on_attempt_ended(state: GatewayState, event: AttemptEnded, effects: list) -> None:
@@ -474,7 +474,7 @@
     key = request.prompt.key if request.prompt is not None else None
     is_turned_away = event.outcome is Outcome.NOT_RUN and event.status == 503
     if is_turned_away:
-        room.on_turned_away(state, endpoint, event.at, effects)
+        brittle.on_turned_away(state, endpoint, event.at, effects)
     match event.outcome:
         case Outcome.DONE:
             endpoints.record_result(endpoint, False)
@@ -490,7 +490,7 @@
         case Outcome.BROKEN:
             endpoints.record_result(endpoint, True)
             request.avoided_endpoints.add(request.endpoint_name)
-            if not room.explains_fall(endpoint, event.at):
+            if not brittle.explains_fall(endpoint, event.at):
                 crashes.on_attempt_broken(state, request, endpoint, event, effects)
         case Outcome.NOT_RUN if is_turned_away and says_busy(event):
             # It is busy, which says nothing of its adapters.
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -49,8 +49,8 @@
 
 
 @define
-class RoomState:
-    """What this entry knows of the room at an endpoint that is brittle.
+class BrittleState:
+    """Whether an endpoint is brittle, and what this entry may send there then.
 
     Attributes
     ----------
@@ -116,8 +116,8 @@
         Adapters that the engine has held, most recent last; its warm cache keeps the latest.
     limit : LimitState
         Limit on its requests that the endpoint names.
-    room : RoomState
-        Room there while it is brittle.
+    brittle : BrittleState
+        Whether it falls over if it turns requests away, and the room there.
     is_leaving : bool
         Whether this run of the endpoint is stopping and takes no new requests.
     paused_until : float
@@ -149,7 +149,7 @@
     absent_at: dict[AdapterKey, float] = field(factory=dict)
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
-    room: RoomState = field(factory=RoomState)
+    brittle: BrittleState = field(factory=BrittleState)
     is_leaving: bool = False
     paused_until: float = float("-inf")
     checked_at: float = float("-inf")
@@ -166,6 +166,7 @@
     """
 
     limit: LimitState
+    brittle: BrittleState
     paused_until: float
     removed_at: float
 
--- a/tests/test_gateway_room.py
+++ b/tests/test_gateway_brittle.py
@@ -8,7 +8,7 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.models import Refused, RouteKind
-from poplarhoist.decisions.gateway.state import RoomState
+from poplarhoist.decisions.gateway.state import BrittleState
 from poplarhoist.gateway.peers import message_converter
 from poplarhoist.platform.headers import parse_response_head
 from tests.engine_site import HEAD_S, RUN_S, EngineSite
@@ -93,7 +93,7 @@
         gateway.configure()
         gateway.list_endpoints(plain_endpoint(1, max_concurrent_requests=slots))
         answer(gateway, send_request(gateway))
-        windows.append(gateway.state.endpoints["d1"].room.window)
+        windows.append(gateway.state.endpoints["d1"].brittle.window)
     assert sum(windows) == max(slots, len(names))
 
 
@@ -107,8 +107,8 @@
         effects = turn_away(gateway, running.pop())
         told_entries = {e.peer for e in effects_of(fx.SendPeer, effects)}
         assert told_entries == {"entry-2", "entry-3"}
-    room = gateway.state.endpoints["d1"].room
-    assert room.window == len(running)
+    state = gateway.state.endpoints["d1"].brittle
+    assert state.window == len(running)
     _, effects = gateway.request("/read/x")
     assert not effects_of(fx.Dispatch, effects + gateway.advance(0.3))
     for dispatch in running:
@@ -116,13 +116,13 @@
     gateway.advance(30.0)
     for _ in range(len(running) + 1):
         send_request(gateway)
-    assert room.window == len(running) + 1
+    assert state.window == len(running) + 1
 
 
 def test_nothing_beyond_the_window_is_sent_to_one_that_bears_no_request_turned_away():
     gateway = start_gateway(plain_endpoint(1, max_concurrent_requests=6))
     answer(gateway, send_request(gateway), 0.0)
-    for _ in range(gateway.state.endpoints["d1"].room.window):
+    for _ in range(gateway.state.endpoints["d1"].brittle.window):
         send_request(gateway)
     gateway.advance(600.0)
     assert not effects_of(fx.Dispatch, gateway.request("/read/x")[1])
@@ -139,7 +139,7 @@
     gateway.advance(0.1)
     answer(gateway, early if sent_before else send_request(gateway), None)
     gateway.end_attempt(late, ev.Outcome.DONE)
-    assert (gateway.state.endpoints["d1"].room.bears_per_s is None) is is_sound
+    assert (gateway.state.endpoints["d1"].brittle.bears_per_s is None) is is_sound
 
 
 def test_request_without_room_waits_for_a_place_and_the_most_urgent_gets_it():
@@ -178,7 +178,7 @@
         gateway.submit(ev.EndpointChecked, record=record, has_crashed=True)
         assert len(gateway.state.crash_reports) == expected
         for endpoint in gateway.state.endpoints.values():
-            endpoint.room = RoomState()
+            endpoint.brittle = BrittleState()
 
 
 def test_message_survives_its_datagram():
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -57,11 +57,13 @@
     dispatch = send_request(gateway)
     turn_away(gateway, dispatch, 10.0)
     gateway.receive("entry-2", messages.RequestLimit("d1", 1, 0.5))
+    gateway.receive("entry-2", messages.NoRoom("d1", 1, 3.0))
     gateway.submit(ev.EndpointRemoved, name="d1")
     gateway.advance(1.0)
     gateway.submit(ev.EndpointSeen, record=plain_endpoint(1, incarnation=incarnation))
     endpoint = gateway.state.endpoints["d1"]
     assert endpoint.limit.requests_per_s == (0.5 if is_kept else None)
+    assert endpoint.brittle.bears_per_s == (3.0 if is_kept else None)
     assert bool(effects_of(fx.Dispatch, gateway.request("/read/x")[1])) is not is_kept
     gateway.advance(8.5)
     assert bool(effects_of(fx.Dispatch, gateway.request("/read/x")[1])) is not is_kept
