The soak cuts the links of entries to all endpoints

Links of its own for each entry, cut for half a second to three in 0.6 of the fault phases, refused, reset or silent, drawn apart from the other faults, so that seeds keep what they had. The link and the store's view of an entry come from the end-to-end test.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,6 +29,7 @@
 )
 from tests.soak.endpoints import ADAPTER_SLOTS, SOFTWARE_VERSIONS, SoakEndpoint
 from tests.soak.entries import SoakEntry
+from tests.soak.links import CUT_KINDS, Link, StoreView
 from tests.soak.mutants import MUTATIONS_BY_NAME
 from tests.soak.proxy import Proxy, ProxyFault
 
@@ -49,6 +50,8 @@
 # Requests of an entry that may reach an endpoint that wants none, and seconds after which they count.
 MAX_REQUESTS_IN_PAUSE = 2
 REACH_AFTER_S = 0.5
+# Share of the fault phases in which entries lose their links to all endpoints.
+CUT_SHARE = 0.6
 # Seconds of tolerance, since threads on a busy machine may record events late.
 TIMING_SLACK_S = 0.5
 
@@ -86,6 +89,11 @@
         Routes added to the configuration so far.
     violations : list
         Violations found, each as text with its kind at the beginning.
+    links : dict
+        Links of each entry to the endpoints, by the port of the endpoint's proxy.
+    link_rng : Random
+        Draws which entries lose their links, apart from the other faults, so that a seed keeps
+        those.
     timeline : list
         Faults and planned operations, each as text with the seconds since the start.
     """
@@ -103,6 +111,9 @@
     timeline: list[str] = field(factory=list)
     planned_stops: list[PlannedStop] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
+    links: dict[str, dict[int, Link]] = field(factory=dict)
+    store_views: list[StoreView] = field(factory=list)
+    link_rng: random.Random = field(init=False)
     started_at: float = field(factory=time.monotonic)
 
     def __attrs_post_init__(self) -> None:
@@ -115,9 +126,13 @@
         endpoints += [SoakEndpoint(name, "desk", str(self.seed)) for name in ("d1", "d2")]
         self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         mutation = MUTATIONS_BY_NAME[self.mutant] if self.mutant else ""
-        self.entries = [
-            SoakEntry(f"entry-{n}", self.directory, self.store.port, mutation) for n in (1, 2, 3)
-        ]
+        self.link_rng = random.Random(f"{self.seed}/links")
+        for name in ("entry-1", "entry-2", "entry-3"):
+            ports = [endpoint.proxy.port for endpoint in endpoints]
+            self.links[name] = {port: Link(port) for port in ports}
+            self.store_views.append(StoreView(self.store, self.links[name]))
+            port = self.store_views[-1].port
+            self.entries.append(SoakEntry(name, self.directory, port, mutation))
 
     def log_action(self, text: str) -> None:
         """Add a fault or planned operation to the timeline."""
@@ -161,6 +176,11 @@
         """Stop everything that this run started."""
         for entry in self.entries:
             entry.stop()
+        for view in self.store_views:
+            view.stop()
+        for links in self.links.values():
+            for link in links.values():
+                link.stop()
         self.store.stop()
         for endpoint in self.endpoints.values():
             endpoint.stop()
@@ -189,6 +209,9 @@
             # Seeded here, so that a seed gives the same faults however the threads are scheduled.
             fault_rng = random.Random(self.rng.random())
             timers.append(threading.Timer(delay_s, fault_function, args=(fault_rng, ends_at)))
+        if self.link_rng.random() < CUT_SHARE:
+            cut_rng = random.Random(self.link_rng.random())
+            timers.append(threading.Timer(cut_rng.random(), self.cut_links, (cut_rng, ends_at)))
         for timer in timers:
             timer.start()
         for timer in timers:
@@ -216,6 +239,18 @@
         time.sleep(max(0.0, min(ends_at - time.monotonic(), 0.3 + 2.5 * rng.random())))
         proxy.fault = ProxyFault.NONE
 
+    def cut_links(self, rng: random.Random, ends_at: float) -> None:
+        """Cut the links of one or two entries to all endpoints for a while."""
+        names = rng.sample(sorted(self.links), rng.randint(1, 2))
+        how = rng.choice(CUT_KINDS)
+        self.log_action(f"links of {', '.join(names)}: {how}")
+        links = [link for name in names for link in self.links[name].values()]
+        for link in links:
+            link.cut(how)
+        time.sleep(max(0.0, min(ends_at - time.monotonic(), 0.5 + 2.5 * rng.random())))
+        for link in links:
+            link.heal()
+
     def fault_endpoint_link(self, rng: random.Random, ends_at: float) -> None:
         """Inject a fault into the connections to an endpoint."""
         name = rng.choice(sorted(self.endpoints))
--- a/tests/test_gateway_cut_off_end_to_end.py
+++ b/tests/test_gateway_cut_off_end_to_end.py
@@ -3,7 +3,6 @@
 import contextlib
 import http.client
 import itertools
-import json
 import signal
 import socket
 import threading
@@ -15,9 +14,9 @@
 
 from tests.platform_site import PlatformEntry
 from tests.platform_standins import BASE_MODEL, Endpoint, configuration
-from tests.platform_store import Store, StoreHandler
-from tests.soak.proxy import Proxy, ProxyFault
-from tests.standin_server import HOST, StandIn
+from tests.platform_store import Store
+from tests.soak.links import CUT_KINDS, Link, StoreView
+from tests.standin_server import HOST
 
 # The users' bounds: seconds after the beginning of a cut from which on they count, failures of first
 # attempts that are allowed at the entries that are cut off, and the least they must serve compared
@@ -34,65 +33,6 @@
 CUT_ENTRIES = ("entry-2", "entry-3")
 
 
-class Link(Proxy):
-    """A proxy that can be cut: its port refuses connections, or they are never established."""
-
-    def cut(self, how: str) -> None:
-        """Cut the link; `how` says what becomes of new and of open connections."""
-        self.close_listener()
-        if how == "hang":
-            self.fault = ProxyFault.SILENCE
-            self.fill_backlog()
-        elif how == "reset":
-            self.reset_all_connections()
-
-    def close_listener(self) -> None:
-        """Refuse new connections."""
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
-
-    def fill_backlog(self) -> None:
-        """Let new connections hang: the kernel drops their first packets while a backlog is full."""
-        self.blocker = socket.socket()
-        self.blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.blocker.bind((HOST, self.port))
-        self.blocker.listen(0)
-        self.fillers = [socket.socket() for _ in range(4)]
-        for filler in self.fillers:
-            filler.setblocking(False)
-            filler.connect_ex((HOST, self.port))
-
-    def heal(self) -> None:
-        """Restore the link; connections that were silent are reset."""
-        if self.fault is ProxyFault.SILENCE:
-            for sock in (*self.fillers, self.blocker):
-                sock.close()
-            self.fault = ProxyFault.NONE
-            self.reset_all_connections()
-        self.listener = socket.create_server((HOST, self.port), backlog=128)
-        threading.Thread(target=self.accept_connections, daemon=True).start()
-
-
-class StoreView(StandIn):
-    """The store as one entry sees it: endpoints have the addresses of the entry's own links."""
-
-    unavailable = hangs = lose_responses = False
-
-    def __init__(self, store: Store, links: dict[int, Link]) -> None:
-        self.store = store
-        self.links = links
-        super().__init__(StoreHandler)
-
-    def handle(self, *call):
-        """Carry out a call; return status and response data."""
-        status, data = self.store.handle(*call)
-        text = json.dumps(data)
-        for port, link in self.links.items():
-            text = text.replace(f"{HOST}:{port}", f"{HOST}:{link.port}")
-        return status, json.loads(text)
-
-
 @frozen
 class Result:
     """A caller's request: when it was sent, to which entry, and the status; 0 if it broke off."""
@@ -210,7 +150,7 @@
 
 
 # What becomes of new connections over a cut link, and of open ones.
-@pytest.mark.parametrize("how", ["refuse", "reset", "hang"])
+@pytest.mark.parametrize("how", CUT_KINDS)
 def test_callers_of_entries_without_links_to_endpoints_are_served_by_way_of_others(site, how):
     site.send_regularly(1.0)
     cut_at = time.monotonic()
