--- a/poplarhoist/entry/application.py
+++ b/poplarhoist/entry/application.py
@@ -4,7 +4,7 @@
 
 from eventlet.wsgi import ChunkReadError
 from prometheus_client import generate_latest
-from werkzeug.exceptions import BadRequest, HTTPException, InternalServerError
+from werkzeug.exceptions import BadRequest, HTTPException, InternalServerError, RequestTimeout
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
@@ -61,7 +61,8 @@
             response = problems.http_error_response(error)
         except (ChunkReadError, TimeoutError) as error:
             self.core.log.warning("request-not-read", detail=str(error), path=request.path)
-            response = problems.http_error_response(BadRequest(str(error)))
+            kind = RequestTimeout if isinstance(error, TimeoutError) else BadRequest
+            response = problems.http_error_response(kind(str(error)))
         except Exception:
             # The response has no internal details; the log has the traceback.
             self.core.log.exception("request-failed", path=request.path)
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -20,6 +20,9 @@
 BYTES_PER_LINE = 2048
 # Bytes of a body that are read for the next request on its connection if the application left them.
 MAX_DISCARDED_BYTES = 65536
+# The time for a body, in times of the socket's timeout. An application that bounds its reads itself, by
+# that timeout, can answer first.
+BODY_TIMEOUT_RATIO = 2
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
 # Defects of a head that the parser does not take for an error; it also reports some of bodies.
@@ -208,7 +211,8 @@
 
     def body_timeout_s(self) -> float | None:
         """Return the seconds within which a body must arrive after its head."""
-        return self.server.socket_timeout
+        timeout_s = self.server.socket_timeout
+        return None if timeout_s is None else BODY_TIMEOUT_RATIO * timeout_s
 
     def handle_one_request(self) -> None:
         """Read and answer one request."""
