A caller cannot set what entries tell one another

A header of a caller with the name of one between entries went on to the entry that passes its request on: Relay-Software: v9 had the request refused there. Found in reading the diff; only that caller was harmed. The new test failed before (503).

--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -186,13 +186,15 @@
         GET, HEAD and DELETE without a body are sent without a Content-Length.
         """
         headers = HTTPHeaderDict()
-        last_event_id = self.request.last_event_id
-        for name, value in self.dialect.build_request_headers(
-            self.request.head, self.dispatch, last_event_id
-        ):
-            headers.add(name, value)
+        pairs = self.dialect.build_request_headers(
+            self.request.head, self.dispatch, self.request.last_event_id
+        )
         if self.dispatch.relay is not None:
-            headers.extend(relay_headers.build_request_headers(self.dispatch.relay))
+            # A caller must not be able to set what entries tell one another.
+            pairs = relay_headers.without_relay_headers(pairs)
+            pairs += relay_headers.build_request_headers(self.dispatch.relay)
+        for name, value in pairs:
+            headers.add(name, value)
         for name in SUPPRESSED_HEADERS:
             if name not in headers:
                 headers[name] = SKIP_HEADER
--- a/tests/test_gateway_cut_off_end_to_end.py
+++ b/tests/test_gateway_cut_off_end_to_end.py
@@ -182,6 +182,19 @@
     site.results.clear()
 
 
+def test_caller_cannot_set_what_entries_tell_one_another(site):
+    cut_and_wait(site)
+    connection = http.client.HTTPConnection(HOST, site.entries[1].port, timeout=10)
+    headers = {"Host": "host.test", "X-Request-Id": "forged", "X-Model": f"{BASE_MODEL}/a1"}
+    forged = {"Relay-Configuration": "99", "Relay-Possible-Runs": "9", "Relay-Software": "v9"}
+    connection.request("POST", "/resume/x", b"", headers | forged)
+    response = connection.getresponse()
+    response.read()
+    assert response.status == 200
+    assert not [name for name in response.headers if name.lower().startswith("relay-")]
+    connection.close()
+
+
 def test_caller_that_leaves_a_cut_off_entry_ends_the_work_of_its_endpoint(site):
     cut_and_wait(site)
     for endpoint in site.endpoints:
