A port has one listener: a second process no longer takes half of the callers

What callers saw: eventlet.listen sets SO_REUSEPORT unless told otherwise, so a second process at the port of an entry, or a second listener of the same one, was accepted without a word and took half of its connections. Callers got that one's answers: 404 without a body from a readiness listener, 400 from one for relayed requests.

Change: every TCP and UDP listener is opened in entry/listener.py, without SO_REUSEPORT; an address in use ends the program with status 2, naming setting and address. SO_REUSEADDR stays. Processes of tests reserve blocks of ports by file locks, so that no two are given the same.

--- a/poplarhoist/cli/standin.py
+++ b/poplarhoist/cli/standin.py
@@ -122,7 +122,7 @@
         return sleep_forever()
     if isinstance(command, RunPlatform):
         standin = PlatformStandin(settings, env.clock)
-        serve_forever(standin.app, settings.platform.host, settings.platform.port)
+        serve_forever(standin.app, settings.platform.host, settings.platform.port, "platform")
         return ExitStatus.OK
     endpoint = find_endpoint(settings, command.name)
     if isinstance(command, RunEngine):
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -18,7 +18,7 @@
 from poplarhoist.entry.application import EntryApplication
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.endpoint_effects import EndpointEffects
-from poplarhoist.entry.listener import StoppableListener
+from poplarhoist.entry.listener import StoppableListener, open_listener
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import PeerTransport
 from poplarhoist.entry.platform import HttpPlatform
@@ -30,7 +30,6 @@
 from poplarhoist.settings.models import Site
 
 TICK_INTERVAL_S = 0.05
-ACCEPT_BACKLOG = 512
 MAX_REQUEST_LINE_BYTES = 16384
 SEND_BUFFER_BYTES = 65536
 LAST_REQUEST_GRACE_S = 0.2
@@ -69,7 +68,7 @@
     def start(self) -> None:
         """Start the HTTP server, the ticks and the platform watch in green threads."""
         me = self.core.state.me
-        listener = eventlet.listen((me.host, me.port), backlog=ACCEPT_BACKLOG)
+        listener = open_listener(me.host, me.port, f"entries.{me.name}")
         # Limits the memory for a response that its caller does not read.
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.server_thread = eventlet.spawn(
--- a/poplarhoist/gateway/peers.py
+++ b/poplarhoist/gateway/peers.py
@@ -5,15 +5,16 @@
 """
 
 import errno
+import socket
 
 import orjson
 from cattrs.preconf.orjson import make_converter
 from cattrs.strategies import configure_tagged_union
-from eventlet.green import socket
 
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import SendPeer
 from poplarhoist.decisions.gateway.messages import Message
+from poplarhoist.entry.listener import open_datagram_socket
 from poplarhoist.entry.loop import DecisionLoop
 
 # Bytes of the largest datagram that is received; messages have a few hundred bytes.
@@ -28,8 +29,7 @@
 
     def __init__(self, decision_loop: DecisionLoop, host: str, port: int) -> None:
         self.decision_loop = decision_loop
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind((host, port))
+        self.socket = open_datagram_socket(host, port, "listen.inner_port")
         decision_loop.set_handler(SendPeer, self.send)
 
     def send(self, effect: SendPeer) -> None:
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -20,7 +20,7 @@
 from poplarhoist.decisions.gateway import leads
 from poplarhoist.decisions.gateway.reducer import is_serving, reduce
 from poplarhoist.decisions.gateway.state import GatewayState
-from poplarhoist.entry.listener import StoppableListener
+from poplarhoist.entry.listener import StoppableListener, open_listener
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.protocol import StrictProtocol
@@ -36,8 +36,6 @@
 
 # Seconds between ticks; a tenth of the time that an adapter takes to load.
 TICK_INTERVAL_S = 0.025
-# Connections that may wait to be accepted; covers a burst of callers on one entry.
-ACCEPT_BACKLOG = 512
 # Send buffer of a caller's connection; bounds the memory for a caller that does not read.
 SEND_BUFFER_BYTES = 65536
 # Seconds that an idle connection stays open beyond IDLE_TIMEOUT_S.
@@ -175,27 +173,26 @@
         Callers are served on one address, readiness and metrics on two: the readiness address and
         the inner port, which also receives the datagrams of peers (UDP).
         """
-        callers_address = Address.parse(self.settings.listen.callers)
-        self.serve_requests(callers_address, is_relay=False)
-        relay_port = self.settings.listen.relay_port
-        if relay_port:
-            self.serve_requests(Address(self.settings.host, relay_port), is_relay=True)
-        ready_address = Address.parse(self.settings.listen.ready)
-        self.serve_status(ready_address.host, ready_address.port)
-        self.serve_status(self.settings.host, self.settings.listen.inner_port)
+        host, listen = self.settings.host, self.settings.listen
+        self.serve_requests(Address.parse(listen.callers), "listen.callers", is_relay=False)
+        if listen.relay_port:
+            relay_address = Address(host, listen.relay_port)
+            self.serve_requests(relay_address, "listen.relay_port", is_relay=True)
+        self.serve_status(Address.parse(listen.ready), "listen.ready")
+        self.serve_status(Address(host, listen.inner_port), "listen.inner_port")
         eventlet.spawn(self.peer_transport.run)
         eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
         self.store_watcher.start(
             self.settings.name,
             self.settings.zone,
-            self.settings.host,
-            self.settings.listen.inner_port,
-            relay_port,
+            host,
+            listen.inner_port,
+            listen.relay_port,
         )
 
-    def serve_requests(self, address: Address, is_relay: bool) -> None:
+    def serve_requests(self, address: Address, setting: str, is_relay: bool) -> None:
         """Spawn a server for requests of callers, or of entries for which this one passes them on."""
-        listener = eventlet.listen((address.host, address.port), backlog=ACCEPT_BACKLOG)
+        listener = open_listener(address.host, address.port, setting)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stoppable = StoppableListener(listener)
@@ -214,11 +211,11 @@
         )
         self.request_servers.append((stoppable, thread))
 
-    def serve_status(self, host: str, port: int) -> None:
+    def serve_status(self, address: Address, setting: str) -> None:
         """Spawn a server for readiness and metrics."""
         eventlet.spawn(
             eventlet.wsgi.server,
-            eventlet.listen((host, port)),
+            open_listener(address.host, address.port, setting),
             self.handle_status,
             log=ServerLog(self.decision_loop.log),
             log_format=ServerLog.LINE_FORMAT,
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from poplarhoist.decisions.gateway.limits import GatewayLimits
+from poplarhoist.settings.addresses import MAX_PORT, describe_shared, is_port
 from poplarhoist.settings.files import load_file, settings_errors
 
 S_PER_MS = 0.001
@@ -24,11 +25,13 @@
         Raises
         ------
         ValueError
-            If the text has another form.
+            If the text has another form, or the port is out of range.
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host or not port.isdigit():
             raise ValueError(f"{text!r} is not of the form host:port")
+        if not is_port(int(port)):
+            raise ValueError(f"expected a port from 1 to {MAX_PORT}, got port {port}")
         return cls(host, int(port))
 
 
@@ -131,18 +134,35 @@
         Of SettingsError, one for each fault of the file.
     """
     settings = load_file(path, GatewaySettings)
-    problems = []
-    for name, text in (
-        ("listen.callers", settings.listen.callers),
-        ("listen.ready", settings.listen.ready),
-        ("store", settings.store),
-    ):
-        try:
-            Address.parse(text)
-        except ValueError as error:
-            problems.append(f"{error} @ {name}")
+    problems = check_addresses(settings)
     if settings.zone not in settings.regions:
         problems.append(f"{settings.zone!r} has no entry in [regions] @ zone")
     if problems:
         raise settings_errors(path, problems)
     return settings
+
+
+def check_addresses(settings: GatewaySettings) -> list[str]:
+    """Return a message for each address that is invalid or at which two sockets would listen."""
+    listen = settings.listen
+    problems, addresses = [], []
+    for name, text in (("listen.callers", listen.callers), ("listen.ready", listen.ready)):
+        try:
+            address = Address.parse(text)
+        except ValueError as error:
+            problems.append(f"{error} @ {name}")
+        else:
+            addresses.append((address.host, address.port))
+    try:
+        Address.parse(settings.store)
+    except ValueError as error:
+        problems.append(f"{error} @ store")
+    inner_ports = {"listen.inner_port": listen.inner_port}
+    if listen.relay_port:
+        inner_ports["listen.relay_port"] = listen.relay_port
+    for name, port in inner_ports.items():
+        if is_port(port):
+            addresses.append((settings.host, port))
+        else:
+            problems.append(f"expected a port from 1 to {MAX_PORT}, got port {port} @ {name}")
+    return problems + [f"{problem} @ listen" for problem in describe_shared(addresses)]
--- a/poplarhoist/platform/__main__.py
+++ b/poplarhoist/platform/__main__.py
@@ -1,4 +1,7 @@
-"""Runs a gateway entry on the platform it is deployed on: ``python -m poplarhoist.platform``."""
+"""Runs a gateway entry on the platform it is deployed on: ``python -m poplarhoist.platform``.
+
+With ``--check`` it only reads the settings and reports their faults.
+"""
 
 import signal
 
@@ -19,7 +22,9 @@
 
 eventlet.monkey_patch()
 
+import argparse
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from poplarhoist.clock import SuspendAwareClock
@@ -36,10 +41,36 @@
 SETTINGS_PATH_VARIABLE = "POPLARHOIST_BOOT"
 
 
-def serve(env: Environment) -> ExitStatus:
-    """Build the gateway from its settings and serve until a graceful stop is complete."""
+def parse_arguments(args: Sequence[str]) -> argparse.Namespace:
+    """Parse the arguments.
+
+    Raises
+    ------
+    SystemExit
+        If they are invalid or help was requested.
+    """
+    # An entry starts in a third of the time without defopt and the modules that it loads.
+    parser = argparse.ArgumentParser(
+        prog=PROGRAM,
+        description=f"Run one entry by the settings file that {SETTINGS_PATH_VARIABLE} names.",
+    )
+    parser.add_argument("--check", action="store_true", help="only check the settings file")
+    return parser.parse_args(args)
+
+
+def serve(env: Environment, only_check: bool) -> ExitStatus:
+    """Build the gateway from its settings and serve until a graceful stop is complete.
+
+    Parameters
+    ----------
+    only_check : bool
+        Return once the settings are read, if they have no faults.
+    """
     path = Path(env.variables.get(SETTINGS_PATH_VARIABLE, ""))
     settings = load_settings(path)
+    if only_check:
+        env.print(f"entry {settings.name}, zone {settings.zone}: ok")
+        return ExitStatus.OK
     clock = SuspendAwareClock()
     log = logs.BoundedLog(clock)
     logs.configure_structlog(log)
@@ -52,10 +83,10 @@
     return ExitStatus.OK
 
 
-def main(env: Environment) -> ExitStatus:
-    """Run the program; it takes no arguments, since the environment names its settings file."""
-    return run_with_exit_status(PROGRAM, env, lambda: serve(env))
+def main(args: Sequence[str], env: Environment) -> ExitStatus:
+    """Run the program; the environment names its settings file."""
+    return run_with_exit_status(PROGRAM, env, lambda: serve(env, parse_arguments(args).check))
 
 
 if __name__ == "__main__":
-    sys.exit(main(Environment()))
+    sys.exit(main(sys.argv[1:], Environment()))
--- a/poplarhoist/settings/loader.py
+++ b/poplarhoist/settings/loader.py
@@ -10,6 +10,7 @@
 from poplarhoist.decisions.limits import Limits
 from poplarhoist.errors import SettingsError
 from poplarhoist.models import Endpoint, EndpointKind, Instance, Place, Route, Service
+from poplarhoist.settings.addresses import describe_shared
 from poplarhoist.settings.files import LOAD_STEP, load_file, settings_errors
 from poplarhoist.settings.models import EndpointSettings, EntrySettings, Site
 
@@ -68,8 +69,7 @@
 def check_addresses(site: Site) -> list[str]:
     """Return a message for each address on which several processes would listen."""
     processes = (site.platform, *site.entries, *site.endpoints)
-    addresses = duplicates((item.host, item.port) for item in processes)
-    return [f"address {host}:{port} is used more than once" for host, port in addresses]
+    return describe_shared([(item.host, item.port) for item in processes])
 
 
 def check_places(site: Site) -> list[str]:
--- a/poplarhoist/standins/engine.py
+++ b/poplarhoist/standins/engine.py
@@ -146,7 +146,8 @@
 
     def start(self) -> None:
         """Start to listen and to generate in the background."""
-        self.listener = Listener(self.app, self.endpoint.host, self.endpoint.port)
+        setting = f"endpoints.{self.endpoint.name}"
+        self.listener = Listener(self.app, self.endpoint.host, self.endpoint.port, setting)
         self.listener.open()
         eventlet.spawn(self.batcher.run)
 
--- a/poplarhoist/standins/service.py
+++ b/poplarhoist/standins/service.py
@@ -73,7 +73,8 @@
 
     def start(self) -> None:
         """Start to listen in the background."""
-        self.listener = Listener(self.app, self.endpoint.host, self.endpoint.port)
+        setting = f"endpoints.{self.endpoint.name}"
+        self.listener = Listener(self.app, self.endpoint.host, self.endpoint.port, setting)
         self.listener.open()
 
     def handle_call(self, request: Request, path: str) -> Response:
--- a/poplarhoist/standins/site.py
+++ b/poplarhoist/standins/site.py
@@ -25,7 +25,7 @@
     def start(self) -> None:
         """Listen at every address in the settings except those of the entries."""
         platform = self.site.platform
-        Listener(self.platform.app, platform.host, platform.port).open()
+        Listener(self.platform.app, platform.host, platform.port, "platform").open()
         for settings in self.site.endpoints:
             self.start_endpoint(settings)
 
--- a/poplarhoist/standins/web.py
+++ b/poplarhoist/standins/web.py
@@ -13,9 +13,9 @@
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
 
+from poplarhoist.entry.listener import open_listener
 from poplarhoist.entry.protocol import StrictProtocol
 
-ACCEPT_BACKLOG = 512
 MAX_CONNECTIONS = 4096
 SILENCE_POLL_S = 0.05
 
@@ -91,6 +91,11 @@
 class Listener:
     """Serves an application at an address and can close it as a crash of the process would.
 
+    Parameters
+    ----------
+    setting : str
+        Setting that names the address; goes into the message if it is in use.
+
     Attributes
     ----------
     is_open : bool
@@ -101,15 +106,16 @@
         Accepts connections.
     """
 
-    def __init__(self, app: Callable, host: str, port: int) -> None:
+    def __init__(self, app: Callable, host: str, port: int, setting: str) -> None:
         self.app = app
         self.address = (host, port)
+        self.setting = setting
         self.is_open = False
 
     def open(self) -> None:
         """Start to listen and to serve in the background."""
+        self.socket = open_listener(*self.address, self.setting)
         self.is_open = True
-        self.socket = eventlet.listen(self.address, backlog=ACCEPT_BACKLOG)
         self.connection_pool = eventlet.GreenPool(MAX_CONNECTIONS)
         self.server_thread = eventlet.spawn(
             eventlet.wsgi.server,
@@ -170,8 +176,8 @@
     return Response(orjson.dumps(data), status, headers, content_type="application/json")
 
 
-def serve_forever(app: Callable, host: str, port: int) -> None:
+def serve_forever(app: Callable, host: str, port: int, setting: str) -> None:
     """Serve an application until the process ends."""
-    listener = Listener(app, host, port)
+    listener = Listener(app, host, port, setting)
     listener.open()
     listener.server_thread.wait()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -12,7 +12,8 @@
 
 from tests.platform_standins import BASE_MODEL, Endpoint, configuration
 from tests.platform_store import Store
-from tests.site import ROOT, free_ports
+from tests.ports import free_ports
+from tests.site import ROOT
 from tests.standin_server import HOST
 
 START_TIMEOUT_S = 15.0
--- a/tests/site.py
+++ b/tests/site.py
@@ -2,9 +2,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -17,6 +15,7 @@
 from poplarhoist.models import Adapter, Caller, ConfigIndex, Preset, VersionState
 from poplarhoist.publish import Draft, Publisher
 from poplarhoist.settings.models import PlatformSettings
+from tests.ports import free_ports
 from tests.relay import Relay
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -24,36 +23,12 @@
 OPERATOR_KEY = "operator-key-of-tests"
 TOKEN = "token-of-a-family"
 READY_TIMEOUT_S = 20.0
-FIRST_PORT, LAST_PORT = 10240, 32000
-PORT_RNG = random.Random()
 CONTROL_CLIENT = urllib3.PoolManager(
     retries=urllib3.Retry(connect=8, read=0, backoff_factor=0.05), headers={"Connection": "close"}
 )
 HTTP_CLIENT = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=32)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports, below the range that the system uses for outgoing connections.
-
-    A port is free when it is checked; another process may take it before it is used.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = PORT_RNG.randrange(FIRST_PORT, LAST_PORT)
-        if port not in ports and is_port_free(port):
-            ports.append(port)
-    return ports
-
-
-def is_port_free(port: int) -> bool:
-    """Return whether no process listens on a port of the loopback interface."""
-    try:
-        socket.create_server(("127.0.0.1", port)).close()
-    except OSError:
-        return False
-    return True
-
-
 def wait_until(condition, timeout_s: float = READY_TIMEOUT_S, what: str = "condition"):
     """Return the first true value of a condition, polled every 20 ms; fail after the timeout."""
     deadline_at = time.monotonic() + timeout_s
--- a/tests/test_gateway_engines.py
+++ b/tests/test_gateway_engines.py
@@ -16,7 +16,7 @@
 from poplarhoist.platform.dialect import PlatformDialect
 from tests.gateway import engine
 from tests.platform_standins import Endpoint
-from tests.site import free_ports
+from tests.ports import free_ports
 from tests.standin_server import HOST
 
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -394,7 +394,7 @@
         reserved = eventlet.listen(("127.0.0.1", 0))
         self.address = reserved.getsockname()
         reserved.close()
-        self.listener = Listener(self.app, *self.address)
+        self.listener = Listener(self.app, *self.address, "engine")
         self.listener.open()
 
     def handle_ok(self, request):
