Links that hang after the connection is made are found, and other entries serve their callers

Cause: links counted as lost by connections that were never made; here all were made, and a connection that was made even counted as proof that the links live.

Change: an endpoint is reached once it answers anything. After a second without an answer while two endpoints owe one, an entry probes: an engine's report, which needs no slot, or a plain endpoint's health; after a first probe without an answer two more at once. A paused process counts neither failures nor silence from before it woke. What was sent is not passed on.

test_gateway_relays.py jumped over seconds without ticks, which is a pause now; it ticks on the way. Not noticed: links to the engines of one service only that hang while others answer.

--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -121,9 +121,16 @@
 
 @frozen
 class ProbeEndpoint:
-    """Try to connect to an endpoint, without a request."""
+    """Find out whether an endpoint answers at all.
+
+    Attributes
+    ----------
+    has_report : bool
+        Whether it is an engine, which is asked for its report; others are asked for their health.
+    """
 
     record: EndpointRecord
+    has_report: bool = False
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -389,12 +389,14 @@
 
 @frozen
 class EndpointProbed:
-    """A connection to an endpoint was tried, without a request.
+    """An endpoint was probed.
 
     Attributes
     ----------
     began_at : float
-        When the attempt began.
+        When the probe began.
+    is_reachable : bool
+        Whether the endpoint answered, whatever the answer.
     """
 
     at: float
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -65,6 +65,7 @@
     if pause_s < PAUSE_THRESHOLD_S:
         return
     effects.append(LogChange("entry-was-paused", {"seconds": round(pause_s, 3)}))
+    links.on_pause(state, at)
     for table in state.slot_tables.values():
         # Another entry may lead by now. Its record arrives with the next read of a watch, so orders
         # wait for another PAUSE_THRESHOLD_S.
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -60,8 +60,8 @@
 MAX_DISPATCHES = 6
 # Error statuses of an endpoint after which a repeatable request is sent to another endpoint.
 RETRYABLE_STATUSES = frozenset((500, 502, 503, 504))
-# Outcomes of attempts for which a connection to the endpoint was certainly made.
-CONNECTED_OUTCOMES = frozenset((Outcome.DONE, Outcome.FAILED, Outcome.NOT_RUN))
+# Outcomes of attempts that the endpoint has certainly answered.
+ANSWERED_OUTCOMES = frozenset((Outcome.DONE, Outcome.FAILED, Outcome.NOT_RUN))
 # Reasons of attempts whose response was past a bound, or unclear about its end; names of exceptions.
 BOUND_REASONS = frozenset(("HeadTooLong", "BodyTooLong", "BadFraming"))
 
@@ -356,7 +356,7 @@
     request.response_started = True
     if request.relay:
         return
-    links.on_connected(state, request.attempt_sent_at, event.at, effects)
+    links.on_answered(state, request.attempt_sent_at, event.at, effects)
     streams.on_first_bytes(state, request, event.at, effects)
     apply_notice(state, request, event.notice, event.at, effects)
     endpoint = state.endpoints.get(request.endpoint_name)
@@ -398,10 +398,12 @@
         on_relay_ended(state, request, event, effects)
         return
     endpoint = release_endpoint(state, request)
-    if event.outcome in CONNECTED_OUTCOMES:
-        links.on_connected(state, request.attempt_sent_at, event.at, effects)
+    if event.outcome in ANSWERED_OUTCOMES:
+        links.on_answered(state, request.attempt_sent_at, event.at, effects)
     elif event.outcome is Outcome.NOT_SENT:
         links.on_failed(state, request.endpoint_name, request.attempt_sent_at, event.at, effects)
+    elif request.attempt_started_at is None:
+        links.on_unanswered(state, request.endpoint_name, request.attempt_sent_at)
     if event.notice is not None:
         apply_notice(state, request, event.notice, event.at, effects)
     if endpoint is not None:
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -275,7 +275,7 @@
         return
     report = event.report
     if report is not None:
-        links.on_connected(state, event.requested_at, event.at, effects)
+        links.on_answered(state, event.requested_at, event.at, effects)
     if report is None or table.open_order is not None:
         table.report_due_at = event.at + REPORT_LAG_S
         return
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -360,18 +360,25 @@
 
     Attributes
     ----------
-    connected_at : float
-        When the connection attempt began that succeeded and was begun last.
+    reached_at : float
+        When the attempt to reach an endpoint began that succeeded and was begun last.
     failed_at : dict
-        When the latest failed connection attempt began, by endpoint, of those begun after that.
+        When the latest failed attempt to reach an endpoint began, by endpoint, of those begun after
+        that.
+    answered_at : float
+        When an endpoint last answered anything.
+    unanswered_at : dict
+        When the first request since then was sent that ended without any answer, by endpoint.
     lost_since : float or None
         Since when the links to all endpoints count as lost; None while they do not.
     told_at, probed_at : float
         When other entries were last told, and when an endpoint was last probed.
     """
 
-    connected_at: float = float("-inf")
+    reached_at: float = float("-inf")
     failed_at: dict[str, float] = field(factory=dict)
+    answered_at: float = float("-inf")
+    unanswered_at: dict[str, float] = field(factory=dict)
     lost_since: float | None = None
     told_at: float = float("-inf")
     probed_at: float = float("-inf")
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -4,7 +4,6 @@
 
 import eventlet
 import structlog
-from eventlet.green import socket
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
@@ -29,7 +28,7 @@
 # Seconds until an order or a report request counts as unanswered. An engine responds within
 # milliseconds; connecting and one round trip between regions take 0.12 s.
 CALL_TIMEOUT_S = 0.35
-# Seconds to connect for a probe: longer than the time in which TCP repeats nothing, and shorter than
+# Seconds for the answer to a probe: a connection and a round trip between regions, and shorter than
 # the interval of probes.
 PROBE_TIMEOUT_S = 0.45
 # Seconds for the whole response, and its longest body; a report lists some dozens of adapters.
@@ -64,7 +63,13 @@
         )
 
     def request(
-        self, record: EndpointRecord, method: str, path: str, headers, body: bytes | None
+        self,
+        record: EndpointRecord,
+        method: str,
+        path: str,
+        headers,
+        body: bytes | None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
         """Make an HTTP call to an engine and return the status and body of the response.
 
@@ -80,7 +85,7 @@
             if self.dialect.says_leaving(response_headers.items()):
                 self.submit_leaving(record)
 
-        pool = single_use_pool(socket_options=socket_options(CALL_TIMEOUT_S))
+        pool = single_use_pool(socket_options=socket_options(timeout_s))
         try:
             return request_bounded(
                 pool,
@@ -91,7 +96,7 @@
                 check_leaving,
                 body=body,
                 headers=dict(headers),
-                timeout=Timeout(total=CALL_TIMEOUT_S),
+                timeout=Timeout(total=timeout_s),
             )
         finally:
             pool.clear()
@@ -181,13 +186,15 @@
         )
 
     def probe(self, effect: ProbeEndpoint) -> None:
-        """Connect to an endpoint, and submit whether that succeeded."""
+        """Ask an endpoint for its report or health, and submit whether it answered anything."""
         record = effect.record
         began_at = self.decision_loop.event_time()
         detail = ""
+        path = self.dialect.report_path() if effect.has_report else self.dialect.health_path
+        headers = self.dialect.build_report_headers(record)
         try:
-            socket.create_connection((record.host, record.port), PROBE_TIMEOUT_S).close()
-        except OSError as error:
+            self.request(record, "GET", path, headers, None, PROBE_TIMEOUT_S)
+        except HTTPError as error:
             detail = type(error).__name__
         structlog.get_logger().info("endpoint-probed", endpoint=record.name, failure=detail)
         self.decision_loop.submit(
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -119,8 +119,9 @@
         When engines crashed under each of `crashing_parts`.
     fallen_at : list
         When engines fell over for want of room.
-    without_links, refuses_connections : set, bool
-        Entries that reach no engine, and whether their connections are refused or hang.
+    without_links, cut_kind : set, str
+        Entries that reach no engine, and what becomes of their connections: "refused", "hang", or
+        "silent" if they are made and nothing comes back.
     relays : dict
         Entry and attempt for which another entry handles a request, by that entry and request.
     """
@@ -134,7 +135,7 @@
         self.cut_off: set[str] = set()
         self.lost_share = 0.0
         self.without_links: set[str] = set()
-        self.refuses_connections = True
+        self.cut_kind = "refused"
         self.relays: dict[tuple[str, str], tuple[str, fx.Dispatch]] = {}
         self.rng = random.Random(1)
         self.crashed_at_by_part: dict[str, list[float]] = {}
@@ -199,8 +200,7 @@
             if effect.relay is not None:
                 self.call_in(MESSAGE_S, lambda e=effect: self.reach_helper(name, e))
             elif name in self.without_links:
-                delay_s = SEND_S if self.refuses_connections else CONNECT_TIMEOUT_S
-                self.call_in(delay_s, lambda e=effect: self.fail_to_connect(name, e))
+                self.cut_attempt(name, effect)
             else:
                 self.call_in(SEND_S, lambda e=effect: self.reach_engine(name, e))
         for effect in effects_of(fx.ProbeEndpoint, effects):
@@ -255,9 +255,14 @@
         send()
         return requests
 
-    def fail_to_connect(self, name: str, dispatch: fx.Dispatch) -> None:
-        """Let an attempt end without a connection."""
-        self.end(name, dispatch.request_id, dispatch.attempt, ev.Outcome.NOT_SENT)
+    def cut_attempt(self, name: str, dispatch: fx.Dispatch) -> None:
+        """Let an attempt of an entry without links end as its connection does."""
+        outcome = ev.Outcome.NOT_SENT
+        delay_s = {"refused": SEND_S, "hang": CONNECT_TIMEOUT_S}.get(self.cut_kind)
+        if delay_s is None:
+            delay_s, outcome = dispatch.remaining_s, ev.Outcome.TIMED_OUT
+        attempt = dispatch.request_id, dispatch.attempt
+        self.call_in(delay_s, lambda: self.end(name, *attempt, outcome))
 
     def end_probe(self, name: str, effect: fx.ProbeEndpoint, began_at: float) -> None:
         """Let an entry learn whether it reached an engine."""
@@ -329,6 +334,8 @@
         key = name, dispatch.request_id
         if run.attempts.get(key, (0,))[0] != dispatch.attempt:
             return
+        if name in self.without_links and self.cut_kind == "silent":
+            return
         request = self.requests[key]
         crashing_parts = self.crashing_parts & set(request.parts[:-1])
         if crashing_parts:
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -10,14 +10,21 @@
 from tests.standin_server import HOST, StandIn
 
 # What becomes of new connections over a cut link, and of open ones.
-CUT_KINDS = ("refuse", "reset", "hang")
+CUT_KINDS = ("refuse", "reset", "hang", "accept")
 
 
 class Link(Proxy):
-    """A proxy that can be cut: its port refuses connections, or they are never established."""
+    """A proxy that can be cut.
+
+    Its port refuses connections, they are never established, or nothing comes back over them.
+    """
 
     def cut(self, how: str) -> None:
         """Cut the link; `how` says what becomes of new and of open connections."""
+        self.how = how
+        if how == "accept":
+            self.fault = ProxyFault.SILENCE
+            return
         self.close_listener()
         if how == "hang":
             self.fault = ProxyFault.SILENCE
@@ -44,11 +51,14 @@
 
     def heal(self) -> None:
         """Restore the link; connections that were silent are reset."""
-        if self.fault is ProxyFault.SILENCE:
+        if self.how == "hang":
             for sock in (*self.fillers, self.blocker):
                 sock.close()
+        if self.fault is ProxyFault.SILENCE:
             self.fault = ProxyFault.NONE
             self.reset_all_connections()
+        if self.how == "accept":
+            return
         self.listener = socket.create_server((HOST, self.port), backlog=128)
         threading.Thread(target=self.accept_connections, daemon=True).start()
 
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -78,9 +78,12 @@
 )
 def test_links_count_as_lost_after_three_endpoints_without_a_connection(attempts, is_lost):
     gateway = start_entry()
-    started_at = gateway.at = 10.0
+    gateway.at = 10.0
+    gateway.advance(0.05)
+    started_at = gateway.at
     for name, offset_s, is_reachable in attempts:
-        gateway.at = max(gateway.at, started_at + offset_s)
+        # With ticks on the way, as a process without them has been paused.
+        gateway.advance(started_at + offset_s - gateway.at)
         probe(gateway, name, is_reachable, started_at + offset_s)
     assert (relay_of(gateway.request("/read/x")[1]) is not None) is is_lost
 
@@ -385,3 +388,72 @@
     assert relay_headers.parse_endpoint_header(text) == expected
     if expected is not None:
         assert relay_headers.build_endpoint_header(*expected) == ("Relay-Endpoint", text)
+
+
+def send_and_hear_nothing(gateway: Gateway, count: int) -> list[fx.Dispatch]:
+    """Send requests that get no answer for a while; return their dispatches."""
+    sent = [gateway.request("/resume/x", "a1")[1] for _ in range(count)]
+    return [only_effect(fx.Dispatch, effects) for effects in sent]
+
+
+def probes_during(gateway: Gateway, seconds: float) -> list[str]:
+    """Let time pass; return the endpoints that were probed."""
+    return [p.record.name for p in effects_of(fx.ProbeEndpoint, gateway.advance(seconds))]
+
+
+def start_with_engines(count: int) -> Gateway:
+    return start_entry(*(engine(number, ("a1",)) for number in range(1, count + 1)))
+
+
+@pytest.mark.parametrize("count", [0, 1])
+def test_idle_entry_and_one_slow_engine_are_not_taken_for_lost_links(count):
+    gateway = start_with_engines(4)
+    send_and_hear_nothing(gateway, count)
+    assert probes_during(gateway, 5.0) == []
+
+
+def test_engines_busy_with_long_prefill_are_not_taken_for_lost_links():
+    gateway = start_with_engines(4)
+    send_and_hear_nothing(gateway, 12)
+    for _ in range(8):
+        for name in probes_during(gateway, 0.5):
+            probe(gateway, name, True)
+    assert "links-lost" not in changes_of(gateway)
+
+
+def test_silence_on_all_connections_is_found_by_probes_that_get_no_answer():
+    gateway = start_with_engines(6)
+    send_and_hear_nothing(gateway, 12)
+    assert probes_during(gateway, 0.9) == []
+    (first,) = probes_during(gateway, 0.4)
+    probe(gateway, first, False)
+    others = probes_during(gateway, 0.6)
+    assert len(set(others) - {first}) == 2
+    for name in others:
+        probe(gateway, name, False)
+    assert relay_of(gateway.request("/resume/x", "a1")[1]) is not None
+
+
+def test_what_hears_nothing_over_a_lost_link_is_not_sent_again_by_way_of_another_entry():
+    gateway = start_with_engines(6)
+    (dispatch,) = send_and_hear_nothing(gateway, 1)
+    lose_links(gateway)
+    effects = gateway.advance(2.0) + gateway.end_attempt(dispatch, Outcome.TIMED_OUT)
+    assert relay_of(effects) is None
+    assert only_effect(fx.Refuse, effects).ran
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_entry_that_wakes_does_not_take_its_own_pause_for_lost_links(answers):
+    gateway = start_with_engines(6)
+    send_and_hear_nothing(gateway, 12)
+    gateway.advance(0.5)
+    asleep_since = gateway.at
+    gateway.at += 5.0
+    gateway.submit(ev.Tick)
+    for name in ("e1", "e2", "e3"):
+        probe(gateway, name, False, asleep_since)
+    assert "links-lost" not in changes_of(gateway)
+    assert probes_during(gateway, 0.9) == []
+    if not answers:
+        assert probes_during(gateway, 0.5)
--- a/tests/test_gateway_relays_at_scale.py
+++ b/tests/test_gateway_relays_at_scale.py
@@ -3,7 +3,7 @@
 import pytest
 
 from poplarhoist.decisions.gateway import effects as fx
-from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway import links, messages
 from tests.engine_site import EngineSite, SentRequest
 from tests.gateway import effects_of
 
@@ -19,12 +19,12 @@
 MAX_ATTEMPTS = 3
 
 
-def played_site(entry_count: int, cut_count: int, refuses: bool) -> tuple[EngineSite, list]:
+def played_site(entry_count: int, cut_count: int, cut_kind: str) -> tuple[EngineSite, list]:
     """Let entries lose their links for a while, under load; return the site and all requests."""
     site = EngineSite(entry_count, 6)
     requests = site.send_steadily(REQUEST_INTERVAL_S, "shared")
     site.run(3.0)
-    site.refuses_connections = refuses
+    site.cut_kind = cut_kind
     site.without_links = set(site.names[:cut_count])
     site.run(CUT_S)
     return site, requests
@@ -35,30 +35,42 @@
     return sum(request.is_done for request in requests) / len(requests)
 
 
+def counted_requests(
+    site: EngineSite, requests: list[SentRequest]
+) -> tuple[list[SentRequest], list[SentRequest]]:
+    """Let what runs end; return the requests that count, at entries without links and at others."""
+    began_at = site.at - CUT_S
+    site.run(RUN_S)
+    counted = [r for r in requests if began_at + COUNTED_AFTER_S < r.at < began_at + CUT_S]
+    cut_off = [request for request in counted if request.entry in site.without_links]
+    return cut_off, [request for request in counted if request.entry not in site.without_links]
+
+
 CASES = pytest.mark.parametrize(
     ("entry_count", "cut_count"), [(3, 1), (3, 2), (9, 3), (9, 6), (9, 8), (40, 13), (40, 39)]
 )
 
 
 @CASES
-@pytest.mark.parametrize("refuses", [True, False], ids=["refused", "hang"])
-def test_callers_of_entries_without_links_are_served(entry_count, cut_count, refuses):
-    site, requests = played_site(entry_count, cut_count, refuses)
-    began_at = site.at - CUT_S
-    cut = set(site.without_links)
-    site.run(RUN_S)
-    counted = [r for r in requests if began_at + COUNTED_AFTER_S < r.at < began_at + CUT_S]
-    cut_off = [request for request in counted if request.entry in cut]
-    others = [request for request in counted if request.entry not in cut]
+@pytest.mark.parametrize("cut_kind", ["refused", "hang", "silent"])
+def test_callers_of_entries_without_links_are_served(entry_count, cut_count, cut_kind):
+    site, requests = played_site(entry_count, cut_count, cut_kind)
+    cut_off, others = counted_requests(site, requests)
     failures = [request for request in cut_off if not request.is_done]
     assert served_share(cut_off) >= LEAST_RATIO * served_share(others)
     assert len(failures) <= ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(cut_off)
     assert max(len(request.reached_at) for request in requests) <= MAX_ATTEMPTS
 
 
+def test_mutant_that_does_not_mind_silence_is_noticed(monkeypatch):
+    monkeypatch.setattr(links, "are_silent", lambda state, at: False)
+    cut_off, others = counted_requests(*played_site(9, 3, "silent"))
+    assert served_share(cut_off) < LEAST_RATIO * served_share(others)
+
+
 @CASES
 def test_helpers_share_the_requests_and_messages_stay_few(entry_count, cut_count):
-    site, requests = played_site(entry_count, cut_count, True)
+    site, requests = played_site(entry_count, cut_count, "refused")
     relays = [name for name, _ in site.relays]
     helpers = [name for name in site.names if name not in site.without_links]
     assert set(relays) <= set(helpers)
@@ -75,8 +87,9 @@
 
 
 @CASES
-def test_entries_use_their_links_again_once_they_are_back(entry_count, cut_count):
-    site, requests = played_site(entry_count, cut_count, False)
+@pytest.mark.parametrize("cut_kind", ["hang", "silent"])
+def test_entries_use_their_links_again_once_they_are_back(entry_count, cut_count, cut_kind):
+    site, requests = played_site(entry_count, cut_count, cut_kind)
     site.without_links = set()
     site.run(2.0)
     relayed_before = len([e for name in site.names for e in relayed_effects(site, name)])
