Many entries share up-to-date watches of the store; most of their watches may be stale

Cause: every entry had an up-to-date watch of every kind but endpoints, and each change and each end of a long poll is a call by each entry.

Change: a kind says which entries need up-to-date watches. Beyond twelve entries, of configuration, versions and entries twelve at a time do, drawn anew for each watch; of leads those that lead or claim to. The others' watches may be stale, at a tenth. The counter of calls names the kind.

Sites of up to twelve entries: unchanged. On the virtual clock three readers of 195 entries reach all within 2 s.

--- a/poplarhoist/decisions/gateway/gossip.py
+++ b/poplarhoist/decisions/gateway/gossip.py
@@ -3,10 +3,15 @@
 With several entries each one reads the store rarely, as every read is billed and counts toward the
 store's limits. Their reads happen at different times. An entry that reads a change informs a few
 others, so that a change missed by one watch reaches every entry long before that entry's next read.
+
+A watch whose data may be stale costs a tenth of an up-to-date one. With many entries only some have
+up-to-date watches at a time; the others learn of a change from them, at the latest.
 """
 
 from __future__ import annotations
 
+import enum
+
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import RereadChanges, SendPeer
 from poplarhoist.decisions.gateway.events import StoreChangesRead
@@ -22,6 +27,40 @@
 # more entries each waits longer, as their watches together show a change that one of them missed.
 # The smallest site has six entries, so gossip is active at every site.
 FULL_RATE_READERS = 4
+# Entries whose watches of a shared kind are up to date at a time; all of them where there are fewer.
+# Each informs `GOSSIP_FANOUT` others, who inform others in turn, so that a few suffice even if
+# most of them cannot reach the store.
+FRESH_READERS = 12
+
+
+class Freshness(enum.Enum):
+    """Which entries need up-to-date watches of a kind of record.
+
+    ALL: every entry.
+    NONE: none; the records tell themselves how old they are, or are confirmed before use.
+    SHARED: some entries at a time, each time others.
+    LEADS: those that lead engines or claim to, as another claim ends their right to order; others
+    learn of it from the lead that they ask.
+    """
+
+    ALL = "all"
+    NONE = "none"
+    SHARED = "shared"
+    LEADS = "leads"
+
+
+def needs_fresh_watch(state: GatewayState, freshness: Freshness) -> bool:
+    """Return whether this entry's next watch of a kind must be up to date."""
+    many = len(state.entries) > FRESH_READERS
+    match freshness:
+        case Freshness.ALL:
+            return True
+        case Freshness.NONE:
+            return False
+        case Freshness.SHARED:
+            return not many or state.random.random() * len(state.entries) < FRESH_READERS
+        case Freshness.LEADS:
+            return not many or bool(state.slot_tables or state.pending_claims)
 
 
 def watch_wait_factor(state: GatewayState) -> float:
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -7,6 +7,7 @@
 
 from poplarhoist.decisions.gateway.effects import Claim, Dispatch, SendOrder
 from poplarhoist.decisions.gateway.events import CallStatus, EndpointNotice, Event, OrderStatus
+from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport, Prompt
 
 Headers = list[tuple[str, str]]
@@ -136,8 +137,8 @@
 
     Attributes
     ----------
-    fresh : bool
-        Whether reads must be up to date; stale reads are cheaper.
+    freshness : Freshness
+        Which entries need up-to-date watches; those that may be stale are cheaper.
     pause_between_watches_s : float
         Seconds between the response to a watch and the next watch.
     long_poll_s : float
@@ -151,7 +152,7 @@
     """
 
     kind: str
-    fresh: bool = True
+    freshness: Freshness = Freshness.ALL
     pause_between_watches_s: float = 0.0
     long_poll_s: float = 20.0
     probes_store: bool = False
@@ -201,8 +202,11 @@
         For endpoints, entries and leads the last event says that the list is complete.
         """
 
-    def watch(self, spec: WatchSpec, since: int) -> StoreChanges:
-        """Wait for changes of a kind after revision `since`; no events if the long poll ended."""
+    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
+        """Wait for changes of a kind after revision `since`; no events if the long poll ended.
+
+        Unless it is `fresh`, it may miss changes of the last seconds.
+        """
 
     def register(self, name: str, zone: str, host: str, port: int, relay_port: int) -> CallStatus:
         """Create or replace the record of this entry: its zone and its addresses for peers."""
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -58,6 +58,8 @@
         Green threads that wait for the response to a watch.
     revisions_by_kind : dict
         Store revision from which the next watch of a kind starts.
+    told_revisions_by_kind : dict
+        Latest revision of a kind that a peer has read; a watch that may be stale need not show it.
     store_reachable_event : Event
         Sent when the store responds again; replaced by a new one then.
     """
@@ -68,6 +70,7 @@
         self.consecutive_failures = 0
         self.watch_threads_by_kind: dict[str, eventlet.greenthread.GreenThread] = {}
         self.revisions_by_kind: dict[str, int] = {}
+        self.told_revisions_by_kind: dict[str, int] = {}
         self.store_reachable_event = eventlet.event.Event()
         decision_loop.set_handler(Claim, lambda effect: eventlet.spawn_n(self.write_claim, effect))
         decision_loop.set_handler(
@@ -134,7 +137,9 @@
         """
         self.watch_threads_by_kind[spec.kind] = eventlet.getcurrent()
         try:
-            return self.store.watch(self.scale_long_poll(spec), revision)
+            return self.store.watch(
+                self.scale_long_poll(spec), revision, self.needs_fresh_watch(spec, revision)
+            )
         except WatchRenewed:
             return StoreChanges(ev.CallStatus.UNKNOWN)
         except NewsHeard:
@@ -142,6 +147,12 @@
         finally:
             self.watch_threads_by_kind.pop(spec.kind, None)
 
+    def needs_fresh_watch(self, spec: WatchSpec, revision: int) -> bool:
+        """Return whether the next watch of a kind must be up to date."""
+        if self.told_revisions_by_kind.get(spec.kind, 0) > revision:
+            return True
+        return gossip.needs_fresh_watch(self.decision_loop.state, spec.freshness)
+
     def scale_long_poll(self, spec: WatchSpec) -> WatchSpec:
         """Return the spec with its long poll scaled with the number of entries.
 
@@ -161,6 +172,8 @@
         known_revision = self.revisions_by_kind.get(effect.kind)
         if known_revision is None or known_revision >= effect.revision:
             return
+        told_revision = self.told_revisions_by_kind.get(effect.kind, 0)
+        self.told_revisions_by_kind[effect.kind] = max(told_revision, effect.revision)
         thread = self.watch_threads_by_kind.pop(effect.kind, None)
         if thread is not None:
             self.decision_loop.log.info(
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -11,6 +11,7 @@
 from poplarhoist.clock import Clock
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import Claim
+from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import StoreChanges, WatchSpec
@@ -73,17 +74,24 @@
     """
 
     watch_specs = (
-        WatchSpec(CONFIGURATION_KIND, long_poll_s=CONFIGURATION_LONG_POLL_S, notifies_peers=True),
+        WatchSpec(
+            CONFIGURATION_KIND,
+            Freshness.SHARED,
+            long_poll_s=CONFIGURATION_LONG_POLL_S,
+            notifies_peers=True,
+        ),
         WatchSpec(
             ENDPOINT_KIND,
-            fresh=False,
+            Freshness.NONE,
             pause_between_watches_s=ENDPOINT_PAUSE_S,
             long_poll_s=ENDPOINT_LONG_POLL_S,
             probes_store=True,
         ),
-        WatchSpec(VERSION_KIND, long_poll_s=VERSION_LONG_POLL_S, notifies_peers=True),
-        WatchSpec(ENTRY_KIND, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
-        WatchSpec(LEAD_KIND, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
+        WatchSpec(
+            VERSION_KIND, Freshness.SHARED, long_poll_s=VERSION_LONG_POLL_S, notifies_peers=True
+        ),
+        WatchSpec(ENTRY_KIND, Freshness.SHARED, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
+        WatchSpec(LEAD_KIND, Freshness.LEADS, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
     )
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
@@ -140,11 +148,11 @@
             events.append(ev.LeadsListed(at))
         return StoreChanges(ev.CallStatus.OK, revision, last_change_revision, tuple(events))
 
-    def watch(self, spec: WatchSpec, since: int) -> StoreChanges:
+    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
         """Wait for changes of a kind after revision `since`; no events if the long poll ended."""
         kind = spec.kind
         query = {"watch": since, "waitMs": int(spec.long_poll_s * 1000)}
-        if not spec.fresh:
+        if not fresh:
             query["allowStale"] = 1
         path = f"/api/objects/{kind}?{urlencode(query)}"
         timeout_s = spec.long_poll_s + LONG_POLL_MARGIN_S
@@ -252,13 +260,19 @@
         except orjson.JSONDecodeError:
             status, result = ev.CallStatus.UNKNOWN, "not JSON"
         if self.metrics is not None:
-            self.metrics.count("platform_call", (operation, status))
+            self.metrics.count("platform_call", (f"{operation} {kind_of(path)}", status))
         if status is not ev.CallStatus.OK:
             log = structlog.get_logger()
             log.warning("store-call-failed", call=operation, path=path, detail=str(result)[:200])
         return status, result
 
 
+def kind_of(path: str) -> str:
+    """Return the kind of record in the path of a call, with the mark of reads that may be stale."""
+    kind, _, query = path.removeprefix("/api/objects/").partition("?")
+    return kind.partition("/")[0] + (" stale" if "allowStale" in query else "")
+
+
 def record_path(kind: str, name: str) -> str:
     """Return the path of a record; the name is percent-encoded."""
     return f"/api/objects/{kind}/{quote(name, safe='')}"
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -3,6 +3,7 @@
 A peer's notice makes up for a change that this entry's own watch has missed.
 """
 
+import random
 from collections import Counter
 
 import eventlet
@@ -14,16 +15,21 @@
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.effects import SendPeer
 from poplarhoist.decisions.gateway.events import CallStatus
-from poplarhoist.decisions.gateway.gossip import GOSSIP_FANOUT
+from poplarhoist.decisions.gateway.gossip import (
+    FRESH_READERS,
+    GOSSIP_FANOUT,
+    Freshness,
+    needs_fresh_watch,
+)
 from poplarhoist.decisions.gateway.reducer import reduce
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import StoreChanges, WatchSpec
-from poplarhoist.gateway.store_watcher import StoreWatcher
+from poplarhoist.gateway.store_watcher import PEER_NOTICE_DELAY_S, StoreWatcher
 from tests.gateway import Gateway, configuration, effects_of
 
 PROBE_SPEC = WatchSpec("endpoints", long_poll_s=0.2, probes_store=True)
-NOTIFYING_SPEC = WatchSpec("configuration", long_poll_s=1.0, notifies_peers=True)
+NOTIFYING_SPEC = WatchSpec("configuration", Freshness.SHARED, long_poll_s=1.0, notifies_peers=True)
 PLAIN_SPEC = WatchSpec("leads", long_poll_s=0.2)
 
 
@@ -32,8 +38,8 @@
 
     Attributes
     ----------
-    calls : Counter
-        Watches by kind.
+    calls, fresh_calls : Counter
+        Watches by kind, and those of them that must be up to date.
     unavailable : bool
         Whether watches are refused.
     latest_revision : int
@@ -46,6 +52,7 @@
 
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
+        self.fresh_calls: Counter[str] = Counter()
         self.unavailable = False
         self.latest_revision = 0
         self.watch_waits_s: list[float] = []
@@ -54,13 +61,14 @@
         """Return an empty list at revision 1."""
         return StoreChanges(CallStatus.OK, 1)
 
-    def watch(self, spec: WatchSpec, since: int) -> StoreChanges:
-        """Wait for changes of a kind; a watch that already waits does not show a change."""
+    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
+        """Wait for changes of a kind; a watch that waits already or is stale shows no change."""
         self.calls[spec.kind] += 1
+        self.fresh_calls[spec.kind] += fresh
         if self.unavailable:
             eventlet.sleep(0.001)
             return StoreChanges(CallStatus.REFUSED)
-        if spec.notifies_peers and self.latest_revision > since:
+        if fresh and spec.notifies_peers and self.latest_revision > since:
             event = ev.ConfigurationSeen(0.0, configuration(self.latest_revision))
             return StoreChanges(CallStatus.OK, self.latest_revision, self.latest_revision, (event,))
         self.watch_waits_s.append(spec.long_poll_s)
@@ -157,3 +165,46 @@
     )
     assert len({effect.peer for effect in sent}) == len(sent) == notified_peers
     assert all(effect.peer != "entry-1" for effect in sent)
+
+
+# The share of up-to-date watches, at most, of an entry that leads no engine and of one that does.
+@pytest.mark.parametrize(
+    ("entries", "freshness", "share", "share_of_leads"),
+    [
+        (9, Freshness.SHARED, 1.0, 1.0),
+        (9, Freshness.LEADS, 1.0, 1.0),
+        (73, Freshness.SHARED, 12 / 73, 12 / 73),
+        (195, Freshness.SHARED, 12 / 195, 12 / 195),
+        (195, Freshness.LEADS, 0.0, 1.0),
+        (195, Freshness.ALL, 1.0, 1.0),
+        (195, Freshness.NONE, 0.0, 0.0),
+    ],
+)
+def test_many_entries_share_the_up_to_date_watches(entries, freshness, share, share_of_leads):
+    gateway = Gateway(peers=tuple(f"entry-{n}" for n in range(2, entries + 1)))
+    for expected in (share, share_of_leads):
+        fresh = sum(needs_fresh_watch(gateway.state, freshness) for _ in range(4000))
+        assert fresh / 4000 == pytest.approx(expected, abs=0.03)
+        gateway.state.pending_claims["e1"] = (1, 0.0)
+
+
+def test_change_that_no_stale_watch_shows_reaches_all_entries_within_two_seconds():
+    """Only entries with an up-to-date watch see the change; the others are told, and read it."""
+    rng, names = random.Random(1), [f"entry-{n}" for n in range(1, 196)]
+    entries = {}
+    for name in names:
+        entries[name] = Gateway(name, tuple(peer for peer in names if peer != name))
+        entries[name].state.random.seed(name)
+    # Three quarters of the entries with up-to-date watches are cut off from the store.
+    readers = rng.sample(names, FRESH_READERS // 4)
+    known_at = dict.fromkeys(readers, 0.0)
+    pending = [(0.0, name) for name in readers]
+    while pending:
+        pending.sort()
+        at, name = pending.pop(0)
+        sent = entries[name].submit(ev.StoreChangesRead, kind="configuration", revision=7)
+        for peer in {effect.peer for effect in effects_of(fx.SendPeer, sent)} - known_at.keys():
+            known_at[peer] = at + PEER_NOTICE_DELAY_S + 0.05
+            pending.append((known_at[peer], peer))
+    assert len(known_at) == len(names)
+    assert max(known_at.values()) <= 2.0
