A stream is not joined from two software versions after all entries had ended at once

What callers saw: with engines of two software versions, or the old one just gone, and all entries killed at once, a stream that its caller took up again got 200 and went on at the other version.

Cause: where a stream began is in the memory of five entries, and which versions there were in that of all. Entries that start together know neither, see what is left, and took that for all there was.

Change: the store has a record of services that have, or had within 30 s, several versions; three entries write and remove it, all read it at their start. A young entry refuses a stream of unknown origin, as not run, if there is a record or the records were not read.

--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -73,6 +73,14 @@
     holder: str
 
 
+@frozen
+class WriteSoftwareRecord:
+    """Write to the store which software versions a service has; without any, remove the record."""
+
+    service: str
+    versions: tuple[str, ...]
+
+
 class OrderKind(enum.StrEnum):
     """Kinds of orders to engines."""
 
@@ -175,6 +183,7 @@
     | ReadReport
     | CheckEndpoint
     | ProbeEndpoint
+    | WriteSoftwareRecord
     | SendPeer
     | RereadChanges
     | StopListening
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -5,7 +5,14 @@
 from collections.abc import Iterable
 
 from poplarhoist.decisions.common_effects import LogChange
-from poplarhoist.decisions.gateway import brittle, crashes, pauses, request_limits, streams
+from poplarhoist.decisions.gateway import (
+    brittle,
+    crashes,
+    pauses,
+    request_limits,
+    software_versions,
+    streams,
+)
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.events import (
     EndpointRemoved,
@@ -66,7 +73,7 @@
         log_endpoint("endpoint-restarted", record, effects)
     endpoint.is_leaving = is_known_leaving(state, record)
     if record.software_version != previous.software_version:
-        streams.record_departure(state, previous, event.at)
+        software_versions.record_departure(state, previous, event.at)
     if endpoint.is_leaving and not was_leaving:
         log_endpoint("endpoint-leaving", record, effects, source="record")
     if (previous.service, was_leaving) != (record.service, endpoint.is_leaving):
@@ -207,7 +214,7 @@
         state.departed_runs[run] = DepartedRun(
             endpoint.limit, endpoint.brittle, endpoint.paused_until, at
         )
-    streams.record_departure(state, endpoint.record, at)
+    software_versions.record_departure(state, endpoint.record, at)
     crashes.on_endpoint_crashed(state, endpoint.record, at, effects)
     state.slot_tables.pop(name, None)
     for ask_key in [ask_key for ask_key in state.pending_asks if ask_key[0] == name]:
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -98,6 +98,20 @@
     names: frozenset[str]
 
 
+@frozen
+class SoftwareRecordsListed:
+    """The records of services with several software versions were read.
+
+    Attributes
+    ----------
+    services : frozenset
+        Services that have a record.
+    """
+
+    at: float
+    services: frozenset[str]
+
+
 @frozen
 class LeadsListed:
     """All lead records were read."""
@@ -387,6 +401,16 @@
     has_crashed: bool
 
 
+@frozen
+class SoftwareRecordWritten:
+    """The record of a service was written, or removed if there are no `versions`."""
+
+    at: float
+    service: str
+    versions: tuple[str, ...]
+    status: CallStatus
+
+
 @frozen
 class EndpointProbed:
     """An endpoint was probed.
@@ -460,6 +484,8 @@
     | ReportReceived
     | EndpointChecked
     | EndpointProbed
+    | SoftwareRecordsListed
+    | SoftwareRecordWritten
     | StoreAvailabilityChanged
     | StoreChangesRead
     | LimitsChanged
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -18,6 +18,7 @@
     request_limits,
     requests,
     residency,
+    software_versions,
     streams,
 )
 from poplarhoist.decisions.gateway import events as ev
@@ -151,6 +152,7 @@
     state.last_slow_tick_at = at
     endpoints.on_tick(state, at, effects)
     streams.on_tick(state, at, effects)
+    software_versions.on_tick(state, at, effects)
     crashes.on_slow_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     links.on_slow_tick(state, at, effects)
@@ -251,6 +253,8 @@
     ev.ReportReceived: residency.on_report,
     ev.EndpointChecked: crashes.on_checked,
     ev.EndpointProbed: links.on_probed,
+    ev.SoftwareRecordsListed: software_versions.on_listed,
+    ev.SoftwareRecordWritten: software_versions.on_written,
     ev.LimitsChanged: on_limits,
     ev.DrainRequested: on_drain,
 }
--- /dev/null
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -0,0 +1,107 @@
+"""Which software versions the endpoints of a service run, or ran lately.
+
+An entry remembers the versions that it has seen. One that has just started knows only those that are
+left; so the store has a record of each service with several versions, which entries read at their
+start. It is written when a second version appears, and removed once a single one has been left for
+`VERSION_MEMORY_S`.
+"""
+
+from __future__ import annotations
+
+from poplarhoist.decisions.common_effects import LogChange
+from poplarhoist.decisions.gateway.broadcast import other_entries
+from poplarhoist.decisions.gateway.effects import WriteSoftwareRecord
+from poplarhoist.decisions.gateway.events import (
+    CallStatus,
+    SoftwareRecordsListed,
+    SoftwareRecordWritten,
+)
+from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.models import EndpointRecord
+from poplarhoist.decisions.gateway.state import GatewayState
+
+# Seconds for which a version counts that no endpoint runs any more: a stream that it began may be
+# resumed as long. Twice the longest timeout of the sites' routes.
+VERSION_MEMORY_S = 30.0
+# Entries that write and remove the record of a service, so that one of them may end before it does.
+WRITERS = 3
+# Seconds until a write that failed is repeated.
+WRITE_RETRY_S = 1.0
+
+
+def record_departure(state: GatewayState, record: EndpointRecord, at: float) -> None:
+    """Record that an endpoint no longer runs the software version of its record."""
+    departed = state.departed_software.setdefault(record.service, {})
+    departed[record.software_version] = at
+
+
+def software_versions(state: GatewayState, service: str, at: float) -> set[str]:
+    """Return the versions that a service has, or had within `VERSION_MEMORY_S`, as known here."""
+    versions = {
+        endpoint.record.software_version
+        for endpoint in state.endpoints.values()
+        if endpoint.record.service == service
+    }
+    for version, seen_at in state.departed_software.get(service, {}).items():
+        if at - seen_at <= VERSION_MEMORY_S:
+            versions.add(version)
+    return versions
+
+
+def started_lately(state: GatewayState, at: float) -> bool:
+    """Return whether a version that counts may have gone before this entry started."""
+    return at - state.started_at <= VERSION_MEMORY_S
+
+
+def may_have_several(state: GatewayState, service: str, at: float) -> bool:
+    """Return whether a service has several versions that count, also such as this entry never saw."""
+    if len(software_versions(state, service, at)) > 1:
+        return True
+    records = state.software_records
+    return started_lately(state, at) and (not records.is_listed or service in records.services)
+
+
+def on_listed(state: GatewayState, event: SoftwareRecordsListed, effects: list) -> None:
+    """Apply which services have a record."""
+    state.software_records.is_listed = True
+    state.software_records.services |= event.services
+
+
+def on_written(state: GatewayState, event: SoftwareRecordWritten, effects: list) -> None:
+    """Apply that a record was written or removed; a failed write is repeated."""
+    if event.status is not CallStatus.OK:
+        return
+    if event.versions:
+        state.software_records.services.add(event.service)
+    else:
+        state.software_records.services.discard(event.service)
+    fields = {"service": event.service, "versions": list(event.versions)}
+    effects.append(LogChange("software-recorded", fields))
+
+
+def on_tick(state: GatewayState, at: float, effects: list) -> None:
+    """Write the records of services that have several versions, and remove those of others."""
+    records = state.software_records
+    if state.store_unavailable or not records.is_listed:
+        return
+    services = set(state.endpoints_by_service) | set(state.departed_software) | records.services
+    for service in sorted(services):
+        versions = software_versions(state, service, at)
+        has_several = len(versions) > 1
+        if has_several == (service in records.services) or at < records.next_write_at.get(
+            service, float("-inf")
+        ):
+            continue
+        if not has_several and started_lately(state, at):
+            continue
+        if is_writer(state, service):
+            records.next_write_at[service] = at + WRITE_RETRY_S
+            kept = tuple(sorted(versions)) if has_several else ()
+            effects.append(WriteSoftwareRecord(service, kept))
+
+
+def is_writer(state: GatewayState, service: str) -> bool:
+    """Return whether this entry writes and removes the record of a service."""
+    names = [state.name, *other_entries(state)]
+    names.sort(key=lambda name: -rendezvous_weight(service, name))
+    return state.name in names[:WRITERS]
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -384,6 +384,25 @@
     probed_at: float = float("-inf")
 
 
+@define
+class SoftwareRecords:
+    """The store's records of services with several software versions, as this entry knows them.
+
+    Attributes
+    ----------
+    is_listed : bool
+        Whether they have been read.
+    services : set
+        Services that have a record.
+    next_write_at : dict
+        Earliest time of this entry's next write or removal, by service.
+    """
+
+    is_listed: bool = False
+    services: set[str] = field(factory=set)
+    next_write_at: dict[str, float] = field(factory=dict)
+
+
 @define
 class HeldAdapter:
     """An adapter that an engine holds, in the lead's table.
@@ -626,6 +645,8 @@
         When others were last asked for crashes, and when some were last told what is refused.
     stream_origins : dict
         Where streams began, by the id of the caller's attempt, least recent first.
+    software_records : SoftwareRecords
+        Services with several software versions, by the store's records.
     links : LinkState
         This entry's links to endpoints.
     departed_software : dict
@@ -674,6 +695,7 @@
     crashes_repeated_at: float = float("-inf")
     stream_origins: dict[str, StreamOrigin] = field(factory=dict)
     departed_software: dict[str, dict[str, float]] = field(factory=dict)
+    software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -5,7 +5,8 @@
 may reach any entry, also after the one that began it has ended. The entry that passes on the first
 bytes of a stream therefore tells its version to a few others, chosen by the id of the caller's
 attempt, and an entry that does not know a stream asks those. Nothing is told while a service has a
-single version.
+single version. If nobody knows a stream, it goes on only if its service cannot have had several
+versions (`software_versions`).
 """
 
 from __future__ import annotations
@@ -16,7 +17,12 @@
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
-from poplarhoist.decisions.gateway.models import EndpointRecord
+from poplarhoist.decisions.gateway.software_versions import (
+    VERSION_MEMORY_S,
+    may_have_several,
+    software_versions,
+    started_lately,
+)
 from poplarhoist.decisions.gateway.state import (
     EndpointState,
     GatewayState,
@@ -31,8 +37,8 @@
 ASKED_ENTRIES = ORIGIN_REPLICAS + 2
 # Seconds to wait for an answer: two round trips between regions and a scheduling delay.
 ORIGIN_ANSWER_S = 0.15
-# Seconds for which a stream may be resumed; twice the longest timeout of the sites' routes.
-ORIGIN_MEMORY_S = 30.0
+# Seconds for which a stream may be resumed.
+ORIGIN_MEMORY_S = VERSION_MEMORY_S
 # Streams remembered per entry; bounds memory. Entries of the largest site remember about 400.
 MAX_ORIGINS = 10_000
 
@@ -50,25 +56,6 @@
     REFUSE = enum.auto()
 
 
-def record_departure(state: GatewayState, record: EndpointRecord, at: float) -> None:
-    """Record that an endpoint no longer runs the software version of its record."""
-    departed = state.departed_software.setdefault(record.service, {})
-    departed[record.software_version] = at
-
-
-def software_versions(state: GatewayState, service: str, at: float) -> set[str]:
-    """Return the software versions that a service has, or had within `ORIGIN_MEMORY_S`."""
-    versions = {
-        endpoint.record.software_version
-        for endpoint in state.endpoints.values()
-        if endpoint.record.service == service
-    }
-    for version, seen_at in state.departed_software.get(service, {}).items():
-        if at - seen_at <= ORIGIN_MEMORY_S:
-            versions.add(version)
-    return versions
-
-
 def on_first_bytes(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
     """Record which software version begins a stream, and tell others if there are several."""
     if (
@@ -152,7 +139,7 @@
     """Return whether a request may be placed now; sets the software version that it needs.
 
     While a service has a single version, a stream of unknown origin goes on. An entry that started
-    lately asks first, as it may not have seen a version that is gone.
+    lately asks first.
     """
     if request.software_version is None and request.last_event_id and request.route.resumable:
         origin = state.stream_origins.get(request.resumed_caller_id)
@@ -171,8 +158,8 @@
     state: GatewayState, request: RequestState, at: float, effects: list
 ) -> Placement:
     """Ask where a stream began; without an answer it goes on only if there is one version."""
-    is_single = len(software_versions(state, request.service, at)) <= 1
-    if is_single and at - state.started_at > ORIGIN_MEMORY_S:
+    is_single = not may_have_several(state, request.service, at)
+    if is_single and not started_lately(state, at):
         return Placement.PLACE
     if request.origin_asked_at is None:
         request.origin_asked_at = at
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -146,6 +146,8 @@
     probes_store : bool
         Whether a failed watch of this kind shows that the watches of the other kinds may hang too.
         While the store is unreachable, only this kind is retried.
+    only_at_start : bool
+        Whether the records are read once and not watched.
     notifies_peers : bool
         Whether entries notify one another of changes of this kind, so that with many entries each
         may poll longer.
@@ -157,6 +159,7 @@
     long_poll_s: float = 20.0
     probes_store: bool = False
     notifies_peers: bool = False
+    only_at_start: bool = False
 
 
 @frozen
@@ -214,6 +217,12 @@
     def unregister(self, name: str) -> CallStatus:
         """Remove the record of this entry."""
 
+    def write_software(self, service: str, versions: tuple[str, ...]) -> CallStatus:
+        """Record that a service has these software versions; without any, remove the record.
+
+        The record may exist, or be gone, already.
+        """
+
     def claim(self, claim: Claim) -> tuple[CallStatus, int, Mapping | None]:
         """Write which entry leads an engine, if the record still has the revision in the claim.
 
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -5,7 +5,7 @@
 
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import gossip
-from poplarhoist.decisions.gateway.effects import Claim, RereadChanges
+from poplarhoist.decisions.gateway.effects import Claim, RereadChanges, WriteSoftwareRecord
 from poplarhoist.decisions.gateway.leads import interval_factor
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Store, StoreChanges, WatchSpec
@@ -73,6 +73,9 @@
         self.told_revisions_by_kind: dict[str, int] = {}
         self.store_reachable_event = eventlet.event.Event()
         decision_loop.set_handler(Claim, lambda effect: eventlet.spawn_n(self.write_claim, effect))
+        decision_loop.set_handler(
+            WriteSoftwareRecord, lambda effect: eventlet.spawn_n(self.write_software, effect)
+        )
         decision_loop.set_handler(
             RereadChanges,
             lambda effect: eventlet.spawn_after(
@@ -100,6 +103,8 @@
         the history since the last revision, all records are read again without backoff.
         """
         self.read_all(spec)
+        if spec.only_at_start:
+            return
         wait_s = RETRY_BACKOFF_S
         while True:
             watch_started_at = self.decision_loop.event_time()
@@ -270,6 +275,14 @@
                 )
             )
 
+    def write_software(self, effect: WriteSoftwareRecord) -> None:
+        """Write or remove the record of a service's software versions, and submit how it ended."""
+        status = self.store.write_software(effect.service, effect.versions)
+        at = self.decision_loop.event_time()
+        self.decision_loop.submit(
+            ev.SoftwareRecordWritten(at, effect.service, effect.versions, status)
+        )
+
     def write_claim(self, effect: Claim) -> None:
         """Write this entry's claim to lead an engine, and submit how it ended.
 
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -26,6 +26,7 @@
 # Kinds of records that only the gateway's entries write.
 ENTRY_KIND = "poplarhoist-entries"
 LEAD_KIND = "poplarhoist-leads"
+SOFTWARE_KIND = "poplarhoist-software"
 # Name of the record with the configuration in force.
 CURRENT_CONFIGURATION_NAME = "main"
 # Timeout of a call in seconds. A response takes a few milliseconds, at times a few hundred.
@@ -59,6 +60,7 @@
     503: ev.CallStatus.REFUSED,
 }
 HISTORY_GONE_CODE = 410
+NOT_FOUND_CODE = 404
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -92,6 +94,7 @@
         ),
         WatchSpec(ENTRY_KIND, Freshness.SHARED, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
         WatchSpec(LEAD_KIND, Freshness.LEADS, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
+        WatchSpec(SOFTWARE_KIND, only_at_start=True),
     )
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
@@ -111,6 +114,8 @@
             VERSION_KIND: decode_version_event,
             ENTRY_KIND: decode_entry_event,
             LEAD_KIND: decode_lead_event,
+            # The list of names tells all; see `read_all`.
+            SOFTWARE_KIND: lambda at, name, item, is_removed: [],
         }
 
     def read_all(self, kind: str) -> StoreChanges:
@@ -146,6 +151,8 @@
             events.append(ev.EntriesListed(at, frozenset(names)))
         elif kind == LEAD_KIND:
             events.append(ev.LeadsListed(at))
+        elif kind == SOFTWARE_KIND:
+            events.append(ev.SoftwareRecordsListed(at, frozenset(names)))
         return StoreChanges(ev.CallStatus.OK, revision, last_change_revision, tuple(events))
 
     def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
@@ -209,6 +216,15 @@
             return status, revision, {**item["spec"], "revision": revision}
         return status, revision, None
 
+    def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
+        """Record that a service has these software versions; without any, remove the record."""
+        if not versions:
+            status, code = self.request("delete", "DELETE", record_path(SOFTWARE_KIND, service))
+            is_gone = status is ev.CallStatus.OK or code == NOT_FOUND_CODE
+            return ev.CallStatus.OK if is_gone else status
+        status, _ = self.write_record(SOFTWARE_KIND, service, {"versions": list(versions)}, 0)
+        return ev.CallStatus.OK if status is ev.CallStatus.CONFLICT else status
+
     def write_record(self, kind: str, name: str, spec: dict, revision: int | None):
         """Create or replace a record; return status and response data.
 
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -114,6 +114,7 @@
             )
         self.submit(ev.EntriesListed, names=frozenset((name, *peers)))
         self.submit(ev.LeadsListed)
+        self.submit(ev.SoftwareRecordsListed, services=frozenset())
 
     def submit(self, kind, /, **fields) -> list:
         """Apply an event at the current time and return its effects."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -153,6 +153,11 @@
             endpoint.stop()
         self.check_no_faults()
 
+    def store_names(self, kind: str) -> list[str]:
+        """Return the names of the store's records of a kind."""
+        with self.store.condition:
+            return [name for record_kind, name in self.store.objects if record_kind == kind]
+
     def terminate(self) -> None:
         """Begin a graceful stop of the entry by SIGTERM."""
         self.process.send_signal(signal.SIGTERM)
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -452,3 +452,22 @@
         assert site.process.poll() is None
     finally:
         site.stop()
+
+
+# Software versions before the only entry is killed, and the one that is left when it is back.
+@pytest.mark.parametrize(("before", "expected"), [(("v1", "v2"), 503), (("v1", "v1"), 200)])
+def test_stream_is_not_joined_from_two_versions_after_the_entries_were_killed(
+    site, before, expected
+):
+    for name, version in zip(("e1", "e2"), before, strict=True):
+        site.endpoints[name].software_version = version
+        site.endpoints[name].adapters["a1"] = 1
+    site.register_endpoints("e1", "e2")
+    site.wait_until(lambda: len(site.store_names("poplarhoist-software")) == len(set(before)) - 1)
+    assert site.send_request("/resume/x", "a1", X_Request_Id="began")[0] == 200
+    site.kill()
+    site.store.remove("servers", "e1")
+    site.launch()
+    site.wait_until(lambda: site.get_status() == 200)
+    resumption = {"Last_Event_Id": "2", "Resumes": "began"}
+    assert site.send_request("/resume/x", "a1", **resumption)[0] == expected
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -6,6 +6,7 @@
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.software_versions import WRITERS
 from poplarhoist.decisions.gateway.streams import ORIGIN_MEMORY_S
 from poplarhoist.gateway.peers import message_converter
 from tests.gateway import Gateway, effects_of, engine, only_effect
@@ -28,12 +29,16 @@
             for number, version in enumerate(software_versions, 1)
         ]
         self.entries: dict[str, Gateway] = {}
+        self.recorded: set[str] = set()
+        self.writes: list[fx.WriteSoftwareRecord] = []
         for name in ENTRIES:
             self.start(name)
 
-    def start(self, name: str) -> None:
-        """Start an entry; one that was killed knows nothing of before."""
+    def start(self, name: str, at: float = 0.0) -> None:
+        """Start an entry; one that was killed knows nothing of before but what the store holds."""
         entry = Gateway(name, tuple(peer for peer in ENTRIES if peer != name))
+        entry.at = entry.state.started_at = at
+        entry.submit(ev.SoftwareRecordsListed, services=frozenset(self.recorded))
         entry.configure()
         entry.list_endpoints(*self.records)
         self.entries[name] = entry
@@ -79,6 +84,33 @@
                 effects += self.deliver(other_name, other.advance(0.025))
         return effects
 
+    def advance(self, seconds: float) -> None:
+        """Let time pass at all entries, which write to the store meanwhile."""
+        for _ in range(round(seconds / 0.25)):
+            for name, entry in self.entries.items():
+                effects = self.deliver(name, entry.advance(0.25, step_s=0.25))
+                for write in effects_of(fx.WriteSoftwareRecord, effects):
+                    self.carry_out(entry, write)
+
+    def carry_out(self, entry: Gateway, write: fx.WriteSoftwareRecord) -> None:
+        """Carry out a write to the store."""
+        self.writes.append(write)
+        change = self.recorded.add if write.versions else self.recorded.discard
+        change(write.service)
+        fields = {"service": write.service, "versions": write.versions}
+        entry.submit(ev.SoftwareRecordWritten, status=ev.CallStatus.OK, **fields)
+
+    def kill_all(self, *remaining: str) -> None:
+        """Kill all entries at once; those that come back find only these versions."""
+        at = max(entry.at for entry in self.entries.values())
+        self.entries.clear()
+        self.records = [
+            engine(number, held=("a1",), software_version=version, incarnation=2)
+            for number, version in enumerate(remaining, 1)
+        ]
+        for name in ENTRIES:
+            self.start(name, at + 2.0)
+
     def crowd_engine(self, engine_name: str) -> None:
         """Let every entry believe that an engine is busy, so that others are preferred."""
         for entry in self.entries.values():
@@ -230,3 +262,67 @@
     for entry in site.entries.values():
         entry.advance(ORIGIN_MEMORY_S + 1.0, step_s=0.25)
     assert not any(state.stream_origins for state in states)
+
+
+# Software versions before all entries are killed, and those that are left when they are back.
+@pytest.mark.parametrize(
+    ("before", "after", "goes_on"),
+    [
+        (("v1", "v2"), ("v1", "v2"), False),
+        (("v1", "v2"), ("v2", "v2"), False),
+        (("v1", "v1"), ("v1", "v1"), True),
+    ],
+)
+def test_stream_is_not_joined_from_two_versions_after_all_entries_were_killed(
+    before, after, goes_on
+):
+    site = Site(*before)
+    site.begin_stream("entry-1")
+    site.advance(2.0)
+    site.kill_all(*after)
+    effects = site.resume_stream("entry-2")
+    assert bool(effects_of(fx.Dispatch, effects)) is goes_on
+    if not goes_on:
+        refusal = only_effect(fx.Refuse, effects)
+        assert (refusal.reason.name, refusal.ran) == ("SOFTWARE_VERSION", False)
+
+
+def test_stream_is_not_joined_after_the_old_version_left_and_all_entries_were_killed():
+    site = Site("v1", "v2")
+    site.advance(2.0)
+    for entry in site.entries.values():
+        entry.submit(ev.EndpointRemoved, name="e1")
+    site.advance(20.0)
+    site.kill_all("v2")
+    assert effects_of(fx.Refuse, site.resume_stream("entry-2"))
+
+
+def test_record_of_several_versions_is_removed_once_they_no_longer_count():
+    site = Site("v1", "v2")
+    site.advance(2.0)
+    assert site.recorded == {"models"}
+    site.kill_all("v2")
+    site.advance(ORIGIN_MEMORY_S - 1.0)
+    assert site.recorded == {"models"}
+    site.advance(3.0)
+    assert site.recorded == set()
+    site.kill_all("v2")
+    assert effects_of(fx.Dispatch, site.resume_stream("entry-2"))
+    # One write and one removal by each of the writers.
+    assert len(site.writes) <= 2 * WRITERS
+
+
+def test_entry_that_has_not_read_the_records_refuses_a_stream_of_unknown_origin():
+    site = Site("v1")
+    site.entries["entry-2"].state.software_records.is_listed = False
+    assert effects_of(fx.Refuse, site.resume_stream("entry-2"))
+
+
+@pytest.mark.parametrize("status", [ev.CallStatus.REFUSED, ev.CallStatus.UNKNOWN])
+def test_write_of_a_record_that_fails_is_repeated(status):
+    site = Site("v1", "v2")
+    entry = site.entries["entry-1"]
+    (write,) = effects_of(fx.WriteSoftwareRecord, entry.advance(0.5))
+    fields = {"service": write.service, "versions": write.versions, "status": status}
+    entry.submit(ev.SoftwareRecordWritten, **fields)
+    assert effects_of(fx.WriteSoftwareRecord, entry.advance(1.5)) == [write]
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -79,6 +79,10 @@
         """Accept the record of this entry."""
         return CallStatus.OK
 
+    def write_software(self, service: str, versions: tuple[str, ...]) -> CallStatus:
+        """Accept the record of a service."""
+        return CallStatus.OK
+
     def claim(self, claim: fx.Claim):
         """Accept a claim to lead an engine."""
         return CallStatus.OK, 2, None
