--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -49,12 +49,12 @@
         self.log_path = directory / f"{name}.log"
         self.process: subprocess.Popen | None = None
 
-    def launch(self, python_args: tuple[str, ...] = ENTRY_ARGS) -> None:
-        """Start the process; its output is appended to the log file."""
+    def launch(self, python_args: tuple[str, ...] = ENTRY_ARGS, root: Path = ROOT) -> None:
+        """Start the process of the build in `root`; its output is appended to the log file."""
         with self.log_path.open("ab") as output:
             self.process = subprocess.Popen(
                 [sys.executable, *python_args],
-                cwd=ROOT,
+                cwd=root,
                 env={"POPLARHOIST_BOOT": str(self.settings_path), "PATH": os.environ["PATH"]},
                 stdout=output,
                 stderr=subprocess.STDOUT,
