An engine is not ordered to load more base models than its memory takes

What operators would have seen: with several base models in a service, each lead ordered every model that its engine lacked, one after the other, without a look at its memory. An engine that is ordered to load more than it holds crashes, and starts again empty, for the same to happen. Adapters were counted beside all configured models, so that with twenty of them no adapter fitted anywhere. The sites so far have one.

Change: base_models.py. An engine without a model loads the one that the fewest others hold; one with room loads a model that nobody holds, if it comes first among those with room. Adapters are counted beside what the engine holds. With one model nothing changes.

Not done: moving models after demand where all engines are full.

--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -15,6 +15,7 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange
 from poplarhoist.decisions.gateway import eviction, links
+from poplarhoist.decisions.gateway.base_models import adapter_capacity, choose_model
 from poplarhoist.decisions.gateway.configuration import find_service
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.endpoints import record_warm
@@ -201,7 +202,7 @@
     profile = engine_profile(state, table.engine)
     if profile is None or not table.synced or at < table.orders_allowed_at:
         return 0
-    free_slots = max(0, adapter_capacity(profile) - slots_taken(table))
+    free_slots = max(0, adapter_capacity(profile, table.base_models) - slots_taken(table))
     idle_count = len(eviction.idle_adapters(state, table, at))
     unmet_demands = sum(1 for key in table.demands if key not in table.loading)
     return min(free_slots + idle_count, MAX_CONCURRENT_LOADS - len(table.loading)) - unmet_demands
@@ -374,7 +375,7 @@
 def send_next_order(state: GatewayState, table: SlotTable, at: float, effects: list) -> None:
     """Send the next order to an engine, if one is due and none is open.
 
-    The order of precedence: missing base models; adapters in demand, by priority and then by
+    The order of precedence: a base model that it should load; adapters in demand, by priority and then by
     waiting time; outdated adapters.
     """
     if table.open_order is not None or not table.synced or at < table.orders_allowed_at:
@@ -383,12 +384,12 @@
     profile = engine_profile(state, table.engine)
     if endpoint is None or profile is None or endpoint.is_leaving:
         return
-    missing_models = [name for name in profile.models_by_name if name not in table.base_models]
-    if missing_models:
+    model = choose_model(state, table.engine, profile, table.base_models, slots_taken(table))
+    if model is not None:
         if at >= table.base_model_expected_at + BASE_MODEL_CHECK_S * 2:
             table.base_model_expected_at = at + BASE_MODEL_CHECK_S
             table.report_due_at = at + BASE_MODEL_CHECK_S
-            send_order(state, table, OrderKind.LOAD, AdapterKey(missing_models[0]), 0, at, effects)
+            send_order(state, table, OrderKind.LOAD, AdapterKey(model), 0, at, effects)
         return
     demands = sorted(
         table.demands.items(), key=lambda item: (item[1].priority, item[1].waiting_since)
@@ -408,7 +409,7 @@
             # A replacement would wait for the running requests and hold up all other orders in the
             # meantime.
             continue
-        if key in table.held or slots_taken(table) < adapter_capacity(profile):
+        if key in table.held or slots_taken(table) < adapter_capacity(profile, table.base_models):
             send_order(state, table, OrderKind.LOAD, key, version, at, effects)
             return
         victim = eviction.select_victim(state, table, at)
@@ -427,22 +428,6 @@
         send_order(state, table, kind, key, version, at, effects)
 
 
-def adapter_capacity(profile: EngineProfile) -> int:
-    """Return how many adapters an engine may hold at once."""
-    return min(profile.adapter_slots, adapters_fitting_memory(profile))
-
-
-def adapters_fitting_memory(profile: EngineProfile) -> int:
-    """Return how many adapters fit into an engine's memory beside its base models.
-
-    All adapters are counted with the largest size among the base models.
-    """
-    models = profile.models_by_name.values()
-    adapter_size_mb = max((model.adapter_size_mb for model in models), default=0.0)
-    free_mb = profile.memory_mb - sum(model.size_mb for model in models)
-    return int(free_mb // adapter_size_mb) if adapter_size_mb > 0 else profile.adapter_slots
-
-
 def send_order(
     state: GatewayState, table: SlotTable, kind, key: AdapterKey, version: int, at, effects
 ) -> None:
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -9,7 +9,7 @@
     ),
     "places": (
         "import poplarhoist.decisions.gateway.residency as residency\n"
-        "residency.adapter_capacity = lambda profile: profile.adapter_slots + 2"
+        "residency.adapter_capacity = lambda profile, models: profile.adapter_slots + 2"
     ),
     "fencing": (
         "import attrs\n"
