An entry without leads no longer walks all pairs of entries and engines four times a second

Cause, one of several: for each engine whose lead is unknown an entry looked for the preferred one among all entries, a hash and a comparison each: 15,210 at 195 entries and 78 engines, every 0.25 s, until the records of all leads are read. So it was after each start, and for engines whose lead had gone.

Change: an entry only needs to know whether it is the preferred one itself, and ends at the first that precedes it. Which entry that is does not change.

--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -127,11 +127,14 @@
     return state.draining_since is None and state.links.lost_since is None
 
 
-def preferred_lead(state: GatewayState, engine: str, at: float) -> str:
-    """Return the entry that should claim an engine without a lead: one that is close to it.
+def is_preferred_lead(state: GatewayState, engine: str, at: float) -> bool:
+    """Return whether this entry should claim an engine without a lead: the closest ones come first.
 
     Each load takes two orders, one after the other; between regions these take eight times as long.
+    Among many entries one that precedes this one is found after a few.
     """
+    if state.name not in state.entries:
+        return False
     zone = state.endpoints[engine].record.zone
     region = state.regions.get(zone)
 
@@ -140,8 +143,11 @@
         same_region = state.regions.get(entry_zone) == region
         return same_region, entry_zone == zone, rendezvous_weight(name, engine)
 
-    names = [name for name in state.entries if not is_silent(state, name, at)]
-    return max(names, key=preference, default="")
+    own_preference = preference(state.name)
+    return not any(
+        preference(name) > own_preference and not is_silent(state, name, at)
+        for name in state.entries
+    )
 
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
@@ -163,7 +169,7 @@
             claim(state, engine, at, effects)
         elif holder in state.entries or at - state.started_at < CLAIM_START_DELAY_S:
             continue
-        elif preferred_lead(state, engine, at) == state.name:
+        elif is_preferred_lead(state, engine, at):
             claim(state, engine, at, effects)
 
 
--- a/tests/test_gateway_leads.py
+++ b/tests/test_gateway_leads.py
@@ -4,8 +4,9 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway import leads, messages
 from poplarhoist.decisions.gateway.events import CallStatus
+from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.reducer import reduce
 from tests.gateway import Gateway, effects_of, engine, only_effect
 
@@ -168,3 +169,36 @@
     reduce(gateway.state, late)
     gateway.advance(0.1)
     assert not [e for e in gateway.effects if getattr(e, "change", "") == "entry-was-paused"]
+
+
+@pytest.mark.parametrize("entry_count", [3, 73, 195])
+def test_each_engine_without_a_lead_is_claimed_by_one_entry_near_it(entry_count):
+    zones = ("north-a", "north-b", "south-a")
+    names = [f"entry-{number}" for number in range(1, entry_count + 1)]
+    claimed_by: list[tuple[str, str]] = []
+    for name in names:
+        gateway = Gateway(name)
+        for number, peer in enumerate(names):
+            fields = {"name": peer, "host": "10.0.2.1", "port": 7000, "zone": zones[number % 3]}
+            gateway.submit(ev.EntryRecordChanged, **fields)
+        gateway.configure()
+        gateway.list_endpoints(*(engine(n, zone=zones[n % 3]) for n in range(1, 13)))
+        gateway.state.started_at = gateway.at - 10.0
+        claimed_by += [(c.engine, name) for c in effects_of(fx.Claim, gateway.advance(0.3))]
+    assert sorted(claimed for claimed, _ in claimed_by) == sorted(f"e{n}" for n in range(1, 13))
+    zone_of = {name: zones[number % 3] for number, name in enumerate(names)}
+    assert all(zone_of[name] == zones[int(claimed[1:]) % 3] for claimed, name in claimed_by)
+
+
+def test_entries_that_look_for_the_lead_of_an_engine_compare_few_others(monkeypatch):
+    """With many entries and engines, a walk over all pairs took most of an entry's time."""
+    weights = []
+    monkeypatch.setattr(
+        leads, "rendezvous_weight", lambda *pair: weights.append(pair) or rendezvous_weight(*pair)
+    )
+    gateway = Gateway("entry-1", tuple(f"entry-{n}" for n in range(2, 196)))
+    gateway.configure()
+    gateway.list_endpoints(*(engine(n) for n in range(1, 79)))
+    gateway.state.started_at = gateway.at - 10.0
+    gateway.submit(ev.Tick)
+    assert 0 < len(weights) <= 78 * 195 / 10
