--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -15,6 +15,7 @@
     "page_rejected": ("Configuration pages rejected", ()),
     "revision_rejected": ("Configuration revisions that are not well formed", ()),
     "member_malformed": ("Listed members that cannot be read", ("kind",)),
+    "peer_message_sent": ("Messages to other entries", ("type",)),
     "peer_message_dropped": ("Messages of peers dropped", ("cause",)),
     "run_recorded": ("Last values recorded of calls that must not repeat", ("stage",)),
     "run_record_lost": ("Last values of such calls that could not be recorded", ("stage",)),
--- a/poplarhoist/gateway/peers.py
+++ b/poplarhoist/gateway/peers.py
@@ -43,6 +43,7 @@
             return
         body = message_converter.unstructure(effect.message, unstructure_as=Message)
         data = orjson.dumps([self.decision_loop.state.name, body])
+        self.decision_loop.metrics.count("peer_message_sent", (body["type"],))
         try:
             self.socket.sendto(data, socket.MSG_DONTWAIT, (peer.host, peer.port))
         except OSError as error:
