--- a/poplarhoist/platform/__main__.py
+++ b/poplarhoist/platform/__main__.py
@@ -49,7 +49,7 @@
     SystemExit
         If they are invalid or help was requested.
     """
-    # An entry starts in a third of the time without defopt and the modules that it loads.
+    # Not defopt, as it loads modules that an entry does not use.
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
         description=f"Run one entry by the settings file that {SETTINGS_PATH_VARIABLE} names.",
