A late order of an earlier lead is not taken for an own one that had no answer

A new lead with one order without an answer would have taken the changed number of orders for that one's doing, and counted a slot too few. It now does so only if no order of an earlier lead can still come; else it reads a report, as before.

--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -380,8 +380,8 @@
 def send_next_order(state: GatewayState, table: SlotTable, at: float, effects: list) -> None:
     """Send the next order to an engine, if one is due and none is open.
 
-    The order of precedence: a base model that it should load; adapters in demand, by priority and then by
-    waiting time; outdated adapters.
+    The order of precedence: a base model that it should load; adapters in demand, by priority and
+    then by waiting time; outdated adapters.
     """
     if table.open_order is not None or not table.synced or at < table.orders_allowed_at:
         return
@@ -505,7 +505,9 @@
                 mark_unsynced(table, event.at, event.status, effects)
                 for key in list(table.demands):
                     send_view_to_askers(state, table, key, event.at, effects)
-        case OrderStatus.MISMATCH if len(table.unanswered_orders) == 1:
+        case OrderStatus.MISMATCH if len(table.unanswered_orders) == 1 and is_only_lead(
+            state, table, event.at
+        ):
             # It stays among the unanswered loads: that it was carried out is not certain yet.
             carried_out = table.unanswered_orders.pop()
             apply_order_effect(state, table, carried_out, OrderStatus.ACCEPTED, event.at, effects)
@@ -520,6 +522,15 @@
     send_next_order(state, table, event.at, effects)
 
 
+def is_only_lead(state: GatewayState, table: SlotTable, at: float) -> bool:
+    """Return whether no order of an earlier lead can still be carried out at an engine."""
+    if table.epoch == 1 or at - table.orders_allowed_at >= LOST_ORDER_EXPIRY_S:
+        return True
+    # An engine rejects the orders of earlier epochs once it has seen this one.
+    has_seen_epoch = table.last_order_accepted_at > float("-inf")
+    return state.limits.engines_check_epochs and has_seen_epoch
+
+
 def apply_accepted_order(
     state, table: SlotTable, order: OpenOrder, status: OrderStatus, at, effects
 ) -> None:
--- a/tests/test_gateway_residency.py
+++ b/tests/test_gateway_residency.py
@@ -314,6 +314,25 @@
     assert slots_taken(table) == 7
 
 
+# Epoch of the lead, whether engines check epochs, seconds of its leadership, and whether an order of
+# an earlier lead cannot be what the engine has carried out.
+@pytest.mark.parametrize(
+    ("epoch", "checks_epochs", "seconds", "is_certain"),
+    [(1, False, 1.0, True), (2, False, 1.0, False), (2, True, 1.0, False), (2, False, 13.0, True)],
+)
+def test_late_order_of_an_earlier_lead_is_not_taken_for_an_own_one(
+    epoch, checks_epochs, seconds, is_certain
+):
+    gateway = leading_gateway(EIGHT_ADAPTERS[:6], engines_check_epochs=checks_epochs)
+    table = gateway.state.slot_tables["e1"]
+    table.epoch = epoch
+    gateway.advance(seconds)
+    lost = only_effect(fx.SendOrder, gateway.receive("other", ask("b1")))
+    again = only_effect(fx.SendOrder, gateway.end_order(lost, OrderStatus.UNKNOWN))
+    gateway.end_order(again, OrderStatus.MISMATCH)
+    assert (table.accepted_orders, table.synced) == ((4, True) if is_certain else (3, False))
+
+
 def test_engine_that_leaves_all_orders_unanswered_gets_the_next_after_a_report():
     gateway = leading_gateway(EIGHT_ADAPTERS[:6])
     gateway.advance(1.0)
