--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -136,12 +136,12 @@
 
     Attributes
     ----------
-    has_report : bool
-        Whether it is an engine, which is asked for its report; others are asked for their health.
+    health_path : str
+        Path of its health; empty for an engine, which is asked for its report.
     """
 
     record: EndpointRecord
-    has_report: bool = False
+    health_path: str = ""
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/links.py
+++ b/poplarhoist/decisions/gateway/links.py
@@ -63,6 +63,7 @@
     """Apply that this process was paused: answers may have arrived that it has not read yet."""
     links = state.links
     links.answered_at = at
+    links.unanswered_at.clear()
     if not are_lost(state):
         links.reached_at = at
         links.failed_at.clear()
@@ -158,17 +159,14 @@
     links = state.links
     names = sorted(set(state.endpoints) - set(links.failed_at)) or sorted(state.endpoints)
     state.random.shuffle(names)
-    names.sort(key=lambda name: not is_engine(state, name))
+    names.sort(key=lambda name: not leads.is_engine(state, state.endpoints[name]))
     for name in names[:count]:
         links.probed_at = at
-        endpoint = state.endpoints[name]
-        effects.append(ProbeEndpoint(endpoint.record, has_report=is_engine(state, name)))
-
-
-def is_engine(state: GatewayState, name: str) -> bool:
-    """Return whether an endpoint is an engine, which has a report."""
-    spec = find_service(state, state.endpoints[name].record.service)
-    return spec is not None and spec.engine is not None
+        record = state.endpoints[name].record
+        is_engine = leads.is_engine(state, state.endpoints[name])
+        spec = find_service(state, record.service)
+        health_path = spec.health_path if spec is not None and not is_engine else ""
+        effects.append(ProbeEndpoint(record, health_path))
 
 
 def on_told(state: GatewayState, sender: str, message: LinksChanged, at: float) -> None:
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -101,10 +101,19 @@
 
 @frozen
 class ServiceSpec:
-    """A service behind the routes; `engine` is None for a plain service without adapters."""
+    """A service behind the routes.
+
+    Attributes
+    ----------
+    engine : EngineProfile or None
+        None for a plain service without adapters.
+    health_path : str
+        Path at which its endpoints tell their health.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    health_path: str = "/health"
 
 
 @frozen
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -25,7 +25,8 @@
 from poplarhoist.gateway.interfaces import Dialect
 from poplarhoist.gateway.sockets import socket_options
 
-# Seconds until a request for a report counts as unanswered. An engine responds within milliseconds; connecting and one round trip between regions take 0.12 s.
+# Seconds until a request for a report counts as unanswered. An engine responds within milliseconds;
+# connecting and one round trip between regions take 0.12 s.
 CALL_TIMEOUT_S = 0.35
 # Seconds for the answer to a probe: a connection and a round trip between regions, and shorter than
 # the interval of probes.
@@ -191,7 +192,7 @@
         record = effect.record
         began_at = self.decision_loop.event_time()
         detail = ""
-        path = self.dialect.report_path() if effect.has_report else self.dialect.health_path
+        path = effect.health_path or self.dialect.report_path()
         headers = self.dialect.build_report_headers(record)
         try:
             self.request(record, "GET", path, headers, None, PROBE_TIMEOUT_S)
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -81,12 +81,9 @@
     ----------
     ready_path : str
         Path of the readiness check of this entry.
-    health_path : str
-        Path of the health of a plain endpoint. Any answer shows that the endpoint is reached.
     """
 
     ready_path: str
-    health_path: str
 
     def parse_request_head(self, headers: Iterable[tuple[str, str]]) -> RequestHead:
         """Parse the head of a caller's request; headers that cannot be parsed count as absent."""
--- a/poplarhoist/platform/dialect.py
+++ b/poplarhoist/platform/dialect.py
@@ -23,7 +23,6 @@
     """Translates between the platform's wire formats and the gateway's types."""
 
     ready_path = "/api/ready"
-    health_path = "/health"
 
     def parse_request_head(self, pairs: Iterable[tuple[str, str]]) -> RequestHead:
         """Parse the head of a caller's request."""
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -4,6 +4,8 @@
 calling code logs it.
 """
 
+from attrs import evolve
+
 from poplarhoist.decisions.gateway.models import (
     AdapterKey,
     BaseModel,
@@ -72,10 +74,9 @@
 def decode_service(data: dict) -> ServiceSpec:
     """Decode a service; its engine profile is None for a plain service."""
     engine = data.get("engine")
-    return ServiceSpec(
-        name=data["name"],
-        engine=decode_engine_profile(engine) if engine else None,
-    )
+    spec = ServiceSpec(data["name"], decode_engine_profile(engine) if engine else None)
+    health_path = data.get("healthPath")
+    return evolve(spec, health_path=health_path) if isinstance(health_path, str) else spec
 
 
 def decode_engine_profile(data: dict) -> EngineProfile:
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -2,6 +2,7 @@
 
 import orjson
 import pytest
+from attrs import evolve
 
 from poplarhoist.decisions.effects import LogChange
 from poplarhoist.decisions.gateway import effects as fx
@@ -457,3 +458,12 @@
     assert probes_during(gateway, 0.9) == []
     if not answers:
         assert probes_during(gateway, 0.5)
+
+
+def test_plain_endpoint_is_probed_at_the_health_path_of_its_service():
+    gateway = start_entry(plain_endpoint(1), plain_endpoint(2))
+    services = gateway.state.configuration.services_by_name
+    services["desk"] = evolve(services["desk"], health_path="/alive")
+    probe(gateway, "d1", False)
+    sent = effects_of(fx.ProbeEndpoint, gateway.advance(0.6))
+    assert {effect.health_path for effect in sent} == {"/alive"}
