--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -12,6 +12,7 @@
 from tests.standin_server import HOST, Handler, StandIn
 
 BASE_MODEL = "base"
+HEALTH_PATH = "/health"
 # Events in a stream that runs to its end.
 EVENTS_PER_STREAM = 4
 # Faults that end a stream at an event: number of the event, share of it that is sent, and whether
@@ -75,10 +76,12 @@
     """Handles requests of callers, orders, and requests for reports at an endpoint."""
 
     def handle_call(self) -> None:
-        """Serve a request by its path: a report, an order, or a caller's request."""
+        """Serve a request by its path: a report, health, an order, or a caller's request."""
         endpoint, body = self.standin, self.read_body()
         if self.path == "/api/report":
             self.respond(200, json.dumps(endpoint.report()).encode())
+        elif self.path == HEALTH_PATH:
+            self.respond(200, X_Instance_Id=endpoint.name)
         elif self.path == "/api/order":
             self.handle_order(json.loads(body))
         else:
@@ -382,8 +385,8 @@
             *more,
         ],
         "services": [
-            {"name": "models", "healthPath": "/health", "maxConns": 300, "engine": engine},
-            {"name": "desk", "healthPath": "/health", "maxConns": 100},
+            {"name": "models", "healthPath": HEALTH_PATH, "maxConns": 300, "engine": engine},
+            {"name": "desk", "healthPath": HEALTH_PATH, "maxConns": 100},
         ],
         "limits": {"maxBodyBytes": 100000, "idleTimeoutMs": 15000},
     }
