Decisions on a tick: software versions are walked once, base models are not looked for where none fits

No behaviour changes. streams and software_versions each walked all endpoints for each service on every slow tick; one pass serves both. choose_model listed all other engines at each tick and order although nothing fitted; free memory was reckoned in two ways. Whether links are lost was read from the same field in two modules.

--- a/poplarhoist/decisions/gateway/base_models.py
+++ b/poplarhoist/decisions/gateway/base_models.py
@@ -31,15 +31,18 @@
     size_mb = adapter_size_mb(profile)
     if size_mb <= 0.0:
         return profile.adapter_slots
-    free_mb = profile.memory_mb - sum(model_size_mb(profile, name) for name in held_models)
-    return max(0, min(profile.adapter_slots, int(free_mb // size_mb)))
+    return max(0, min(profile.adapter_slots, int(free_mb(profile, held_models) // size_mb)))
+
+
+def free_mb(profile: EngineProfile, held_models: set[str]) -> float:
+    """Return the memory of an engine in megabytes that these base models leave free."""
+    return profile.memory_mb - sum(model_size_mb(profile, name) for name in held_models)
 
 
 def has_room(profile: EngineProfile, name: str, held_models: set[str], adapters: int) -> bool:
     """Return whether a base model fits beside other base models and a number of adapters."""
-    held_mb = sum(model_size_mb(profile, held) for held in held_models)
-    held_mb += adapters * adapter_size_mb(profile)
-    return held_mb + model_size_mb(profile, name) <= profile.memory_mb
+    needed_mb = model_size_mb(profile, name) + adapters * adapter_size_mb(profile)
+    return needed_mb <= free_mb(profile, held_models)
 
 
 def choose_model(
@@ -54,20 +57,26 @@
     adapters : int
         Adapters that it holds or may hold.
     """
-    others = other_engines(state, engine)
-    holders_by_model = {
-        name: sum(AdapterKey(name) in other.held for other in others)
+    fitting = [
+        name
         for name in profile.models_by_name
         if name not in held_models and has_room(profile, name, held_models, adapters)
+    ]
+    # Asked for at each tick, and mostly nothing fits.
+    if not fitting:
+        return None
+    others = other_engines(state, engine)
+    holders_by_model = {
+        name: sum(AdapterKey(name) in other.held for other in others) for name in fitting
     }
     if held_models:
-        holders_by_model = {
-            name: 0
-            for name, holders in holders_by_model.items()
-            if not holders and is_first_with_room(engine, profile, name, others)
-        }
+        fitting = [
+            name
+            for name in fitting
+            if not holders_by_model[name] and is_first_with_room(engine, profile, name, others)
+        ]
     return min(
-        holders_by_model,
+        fitting,
         key=lambda name: (holders_by_model[name], -rendezvous_weight(name, engine)),
         default=None,
     )
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -124,7 +124,7 @@
 
 def may_lead(state: GatewayState) -> bool:
     """Return whether this entry may lead engines: it is not stopping, and has links to endpoints."""
-    return state.draining_since is None and state.links.lost_since is None
+    return state.draining_since is None and not state.links.is_lost
 
 
 def is_preferred_lead(state: GatewayState, engine: str, at: float) -> bool:
--- a/poplarhoist/decisions/gateway/links.py
+++ b/poplarhoist/decisions/gateway/links.py
@@ -21,8 +21,8 @@
 from poplarhoist.decisions.gateway.messages import LinksChanged
 from poplarhoist.decisions.gateway.state import GatewayState, Stage
 
-# Endpoints in a row to which no connection can be made, after which the links count as lost; all of
-# them where there are fewer.
+# Endpoints in a row that are not reached, after which the links count as lost; all of them where
+# there are fewer.
 LOST_AFTER_ENDPOINTS = 3
 # Seconds between two probes.
 PROBE_INTERVAL_S = 0.5
@@ -41,7 +41,7 @@
 
 def are_lost(state: GatewayState) -> bool:
     """Return whether this entry has lost its links to all endpoints."""
-    return state.links.lost_since is not None
+    return state.links.is_lost
 
 
 def on_answered(state: GatewayState, began_at: float, at: float, effects: list) -> None:
@@ -141,7 +141,7 @@
         missing = endpoints_needed(state) - len(links.failed_at)
         is_urgent = is_silent and links.failed_at and missing > 0
         probe(state, at, missing if is_urgent else 1, effects)
-    if links.lost_since is None:
+    if not links.is_lost:
         return
     # Nobody could claim them while the store is away.
     if at - links.lost_since >= RELEASE_AFTER_S and not state.store_unavailable:
@@ -163,9 +163,8 @@
     for name in names[:count]:
         links.probed_at = at
         record = state.endpoints[name].record
-        is_engine = leads.is_engine(state, state.endpoints[name])
         spec = find_service(state, record.service)
-        health_path = spec.health_path if spec is not None and not is_engine else ""
+        health_path = spec.health_path if spec is not None and spec.engine is None else ""
         effects.append(ProbeEndpoint(record, health_path))
 
 
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -151,8 +151,9 @@
         return
     state.last_slow_tick_at = at
     endpoints.on_tick(state, at, effects)
-    streams.on_tick(state, at, effects)
-    software_versions.on_tick(state, at, effects)
+    versions_by_service = software_versions.known_versions(state, at)
+    streams.on_tick(state, versions_by_service, at, effects)
+    software_versions.on_tick(state, versions_by_service, at, effects)
     crashes.on_slow_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     links.on_slow_tick(state, at, effects)
--- a/poplarhoist/decisions/gateway/software_versions.py
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -35,19 +35,27 @@
     departed[record.software_version] = at
 
 
-def software_versions(state: GatewayState, service: str, at: float) -> set[str]:
-    """Return the versions that a service has, or had within `VERSION_MEMORY_S`, as known here."""
-    versions = {
-        endpoint.record.software_version
-        for endpoint in state.endpoints.values()
-        if endpoint.record.service == service
-    }
-    for version, seen_at in state.departed_software.get(service, {}).items():
-        if at - seen_at <= VERSION_MEMORY_S:
-            versions.add(version)
+def known_versions(state: GatewayState, at: float) -> dict[str, set[str]]:
+    """Return the versions of each service that it has, or had within `VERSION_MEMORY_S`.
+
+    Only those are known that this entry has seen.
+    """
+    versions: dict[str, set[str]] = {}
+    for endpoint in state.endpoints.values():
+        record = endpoint.record
+        versions.setdefault(record.service, set()).add(record.software_version)
+    for service, departed in state.departed_software.items():
+        for version, seen_at in departed.items():
+            if at - seen_at <= VERSION_MEMORY_S:
+                versions.setdefault(service, set()).add(version)
     return versions
 
 
+def has_several(state: GatewayState, service: str, at: float) -> bool:
+    """Return whether a service has several versions that count, as far as this entry has seen."""
+    return len(known_versions(state, at).get(service, ())) > 1
+
+
 def started_lately(state: GatewayState, at: float) -> bool:
     """Return whether a version that counts may have gone before this entry started."""
     return at - state.started_at <= VERSION_MEMORY_S
@@ -55,7 +63,7 @@
 
 def may_have_several(state: GatewayState, service: str, at: float) -> bool:
     """Return whether a service has several versions that count, also such as this entry never saw."""
-    if len(software_versions(state, service, at)) > 1:
+    if has_several(state, service, at):
         return True
     records = state.software_records
     return started_lately(state, at) and (not records.is_listed or service in records.services)
@@ -79,24 +87,23 @@
     effects.append(LogChange("software-recorded", fields))
 
 
-def on_tick(state: GatewayState, at: float, effects: list) -> None:
+def on_tick(
+    state: GatewayState, versions_by_service: dict[str, set[str]], at: float, effects: list
+) -> None:
     """Write the records of services that have several versions, and remove those of others."""
     records = state.software_records
     if state.store_unavailable or not records.is_listed:
         return
-    services = set(state.endpoints_by_service) | set(state.departed_software) | records.services
-    for service in sorted(services):
-        versions = software_versions(state, service, at)
-        has_several = len(versions) > 1
-        if has_several == (service in records.services) or at < records.next_write_at.get(
-            service, float("-inf")
-        ):
+    mixed = {service for service, versions in versions_by_service.items() if len(versions) > 1}
+    # Services that have no record but several versions, or the other way round.
+    for service in sorted(mixed ^ records.services):
+        if at < records.next_write_at.get(service, float("-inf")):
             continue
-        if not has_several and started_lately(state, at):
+        if service not in mixed and started_lately(state, at):
             continue
         if is_writer(state, service):
             records.next_write_at[service] = at + WRITE_RETRY_S
-            kept = tuple(sorted(versions)) if has_several else ()
+            kept = tuple(sorted(versions_by_service[service])) if service in mixed else ()
             effects.append(WriteSoftwareRecord(service, kept))
 
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -383,6 +383,11 @@
     told_at: float = float("-inf")
     probed_at: float = float("-inf")
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the links to all endpoints count as lost."""
+        return self.lost_since is not None
+
 
 @define
 class SoftwareRecords:
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -19,8 +19,8 @@
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
 from poplarhoist.decisions.gateway.software_versions import (
     VERSION_MEMORY_S,
+    has_several,
     may_have_several,
-    software_versions,
     started_lately,
 )
 from poplarhoist.decisions.gateway.state import (
@@ -69,7 +69,7 @@
         request.attempt_software, request.attempt, at, request.service, is_own=True
     )
     remember(state, request.caller_id, origin)
-    if len(software_versions(state, request.service, at)) > 1:
+    if has_several(state, request.service, at):
         tell_origin(state, request.caller_id, origin, effects)
 
 
@@ -115,7 +115,9 @@
         effects.append(SendPeer(sender, origin_message(message.caller_id, origin)))
 
 
-def on_tick(state: GatewayState, at: float, effects: list) -> None:
+def on_tick(
+    state: GatewayState, versions_by_service: dict[str, set[str]], at: float, effects: list
+) -> None:
     """Forget old streams, and tell of this entry's once their service has several versions."""
     for caller_id, origin in list(state.stream_origins.items()):
         if at - origin.known_at <= ORIGIN_MEMORY_S:
@@ -124,7 +126,7 @@
     mixed_services = {
         service
         for service in state.endpoints_by_service
-        if len(software_versions(state, service, at)) > 1
+        if len(versions_by_service.get(service, ())) > 1
     }
     if not mixed_services:
         return
