An attempt begins in one place, and a waiting request chooses its relay once

No behaviour changes. dispatch and relays.start each set the fields of a new attempt. A request that waited while the links were lost chose another entry twice: to see whether there is one, and in place_request.

--- a/poplarhoist/decisions/gateway/relays.py
+++ b/poplarhoist/decisions/gateway/relays.py
@@ -12,7 +12,7 @@
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import Dispatch, LogRequest, RelayTerms
 from poplarhoist.decisions.gateway.models import EndpointRecord
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState, RequestState, Stage
+from poplarhoist.decisions.gateway.state import EntryState, GatewayState, RequestState
 
 # Seconds for which an entry to which no connection could be made gets no requests.
 AVOID_ENTRY_S = 2.0
@@ -65,13 +65,7 @@
     effects: list,
 ) -> None:
     """Send a request to another entry."""
-    request.stage = Stage.RUNNING
-    request.attempt += 1
-    request.attempt_started_at = None
-    request.attempt_sent_at = at
-    request.attempt_incarnation = 0
-    request.attempt_software = ""
-    request.endpoint_name = ""
+    request.begin_attempt(at)
     request.relay = entry.name
     request.tried_relays.add(entry.name)
     entry.relaying.add(request.request_id)
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -135,10 +135,7 @@
     if at >= request.deadline_at - RESPONSE_MARGIN_S:
         refuse(state, request, Refused.DEADLINE, effects)
         return
-    relay_entry = relays.choose_entry(state, request, at)
-    if relay_entry is not None:
-        stop_waiting(state, request)
-        relays.start(state, request, relay_entry, remaining_s(request, at), at, effects)
+    if relay_request(state, request, at, effects):
         return
     placement = streams.check_placement(state, request, at, effects)
     if placement is streams.Placement.WAIT:
@@ -166,6 +163,16 @@
         dispatch(state, request, endpoint, at, effects)
 
 
+def relay_request(state: GatewayState, request: RequestState, at: float, effects: list) -> bool:
+    """Send a request to another entry if it needs that and there is one; return whether it went."""
+    entry = relays.choose_entry(state, request, at)
+    if entry is None:
+        return False
+    stop_waiting(state, request)
+    relays.start(state, request, entry, remaining_s(request, at), at, effects)
+    return True
+
+
 def wait_or_refuse(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
     """Refuse a request without an endpoint, unless it arrived just now: an endpoint may return.
 
@@ -209,14 +216,9 @@
         refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
         return
     stop_waiting(state, request)
-    request.stage = Stage.RUNNING
-    request.attempt += 1
-    request.attempt_started_at = None
-    request.attempt_sent_at = at
-    request.attempt_incarnation = endpoint.record.incarnation
+    record = endpoint.record
+    request.begin_attempt(at, record.name, record.incarnation, record.software_version)
     request_limits.record_sent(endpoint)
-    request.endpoint_name = endpoint.record.name
-    request.attempt_software = endpoint.record.software_version
     endpoint.in_flight.add(request.request_id)
     if request.attempt == 1:
         effects.append(Observe("wait_seconds", (request.route.kind,), at - request.arrived_at))
@@ -615,8 +617,8 @@
             state.waiting.discard(request_id)
         elif at >= request.deadline_at - RESPONSE_MARGIN_S:
             refuse(state, request, Refused.DEADLINE, effects)
-        elif links.are_lost(state) and relays.choose_entry(state, request, at) is not None:
-            place_request(state, request, at, effects)
+        elif links.are_lost(state) and relay_request(state, request, at, effects):
+            continue
         elif (
             request.asked_engine
             and request.adapter_ready_at == float("inf")
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -263,6 +263,18 @@
     relay: str = ""
     tried_relays: set[str] = field(factory=set)
 
+    def begin_attempt(
+        self, at: float, endpoint_name: str = "", incarnation: int = 0, software: str = ""
+    ) -> None:
+        """Begin the next attempt, at a run of an endpoint or, without one, at another entry."""
+        self.stage = Stage.RUNNING
+        self.attempt += 1
+        self.attempt_started_at = None
+        self.attempt_sent_at = at
+        self.endpoint_name = endpoint_name
+        self.attempt_incarnation = incarnation
+        self.attempt_software = software
+
 
 @define
 class StreamOrigin:
