--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -146,17 +146,18 @@
     """Return a message for each address that is invalid or at which two sockets would listen."""
     listen = settings.listen
     problems, addresses = [], []
-    for name, text in (("listen.callers", listen.callers), ("listen.ready", listen.ready)):
+    for name, text, is_own in (
+        ("listen.callers", listen.callers, True),
+        ("listen.ready", listen.ready, True),
+        ("store", settings.store, False),
+    ):
         try:
             address = Address.parse(text)
         except ValueError as error:
             problems.append(f"{error} @ {name}")
-        else:
+            continue
+        if is_own:
             addresses.append((address.host, address.port))
-    try:
-        Address.parse(settings.store)
-    except ValueError as error:
-        problems.append(f"{error} @ store")
     inner_ports = {"listen.inner_port": listen.inner_port}
     if listen.relay_port:
         inner_ports["listen.relay_port"] = listen.relay_port
--- a/poplarhoist/settings/addresses.py
+++ b/poplarhoist/settings/addresses.py
@@ -1,6 +1,6 @@
 """Finds addresses in settings at which two sockets would listen."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from itertools import combinations
 
 MAX_PORT = 65535
@@ -26,14 +26,9 @@
         for (first_host, first_port), (host, port) in combinations(addresses, 2)
         if first_port == port and share_interface(first_host, host)
     )
-    return [f"address {host}:{port} is used more than once" for host, port in unique(shared)]
+    return [f"address {host}:{port} is used more than once" for host, port in dict.fromkeys(shared)]
 
 
 def share_interface(first_host: str, second_host: str) -> bool:
     """Return whether two hosts name the same address, or one of them all addresses."""
     return first_host == second_host or bool(WILDCARD_HOSTS & {first_host, second_host})
-
-
-def unique(addresses: Iterable[tuple[str, int]]) -> list[tuple[str, int]]:
-    """Return addresses without repetitions, in order of first occurrence."""
-    return list(dict.fromkeys(addresses))
