--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import time
+from collections import Counter
 
 from tests.standin_server import HOST, Handler, StandIn
 
@@ -359,6 +360,23 @@
         return record | ({"models": self.models()} if self.service == "models" else {})
 
 
+class CountingEndpoint(Endpoint):
+    """An endpoint that counts the runs of each request.
+
+    Attributes
+    ----------
+    runs_by_id : Counter
+        Runs by request; several endpoints may share it.
+    """
+
+    runs_by_id: Counter
+
+    def record_run(self, request_id: str, headers: dict) -> None:
+        """Count a run, unless it continues a stream."""
+        if "last-event-id" not in headers:
+            self.runs_by_id[request_id] += 1
+
+
 def configuration(version: int = 1, *more: dict) -> dict:
     """Return a configuration document with a model service, a plain service, and more routes."""
 
