Calls to the store tell how many bytes came and how long they took

The incident's hypotheses differ in what crosses the link between the regions, and how often: nothing told it. The counter platform_bytes has the bytes of responses by kind, also of those that broke off or were given up; store-call-slow and store-call-failed have bytes and seconds since the head.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -280,9 +280,14 @@
     return isinstance(error, NewConnectionError | ConnectTimeoutError | NameResolutionError)
 
 
-def read_bounded(response, max_bytes: int) -> bytes:
+def read_bounded(response, max_bytes: int, on_bytes=None) -> bytes:
     """Read the body of a response and close it, or return its connection to its pool.
 
+    Parameters
+    ----------
+    on_bytes : callable or None
+        Is called with the number of bytes of each part of the body that has arrived.
+
     Raises
     ------
     urllib3.exceptions.HTTPError
@@ -292,6 +297,8 @@
     try:
         while len(body) <= max_bytes and (data := response.read1(READ_CHUNK_BYTES)):
             body += data
+            if on_bytes is not None:
+                on_bytes(len(data))
             # A read of data that is there already lets neither timers nor other threads run.
             eventlet.sleep(0)
     finally:
@@ -305,7 +312,14 @@
 
 
 def request_bounded(
-    pool, method: str, url: str, total_s: float, max_bytes: int, on_head=None, **options
+    pool,
+    method: str,
+    url: str,
+    total_s: float,
+    max_bytes: int,
+    on_head=None,
+    on_bytes=None,
+    **options,
 ) -> tuple[int, bytes]:
     """Make a call whose whole response must arrive in time; return its status and body.
 
@@ -313,6 +327,8 @@
     ----------
     on_head : callable or None
         Is called with the headers of the response as soon as they have arrived.
+    on_bytes : callable or None
+        As in `read_bounded`.
     total_s : float
         Seconds for the whole exchange. The timeout of a pool holds for each read only.
     max_bytes : int
@@ -330,4 +346,4 @@
         )
         if on_head is not None:
             on_head(response.headers)
-        return response.status, read_bounded(response, max_bytes)
+        return response.status, read_bounded(response, max_bytes, on_bytes)
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -23,6 +23,10 @@
     "run_answer_not_kept": ("Answers too large for a record", ()),
     "run_swept": ("Old records deleted", ()),
     "platform_call": ("Calls to the platform", ("kind", "status")),
+    "platform_bytes": (
+        "Bytes of the platform's responses, also of those that broke off",
+        ("kind",),
+    ),
     "peer_bytes": ("Bytes sent to peers", ("crossing",)),
     "cancel_failed": ("Streams that could not be cancelled at their endpoint", ()),
     "endpoint_taken_out": ("Endpoints taken out of use for a while", ("cause",)),
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -5,6 +5,7 @@
 
 import orjson
 import structlog
+from attrs import define
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
@@ -52,6 +53,10 @@
 # Seconds between two watches of entries and of leads, so that one watch returns several changes.
 # Without a pause, each change would cost a call by every entry when all of them start together.
 ENTRY_AND_LEAD_PAUSE_S = 0.5
+# Seconds between the head and the end of a response from which on the call is logged as slow.
+SLOW_BODY_S = 0.5
+# Result of a call that its caller has ended, such as a watch that is restarted.
+ENDED = "ended"
 CALL_STATUS_BY_CODE = {
     200: ev.CallStatus.OK,
     201: ev.CallStatus.OK,
@@ -64,6 +69,35 @@
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
+@define
+class ResponseProgress:
+    """How far the response to a call has been read.
+
+    Attributes
+    ----------
+    head_at : float or None
+        When its head arrived; None before.
+    received_bytes : int
+        Bytes of its body so far.
+    """
+
+    clock: Clock
+    head_at: float | None = None
+    received_bytes: int = 0
+
+    def on_head(self, headers) -> None:
+        """Record the arrival of the head."""
+        self.head_at = self.clock.monotonic()
+
+    def on_bytes(self, count: int) -> None:
+        """Record the arrival of a part of the body."""
+        self.received_bytes += count
+
+    def body_s(self) -> float:
+        """Return the seconds since the head arrived; 0 if it did not."""
+        return 0.0 if self.head_at is None else self.clock.monotonic() - self.head_at
+
+
 class ObjectStore:
     """The platform's object store, over pooled connections.
 
@@ -255,6 +289,8 @@
         """
         headers = {"Content-Type": "application/json"}
         data = orjson.dumps(body) if body is not None else None
+        progress = ResponseProgress(self.clock)
+        status, result = ev.CallStatus.UNKNOWN, ENDED
         try:
             code, answer = request_bounded(
                 self.pool,
@@ -262,12 +298,14 @@
                 path,
                 CALL_TIMEOUT_S + RESPONSE_TIMEOUT_RATIO * timeout_s,
                 MAX_RESPONSE_BYTES,
+                progress.on_head,
+                progress.on_bytes,
                 body=data,
                 headers=headers,
                 timeout=Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
             )
             status = CALL_STATUS_BY_CODE.get(code, ev.CallStatus.UNKNOWN)
-            result: object = code
+            result = code
             if status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
                 result = orjson.loads(answer) if answer else {}
         except HTTPError as error:
@@ -275,13 +313,30 @@
             result = type(error).__name__
         except orjson.JSONDecodeError:
             status, result = ev.CallStatus.UNKNOWN, "not JSON"
-        if self.metrics is not None:
-            self.metrics.count("platform_call", (f"{operation} {kind_of(path)}", status))
-        if status is not ev.CallStatus.OK:
-            log = structlog.get_logger()
-            log.warning("store-call-failed", call=operation, path=path, detail=str(result)[:200])
+        finally:
+            self.record_call(operation, path, status, result, progress)
         return status, result
 
+    def record_call(
+        self, operation: str, path: str, status, result: object, progress: ResponseProgress
+    ) -> None:
+        """Count a call and its bytes, and log it if it failed or its response took long to read."""
+        if self.metrics is not None:
+            kind = f"{operation} {kind_of(path)}"
+            self.metrics.count("platform_call", (kind, status))
+            self.metrics.count("platform_bytes", (kind,), progress.received_bytes)
+        body_s = progress.body_s()
+        if status is ev.CallStatus.OK and body_s < SLOW_BODY_S:
+            return
+        if result is ENDED and progress.head_at is None:
+            return
+        fields = {"call": operation, "path": path, "bytes": progress.received_bytes}
+        log = structlog.get_logger().bind(**fields, body_s=round(body_s, 3))
+        if status is ev.CallStatus.OK:
+            log.info("store-call-slow")
+        else:
+            log.warning("store-call-failed", detail=str(result)[:200])
+
 
 def kind_of(path: str) -> str:
     """Return the kind of record in the path of a call, with the mark of reads that may be stale."""
