Failing tests: a long configuration over a narrow link, and long responses that are given up

A watch whose response takes 1.2 s is restarted from its beginning by a notice of another entry, or by a failed watch of another kind.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -35,16 +35,16 @@
         The latest process; None before the first start.
     """
 
-    def __init__(self, name: str, directory: Path, store_port: int) -> None:
+    def __init__(self, name: str, directory: Path, store_port: int, zone: str = "north-a") -> None:
         self.name = name
         self.port, self.ready_port, self.inner_port, self.relay_port = free_ports(4)
         self.settings_path = directory / f"{name}.toml"
         self.settings_path.write_text(
-            f'name = "{name}"\nzone = "north-a"\nhost = "{HOST}"\n'
+            f'name = "{name}"\nzone = "{zone}"\nhost = "{HOST}"\n'
             f'store = "{HOST}:{store_port}"\n'
             f'[listen]\ncallers = "{HOST}:{self.port}"\nready = "{HOST}:{self.ready_port}"\n'
             f"inner_port = {self.inner_port}\nrelay_port = {self.relay_port}\n"
-            '[bounds]\nstop_s = 8\n[regions]\n"north-a" = "north"\n'
+            '[bounds]\nstop_s = 8\n[regions]\n"north-a" = "north"\n"south-a" = "south"\n'
         )
         self.log_path = directory / f"{name}.log"
         self.process: subprocess.Popen | None = None
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,7 @@
 from tests.standin_server import HOST
 
 READ_CHUNK_BYTES = 65536
+SHARED_CHUNK_BYTES = 8192
 # Seconds between two checks whether SILENCE has ended.
 SILENCE_POLL_S = 0.02
 
@@ -38,6 +39,10 @@
         The current fault of all connections.
     delay_s : float
         Delay of each chunk during DELAY, in seconds.
+    bytes_per_s : float
+        What the target sends over all connections together; chunks wait in the order of arrival.
+    link_free_at : float
+        When what the target has sent so far will have passed the link.
     open_sockets : set
         Sockets on both sides that have not been reset.
     """
@@ -46,6 +51,8 @@
         self.target_port = target_port
         self.fault = ProxyFault.NONE
         self.delay_s = 0.0
+        self.bytes_per_s = float("inf")
+        self.link_free_at = 0.0
         self.open_sockets: set[socket.socket] = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server((HOST, 0), backlog=128)
@@ -81,7 +88,7 @@
         """Forward one direction until its end, and subject it to the current fault."""
         is_dropping = has_forwarded = False
         with contextlib.suppress(OSError):
-            while data := source.recv(READ_CHUNK_BYTES):
+            while data := source.recv(self.chunk_bytes()):
                 while self.fault is ProxyFault.SILENCE:
                     time.sleep(SILENCE_POLL_S)
                 if self.fault is ProxyFault.DELAY:
@@ -89,6 +96,8 @@
                 is_dropping = is_dropping or (
                     is_response and self.fault is ProxyFault.DROP_RESPONSES
                 )
+                if is_response:
+                    self.wait_for_link(len(data))
                 if not is_dropping:
                     sink.sendall(data)
                     has_forwarded = True
@@ -101,6 +110,19 @@
                 return
         self.reset_connections(source, sink)
 
+    def chunk_bytes(self) -> int:
+        """Return how much is forwarded at once; less while connections share a narrow link."""
+        return READ_CHUNK_BYTES if self.bytes_per_s == float("inf") else SHARED_CHUNK_BYTES
+
+    def wait_for_link(self, size: int) -> None:
+        """Wait until some bytes have passed the link, after those of other connections."""
+        with self.lock:
+            now = time.monotonic()
+            self.link_free_at = max(now, self.link_free_at) + size / self.bytes_per_s
+            wait_s = self.link_free_at - now
+        if wait_s > 0:
+            time.sleep(wait_s)
+
     def reset_connections(self, *sockets: socket.socket) -> None:
         """Reset the given sockets."""
         with self.lock:
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -40,12 +40,14 @@
     ----------
     calls, fresh_calls : Counter
         Watches by kind, and those of them that must be up to date.
-    unavailable : bool
-        Whether watches are refused.
+    unavailable, failing_kinds : bool, set
+        Whether watches are refused, and kinds of which they are.
     latest_revision : int
         Revision of the change to the kind that notifies peers; 0 for none.
     watch_waits_s : list
         Long polls of the watches that found no change.
+    response_s : float
+        Seconds from the head to the end of a response that shows the change.
     """
 
     watch_specs = (PROBE_SPEC, NOTIFYING_SPEC, PLAIN_SPEC)
@@ -54,21 +56,27 @@
         self.calls: Counter[str] = Counter()
         self.fresh_calls: Counter[str] = Counter()
         self.unavailable = False
+        self.failing_kinds: set[str] = set()
         self.latest_revision = 0
         self.watch_waits_s: list[float] = []
+        self.response_s = 0.0
 
-    def read_all(self, kind: str) -> StoreChanges:
+    def read_all(self, kind: str, on_begun=None) -> StoreChanges:
         """Return an empty list at revision 1."""
         return StoreChanges(CallStatus.OK, 1)
 
-    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
+    def watch(
+        self, spec: WatchSpec, since: int, fresh: bool, on_begun=lambda size: True
+    ) -> StoreChanges:
         """Wait for changes of a kind; a watch that waits already or is stale shows no change."""
         self.calls[spec.kind] += 1
         self.fresh_calls[spec.kind] += fresh
-        if self.unavailable:
+        if self.unavailable or spec.kind in self.failing_kinds:
             eventlet.sleep(0.001)
             return StoreChanges(CallStatus.REFUSED)
         if fresh and spec.notifies_peers and self.latest_revision > since:
+            on_begun(None)
+            eventlet.sleep(self.response_s)
             event = ev.ConfigurationSeen(0.0, configuration(self.latest_revision))
             return StoreChanges(CallStatus.OK, self.latest_revision, self.latest_revision, (event,))
         self.watch_waits_s.append(spec.long_poll_s)
@@ -146,6 +154,29 @@
     assert decision_loop.state.configuration.version == 5
 
 
+@pytest.mark.parametrize("cause", ["notices", "failed-watches"])
+def test_long_response_is_not_given_up_while_it_is_read(build_watcher, cause):
+    """Each new watch reads the record from its beginning, so that it may never be read whole."""
+    store, decision_loop = build_watcher(64)
+    store.latest_revision, store.response_s = 5, 1.2
+    at = decision_loop.event_time()
+    decision_loop.submit(
+        ev.PeerMessageReceived(at, "entry-2", messages.News(NOTIFYING_SPEC.kind, 5))
+    )
+    eventlet.sleep(PEER_NOTICE_DELAY_S + 0.1)
+    store.calls.clear()
+    for number in range(3, 8):
+        if cause == "notices":
+            news = messages.News(NOTIFYING_SPEC.kind, 5)
+            at = decision_loop.event_time()
+            decision_loop.submit(ev.PeerMessageReceived(at, f"entry-{number}", news))
+        else:
+            store.failing_kinds.add(PROBE_SPEC.kind)
+        eventlet.sleep(0.25)
+    assert decision_loop.state.configuration.version == 5
+    assert store.calls[NOTIFYING_SPEC.kind] <= 1
+
+
 def test_notice_of_a_known_revision_causes_no_extra_call(build_watcher):
     store, decision_loop = build_watcher(64)
     store.calls.clear()
