A watch whose response has begun is not restarted

What callers saw: 404 on routes that had been added five seconds before, at entries of the region without the store. Cause: a notice that another entry has read a change, and a failed watch of another kind, end the watch of a kind so that a new one starts, also while its response is arriving. A long record is then read from its beginning again. Each entry that has read it notifies eight others, so that the copies that cross the link grow while it is full. Change: a watch can be ended only until the head of its response has arrived.

--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -1,6 +1,6 @@
 """Interfaces that an integration with a platform implements for the gateway."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 from attrs import frozen
@@ -185,6 +185,10 @@
     history_gone: bool = False
 
 
+# Is called when the response to a call begins.
+OnBegun = Callable[[], None]
+
+
 class Store(Protocol):
     """The platform's store: configuration, endpoints, versions, entries and leads.
 
@@ -202,7 +206,7 @@
         For endpoints, entries and leads the last event says that the list is complete.
         """
 
-    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
+    def watch(self, spec: WatchSpec, since: int, fresh: bool, on_begun: OnBegun) -> StoreChanges:
         """Wait for changes of a kind after revision `since`; no events if the long poll ended.
 
         Unless it is `fresh`, it may miss changes of the last seconds.
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -55,7 +55,7 @@
     consecutive_failures : int
         Failed reads of all kinds since the last successful one.
     watch_threads_by_kind : dict
-        Green threads that wait for the response to a watch.
+        Green threads that wait for the response to a watch; none once it has begun.
     revisions_by_kind : dict
         Store revision from which the next watch of a kind starts.
     told_revisions_by_kind : dict
@@ -138,12 +138,16 @@
         """Wait for changes of a kind after a revision.
 
         A watch that is renewed returns UNKNOWN. A watch that is ended after a peer's notice returns
-        no changes, so that a new watch starts from the same revision.
+        no changes, so that a new watch starts from the same revision. Neither ends a watch whose
+        response has begun: a long one would cross the network again.
         """
         self.watch_threads_by_kind[spec.kind] = eventlet.getcurrent()
         try:
             return self.store.watch(
-                self.scale_long_poll(spec), revision, self.needs_fresh_watch(spec, revision)
+                self.scale_long_poll(spec),
+                revision,
+                self.needs_fresh_watch(spec, revision),
+                lambda: self.watch_threads_by_kind.pop(spec.kind, None),
             )
         except WatchRenewed:
             return StoreChanges(ev.CallStatus.UNKNOWN)
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -15,7 +15,7 @@
 from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
-from poplarhoist.gateway.interfaces import StoreChanges, WatchSpec
+from poplarhoist.gateway.interfaces import OnBegun, StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
 from poplarhoist.gateway.sockets import socket_options
 from poplarhoist.platform import documents
@@ -75,6 +75,8 @@
 
     Attributes
     ----------
+    on_begun : OnBegun or None
+        Is called when the head has arrived.
     head_at : float or None
         When its head arrived; None before.
     received_bytes : int
@@ -82,12 +84,15 @@
     """
 
     clock: Clock
+    on_begun: OnBegun | None = None
     head_at: float | None = None
     received_bytes: int = 0
 
     def on_head(self, headers) -> None:
         """Record the arrival of the head."""
         self.head_at = self.clock.monotonic()
+        if self.on_begun is not None:
+            self.on_begun()
 
     def on_bytes(self, count: int) -> None:
         """Record the arrival of a part of the body."""
@@ -189,7 +194,9 @@
             events.append(ev.SoftwareRecordsListed(at, frozenset(names)))
         return StoreChanges(ev.CallStatus.OK, revision, last_change_revision, tuple(events))
 
-    def watch(self, spec: WatchSpec, since: int, fresh: bool) -> StoreChanges:
+    def watch(
+        self, spec: WatchSpec, since: int, fresh: bool, on_begun: OnBegun | None = None
+    ) -> StoreChanges:
         """Wait for changes of a kind after revision `since`; no events if the long poll ended."""
         kind = spec.kind
         query = {"watch": since, "waitMs": int(spec.long_poll_s * 1000)}
@@ -197,7 +204,9 @@
             query["allowStale"] = 1
         path = f"/api/objects/{kind}?{urlencode(query)}"
         timeout_s = spec.long_poll_s + LONG_POLL_MARGIN_S
-        status, body_or_code = self.request("watch", "GET", path, timeout_s=timeout_s)
+        status, body_or_code = self.request(
+            "watch", "GET", path, timeout_s=timeout_s, on_begun=on_begun
+        )
         if status is not ev.CallStatus.OK:
             return StoreChanges(status, history_gone=body_or_code == HISTORY_GONE_CODE)
         at = self.clock.monotonic()
@@ -276,7 +285,13 @@
         return self.request("put", "PUT", record_path(kind, name), body)
 
     def request(
-        self, operation: str, method: str, path: str, body=None, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        body=None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        on_begun: OnBegun | None = None,
     ):
         """Make a call, count it, and log it if it failed.
 
@@ -289,7 +304,7 @@
         """
         headers = {"Content-Type": "application/json"}
         data = orjson.dumps(body) if body is not None else None
-        progress = ResponseProgress(self.clock)
+        progress = ResponseProgress(self.clock, on_begun)
         status, result = ev.CallStatus.UNKNOWN, ENDED
         try:
             code, answer = request_bounded(
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -66,7 +66,7 @@
         return StoreChanges(CallStatus.OK, 1)
 
     def watch(
-        self, spec: WatchSpec, since: int, fresh: bool, on_begun=lambda size: True
+        self, spec: WatchSpec, since: int, fresh: bool, on_begun=lambda: None
     ) -> StoreChanges:
         """Wait for changes of a kind; a watch that waits already or is stale shows no change."""
         self.calls[spec.kind] += 1
@@ -75,7 +75,7 @@
             eventlet.sleep(0.001)
             return StoreChanges(CallStatus.REFUSED)
         if fresh and spec.notifies_peers and self.latest_revision > since:
-            on_begun(None)
+            on_begun()
             eventlet.sleep(self.response_s)
             event = ev.ConfigurationSeen(0.0, configuration(self.latest_revision))
             return StoreChanges(CallStatus.OK, self.latest_revision, self.latest_revision, (event,))
