A record that cannot be read costs no other one

Report of operators of similar systems: another writer left one odd entry among those of the engines, and those that read the list ended or stopped following it. Here, one odd record of any kind did so with one write: nested over 1,024 deep, a number like 1e400, text that is no Unicode. The JSON parser refuses the whole response then, so the list is never followed again, nor read at a start. Ports, hosts, names and whole numbers are checked where they are decoded. A record that cannot be read is logged once for each of its revisions, with the step. A lead record that cannot be read tells its revision, so that the next lead can replace it. An exception in a watch, in one record or in one datagram ends none of the loops.

--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -1,12 +1,18 @@
 """Interfaces that an integration with a platform implements for the gateway."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from attrs import frozen
 
 from poplarhoist.decisions.gateway.effects import Claim, Dispatch, SendOrder
-from poplarhoist.decisions.gateway.events import CallStatus, EndpointNotice, Event, OrderStatus
+from poplarhoist.decisions.gateway.events import (
+    CallStatus,
+    EndpointNotice,
+    Event,
+    LeadSeen,
+    OrderStatus,
+)
 from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport, Prompt
 
@@ -259,12 +265,12 @@
         The record may exist, or be gone, already.
         """
 
-    def claim(self, claim: Claim) -> tuple[CallStatus, int, Mapping | None]:
+    def claim(self, claim: Claim) -> tuple[CallStatus, int, LeadSeen | None]:
         """Write which entry leads an engine, if the record still has the revision in the claim.
 
         Returns
         -------
         tuple
-            Status, revision of the record (0 if unknown), and on a conflict the fields of the
-            record as the store has it, else None.
+            Status, revision of the record (0 if unknown), and on a conflict the record as the store
+            has it, else None.
         """
--- a/poplarhoist/gateway/logs.py
+++ b/poplarhoist/gateway/logs.py
@@ -23,7 +23,16 @@
 MAX_QUEUED_LINES = 2000
 # Log events that count toward the limit for failures; "again" is a retry after a failed attempt.
 FAILURE_EVENTS = frozenset(
-    ("refused", "again", "request-failed", "effect-failed", "tick-failed", "message-failed")
+    (
+        "refused",
+        "again",
+        "request-failed",
+        "effect-failed",
+        "tick-failed",
+        "message-failed",
+        "watch-failed",
+        "record-failed",
+    )
 )
 # Seconds between polls of an empty queue.
 POLL_INTERVAL_S = 0.05
--- a/poplarhoist/gateway/peers.py
+++ b/poplarhoist/gateway/peers.py
@@ -58,9 +58,12 @@
             try:
                 data, _ = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
                 sender, body = orjson.loads(data)
+                if not isinstance(sender, str):
+                    raise TypeError("no name of a sender")
                 message = message_converter.structure(body, Message)
-            except (OSError, ValueError, TypeError, KeyError, ExceptionGroup) as error:
-                # Any host can send a datagram here; one that cannot be decoded is dropped.
+            except Exception as error:
+                # Any host can send a datagram here; one that cannot be decoded is dropped, whatever
+                # the converter says of it.
                 self.decision_loop.metrics.count("peer_message_dropped", (type(error).__name__,))
                 continue
             try:
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -1,5 +1,8 @@
 """Lists and watches the store's records, registers this entry and claims to lead engines."""
 
+from collections.abc import Callable
+from functools import partial
+
 import eventlet
 from attrs import evolve
 
@@ -122,7 +125,8 @@
         wait_s = RETRY_BACKOFF_S
         while True:
             watch_started_at = self.decision_loop.event_time()
-            changes = self.read_changes(spec, self.revisions_by_kind[spec.kind])
+            revision = self.revisions_by_kind[spec.kind]
+            changes = self.guard(spec, partial(self.read_changes, spec, revision))
             if changes.status is ev.CallStatus.OK:
                 wait_s = RETRY_BACKOFF_S
                 self.submit_changes(spec, changes)
@@ -148,6 +152,15 @@
                 wait_s = RETRY_BACKOFF_S
             wait_s = self.back_off(spec, wait_s)
 
+    def guard(self, spec: WatchSpec, read: Callable[[], StoreChanges]) -> StoreChanges:
+        """Read records of a kind; an exception counts as a read without a response."""
+        try:
+            return read()
+        except Exception:
+            # Nothing would follow this kind any more. The log shows the cause.
+            self.decision_loop.log.exception("watch-failed", kind=spec.kind)
+            return StoreChanges(ev.CallStatus.UNKNOWN)
+
     def read_changes(self, spec: WatchSpec, revision: int) -> StoreChanges:
         """Wait for changes of a kind after a revision, at the store or another entry."""
         copy_reader = self.copy_readers_by_kind.get(spec.kind)
@@ -236,7 +249,9 @@
         """Read all records of a kind and submit them; retry until it succeeds."""
         wait_s = RETRY_BACKOFF_S
         while True:
-            changes = self.copy_all(spec) or self.store.read_all(spec.kind)
+            changes = self.guard(
+                spec, lambda: self.copy_all(spec) or self.store.read_all(spec.kind)
+            )
             if changes.status is ev.CallStatus.OK:
                 self.submit_changes(spec, changes)
                 return
@@ -300,7 +315,12 @@
         known_revision = self.revisions_by_kind.get(spec.kind)
         self.revisions_by_kind[spec.kind] = changes.revision
         for event in changes.events:
-            self.decision_loop.submit(event)
+            try:
+                self.decision_loop.submit(event)
+            except Exception:
+                # The other records must not be lost with this one. The log shows the cause.
+                name = type(event).__name__
+                self.decision_loop.log.exception("record-failed", kind=spec.kind, record=name)
         if (
             spec.notifies_peers
             and known_revision is not None
@@ -355,8 +375,8 @@
 
         On a conflict the record in the store is submitted first.
         """
-        status, revision, lead_record = self.store.claim(effect)
+        status, revision, lead_seen = self.store.claim(effect)
         at = self.decision_loop.event_time()
-        if lead_record is not None:
-            self.decision_loop.submit(ev.LeadSeen(at, effect.engine, **lead_record))
+        if lead_seen is not None:
+            self.decision_loop.submit(lead_seen)
         self.decision_loop.submit(ev.ClaimEnded(at, effect.engine, effect.epoch, status, revision))
--- a/poplarhoist/platform/dialect.py
+++ b/poplarhoist/platform/dialect.py
@@ -60,8 +60,8 @@
         """
         try:
             return documents.decode_report(orjson.loads(data))
-        except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"invalid report: {error!r}") from error
+        except documents.DECODE_ERRORS as error:
+            raise ValueError(f"invalid report: {error!r}"[:200]) from error
 
     def build_order_request(self, order: SendOrder, holder: str) -> tuple[str, Headers, bytes]:
         """Return path, headers and body of an order.
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -1,9 +1,10 @@
 """Decodes JSON documents of the store and of engines into the gateway's types.
 
-A document that cannot be decoded raises ValueError, KeyError, TypeError or AttributeError; the
-calling code logs it.
+A document that cannot be decoded raises one of `DECODE_ERRORS`; the calling code logs it.
 """
 
+import re
+
 from attrs import evolve
 
 from poplarhoist.decisions.gateway.models import (
@@ -19,8 +20,16 @@
     ServiceSpec,
     Target,
 )
+from poplarhoist.settings.addresses import is_port
 
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 S_PER_MS = 0.001
+# Whole numbers up to this one are the same in every JSON parser.
+MAX_COUNT = 2**53 - 1
+# Requests that an endpoint takes at the same time; more than any has.
+MAX_SLOTS = 1_000_000
+MAX_TEXT_CHARACTERS = 512
+HOST = re.compile(r"[A-Za-z0-9]([A-Za-z0-9.-]{0,252})|\[[0-9A-Fa-f:.]{2,45}\]", re.ASCII)
 ROUTE_KIND_BY_NAME = {
     "safe": RouteKind.REPEATABLE,
     "unsafe": RouteKind.ONCE,
@@ -29,6 +38,47 @@
 ENDPOINT_STATES = ("ready", "draining")
 
 
+def to_count(value: object, highest: int = MAX_COUNT) -> int:
+    """Return a value that is a whole number from 0 to `highest`.
+
+    Raises
+    ------
+    ValueError
+        If it is not.
+    """
+    if type(value) is not int or not 0 <= value <= highest:
+        raise ValueError(f"expected a whole number from 0 to {highest}, got {str(value)[:30]!r}")
+    return value
+
+
+def to_port(value: object) -> int:
+    """Return a value that is a port; raises ValueError if it is none."""
+    if type(value) is not int or not is_port(value):
+        raise ValueError(f"expected a port, got {str(value)[:30]!r}")
+    return value
+
+
+def to_host(value: object) -> str:
+    """Return a value that is the name or address of a host; raises ValueError if it is none."""
+    if not isinstance(value, str) or not HOST.fullmatch(value):
+        raise ValueError(f"expected a host, got {str(value)[:30]!r}")
+    return value
+
+
+def to_text(value: object) -> str:
+    """Return a value that is a name, which can be sent in a header.
+
+    Raises
+    ------
+    ValueError
+        If it is none, empty or very long.
+    """
+    is_name = isinstance(value, str) and 0 < len(value) <= MAX_TEXT_CHARACTERS
+    if not is_name or not value.isascii() or not value.isprintable():
+        raise ValueError(f"expected a name, got {str(value)[:30]!r}")
+    return value
+
+
 def decode_configuration(spec: dict) -> Configuration:
     """Decode a configuration; limits that it leaves out get their defaults."""
     limits = spec.get("limits") or {}
@@ -103,11 +153,8 @@
         or zone cannot be decoded.
     """
     if spec["state"] not in ENDPOINT_STATES:
-        raise ValueError(f"unknown state {spec['state']!r}")
+        raise ValueError(f"unknown state {str(spec['state'])[:30]!r}")
     host, _, port = spec["address"].rpartition(":")
-    service, zone = spec["service"], spec["zone"]
-    if not host or not isinstance(service, str) or not isinstance(zone, str):
-        raise ValueError("invalid address, service or zone")
     models = spec.get("models")
     # Models whose weights the endpoint's host has in memory or on disk.
     warm_by_location = spec.get("atHand") or {}
@@ -116,17 +163,17 @@
         *(warm_by_location.get("onDisk") or ()),
     )
     return EndpointRecord(
-        name=name,
-        service=service,
-        host=host,
-        port=int(port),
-        zone=zone,
-        max_concurrent_requests=int(spec.get("slots") or 0),
+        name=to_text(name),
+        service=to_text(spec["service"]),
+        host=to_host(host),
+        port=to_port(int(port)),
+        zone=to_text(spec["zone"]),
+        max_concurrent_requests=to_count(spec.get("slots") or 0, MAX_SLOTS),
         draining=spec["state"] == "draining",
-        incarnation=int(spec.get("born") or 0),
+        incarnation=to_count(spec.get("born") or 0),
         held=decode_loaded_versions(models) if isinstance(models, list) else None,
         warm_models=frozenset(name for name in warm_models if isinstance(name, str)),
-        software_version=str(spec.get("version") or ""),
+        software_version=to_text(spec["version"]) if spec.get("version") else "",
     )
 
 
@@ -137,10 +184,11 @@
     """
     version_by_key = {}
     for model in models:
-        version_by_key[AdapterKey(model["name"])] = int(model.get("version") or 1)
+        name = to_text(model["name"])
+        version_by_key[AdapterKey(name)] = to_count(model.get("version") or 1)
         for text in model.get("adapters") or ():
-            adapter, version = split_version_suffix(text)
-            version_by_key[AdapterKey(model["name"], adapter)] = version
+            adapter, version = split_version_suffix(to_text(text))
+            version_by_key[AdapterKey(name, adapter)] = version
     return version_by_key
 
 
@@ -155,12 +203,12 @@
     loading_version_by_key = {}
     for text in data.get("coming") or ():
         # The text has the form model/adapter@version.
-        model, _, rest = text.partition("/")
+        model, _, rest = to_text(text).partition("/")
         adapter, version = split_version_suffix(rest)
         loading_version_by_key[AdapterKey(model, adapter)] = version
     return EngineReport(
-        incarnation=int(data.get("born") or 0),
-        accepted_orders=int(data["seq"]),
+        incarnation=to_count(data.get("born") or 0),
+        accepted_orders=to_count(data["seq"]),
         held=decode_loaded_versions(data.get("models") or []),
         loading=loading_version_by_key,
         draining=data.get("state") == "draining",
@@ -169,4 +217,9 @@
 
 def decode_version_announcement(spec: dict) -> tuple[str, str, int]:
     """Return model, adapter (empty for the base model) and version of an announcement."""
-    return spec["model"], spec.get("adapter") or "", int(spec["version"])
+    adapter = spec.get("adapter")
+    return (
+        to_text(spec["model"]),
+        to_text(adapter) if adapter else "",
+        to_count(spec["version"]),
+    )
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's object store: lists, watches, registration, claims to lead engines."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -20,6 +20,8 @@
 from poplarhoist.gateway.sockets import socket_options
 from poplarhoist.platform import documents
 from poplarhoist.platform.copies import CopiedKind, latest_revision
+from poplarhoist.platform.documents import DECODE_ERRORS
+from poplarhoist.platform.records import Unreadable, parse_response
 
 # Kinds of records that the platform defines.
 CONFIGURATION_KIND = "config"
@@ -67,7 +69,8 @@
 }
 HISTORY_GONE_CODE = 410
 NOT_FOUND_CODE = 404
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Records whose unreadable content is remembered, so that it is logged once.
+MAX_LOGGED_RECORDS = 1000
 
 
 @define
@@ -115,6 +118,8 @@
         Functions that turn a record of a kind into events.
     copied_kinds : dict
         Records that other entries may copy, by kind.
+    logged_records : dict
+        Kind, name and revision of records that could not be decoded, the latest last.
     """
 
     watch_specs = (
@@ -161,6 +166,7 @@
             SOFTWARE_KIND: lambda at, name, item, is_removed: [],
         }
 
+        self.logged_records: dict[tuple[str, str, int], None] = {}
         self.copied_kinds = {
             spec.kind: CopiedKind(MAX_RESPONSE_BYTES) for spec in self.watch_specs if spec.is_copied
         }
@@ -240,13 +246,24 @@
 
     def decode(self, kind: str, item: dict, is_removed: bool, at: float) -> list[ev.Event]:
         """Decode a record; one that cannot be decoded is logged and yields no events."""
-        name = item["metadata"]["name"]
+        metadata = item["metadata"]
+        name = metadata["name"]
+        step = "decode"
         try:
+            if isinstance(item.get("spec"), Unreadable):
+                step = "parse"
+                raise ValueError(item["spec"])
             return self.decoders_by_kind[kind](at, name, item, is_removed)
         except DECODE_ERRORS as error:
-            log = structlog.get_logger()
-            log.warning("record-unreadable", kind=kind, name=name, detail=repr(error))
-            return []
+            record = kind, name, metadata.get("revision", 0)
+            if record not in self.logged_records:
+                self.logged_records[record] = None
+                if len(self.logged_records) > MAX_LOGGED_RECORDS:
+                    del self.logged_records[next(iter(self.logged_records))]
+                log = structlog.get_logger()
+                detail = repr(error)[:200]
+                log.warning("record-unreadable", kind=kind, name=name, step=step, detail=detail)
+            return unreadable_events(kind, at, name, item)
 
     def register(
         self, name: str, zone: str, host: str, port: int, relay_port: int
@@ -259,14 +276,14 @@
         """Remove the record of this entry."""
         return self.request("delete", "DELETE", record_path(ENTRY_KIND, name))[0]
 
-    def claim(self, claim: Claim) -> tuple[ev.CallStatus, int, Mapping | None]:
+    def claim(self, claim: Claim) -> tuple[ev.CallStatus, int, ev.LeadSeen | None]:
         """Write which entry leads an engine, if the record still has the revision in the claim.
 
         Returns
         -------
         tuple
-            Status, revision of the record (0 if unknown), and on a conflict the fields of the
-            record as the store has it, else None.
+            Status, revision of the record (0 if unknown), and on a conflict the record as the store
+            has it, else None.
         """
         spec = {"holder": claim.holder, "epoch": claim.epoch}
         status, data = self.write_record(LEAD_KIND, claim.engine, spec, claim.revision)
@@ -274,9 +291,10 @@
         if "metadata" not in item:
             return status, 0, None
         revision = item["metadata"]["revision"]
-        if status is ev.CallStatus.CONFLICT and isinstance(item.get("spec"), dict):
-            return status, revision, {**item["spec"], "revision": revision}
-        return status, revision, None
+        if status is not ev.CallStatus.CONFLICT:
+            return status, revision, None
+        seen = self.decode(LEAD_KIND, item, False, self.clock.monotonic())
+        return status, revision, seen[0] if seen else None
 
     def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
         """Record that a service has these software versions; without any, remove the record."""
@@ -341,12 +359,13 @@
             status = CALL_STATUS_BY_CODE.get(code, ev.CallStatus.UNKNOWN)
             result = code
             if status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
-                result = orjson.loads(answer) if answer else {}
+                parse = parse_response if method == "GET" else orjson.loads
+                result = parse(answer) if answer else {}
         except HTTPError as error:
             status = ev.CallStatus.REFUSED if never_sent(error) else ev.CallStatus.UNKNOWN
             result = type(error).__name__
-        except orjson.JSONDecodeError:
-            status, result = ev.CallStatus.UNKNOWN, "not JSON"
+        except ValueError as error:
+            status, result = ev.CallStatus.UNKNOWN, f"not JSON: {error}"
         finally:
             self.record_call(operation, path, status, result, progress)
         return status, result
@@ -412,9 +431,16 @@
         return [ev.EntryRecordChanged(at, name)]
     spec = item["spec"]
     # Entries of earlier versions pass nothing on.
-    relay_port = int(spec.get("relay_port") or 0)
+    relay_port = spec.get("relay_port")
     return [
-        ev.EntryRecordChanged(at, name, spec["host"], int(spec["port"]), spec["zone"], relay_port)
+        ev.EntryRecordChanged(
+            at,
+            name,
+            documents.to_host(spec["host"]),
+            documents.to_port(spec["port"]),
+            documents.to_text(spec["zone"]),
+            documents.to_port(relay_port) if relay_port else 0,
+        )
     ]
 
 
@@ -423,4 +449,16 @@
     if is_removed:
         return []
     spec, revision = item["spec"], item["metadata"]["revision"]
-    return [ev.LeadSeen(at, name, spec["holder"], int(spec["epoch"]), revision)]
+    # A lead that is released has no holder.
+    holder = spec["holder"] and documents.to_text(spec["holder"])
+    return [ev.LeadSeen(at, name, holder, documents.to_count(spec["epoch"]), revision)]
+
+
+def unreadable_events(kind: str, at: float, name: str, item: dict) -> list[ev.Event]:
+    """Return what a record tells that cannot be decoded.
+
+    An engine with such a lead has no lead that is known, and the next one has to replace the record.
+    """
+    if kind != LEAD_KIND:
+        return []
+    return [ev.LeadSeen(at, name, "", 0, item["metadata"].get("revision", 0))]
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -18,7 +18,14 @@
 
 START_TIMEOUT_S = 15.0
 # Log events that tell of an exception in the entry's own code.
-FAULT_EVENTS = ("request-failed", "effect-failed", "tick-failed", "message-failed")
+FAULT_EVENTS = (
+    "request-failed",
+    "effect-failed",
+    "tick-failed",
+    "message-failed",
+    "watch-failed",
+    "record-failed",
+)
 ENTRY_ARGS = ("-m", "poplarhoist.platform")
 
 
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -11,7 +11,13 @@
 import pytest
 
 from tests.platform_site import PlatformSite
-from tests.platform_standins import BAD_LENGTHS, BROKEN_HEADS, EVENTS_PER_STREAM, SOUND_LENGTHS
+from tests.platform_standins import (
+    BAD_LENGTHS,
+    BROKEN_HEADS,
+    EVENTS_PER_STREAM,
+    SOUND_LENGTHS,
+    Endpoint,
+)
 from tests.standin_server import HOST
 
 # Seconds within which a configuration must be in force, and after which a draining endpoint must
@@ -91,6 +97,25 @@
     assert 2 in held
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [{"slots": float("inf")}, {"zone": "\ud800"}, {"address": "10.0.0.1:70000"}, {"state": "new"}],
+)
+def test_endpoints_are_followed_although_an_odd_record_is_among_them(site, odd):
+    new = site.endpoints["d2"] = Endpoint("d2", "desk")
+    site.store.put("servers", "odd", new.record() | odd)
+    site.register_endpoints("d2")
+    site.register_endpoints("d1", state="draining")
+    time.sleep(DRAIN_DEADLINE_S)
+    for _ in range(2):
+        before = len(new.requests)
+        assert [site.send_request("/once/x")[0] for _ in range(5)] == [200] * 5
+        assert len(new.requests) == before + 5
+        site.kill()
+        site.launch()
+        site.wait_until(lambda: site.get_status() == 200)
+
+
 # Path, fault of the endpoint, status that the caller must get.
 FAULT_CASES = [
     ("/once/x", "full", 503),
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -42,6 +42,8 @@
         Watches by kind, and those of them that must be up to date.
     unavailable, failing_kinds : bool, set
         Whether watches are refused, and kinds of which they are.
+    errors : list
+        Exceptions that the next watches of the kind that notifies peers raise.
     latest_revision : int
         Revision of the change to the kind that notifies peers; 0 for none.
     watch_waits_s : list
@@ -57,6 +59,7 @@
         self.fresh_calls: Counter[str] = Counter()
         self.unavailable = False
         self.failing_kinds: set[str] = set()
+        self.errors: list[Exception] = []
         self.latest_revision = 0
         self.watch_waits_s: list[float] = []
         self.response_s = 0.0
@@ -74,6 +77,8 @@
         if self.unavailable or spec.kind in self.failing_kinds:
             eventlet.sleep(0.001)
             return StoreChanges(CallStatus.REFUSED)
+        if spec.notifies_peers and self.errors:
+            raise self.errors.pop()
         if fresh and spec.notifies_peers and self.latest_revision > since:
             on_begun()
             eventlet.sleep(self.response_s)
@@ -177,6 +182,30 @@
     assert store.calls[NOTIFYING_SPEC.kind] <= 1
 
 
+@pytest.mark.parametrize("step", ["watch", "event"])
+def test_exception_in_a_watch_does_not_end_it(build_watcher, step):
+    store, decision_loop = build_watcher(64)
+    reducer, failures = decision_loop.reducer, []
+
+    def fail_once(state, event):
+        if type(event) is ev.ConfigurationSeen and not failures:
+            failures.append(event)
+            raise OverflowError("too large")
+        return reducer(state, event)
+
+    if step == "event":
+        decision_loop.reducer = fail_once
+    else:
+        store.errors.append(RecursionError("too deep"))
+    for revision in (5, 6):
+        store.latest_revision = revision
+        news = messages.News(NOTIFYING_SPEC.kind, revision)
+        decision_loop.submit(ev.PeerMessageReceived(decision_loop.event_time(), "entry-2", news))
+        eventlet.sleep(1.2)
+    assert failures or not store.errors
+    assert decision_loop.state.configuration.version == 6
+
+
 def test_notice_of_a_known_revision_causes_no_extra_call(build_watcher):
     store, decision_loop = build_watcher(64)
     store.calls.clear()
