A stream goes on only with its continuation

Cause: an attempt that continues a stream was checked only as one that begins one. Change: its content type, its first event's id and the order of ids are checked before a byte is passed on; what fails is a failed attempt. The same for callers that resume a stream.

--- a/poplarhoist/entry/event_stream.py
+++ b/poplarhoist/entry/event_stream.py
@@ -1,9 +1,13 @@
-"""Splits server-sent event streams into whole events."""
+"""Splits server-sent event streams into whole events, and checks that one continues another."""
+
+import re
 
 # Blank lines that end an event, by the kind of line end that the stream uses.
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
+ANY_EVENT_END = re.compile(b"|".join(EVENT_ENDS))
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 class EventSplitter:
@@ -44,3 +48,51 @@
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode("latin-1")
     return ""
+
+
+class NoContinuation(ValueError):
+    """What an endpoint sends does not continue the stream that it is to continue."""
+
+
+class ContinuationCheck:
+    """Checks that events follow the last event of a stream that another response began.
+
+    Attributes
+    ----------
+    last_id : str
+        Id of the last event so far.
+    has_begun : bool
+        Whether an event has been checked.
+    """
+
+    def __init__(self, last_id: str) -> None:
+        self.last_id = last_id
+        self.has_begun = False
+
+    def feed(self, whole_events: bytes) -> None:
+        """Check further events.
+
+        The ids of a stream increase, but may leave gaps. Comments are no events.
+
+        Raises
+        ------
+        NoContinuation
+            If the first event has no id, or the id of any is not above the one before.
+        """
+        for event in ANY_EVENT_END.split(whole_events):
+            if all(line.startswith(COMMENT) for line in event.splitlines()):
+                continue
+            event_id = find_last_event_id(event)
+            if not event_id and not self.has_begun:
+                raise NoContinuation("first event without an id")
+            if event_id and not follows(event_id, self.last_id):
+                raise NoContinuation(f"event {event_id[:40]!r} after {self.last_id[:40]!r}")
+            self.last_id = event_id or self.last_id
+            self.has_begun = True
+
+
+def follows(event_id: str, last_id: str) -> bool:
+    """Return whether an id is above another one; ids that are no numbers have only to differ."""
+    if event_id.isdecimal() and last_id.isdecimal():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -25,7 +25,12 @@
     Outcome,
     ResponseStarted,
 )
-from poplarhoist.entry.event_stream import EventSplitter, find_last_event_id
+from poplarhoist.entry.event_stream import (
+    ContinuationCheck,
+    EventSplitter,
+    NoContinuation,
+    find_last_event_id,
+)
 from poplarhoist.entry.http import READ_CHUNK_BYTES, BodyTooLong, StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
@@ -375,10 +380,15 @@
 
         A failure ends the iteration and sets the result. A stream that ends inside an event was cut
         short, also if its connection was closed in order, and so was one that has neither an event
-        nor an end of its own.
+        nor an end of its own. What is to continue a stream, and does not, is not passed on.
         """
         events = EventSplitter()
         is_event_stream = self.is_event_stream()
+        if self.request.delivered and not is_event_stream:
+            self.record_failure(NoContinuation("no events"))
+            return
+        last_event_id = self.request.last_event_id
+        continuation = ContinuationCheck(last_event_id) if last_event_id else None
         try:
             while data := self.read_available():
                 if not is_event_stream:
@@ -389,11 +399,13 @@
                 if self.partial_event_bytes > MAX_HELD_BYTES:
                     raise BodyTooLong("event too long")
                 if whole_events:
+                    if continuation is not None:
+                        continuation.feed(whole_events)
                     self.request.last_event_id = (
                         find_last_event_id(whole_events) or self.request.last_event_id
                     )
                     yield whole_events
-        except (HTTPError, OSError) as error:
+        except (HTTPError, OSError, NoContinuation) as error:
             self.record_failure(error)
             return
         has_no_end = is_event_stream and self.framing() is Framing.CONNECTION
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -154,6 +154,9 @@
         elif fault in RAW_RESPONSES:
             self.wfile.write(RAW_RESPONSES[fault].format(request_id=request_id).encode())
             self.close_connection = True
+        elif fault == "page":
+            seal = {"X_Request_Id": request_id, "X_Response_Seal": "s"}
+            self.respond(200, b"<html>busy</html>", Content_Type="text/html", **seal)
         elif fault == "json":
             seal = {"X_Request_Id": request_id, "X_Response_Seal": "s"}
             self.respond(200, b'{"text": "plan"}', Content_Type="application/json", **seal)
@@ -188,10 +191,18 @@
 
     def send_stream(self, request_id: str, last_event_id: int, fault: str) -> None:
         """Send the events after an id, or fewer with a fault of `STREAM_FAULTS`."""
+        if fault == "from-first":
+            last_event_id = 0
         events = [
             self.standin.stream_event(request_id, number)
             for number in range(last_event_id + 1, self.standin.event_count + 1)
         ]
+        if fault == "repeats-last":
+            events.insert(0, self.standin.stream_event(request_id, last_event_id))
+        elif fault == "goes-back":
+            events.insert(1, self.standin.stream_event(request_id, last_event_id))
+        elif fault == "without-ids":
+            events = [data.partition(b"\n")[2] for data in events]
         framing = self.standin.stream_framing
         self.send_response_only(200)
         self.send_header("Content-Type", "text/event-stream")
@@ -255,7 +266,10 @@
         "dropped": connection closed without a response. "other-request": response to another
         request. "unsigned": response without a seal. "endless": response that does not end. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
-        the connection is reset. "error": status 500. "json": a response that is no stream.
+        the connection is reset. "error": status 500. "json", "page": a response that is no stream.
+        "from-first": a stream from its first event on. "repeats-last": one that begins with the last
+        event that the caller has. "goes-back": one whose second event is that. "without-ids": one
+        without ids.
         `STREAM_FAULTS`: stream that ends too early. `BROKEN_HEADS`: response that breaks off in its
         head, or none at all. `BAD_LENGTHS`, `SOUND_LENGTHS`: response with an unusual framing.
     order_faults : list
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from poplarhoist.entry.event_stream import EventSplitter, count_events, find_last_event_id
+from poplarhoist.entry.event_stream import (
+    ContinuationCheck,
+    EventSplitter,
+    NoContinuation,
+    count_events,
+    find_last_event_id,
+)
 
 # Pieces as they arrive, what is returned for each, what is left over at the end.
 SPLIT_CASES = {
@@ -35,3 +41,31 @@
 )
 def test_whole_events_are_counted_and_the_last_id_is_found(events, count, last_id):
     assert (count_events(events), find_last_event_id(events)) == (count, last_id)
+
+
+@pytest.mark.parametrize(
+    ("last_id", "events", "continues"),
+    [
+        ("2", b"id: 3\ndata: x\n\nid: 4\n\n", True),
+        ("9", b"id: 10\n\n", True),
+        ("2", b"id: 5\n\n", True),
+        ("2", b"x-weight-versions: 2\nid: 3\n\n", True),
+        ("2", b": comment\n\nid: 3\n\n", True),
+        ("2", b"id: 3\n\ndata: x\n\n", True),
+        ("a7", b"id: b1\n\n", True),
+        ("2", b"id: 2\n\n", False),
+        ("2", b"id: 1\n\n", False),
+        ("2", b"data: x\n\n", False),
+        ("2", b": comment\n\ndata: x\n\n", False),
+        ("2", b"id: 3\n\nid: 3\n\n", False),
+        ("2", b"id: 4\r\n\r\nid: 3\r\n\r\n", False),
+        ("a7", b"id: a7\n\n", False),
+    ],
+)
+def test_events_continue_a_stream_or_not(last_id, events, continues):
+    check = ContinuationCheck(last_id)
+    if continues:
+        check.feed(events)
+    else:
+        with pytest.raises(NoContinuation):
+            check.feed(events)
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -207,6 +207,58 @@
     assert expected != 200 or data == FULL_STREAM
 
 
+# What the next engine answers instead of the rest of a stream.
+NO_CONTINUATIONS = (
+    "page",
+    "json",
+    "without-ids",
+    "from-first",
+    "repeats-last",
+    "goes-back",
+    "error",
+    "full",
+    "other-request",
+    "unsigned",
+    "empty",
+)
+
+
+@pytest.mark.parametrize("answer", NO_CONTINUATIONS)
+@pytest.mark.parametrize(
+    ("framing", "fault"), [("chunked", "cut"), ("length", "torn"), ("connection", "torn-reset")]
+)
+def test_stream_does_not_go_on_with_anything_but_its_continuation(site, framing, fault, answer):
+    shared_faults = [fault, answer, "full", "full", "full", "full"]
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = shared_faults
+        site.endpoints[name].stream_framing = framing
+    let_engines_hold_the_adapter(site)
+    try:
+        status, _, data = site.send_request("/resume/x", "a1")
+        assert status == 200
+        is_whole = True
+    except http.client.IncompleteRead as error:
+        data, is_whole = error.partial, False
+    # After its second event the break shows, unless a third attempt was allowed and went on.
+    events = FULL_STREAM.split(b"\n\n")
+    begun = b"\n\n".join(events[:2]) + b"\n\n"
+    assert data in (begun, b"\n\n".join(events[:3]) + b"\n\n", FULL_STREAM)
+    assert not is_whole or data == FULL_STREAM
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [("", 200), ("from-first", 502), ("repeats-last", 502), ("without-ids", 502), ("error", 500)],
+)
+def test_caller_that_resumes_a_stream_gets_its_continuation(site, answer, expected):
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = [answer] * 4
+    let_engines_hold_the_adapter(site)
+    status, _, data = site.send_request("/resume/x", "a1", Last_Event_Id="2")
+    assert status == expected
+    assert status != 200 or data == FULL_STREAM[len(FULL_STREAM) // 2 :]
+
+
 @pytest.mark.parametrize("framing", ["length", "connection"])
 def test_whole_stream_without_chunks_is_passed_on_as_complete(site, framing):
     for name in ("e1", "e2"):
