Test: a refusal that comes twice is not taken for the next answer; calls over a connection of their own in one place

Report of operators of similar systems: an engine wrote an earlier refusal once more on a kept connection. Kept connections are those to the store only; a second copy there that comes during the next call is not excluded.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -347,3 +347,28 @@
         if on_head is not None:
             on_head(response.headers)
         return response.status, read_bounded(response, max_bytes, on_bytes)
+
+
+def request_once(
+    method: str,
+    url: str,
+    total_s: float,
+    max_bytes: int,
+    on_head=None,
+    socket_options=(),
+    **options,
+) -> tuple[int, bytes]:
+    """Make a call as `request_bounded` does, over a connection that is closed after it.
+
+    What the other side sends later cannot be taken for the response to another call.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If no response arrives, or one that takes longer or is longer.
+    """
+    pool = single_use_pool(socket_options=socket_options)
+    try:
+        return request_bounded(pool, method, url, total_s, max_bytes, on_head, **options)
+    finally:
+        pool.clear()
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -12,7 +12,7 @@
 from poplarhoist.decisions.gateway import copies
 from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.decisions.gateway.state import EntryState, GatewayState
-from poplarhoist.entry.http import request_bounded, single_use_pool
+from poplarhoist.entry.http import request_once
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import RecordsCopy, Store, StoreChanges
 from poplarhoist.gateway.sockets import socket_options
@@ -132,13 +132,13 @@
         url = f"http://{source.host}:{source.port}{COPIES_PATH}{self.kind}"
         headers: dict[str, str] = {}
         try:
-            status, data = request_bounded(
-                single_use_pool(socket_options=socket_options(WHOLE_S)),
+            status, data = request_once(
                 "GET",
                 f"{url}?{urlencode({'after': known_revision})}",
                 WHOLE_S,
                 MAX_COPY_BYTES,
                 headers.update,
+                socket_options(WHOLE_S),
                 timeout=Timeout(connect=FIRST_BYTE_S, read=FIRST_BYTE_S),
             )
             if status not in (HTTPStatus.OK, HTTPStatus.NO_CONTENT):
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -18,8 +18,7 @@
 from poplarhoist.entry.http import (
     is_connection_refused,
     never_sent,
-    request_bounded,
-    single_use_pool,
+    request_once,
 )
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import Dialect
@@ -85,21 +84,17 @@
             if self.dialect.says_leaving(response_headers.items()):
                 self.submit_leaving(record)
 
-        pool = single_use_pool(socket_options=socket_options(timeout_s))
-        try:
-            return request_bounded(
-                pool,
-                method,
-                f"http://{record.host}:{record.port}{path}",
-                RESPONSE_TIMEOUT_S,
-                MAX_RESPONSE_BYTES,
-                check_leaving,
-                body=body,
-                headers=dict(headers),
-                timeout=Timeout(total=timeout_s),
-            )
-        finally:
-            pool.clear()
+        return request_once(
+            method,
+            f"http://{record.host}:{record.port}{path}",
+            RESPONSE_TIMEOUT_S,
+            MAX_RESPONSE_BYTES,
+            check_leaving,
+            socket_options(timeout_s),
+            body=body,
+            headers=dict(headers),
+            timeout=Timeout(total=timeout_s),
+        )
 
     def submit_leaving(self, record: EndpointRecord) -> None:
         """Submit that an engine has said that it is stopping."""
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -79,6 +79,7 @@
     def handle_call(self) -> None:
         """Serve a request by its path: a report, health, an order, or a caller's request."""
         endpoint, body = self.standin, self.read_body()
+        endpoint.connections.append((self.path, self.client_address))
         if self.path == "/api/report":
             self.respond(200, json.dumps(endpoint.report()).encode())
         elif self.path == HEALTH_PATH:
@@ -92,7 +93,10 @@
 
     def handle_order(self, order: dict) -> None:
         """Carry out an order; close the connection without a response if it is to be lost."""
+        is_twice = self.standin.order_faults[:1] == ["refused-twice"]
         status = self.standin.apply_order(order)
+        if is_twice:
+            self.respond(status)
         if status == 0:
             self.close_connection = True
             return
@@ -124,6 +128,9 @@
         fault = endpoint.next_fault(request_id)
         if fault == "full":
             self.respond(503, X_Not_Executed="1")
+        elif fault == "full-twice":
+            for _ in range(2):
+                self.respond(503, X_Not_Executed="1", X_Request_Id=request_id)
         elif fault == "endless":
             self.send_without_end(request_id)
         elif fault == "dropped":
@@ -263,6 +270,7 @@
         Method, path, headers and body of each caller's request that arrived.
     faults : list
         Faults of the next requests, one for each, in order. "full": rejected as not executed.
+        "full-twice": the same, with a second response on the same connection.
         "dropped": connection closed without a response. "other-request": response to another
         request. "unsigned": response without a seal. "endless": response that does not end. "short": body shorter than its Content-Length.
         "unframed": body delimited by the close of the connection. "reset": like "unframed", but
@@ -274,7 +282,10 @@
         head, or none at all. `BAD_LENGTHS`, `SOUND_LENGTHS`: response with an unusual framing.
     order_faults : list
         Faults of the next orders, one for each, in order. "refused": not carried out, status 409.
+        "refused-twice": the same, with a second response on the same connection.
         "lost": carried out without a response.
+    connections : list
+        Path and address of the other side of each call.
     aborted_request_ids : list
         Requests whose connection ended during the stream.
     stream_framing : str
@@ -305,6 +316,7 @@
         self.accepted_orders: list[dict] = []
         self.faults: list[str] = []
         self.order_faults: list[str] = []
+        self.connections: list[tuple[str, tuple]] = []
         self.aborted_request_ids: list[str] = []
         self.busy_until = float("-inf")
         self.says_leaving = False
@@ -336,7 +348,7 @@
     def apply_order(self, order: dict) -> int:
         """Carry out an order; return the status code, 0 for no response."""
         fault = self.order_faults.pop(0) if self.order_faults else ""
-        if fault == "refused" or order["expected"] != self.order_count:
+        if fault in ("refused", "refused-twice") or order["expected"] != self.order_count:
             return 409
         if order["fenceToken"] < self.epoch:
             return 412
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -162,6 +162,22 @@
     assert headers["Content-Length"] in (None, "4")
 
 
+def test_refusal_that_comes_twice_is_not_taken_for_the_next_answer(site):
+    """Nothing else is sent over the connection of a request, an order or a report."""
+    for name in ("e1", "e2"):
+        site.endpoints[name].order_faults = ["refused-twice"]
+    site.endpoints["d1"].faults = ["full-twice", ""] * 10
+    answers = [site.send_request("/once/x") for _ in range(10)]
+    assert {(status, data) for status, _, data in answers} == {(200, b"done ")}
+    deadline_at = time.monotonic() + 5.0
+    while site.send_request("/stream/x", "a1")[0] != 200:
+        assert time.monotonic() < deadline_at
+        time.sleep(0.2)
+    for endpoint in site.endpoints.values():
+        addresses = [address for _, address in endpoint.connections]
+        assert len(addresses) == len(set(addresses))
+
+
 # How the stream is delimited, and how it breaks off. A stream that is delimited by the end of its
 # connection and closed between two events cannot be told from a complete one.
 BROKEN_STREAM_CASES = [
