The line of a refusal does not grow with the engines

In the incident's record, logs reached back two to four seconds: each refused request wrote the room of all 78 engines, 3 KB a line, so the seconds in question were lost. It tells the room of the asked engine and how many have any now (test: 1, 78 and 600 engines).

--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -253,22 +253,21 @@
 
 
 def headroom_log_fields(state: GatewayState, request: RequestState, at: float) -> dict[str, object]:
-    """Return log fields with the headroom and the age of the View of each engine.
+    """Return log fields with the headroom at the asked engine, and how many engines have any.
 
-    They are empty for a request that has asked no engine.
+    They are empty for a request that has asked no engine, and do not grow with the engines.
     """
     if not request.asked_engine:
         return {}
-    headroom = {}
-    for name in state.endpoints_by_service.get(request.service, ()):
-        endpoint = state.endpoints[name]
-        lead_view = endpoint.lead_view
-        headroom[name] = (
-            [lead_view.room, round(at - endpoint.lead_view_at, 2)]
-            if lead_view is not None
-            else None
-        )
-    return {"rooms": headroom}
+    names = state.endpoints_by_service.get(request.service, ())
+    fields: dict[str, object] = {
+        "engines": len(names),
+        "with_room": sum(has_headroom(state, state.endpoints[name], at) for name in names),
+    }
+    asked = state.endpoints.get(request.asked_engine)
+    if asked is not None and asked.lead_view is not None:
+        fields |= {"room": asked.lead_view.room, "view_age_s": round(at - asked.lead_view_at, 2)}
+    return fields
 
 
 def count_asks_since_view(state: GatewayState, endpoint: EndpointState) -> int:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -340,3 +340,18 @@
     assert effects_of(fx.StopListening, gateway.advance(0.5))
     assert not effects_of(fx.Stop, gateway.advance(4.0))
     assert effects_of(fx.Stop, gateway.advance(1.5))
+
+
+@pytest.mark.parametrize("engine_count", [1, 78, 600])
+def test_line_of_a_refusal_does_not_grow_with_the_engines(engine_count):
+    gateway = Gateway(peers=("entry-2",))
+    gateway.configure()
+    gateway.list_endpoints(*(engine(number) for number in range(engine_count)))
+    gateway.request("/stream/x", "a1")
+    [line] = [
+        effect
+        for effect in effects_of(fx.LogRequest, gateway.advance(3.0))
+        if effect.decision == "refused"
+    ]
+    assert line.fields["engines"] == engine_count
+    assert len(str(line.fields)) < 600
