A response of the store that stalls fails after two seconds

A watch is not restarted once its response has begun, so a connection that goes silent within the response held a watch of up to eight seconds for nine more.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -319,6 +319,7 @@
     max_bytes: int,
     on_head=None,
     on_bytes=None,
+    stall_s: float | None = None,
     **options,
 ) -> tuple[int, bytes]:
     """Make a call whose whole response must arrive in time; return its status and body.
@@ -329,6 +330,9 @@
         Is called with the headers of the response as soon as they have arrived.
     on_bytes : callable or None
         As in `read_bounded`.
+    stall_s : float or None
+        Longest pause in seconds within the body; None for the timeout of the pool, which has to
+        allow for the wait before the head.
     total_s : float
         Seconds for the whole exchange. The timeout of a pool holds for each read only.
     max_bytes : int
@@ -346,6 +350,10 @@
         )
         if on_head is not None:
             on_head(response.headers)
+        connection = response.connection
+        if stall_s is not None and connection is not None and connection.sock is not None:
+            # The next call over this connection sets its own timeout.
+            connection.sock.settimeout(stall_s)
         return response.status, read_bounded(response, max_bytes, on_bytes)
 
 
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -39,6 +39,9 @@
 # at most a megabyte at once.
 RESPONSE_TIMEOUT_RATIO = 3
 MAX_RESPONSE_BYTES = 8388608
+# Longest pause in seconds within a response: its connection may have gone silent. A watch is not
+# restarted once its response has begun.
+STALL_S = 2.0
 # Seconds that the response to a watch may take beyond the long poll.
 LONG_POLL_MARGIN_S = 1.0
 # Long poll of a watch of endpoints in seconds. The store may accept a call and never respond while
@@ -352,6 +355,7 @@
                 MAX_RESPONSE_BYTES,
                 progress.on_head,
                 progress.on_bytes,
+                STALL_S,
                 body=data,
                 headers=headers,
                 timeout=Timeout(connect=CALL_TIMEOUT_S, read=timeout_s),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,8 @@
 from poplarhoist.clock import SystemClock
 from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.entry.http import SocketReader, single_use_pool
-from poplarhoist.platform.store import ObjectStore
+from poplarhoist.gateway.interfaces import WatchSpec
+from poplarhoist.platform.store import STALL_S, ObjectStore
 
 HOST = "127.0.0.1"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -22,10 +23,13 @@
 
 @pytest.fixture
 def serve():
-    """Return a function that sends bytes to the next connection and ends it; it returns the port."""
+    """Return a function that sends bytes to the next connection and ends it; it returns the port.
+
+    The connection stays silent for some seconds before, if that is asked for.
+    """
     listeners = []
 
-    def start(data: bytes, is_reset: bool = False) -> int:
+    def start(data: bytes, is_reset: bool = False, silent_s: float = 0.0) -> int:
         listener = socket.create_server((HOST, 0))
         listeners.append(listener)
 
@@ -33,6 +37,7 @@
             connection, _ = listener.accept()
             connection.recv(65536)
             connection.sendall(data)
+            time.sleep(silent_s)
             if is_reset:
                 # Lets the client read the data, which a reset would discard.
                 time.sleep(0.2)
@@ -105,3 +110,13 @@
 def test_store_response_that_breaks_off_is_a_failed_call(serve, data):
     store = ObjectStore(f"{HOST}:{serve(data)}", SystemClock())
     assert store.read_all("servers").status is CallStatus.UNKNOWN
+
+
+def test_watch_whose_response_stalls_fails_long_before_the_longest_watch(serve):
+    """It is not restarted otherwise, and an entry would not learn of changes meanwhile."""
+    port = serve(OK_HEAD + b"Content-Length: 40\r\n\r\n{", silent_s=9.0)
+    store = ObjectStore(f"{HOST}:{port}", SystemClock())
+    began_at = time.monotonic()
+    changes = store.watch(WatchSpec("config", long_poll_s=8.0), 1, True)
+    assert changes.status is CallStatus.UNKNOWN
+    assert time.monotonic() - began_at < STALL_S + 1.0
