--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -52,6 +52,19 @@
 REACH_AFTER_S = 0.5
 # Share of the fault phases in which entries lose their links to all endpoints.
 CUT_SHARE = 0.6
+# Share of fault phases in which another writer leaves odd records, and what is odd in them. A watch, a
+# list or an entry that starts must not lose the others for it.
+ODD_RECORD_SHARE = 0.4
+ODD_FIELDS = (
+    {"slots": float("inf")},
+    {"address": "127.0.0.1:70000"},
+    {"address": "a b\r\n:80"},
+    {"zone": "\ud800"},
+    {"born": 10**30},
+    {"state": "unheard-of"},
+    {"models": [[[]]]},
+)
+ODD_KINDS = ("servers", "versions", "poplarhoist-entries", "poplarhoist-leads")
 # Seconds of tolerance, since threads on a busy machine may record events late.
 TIMING_SLACK_S = 0.5
 
@@ -91,9 +104,9 @@
         Violations found, each as text with its kind at the beginning.
     links : dict
         Links of each entry to the endpoints, by the port of the endpoint's proxy.
-    link_rng : Random
-        Draws which entries lose their links, apart from the other faults, so that a seed keeps
-        those.
+    link_rng, record_rng : Random
+        Draw which entries lose their links, and odd records, apart from the other faults, so that a
+        seed keeps those.
     timeline : list
         Faults and planned operations, each as text with the seconds since the start.
     """
@@ -114,6 +127,7 @@
     links: dict[str, dict[int, Link]] = field(factory=dict)
     store_views: list[StoreView] = field(factory=list)
     link_rng: random.Random = field(init=False)
+    record_rng: random.Random = field(init=False)
     started_at: float = field(factory=time.monotonic)
 
     def __attrs_post_init__(self) -> None:
@@ -127,6 +141,7 @@
         self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         mutation = MUTATIONS_BY_NAME[self.mutant] if self.mutant else ""
         self.link_rng = random.Random(f"{self.seed}/links")
+        self.record_rng = random.Random(f"{self.seed}/records")
         for name in ("entry-1", "entry-2", "entry-3"):
             ports = [endpoint.proxy.port for endpoint in endpoints]
             self.links[name] = {port: Link(port) for port in ports}
@@ -209,6 +224,9 @@
             # Seeded here, so that a seed gives the same faults however the threads are scheduled.
             fault_rng = random.Random(self.rng.random())
             timers.append(threading.Timer(delay_s, fault_function, args=(fault_rng, ends_at)))
+        if self.record_rng.random() < ODD_RECORD_SHARE:
+            odd_rng = random.Random(self.record_rng.random())
+            timers.append(threading.Timer(2 * odd_rng.random(), self.write_odd_record, (odd_rng,)))
         if self.link_rng.random() < CUT_SHARE:
             cut_rng = random.Random(self.link_rng.random())
             timers.append(threading.Timer(cut_rng.random(), self.cut_links, (cut_rng, ends_at)))
@@ -239,6 +257,13 @@
         time.sleep(max(0.0, min(ends_at - time.monotonic(), 0.3 + 2.5 * rng.random())))
         proxy.fault = ProxyFault.NONE
 
+    def write_odd_record(self, rng: random.Random) -> None:
+        """Leave a record as another writer might, beside those of the endpoints or of the entries."""
+        kind, name = rng.choice(ODD_KINDS), f"odd-{rng.randrange(3)}"
+        odd = rng.choice(ODD_FIELDS)
+        self.log_action(f"odd record of {kind}: {odd}")
+        self.store.put(kind, name, self.endpoints["d1"].record() | odd)
+
     def cut_links(self, rng: random.Random, ends_at: float) -> None:
         """Cut the links of one or two entries to all endpoints for a while."""
         names = rng.sample(sorted(self.links), rng.randint(1, 2))
