--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -27,8 +27,11 @@
 COPY_WAIT_STEP_S = 0.4
 
 
-def readers_in_region(state: GatewayState, kind: str, at: float) -> list[str]:
-    """Return the entries of this region that can be asked, in the order in which they are to read."""
+def reading_order(state: GatewayState, kind: str, at: float) -> list[str]:
+    """Return the entries of this region, those that are to read a kind themselves first.
+
+    Silent ones are left out.
+    """
     region = state.regions.get(state.zone)
     names = [
         name
@@ -43,7 +46,7 @@
 
     It is 0 in a region in which all entries read, and for an entry that is not registered yet.
     """
-    order = readers_in_region(state, kind, at)
+    order = reading_order(state, kind, at)
     if len(order) <= FULL_READERS or state.name not in order:
         return 0
     return order.index(state.name)
@@ -91,14 +94,14 @@
 
 def readers_to_ask(state: GatewayState, kind: str, at: float) -> list[EntryState]:
     """Return the other entries of this region that read from the store, in random order."""
-    names = readers_in_region(state, kind, at)[:READERS_PER_REGION]
+    names = reading_order(state, kind, at)[:READERS_PER_REGION]
     names = [name for name in names if name != state.name]
     return [state.entries[name] for name in state.random.sample(names, len(names))]
 
 
 def choose_any_peer(state: GatewayState, kind: str, at: float) -> EntryState | None:
     """Return an entry of this region that may have records; every second time one that reads them."""
-    names = [name for name in readers_in_region(state, kind, at) if name != state.name]
+    names = [name for name in reading_order(state, kind, at) if name != state.name]
     if not names:
         return None
     if state.random.random() < 0.5:
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    kind : str
+        Kind of record.
     told : Event
         Sent when another entry tells of a change; replaced by a new one then.
     """
--- a/poplarhoist/gateway/logs.py
+++ b/poplarhoist/gateway/logs.py
@@ -21,19 +21,17 @@
 MAX_FAILURE_LINES_PER_S = 100
 # Lines that wait for a slow reader of the output; about half a megabyte.
 MAX_QUEUED_LINES = 2000
-# Log events that count toward the limit for failures; "again" is a retry after a failed attempt.
-FAILURE_EVENTS = frozenset(
-    (
-        "refused",
-        "again",
-        "request-failed",
-        "effect-failed",
-        "tick-failed",
-        "message-failed",
-        "watch-failed",
-        "record-failed",
-    )
+# Log events that tell of an exception in the entry's own code.
+FAULT_EVENTS = (
+    "request-failed",
+    "effect-failed",
+    "tick-failed",
+    "message-failed",
+    "watch-failed",
+    "record-failed",
 )
+# Log events that count toward the limit for failures; "again" is a retry after a failed attempt.
+FAILURE_EVENTS = frozenset(("refused", "again", *FAULT_EVENTS))
 # Seconds between polls of an empty queue.
 POLL_INTERVAL_S = 0.05
 
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's object store: lists, watches, registration, claims to lead engines."""
 
-from collections.abc import Callable
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -18,21 +17,18 @@
 from poplarhoist.gateway.interfaces import OnBegun, RecordsCopy, StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
 from poplarhoist.gateway.sockets import socket_options
-from poplarhoist.platform import documents
 from poplarhoist.platform.copies import CopiedKind, latest_revision
-from poplarhoist.platform.documents import DECODE_ERRORS
-from poplarhoist.platform.records import Unreadable, parse_response
-
-# Kinds of records that the platform defines.
-CONFIGURATION_KIND = "config"
-ENDPOINT_KIND = "servers"
-VERSION_KIND = "versions"
-# Kinds of records that only the gateway's entries write.
-ENTRY_KIND = "poplarhoist-entries"
-LEAD_KIND = "poplarhoist-leads"
-SOFTWARE_KIND = "poplarhoist-software"
-# Name of the record with the configuration in force.
-CURRENT_CONFIGURATION_NAME = "main"
+from poplarhoist.platform.decoder import (
+    CONFIGURATION_KIND,
+    ENDPOINT_KIND,
+    ENTRY_KIND,
+    LEAD_KIND,
+    SOFTWARE_KIND,
+    VERSION_KIND,
+    RecordDecoder,
+)
+from poplarhoist.platform.records import parse_response
+
 # Timeout of a call in seconds. A response takes a few milliseconds, at times a few hundred.
 CALL_TIMEOUT_S = 1.5
 # The whole response must arrive within this many times the time for its first byte. The store sends
@@ -72,8 +68,6 @@
 }
 HISTORY_GONE_CODE = 410
 NOT_FOUND_CODE = 404
-# Records whose unreadable content is remembered, so that it is logged once.
-MAX_LOGGED_RECORDS = 1000
 
 
 @define
@@ -117,12 +111,10 @@
     ----------
     metrics : Metrics or None
         Counts calls by operation and status; may be set after construction.
-    decoders_by_kind : dict
-        Functions that turn a record of a kind into events.
+    decoder : RecordDecoder
+        Turns records into events.
     copied_kinds : dict
         Records that other entries may copy, by kind.
-    logged_records : dict
-        Kind, name and revision of records that could not be decoded, the latest last.
     """
 
     watch_specs = (
@@ -159,17 +151,7 @@
             block=False,
             socket_options=socket_options(CALL_TIMEOUT_S),
         )
-        self.decoders_by_kind: dict[str, Callable] = {
-            CONFIGURATION_KIND: decode_configuration_event,
-            ENDPOINT_KIND: decode_endpoint_event,
-            VERSION_KIND: decode_version_event,
-            ENTRY_KIND: decode_entry_event,
-            LEAD_KIND: decode_lead_event,
-            # The list of names tells all; see `read_all`.
-            SOFTWARE_KIND: lambda at, name, item, is_removed: [],
-        }
-
-        self.logged_records: dict[tuple[str, str, int], None] = {}
+        self.decoder = RecordDecoder()
         self.copied_kinds = {
             spec.kind: CopiedKind(MAX_RESPONSE_BYTES) for spec in self.watch_specs if spec.is_copied
         }
@@ -194,21 +176,11 @@
                 break
         if kind in self.copied_kinds:
             self.copied_kinds[kind].replace(items, revision)
-        return self.decode_list(kind, items, revision)
+        return self.changes_of_list(kind, items, revision)
 
-    def decode_list(self, kind: str, items: list[dict], revision: int) -> StoreChanges:
-        """Decode all records of a kind."""
-        at = self.clock.monotonic()
-        names = {item["metadata"]["name"] for item in items}
-        events = [event for item in items for event in self.decode(kind, item, False, at)]
-        if kind == ENDPOINT_KIND:
-            events.append(ev.EndpointsListed(at, frozenset(names)))
-        elif kind == ENTRY_KIND:
-            events.append(ev.EntriesListed(at, frozenset(names)))
-        elif kind == LEAD_KIND:
-            events.append(ev.LeadsListed(at))
-        elif kind == SOFTWARE_KIND:
-            events.append(ev.SoftwareRecordsListed(at, frozenset(names)))
+    def changes_of_list(self, kind: str, items: list[dict], revision: int) -> StoreChanges:
+        """Return all records of a kind as events."""
+        events = self.decoder.decode_list(kind, items, self.clock.monotonic())
         return StoreChanges(ev.CallStatus.OK, revision, latest_revision(items), tuple(events))
 
     def copy(self, kind: str, after: int) -> RecordsCopy | None:
@@ -218,7 +190,7 @@
 
     def read_copy(self, kind: str, copy: RecordsCopy) -> StoreChanges:
         """Read a copy that another entry has made, and keep it; raises as `CopiedKind.read`."""
-        changes = self.decode_list(kind, self.copied_kinds[kind].read(copy), copy.revision)
+        changes = self.changes_of_list(kind, self.copied_kinds[kind].read(copy), copy.revision)
         return evolve(changes, is_copied=True)
 
     def watch(
@@ -240,34 +212,14 @@
         events: list[ev.Event] = []
         changes = body_or_code["events"]
         for change in changes:
-            events += self.decode(kind, change["object"], bool(change.get("tombstone")), at)
+            is_removed = bool(change.get("tombstone"))
+            events += self.decoder.decode(kind, change["object"], is_removed, at)
         last_change_revision = latest_revision(change["object"] for change in changes)
         revision = max(since, body_or_code["currentRev"])
         if kind in self.copied_kinds:
             self.copied_kinds[kind].apply(changes, revision)
         return StoreChanges(ev.CallStatus.OK, revision, last_change_revision, tuple(events))
 
-    def decode(self, kind: str, item: dict, is_removed: bool, at: float) -> list[ev.Event]:
-        """Decode a record; one that cannot be decoded is logged and yields no events."""
-        metadata = item["metadata"]
-        name = metadata["name"]
-        step = "decode"
-        try:
-            if isinstance(item.get("spec"), Unreadable):
-                step = "parse"
-                raise ValueError(item["spec"])
-            return self.decoders_by_kind[kind](at, name, item, is_removed)
-        except DECODE_ERRORS as error:
-            record = kind, name, metadata.get("revision", 0)
-            if record not in self.logged_records:
-                self.logged_records[record] = None
-                if len(self.logged_records) > MAX_LOGGED_RECORDS:
-                    del self.logged_records[next(iter(self.logged_records))]
-                log = structlog.get_logger()
-                detail = repr(error)[:200]
-                log.warning("record-unreadable", kind=kind, name=name, step=step, detail=detail)
-            return unreadable_events(kind, at, name, item)
-
     def register(
         self, name: str, zone: str, host: str, port: int, relay_port: int
     ) -> ev.CallStatus:
@@ -296,7 +248,7 @@
         revision = item["metadata"]["revision"]
         if status is not ev.CallStatus.CONFLICT:
             return status, revision, None
-        seen = self.decode(LEAD_KIND, item, False, self.clock.monotonic())
+        seen = self.decoder.decode(LEAD_KIND, item, False, self.clock.monotonic())
         return status, revision, seen[0] if seen else None
 
     def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
@@ -404,65 +356,3 @@
 def record_path(kind: str, name: str) -> str:
     """Return the path of a record; the name is percent-encoded."""
     return f"/api/objects/{kind}/{quote(name, safe='')}"
-
-
-def decode_configuration_event(
-    at: float, name: str, item: dict, is_removed: bool
-) -> list[ev.Event]:
-    """Decode the configuration in force; other records of the kind yield no events."""
-    if is_removed or name != CURRENT_CONFIGURATION_NAME:
-        return []
-    return [ev.ConfigurationSeen(at, documents.decode_configuration(item["spec"]))]
-
-
-def decode_endpoint_event(at: float, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
-    """Decode an endpoint's record or its removal."""
-    if is_removed:
-        return [ev.EndpointRemoved(at, name)]
-    return [ev.EndpointSeen(at, documents.decode_endpoint(name, item["spec"]))]
-
-
-def decode_version_event(at: float, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
-    """Decode the announcement of a version; a removed record does not withdraw it."""
-    if is_removed:
-        return []
-    return [ev.VersionSeen(at, *documents.decode_version_announcement(item["spec"]))]
-
-
-def decode_entry_event(at: float, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
-    """Decode the record of an entry; its removal yields an event without a host."""
-    if is_removed:
-        return [ev.EntryRecordChanged(at, name)]
-    spec = item["spec"]
-    # Entries of earlier versions pass nothing on.
-    relay_port = spec.get("relay_port")
-    return [
-        ev.EntryRecordChanged(
-            at,
-            name,
-            documents.to_host(spec["host"]),
-            documents.to_port(spec["port"]),
-            documents.to_text(spec["zone"]),
-            documents.to_port(relay_port) if relay_port else 0,
-        )
-    ]
-
-
-def decode_lead_event(at: float, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
-    """Decode which entry leads an engine; the removal of a record yields no events."""
-    if is_removed:
-        return []
-    spec, revision = item["spec"], item["metadata"]["revision"]
-    # A lead that is released has no holder.
-    holder = spec["holder"] and documents.to_text(spec["holder"])
-    return [ev.LeadSeen(at, name, holder, documents.to_count(spec["epoch"]), revision)]
-
-
-def unreadable_events(kind: str, at: float, name: str, item: dict) -> list[ev.Event]:
-    """Return what a record tells that cannot be decoded.
-
-    An engine with such a lead has no lead that is known, and the next one has to replace the record.
-    """
-    if kind != LEAD_KIND:
-        return []
-    return [ev.LeadSeen(at, name, "", 0, item["metadata"].get("revision", 0))]
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -10,6 +10,7 @@
 import time
 from pathlib import Path
 
+from poplarhoist.gateway.logs import FAULT_EVENTS
 from tests.platform_standins import BASE_MODEL, Endpoint, configuration
 from tests.platform_store import Store
 from tests.ports import free_ports
@@ -17,15 +18,6 @@
 from tests.standin_server import HOST
 
 START_TIMEOUT_S = 15.0
-# Log events that tell of an exception in the entry's own code.
-FAULT_EVENTS = (
-    "request-failed",
-    "effect-failed",
-    "tick-failed",
-    "message-failed",
-    "watch-failed",
-    "record-failed",
-)
 ENTRY_ARGS = ("-m", "poplarhoist.platform")
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,7 +10,8 @@
 from tests.standin_server import HOST
 
 READ_CHUNK_BYTES = 65536
-SHARED_CHUNK_BYTES = 8192
+# What a connection has sent waits in one piece before a narrow link, ahead of what comes later.
+SHARED_CHUNK_BYTES = 1048576
 # Seconds between two checks whether SILENCE has ended.
 SILENCE_POLL_S = 0.02
 
@@ -111,7 +112,7 @@
         self.reset_connections(source, sink)
 
     def chunk_bytes(self) -> int:
-        """Return how much is forwarded at once; less while connections share a narrow link."""
+        """Return how much is forwarded at once; more while connections share a narrow link."""
         return READ_CHUNK_BYTES if self.bytes_per_s == float("inf") else SHARED_CHUNK_BYTES
 
     def wait_for_link(self, size: int) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,7 @@
 import defopt
 from attrs import define, field
 
-from tests.platform_site import FAULT_EVENTS
+from poplarhoist.gateway.logs import FAULT_EVENTS
 from tests.platform_standins import configuration
 from tests.platform_store import Store
 from tests.soak.callers import (
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -62,7 +62,7 @@
 @pytest.mark.parametrize("lost", [1, 4, 50])
 def test_others_read_where_readers_are_silent(lost):
     entries = site(0, 0, 101)
-    order = copies.readers_in_region(entries["south-a-0"].state, KIND, 0.0)
+    order = copies.reading_order(entries["south-a-0"].state, KIND, 0.0)
     left = entries[order[-1]].state
     for name in order[:lost]:
         left.entries[name].silent_until = 9.0
@@ -94,7 +94,7 @@
 )
 def test_records_are_copied_from_an_entry_that_is_ahead_and_close(place, told, source):
     entries = site(3, 3, 101)
-    name = copies.readers_in_region(entries["south-a-0"].state, KIND, 0.0)[place]
+    name = copies.reading_order(entries["south-a-0"].state, KIND, 0.0)[place]
     entry = entries[name]
     for sender, revision in told.items():
         entry.submit(ev.PeerMessageReceived, sender=sender, message=News(KIND, revision))
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -14,7 +14,7 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.gateway.peers import PeerTransport, message_converter
-from poplarhoist.platform import store
+from poplarhoist.platform import decoder
 from tests.releases import (
     ENTRY_RECORDS_BY_RELEASE,
     LEAD_RECORDS_BY_RELEASE,
@@ -125,11 +125,11 @@
 @pytest.mark.parametrize("release", MESSAGES_BY_RELEASE)
 def test_store_records_of_other_releases_are_read(release, more):
     spec = ENTRY_RECORDS_BY_RELEASE[release] | more
-    (event,) = store.decode_entry_event(1.0, "entry-2", {"spec": spec}, False)
+    (event,) = decoder.decode_entry_event(1.0, "entry-2", {"spec": spec}, False)
     expected = ev.EntryRecordChanged(
         1.0, "entry-2", "10.0.0.1", 7000, "north-a", spec.get("relay_port", 0)
     )
     assert event == expected
     item = {"spec": LEAD_RECORDS_BY_RELEASE[release] | more, "metadata": {"revision": 9}}
-    (event,) = store.decode_lead_event(1.0, "e1", item, False)
+    (event,) = decoder.decode_lead_event(1.0, "e1", item, False)
     assert event == ev.LeadSeen(1.0, "e1", "entry-1#b1", 4, 9)
