Bounds of what strangers can make an entry keep or convert

Found on reading the diff: a notice from any host left its kind and sender in memory; ids of events and revisions in a question for a copy with more digits than Python converts raised an exception; records without a name in a copy were passed on.

--- a/poplarhoist/decisions/gateway/gossip.py
+++ b/poplarhoist/decisions/gateway/gossip.py
@@ -31,6 +31,8 @@
 # Each informs `GOSSIP_FANOUT` others, who inform others in turn, so that a few suffice even if
 # most of them cannot reach the store.
 FRESH_READERS = 12
+# Kinds of records of which it is kept who told of a change; any host can send a message.
+MAX_TOLD_KINDS = 16
 
 
 class Freshness(enum.Enum):
@@ -79,6 +81,10 @@
 
 def on_news(state: GatewayState, sender: str, message: News, effects: list) -> None:
     """Read the changes that another entry has read."""
-    told = state.told_revisions_by_kind.setdefault(message.kind, {})
-    told[sender] = max(told.get(sender, 0), message.revision)
+    if sender in state.entries and (
+        message.kind in state.told_revisions_by_kind
+        or len(state.told_revisions_by_kind) < MAX_TOLD_KINDS
+    ):
+        told = state.told_revisions_by_kind.setdefault(message.kind, {})
+        told[sender] = max(told.get(sender, 0), message.revision)
     effects.append(RereadChanges(message.kind, message.revision))
--- a/poplarhoist/entry/event_stream.py
+++ b/poplarhoist/entry/event_stream.py
@@ -94,5 +94,7 @@
 def follows(event_id: str, last_id: str) -> bool:
     """Return whether an id is above another one; ids that are no numbers have only to differ."""
     if event_id.isdecimal() and last_id.isdecimal():
-        return int(event_id) > int(last_id)
+        # Compared as texts, as an id may have more digits than Python converts.
+        digits, last_digits = event_id.lstrip("0"), last_id.lstrip("0")
+        return (len(digits), digits) > (len(last_digits), last_digits)
     return event_id != last_id
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -24,6 +24,7 @@
 FIRST_BYTE_S = 1.0
 WHOLE_S = 3.0
 MAX_COPY_BYTES = 4194304
+MAX_REVISION_DIGITS = 20
 # Seconds between two questions to readers whether there is anything new; half as much at least.
 ASK_INTERVAL_S = 2.4
 # Seconds between two entries that are asked for a first copy.
@@ -169,7 +170,7 @@
     """
     kind = environ["PATH_INFO"].removeprefix(COPIES_PATH)
     after = parse_qs(environ.get("QUERY_STRING", "")).get("after", [""])[0]
-    if not after.isdigit():
+    if not after.isdecimal() or len(after) > MAX_REVISION_DIGITS:
         start_response("400 Bad Request", [])
         return [b""]
     copy = store.copy(kind, int(after))
--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from poplarhoist.gateway.interfaces import RecordsCopy
+from poplarhoist.platform.records import has_metadata
 
 # Compresses a document of many routes to an eighth; higher levels take several times as long.
 COMPRESSION_LEVEL = 1
@@ -74,7 +75,7 @@
         items = orjson.loads(text)
         if not isinstance(items, list):
             raise ValueError("no list of records")
-        return items
+        return [item for item in items if has_metadata(item)]
 
     def copy(self, after: int) -> RecordsCopy | None:
         """Return a copy for another entry, as `Store.copy` says."""
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -48,6 +48,9 @@
     [
         ("2", b"id: 3\ndata: x\n\nid: 4\n\n", True),
         ("9", b"id: 10\n\n", True),
+        ("9" * 5000, b"id: 1" + b"0" * 5000 + b"\n\n", True),
+        ("9" * 5000, b"id: " + b"8" * 5000 + b"\n\n", False),
+        ("2", b"id: 02\n\n", False),
         ("2", b"id: 5\n\n", True),
         ("2", b"x-weight-versions: 2\nid: 3\n\n", True),
         ("2", b": comment\n\nid: 3\n\n", True),
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -110,6 +110,16 @@
     assert copies.choose_source(entry.state, KIND, 7, 0.0, ()) is None
 
 
+def test_notices_of_strangers_and_of_many_kinds_are_not_kept():
+    entry = site(0, 0, 101)["south-a-0"]
+    for number in range(1000):
+        for sender in ("south-a-7", f"stranger-{number}"):
+            entry.submit(ev.PeerMessageReceived, sender=sender, message=News(f"kind-{number}", 9))
+    told = entry.state.told_revisions_by_kind
+    assert len(told) <= 16
+    assert {sender for senders in told.values() for sender in senders} == {"south-a-7"}
+
+
 def record(name: str, revision: int, **spec) -> dict:
     """Return a record of the store."""
     return {"metadata": {"name": name, "revision": revision}, "spec": spec}
@@ -177,6 +187,8 @@
         (None, "", False, "400"),
         (None, "after=-1", False, "400"),
         (None, "after=x", False, "400"),
+        (None, "after=%C2%B2", False, "400"),
+        (None, "after=" + "9" * 5000, False, "400"),
     ],
 )
 def test_entry_tells_whether_it_has_newer_records(copy, query, store_unavailable, status):
