A record without a name costs no other one

null, a number or a list in place of a record of a list, or metadata of another type, raised an exception outside those that a call expects, so that the kind was not followed any more.

--- a/poplarhoist/platform/records.py
+++ b/poplarhoist/platform/records.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 
 import orjson
+import structlog
 
 # A string, or a character on which the nesting depends.
 TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|[\[\]{},]', re.DOTALL)
@@ -25,8 +26,8 @@
 def parse_response(text: bytes) -> dict:
     """Parse a response to a list or a watch.
 
-    Records without a name or with an odd revision are left out. The content of one that cannot be
-    parsed is `Unreadable`.
+    Records without a name or with an odd revision are left out, and their number is logged. The content
+    of one that cannot be parsed is `Unreadable`.
 
     Raises
     ------
@@ -49,12 +50,23 @@
         raise ValueError("no object")
     for name in RECORD_LISTS:
         if name in data:
-            data[name] = [
-                part for part in data[name] if has_metadata(part.get(CHANGED_RECORD, part))
-            ]
+            data[name] = keep_named(data[name])
     return data
 
 
+def keep_named(parts: object) -> list[dict]:
+    """Return the records, or changes with a record in them, that say what they are called."""
+    parts = parts if isinstance(parts, list) else [parts]
+    named = [
+        part
+        for part in parts
+        if isinstance(part, dict) and has_metadata(part.get(CHANGED_RECORD, part))
+    ]
+    if len(named) < len(parts):
+        structlog.get_logger().warning("records-without-name", count=len(parts) - len(named))
+    return named
+
+
 def has_metadata(record: object) -> bool:
     """Return whether a record says what it is called, and its revision if any is a number."""
     metadata = record.get("metadata") if isinstance(record, dict) else None
@@ -64,13 +76,20 @@
 
 
 def parse_record(text: bytes) -> dict:
-    """Parse a record, or a change with a record in it, member by member if it cannot be parsed whole."""
+    """Parse a record, or a change with a record in it, member by member if it cannot be parsed whole.
+
+    It is empty if it is no object.
+    """
     try:
         return orjson.loads(text)
     except orjson.JSONDecodeError:
         pass
+    try:
+        members = split_members(text)
+    except ValueError:
+        return {}
     record = {}
-    for name, value in split_members(text).items():
+    for name, value in members.items():
         try:
             record[name] = parse_record(value) if name == CHANGED_RECORD else orjson.loads(value)
         except orjson.JSONDecodeError as error:
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -199,6 +199,40 @@
     assert 0 <= decoded.accepted_orders < 2**53
 
 
+@pytest.mark.parametrize("how", ["list", "watch"])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        "null",
+        "[]",
+        "7",
+        "1e400",
+        '"x"',
+        "{}",
+        '{"metadata":null}',
+        '{"metadata":{}}',
+        '{"metadata":{"name":7}}',
+        '{"metadata":{"name":"odd","revision":"x"}}',
+        '{"metadata":{"name":"odd","revision":1e400}}',
+        '{"metadata":' + "[" * 2000 + "]" * 2000 + "}",
+        '{"object":null,"tombstone":false}',
+    ],
+)
+def test_record_without_a_name_costs_no_other_one(texts, how, odd):
+    sound = {"metadata": {"name": "a", "revision": 5}, "spec": ENDPOINT}
+    part = sound if how == "list" else {"object": sound}
+    parts = f"{json.dumps(part)},{odd},{json.dumps(part)}"
+    key = "items" if how == "list" else "events"
+    texts.body = f'{{"{key}":[{parts}],"truncated":false,"currentRev":9}}'.encode()
+    with capture_logs() as lines:
+        if how == "list":
+            changes = texts.store.read_all("servers")
+        else:
+            changes = texts.store.watch(WatchSpec("servers"), 3, True)
+    assert len([event for event in changes.events if type(event) is ev.EndpointSeen]) == 2
+    assert [line["event"] for line in lines] == ["records-without-name"]
+
+
 ODD_DATAGRAMS = [
     b"",
     b"\xff\x00",
