--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -9,7 +9,7 @@
 from poplarhoist.gateway.interfaces import RecordsCopy
 from poplarhoist.platform.records import has_metadata
 
-# Compresses a document of many routes to an eighth; higher levels take several times as long.
+# The fastest level: the records are compressed after each change.
 COMPRESSION_LEVEL = 1
 
 
