--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -154,6 +154,9 @@
     notifies_peers : bool
         Whether entries notify one another of changes of this kind, so that with many entries each
         may poll longer.
+    is_copied : bool
+        Whether the records may be long, so that most entries of a large region copy them from
+        another one (`decisions.gateway.copies`).
     """
 
     kind: str
