--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import threading
 import time
 import urllib.parse
+from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
@@ -29,6 +30,8 @@
 HEARTBEAT_S = 1.2
 # Seconds without disturbance after which a machine is in touch and the core is stable.
 STABLE_WINDOW_S = 4.0
+# Seconds between two events of a stream.
+EVENT_INTERVAL_S = 0.1
 # Seconds after which a case ends in any case.
 LONGEST_S = 110
 now = time.monotonic
@@ -344,6 +347,10 @@
         Target of a request that crashes the server, and the seconds after which it is back.
     poisoned_at : list
         When such requests arrived.
+    latest_versions : dict
+        Version by adapter that an order without a version loads; 1 if there is none.
+    version_runs : list
+        Time, request id, adapter and version of each model request that ran.
     """
 
     def __init__(
@@ -355,7 +362,10 @@
         self.state = "ready"
         self.is_listed = True
         self.adapters: dict[str, int] = {}
-        self.loading: dict[str, float] = {}
+        self.loading: dict[str, tuple[float, int]] = {}
+        self.latest_versions: dict[str, int] = {}
+        self.running: Counter[str] = Counter()
+        self.version_runs: list[tuple[float, str, str, int]] = []
         self.orders = 0
         self.fence = 0
         self.order_log: list[tuple[float, dict, int]] = []
@@ -434,15 +444,16 @@
     def finish_loads(self) -> None:
         """Let adapters that have arrived be held."""
         with self.lock:
-            for name, ready_at in list(self.loading.items()):
-                if now() >= ready_at:
+            for name, (ready_at, version) in list(self.loading.items()):
+                # A replacement waits for the runs on the version before.
+                if now() >= ready_at and not self.running[name]:
                     del self.loading[name]
-                    self.adapters[name] = 1
+                    self.adapters[name] = version
 
     def report(self) -> dict:
         """Return the report of an engine."""
         models = self.models()
-        coming = [f"{MODEL}/{name}@1" for name in self.loading]
+        coming = [f"{MODEL}/{name}@{version}" for name, (_, version) in self.loading.items()]
         return {
             "stage": "both",
             "models": models,
@@ -483,9 +494,10 @@
         if not name:
             return 200 if order["op"] == "load" else 400
         if order["op"] == "load":
-            if name in self.adapters:
+            version = order.get("version") or self.latest_versions.get(name, 1)
+            if self.adapters.get(name) == version:
                 return 200
-            self.loading[name] = now() + 0.25
+            self.loading[name] = now() + 0.25, version
         else:
             self.adapters.pop(name, None)
         self.orders += 1
@@ -498,7 +510,10 @@
         self.record.write(f"server {self.name} gets {request_id} {handler.command} {handler.path}")
         model, _, adapter = handler.headers.get("X-Model", "").partition("/")
         self.finish_loads()
-        if model and (model != MODEL or (adapter and adapter not in self.adapters)):
+        version = self.adapters.get(adapter, 0)
+        expected = handler.headers.get("X-Expect-Version")
+        is_held = model == MODEL and (version or not adapter) and expected in (None, str(version))
+        if model and not is_held:
             handler.answer(421)
             return
         self.runs.append((now(), request_id, handler.path))
@@ -509,11 +524,34 @@
             raise ConnectionError("crashed")
         time.sleep(self.work_s)
         headers = {"X-Request-Id": request_id, "X-Response-Seal": f"seal.{self.name}"}
-        if model:
-            headers |= {"Content-Type": "text/event-stream", "X-Weight-Versions": "1"}
-            handler.answer(200, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", headers)
-        else:
+        if not model:
             handler.answer(200, b"done", headers)
+            return
+        self.version_runs.append((now(), request_id, adapter, version))
+        self.record.write(f"server {self.name} runs {request_id} on {adapter}@{version}")
+        with self.lock:
+            self.running[adapter] += 1
+        try:
+            self.stream(handler, headers | {"X-Weight-Versions": str(version)})
+        finally:
+            with self.lock:
+                self.running[adapter] -= 1
+
+    def stream(self, handler: Handler, headers: dict) -> None:
+        """Send a stream of events; the last part of the path is their number."""
+        handler.send_response_only(200)
+        headers = headers | {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        last = handler.path.rpartition("/")[2]
+        for number in range(1, (int(last) if last.isdigit() else 2) + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            handler.wfile.flush()
+            time.sleep(EVENT_INTERVAL_S)
+        handler.wfile.write(b"0\r\n\r\n")
+        handler.wfile.flush()
 
 
 class Entry:
