--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,80 +1,58 @@
-"""BUDGET: a request that crashes servers is sent to them again after all entries were killed."""
+"""GONE: requests of consumers that have left reach a server when it accepts connections late."""
 
-import signal
 import threading
 import time
 from pathlib import Path
 
-from standins import STABLE_WINDOW_S, Consumer, Site, desired_state, now, route, run_case
+from standins import STABLE_WINDOW_S, Consumer, Site, desired_state, route, run_case
 
 FOLDER = Path(__file__).resolve().parent
-POISON = "/booking/poison"
-# Seconds after which a server that has crashed is back.
-BACK_S = 2.0
-KILLS = 2
-RETRIES_ALLOWED = 3
-# Retries of the poisonous request in each phase, and seconds between them.
-RETRIES, RETRY_INTERVAL_S = 6, 1.5
+LATE_S = 0.5
+FEW = 5
+GIVE_UP_S = 0.3
+PAUSE_S = 0.9
+ROUNDS = 3
+REQUESTS = 30
 
 
 def play(site: Site) -> bool:
-    """Send a request that crashes servers again and again, and kill all entries in between."""
-    servers = [site.add_server(name, "desk") for name in ("d1", "d2", "d3", "d4")]
-    for server in servers:
-        server.poison, server.back_s = POISON, BACK_S
+    """Let a server accept nothing for a moment, while consumers send requests and give up."""
+    servers = [site.add_server(name, "desk") for name in ("d1", "d2")]
+    stuck = site.add_server("d3", "desk", backlog=1)
     routes = [route("/lookup/", "desk", "safe"), route("/booking/", "desk", "unsafe")]
     site.store.put("config", "main", desired_state(7, routes))
     site.start_entries(2)
-    consumer, is_over = Consumer(site.record), threading.Event()
-    poisoned = Consumer(site.record, "p")
-
-    def send_steadily() -> None:
-        number = 0
-        while not is_over.wait(0.1):
-            number += 1
-            entry = site.entries[number % 2]
-            threading.Thread(
-                target=consumer.send, args=(entry, "GET", f"/lookup/{number}"), daemon=True
-            ).start()
-
-    threading.Thread(target=send_steadily, daemon=True).start()
     time.sleep(STABLE_WINDOW_S + 1.0)
-
-    def crashes() -> list[float]:
-        return sorted(at for server in servers for at in server.poisoned_at)
-
-    def send_poison() -> None:
-        for number in range(RETRIES):
-            poisoned.send(site.entries[number % 2], "POST", POISON, "poison", body=b"x" * 600)
-            time.sleep(RETRY_INTERVAL_S)
-
-    send_poison()
-    if len(crashes()) < 3:
-        raise RuntimeError("the request has not crashed three servers")
-    judged_from = crashes()[2] + STABLE_WINDOW_S
-    time.sleep(max(0.0, judged_from - now()))
-    for _ in range(KILLS):
+    consumer = Consumer(site.record)
+    for server in (*servers, stuck):
+        server.work_s = 0.05
+    for round_number in range(ROUNDS):
         if site.is_troubled:
-            for entry in site.entries:
-                entry.signal(signal.SIGKILL)
-            site.record.write("all entries are killed")
-            for entry in site.entries:
-                entry.process.wait()
-            time.sleep(1.0)
-            for entry in site.entries:
-                entry.start()
-            for entry in site.entries:
-                site.wait_ready(entry)
-        time.sleep(STABLE_WINDOW_S + 0.5)
-        send_poison()
-    is_over.set()
-    time.sleep(0.5)
-    late = [at for at in crashes() if at > judged_from]
-    site.record.write(
-        f"the request reached and crashed servers {len(crashes())} times, {len(late)} of them later"
-        f" than {STABLE_WINDOW_S} s after the third crash"
-    )
-    return len(late) > RETRIES_ALLOWED
+            stuck.pause_accepting(PAUSE_S)
+            site.record.write(f"d3 accepts no connections for {PAUSE_S} s")
+        threads = [
+            threading.Thread(
+                target=consumer.send,
+                args=(site.entries[number % 2], "POST", f"/booking/{round_number}-{number}"),
+                kwargs={"give_up_s": GIVE_UP_S},
+            )
+            for number in range(REQUESTS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(4.0)
+    late = []
+    for server in (*servers, stuck):
+        for at, request_id, _ in server.arrivals:
+            _, _, status, ended_at = consumer.answers[request_id]
+            if not status and at - ended_at > LATE_S:
+                late.append((request_id, at - ended_at))
+    for request_id, seconds in late:
+        site.record.write(f"{request_id} reached a server {seconds:.2f} s after its consumer left")
+    site.record.write(f"{len(late)} of {len(consumer.answers)} requests came so late")
+    return len(late) > FEW
 
 
 run_case(FOLDER, play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -147,6 +147,9 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = [urllib.parse.unquote(part) for part in url.path.split("/")[3:]]
         document = json.loads(body) if body else {}
+        if store.is_away:
+            self.answer_json(503, {})
+            return
         if self.command != "GET" and store.lose_write is not None:
             delay_s = store.lose_write(self.command, parts)
             if delay_s is not None:
@@ -169,7 +172,12 @@
             status, data = answer
         else:
             status, data = store.write(self.command, parts, query, document)
-        self.answer(status, json.dumps(data).encode(), {"Content-Type": "application/json"})
+        self.answer_json(status, data)
+
+    def answer_json(self, status: int, data) -> None:
+        """Send an answer of the store."""
+        headers = {"Content-Type": "application/json", "Store-Era": str(self.server.store.era)}
+        self.answer(status, json.dumps(data).encode(), headers)
 
     do_GET = do_POST = do_PUT = do_DELETE = call
 
@@ -186,6 +194,10 @@
         that is answered.
     cuts : int
         How often all waiting watches were cut off.
+    is_away : bool
+        Whether all calls get 503.
+    era : int
+        Rises by one each time that the store comes back from an older copy.
     """
 
     def __init__(self, record: Record) -> None:
@@ -198,6 +210,8 @@
         self.stale_s = 0.0
         self.lose_write = None
         self.cuts = 0
+        self.is_away = False
+        self.era = 1
         self.server = HttpServer((HOST, 0), StoreHandler)
         self.server.store = self
         self.port = self.server.server_address[1]
@@ -286,6 +300,8 @@
     def watch(self, kind: str, since: int, wait_ms: int, is_stale: bool):
         """Wait for changes after a revision."""
         ends_at, cuts = now() + wait_ms / 1000, self.cuts
+        if since > self.revision:
+            return 410, {}
         while True:
             seen_until = now() - (self.stale_s if is_stale else 0.0)
             events, revision = [], since
@@ -304,6 +320,22 @@
                 return None
             self.condition.wait(min(left_s, 0.05 if is_stale else left_s))
 
+    def go_away(self, seconds: float, copy_at: float) -> None:
+        """Be away for some seconds, and come back as the store was at a time."""
+        self.is_away = True
+        self.cut_watches()
+        self.record.write("the store is away")
+        time.sleep(seconds)
+        with self.condition:
+            self.objects, self.revision = self.state_before(copy_at)
+            self.history = [change for change in self.history if change[0] <= copy_at]
+            self.era += 1
+            self.is_away = False
+        self.record.write(
+            f"the store is back from a copy that is {now() - copy_at:.1f} s old, era {self.era},"
+            f" revision {self.revision}"
+        )
+
     def cut_watches(self) -> None:
         """Cut off all watches that are waiting."""
         with self.condition:
