--- a/review/standins.py
+++ b/review/standins.py
@@ -1,12 +1,13 @@
 """Stand-ins of the platform for the cases of the review: store, servers, consumers, entries.
 
 They follow the platform's pages. Only the standard library is used. All addresses are loopback
-addresses, and all ports are free ones that the kernel hands out.
+addresses, and all ports are free ones.
 """
 
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -34,6 +35,8 @@
 EVENT_INTERVAL_S = 0.1
 # Seconds after which a case ends in any case.
 LONGEST_S = 110
+# Ports that have been handed out.
+TAKEN_PORTS: set[int] = set()
 now = time.monotonic
 
 
@@ -689,21 +692,26 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports at which nothing listens, for TCP and UDP."""
-    sockets, ports = [], []
+    """Return ports at which nothing listens, for TCP and UDP.
+
+    They are below those from which the kernel takes ports for outgoing connections, so that none
+    of these has a port when an entry starts again.
+    """
+    ports: list[int] = []
     while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        tcp.bind((HOST, 0))
-        port = tcp.getsockname()[1]
-        try:
-            udp.bind((HOST, port))
-        except OSError:
-            continue
-        ports.append(port)
-    for each in sockets:
-        each.close()
+        port = random.randrange(12000, 32000)
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            try:
+                tcp.bind((HOST, port))
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in TAKEN_PORTS:
+            TAKEN_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
