--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """CONFIG: a version that is confirmed just after the store came back older is never in force."""
 
+import os
 import time
 from pathlib import Path
 
@@ -48,4 +49,4 @@
     return statuses.count(404) > 0
 
 
-run_case(FOLDER, play)
+run_case(FOLDER, play, is_troubled=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,6 @@
 """ONE: after the store came back from an older copy two entries order with one epoch number."""
 
+import os
 import signal
 import threading
 import time
@@ -75,4 +76,4 @@
     return is_broken
 
 
-run_case(FOLDER, play)
+run_case(FOLDER, play, is_troubled=os.environ.get("TROUBLE", "1") != "0")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
 """DRAIN: a server that is gone gets requests for as long as the store cuts off waiting watches."""
 
+import os
 import threading
 import time
 from pathlib import Path
@@ -57,4 +58,4 @@
     return bool(late)
 
 
-run_case(FOLDER, play)
+run_case(FOLDER, play, is_troubled=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins.py
+++ b/review/standins.py
@@ -742,10 +742,16 @@
 
 
 class Site:
-    """A store, servers and entries; ends all that it has started."""
+    """A store, servers and entries; ends all that it has started.
 
-    def __init__(self, folder: Path) -> None:
-        self.is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    Attributes
+    ----------
+    is_troubled : bool
+        Whether the case is played with its disruption.
+    """
+
+    def __init__(self, folder: Path, is_troubled: bool) -> None:
+        self.is_troubled = is_troubled
         self.record = Record(folder)
         self.record.write(f"disruption: {'yes' if self.is_troubled else 'no'}")
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
@@ -794,9 +800,9 @@
     raise RuntimeError(f"ended by signal {number}")
 
 
-def run_case(folder: Path, play) -> None:
+def run_case(folder: Path, play, is_troubled: bool) -> None:
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not be played."""
-    site = Site(folder)
+    site = Site(folder, is_troubled)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
         signal.signal(number, end_early)
     signal.alarm(LONGEST_S)
