A stopping entry passes on no request from a connection that it has shut down

Cause: the WSGI server shuts idle connections down when it stops, and counts a connection as idle until the first line of its next request has been read. Bytes that had arrived before the shutdown can still be read after it; their request was passed on, and its answer could not be sent any more.

Change: in the protocol of all our servers, a connection that was shut down while idle reads no request, and one counts as in use from the first byte of a request on.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -10,7 +10,7 @@
 
 import eventlet
 from eventlet.hubs import get_hub
-from eventlet.wsgi import ChunkReadError, HttpProtocol, Input
+from eventlet.wsgi import STATE_CLOSE, STATE_REQUEST, ChunkReadError, HttpProtocol, Input
 
 # Bytes of lines that may follow one another: chunk sizes with their extensions, and trailers.
 MAX_LINE_BYTES = 16384
@@ -23,6 +23,8 @@
 # The time for a body, in times of the socket's timeout. An application that bounds its reads itself, by
 # that timeout, can answer first.
 BODY_TIMEOUT_RATIO = 2
+# Position of the state in what the library keeps of a connection: address, socket, state.
+CONNECTION_STATE = 2
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
 # Defects of a head that the parser does not take for an error; it also reports some of bodies.
@@ -231,6 +233,12 @@
             # The connection was idle for too long, or is closed.
             self.close_connection = 1
             return ""
+        if self.conn_state[CONNECTION_STATE] == STATE_CLOSE:
+            # A stopping server has shut the idle connection down, so that no response could be sent.
+            # The bytes arrived before that; their request must not run.
+            self.close_connection = 1
+            return ""
+        self.conn_state[CONNECTION_STATE] = STATE_REQUEST
         error = TimeoutError("timeout reading the request head")
         self.head_timeout = eventlet.Timeout(self.head_timeout_s(), error)
         self.rfile.has_bare_line_feed = False
