--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -218,6 +218,8 @@
     if event.generation <= state.store_generation:
         return
     previous, state.store_generation = state.store_generation, event.generation
+    if not previous and state.is_first_start:
+        return
     state.store_generation_seen_at = event.at
     if not previous:
         return
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -686,7 +686,10 @@
     store_unavailable, store_restored_at : bool, float
         Whether the store does not answer, and when it last answered again.
     store_generation, store_generation_seen_at : int, float
-        Latest generation of the store, 0 if it is not known, and when this process learned of it.
+        Latest generation of the store, 0 if it is not known, and when this process learned of it;
+        infinitely long ago if no entry can have led before that.
+    is_first_start : bool
+        Whether the whole site starts for the first time.
     """
 
     name: str
@@ -730,6 +733,7 @@
     departed_software: dict[str, dict[str, float]] = field(factory=dict)
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
+    is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
     last_slow_tick_at: float = float("-inf")
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -146,6 +146,7 @@
             regions=settings.regions,
             random=random.Random(),
             limits=settings.bounds.to_limits(),
+            is_first_start=settings.first_start,
             started_at=clock.monotonic(),
         )
         self.decision_loop = DecisionLoop(
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -114,6 +114,8 @@
         Address of the store, as ``host:port``.
     regions : dict
         Region by availability zone.
+    first_start : bool
+        Whether the whole site starts for the first time, so that no engine has had a lead yet.
     """
 
     name: str
@@ -123,6 +125,7 @@
     listen: ListenSettings
     bounds: LimitSettings = field(factory=LimitSettings)
     regions: dict[str, str] = field(factory=dict)
+    first_start: bool = False
 
 
 def load_settings(path: Path) -> GatewaySettings:
