An entry out of step in a release asks others before it continues a stream

Cause: an entry that knew a single version of a service, and had not started lately, continued any stream without asking. An entry that was cut off or stood still as an engine of a new version joined knows a single version. The entries that had been told where the stream began were not asked.

Evidence: test_entry_out_of_step_in_a_release_joins_no_streams_of_two_versions: 4 of 6 failed on (the other two had started lately), all pass now.

Change: an entry that does not know a stream always asks those that would have been told. They now say so if they do not know it either (StreamUnknown; earlier releases are silent). It goes on if the service has a single version and at least one other entry has answered.

While earlier releases run beside this one, taken-up streams whose keepers are all of the earlier release are refused.

--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -218,7 +218,18 @@
 
 @frozen
 class AskStreamOrigin:
-    """Asks at which software version a stream began; an entry that does not know is silent."""
+    """Asks at which software version a stream began.
+
+    The answer is StreamBegan or StreamUnknown; entries of earlier releases are silent instead of the
+    latter.
+    """
+
+    caller_id: str
+
+
+@frozen
+class StreamUnknown:
+    """Says that the sender was not told where a stream began."""
 
     caller_id: str
 
@@ -239,4 +250,5 @@
     | News
     | StreamBegan
     | AskStreamOrigin
+    | StreamUnknown
 )
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -128,6 +128,8 @@
             streams.on_stream_began(state, message, at)
         case messages.AskStreamOrigin():
             streams.on_ask(state, sender, message, effects)
+        case messages.StreamUnknown():
+            streams.on_unknown(state, sender, message)
 
 
 def reroute_requests(state: GatewayState, request_ids: set[str], at: float, effects: list) -> None:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -228,6 +228,8 @@
         Software version that began the stream, at which alone it may go on; None for any.
     origin_asked_at : float or None
         When other entries were asked where the stream began; None if they were not.
+    origin_asked, origin_unknown_to : set
+        The entries that were asked, and those of them that do not know.
     is_relayed : bool
         Whether another entry sent the request here, which has no link to its endpoints.
     relay : str
@@ -266,6 +268,8 @@
     attempt_software: str = ""
     software_version: str | None = None
     origin_asked_at: float | None = None
+    origin_asked: set[str] = field(factory=set)
+    origin_unknown_to: set[str] = field(factory=set)
     is_relayed: bool = False
     relay: str = ""
     tried_relays: set[str] = field(factory=set)
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -6,7 +6,8 @@
 bytes of a stream therefore tells its version to a few others, chosen by the id of the caller's
 attempt, and an entry that does not know a stream asks those. Nothing is told while a service has a
 single version. If nobody knows a stream, it goes on only if its service cannot have had several
-versions (`software_versions`).
+versions (`software_versions`). An entry may not have read yet that there are several: others must
+have answered that they do not know the stream.
 """
 
 from __future__ import annotations
@@ -16,12 +17,11 @@
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
-from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan
+from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan, StreamUnknown
 from poplarhoist.decisions.gateway.software_versions import (
     VERSION_MEMORY_S,
     has_several,
     may_have_several,
-    started_lately,
 )
 from poplarhoist.decisions.gateway.state import (
     EndpointState,
@@ -109,12 +109,22 @@
 
 
 def on_ask(state: GatewayState, sender: str, message: AskStreamOrigin, effects: list) -> None:
-    """Answer where a stream began, if this entry knows."""
+    """Answer where a stream began, or that this entry does not know."""
     origin = state.stream_origins.get(message.caller_id)
-    if origin is not None:
+    if origin is None:
+        effects.append(SendPeer(sender, StreamUnknown(message.caller_id)))
+    else:
         effects.append(SendPeer(sender, origin_message(message.caller_id, origin)))
 
 
+def on_unknown(state: GatewayState, sender: str, message: StreamUnknown) -> None:
+    """Record that an entry that was asked does not know a stream."""
+    for request_id in state.waiting:
+        request = state.requests[request_id]
+        if request.resumed_caller_id == message.caller_id and sender in request.origin_asked:
+            request.origin_unknown_to.add(sender)
+
+
 def on_tick(
     state: GatewayState, versions_by_service: dict[str, set[str]], at: float, effects: list
 ) -> None:
@@ -138,11 +148,7 @@
 def check_placement(
     state: GatewayState, request: RequestState, at: float, effects: list
 ) -> Placement:
-    """Return whether a request may be placed now; sets the software version that it needs.
-
-    While a service has a single version, a stream of unknown origin goes on. An entry that started
-    lately asks first.
-    """
+    """Return whether a request may be placed now; sets the software version that it needs."""
     if request.software_version is None and request.last_event_id and request.route.resumable:
         origin = state.stream_origins.get(request.resumed_caller_id)
         if origin is None:
@@ -159,29 +165,37 @@
 def place_unknown(
     state: GatewayState, request: RequestState, at: float, effects: list
 ) -> Placement:
-    """Ask where a stream began; without an answer it goes on only if there is one version."""
-    is_single = not may_have_several(state, request.service, at)
-    if is_single and not started_lately(state, at):
-        return Placement.PLACE
+    """Ask where a stream began; if others do not know it either, it goes on if there is one version.
+
+    Without any answer this entry may be out of step: it may not know yet that there are several.
+    """
     if request.origin_asked_at is None:
-        request.origin_asked_at = at
-        asked = []
-        if request.resumed_caller_id:
-            asked = keepers(state, request.resumed_caller_id, ASKED_ENTRIES)
-        for name in asked:
-            effects.append(SendPeer(name, AskStreamOrigin(request.resumed_caller_id)))
-        if asked:
-            fields = {
-                "caller_id": request.caller_id,
-                "resumed_caller_id": request.resumed_caller_id,
-                "asked": asked,
-            }
-            effects.append(LogRequest("origin-asked", request.request_id, fields))
-        else:
-            request.origin_asked_at = float("-inf")
-    if at - request.origin_asked_at < ORIGIN_ANSWER_S:
+        ask_origin(state, request, at, effects)
+    unanswered = request.origin_asked - request.origin_unknown_to
+    if unanswered and at - request.origin_asked_at < ORIGIN_ANSWER_S:
         return Placement.WAIT
-    return Placement.PLACE if is_single else Placement.REFUSE
+    if may_have_several(state, request.service, at):
+        return Placement.REFUSE
+    is_out_of_step = bool(request.origin_asked) and not request.origin_unknown_to
+    return Placement.REFUSE if is_out_of_step else Placement.PLACE
+
+
+def ask_origin(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
+    """Ask the entries that would have been told where a stream began."""
+    request.origin_asked_at = at
+    if not request.resumed_caller_id:
+        return
+    asked = keepers(state, request.resumed_caller_id, ASKED_ENTRIES)
+    request.origin_asked.update(asked)
+    for name in asked:
+        effects.append(SendPeer(name, AskStreamOrigin(request.resumed_caller_id)))
+    if asked:
+        fields = {
+            "caller_id": request.caller_id,
+            "resumed_caller_id": request.resumed_caller_id,
+            "asked": asked,
+        }
+        effects.append(LogRequest("origin-asked", request.request_id, fields))
 
 
 def runs_software(endpoint: EndpointState, request: RequestState) -> bool:
--- a/tests/releases.py
+++ b/tests/releases.py
@@ -43,11 +43,17 @@
 {"kind":"kind","revision":3,"type":"News"}
 {"caller_id":"caller_id","attempt":3,"software":"software","service":"service","type":"StreamBegan"}
 {"caller_id":"caller_id","type":"AskStreamOrigin"}
+""",
+    # What this release has added.
+    "unreleased": """
+{"kind":"kind","revision":3,"generation":3,"type":"News"}
+{"caller_id":"caller_id","type":"StreamUnknown"}
 """,
 }
 ENTRY_RECORDS_BY_RELEASE = {
     "d3b86e1": {"host": "10.0.0.1", "port": 7000, "zone": "north-a"},
     "cebad26": {"host": "10.0.0.1", "port": 7000, "zone": "north-a"},
     "b183ee2": {"host": "10.0.0.1", "port": 7000, "zone": "north-a", "relay_port": 9000},
+    "unreleased": {"host": "10.0.0.1", "port": 7000, "zone": "north-a", "relay_port": 9000},
 }
 LEAD_RECORDS_BY_RELEASE = dict.fromkeys(MESSAGES_BY_RELEASE, {"holder": "entry-1#b1", "epoch": 4})
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -326,3 +326,46 @@
     fields = {"service": write.service, "versions": write.versions, "status": status}
     entry.submit(ev.SoftwareRecordWritten, **fields)
     assert effects_of(fx.WriteSoftwareRecord, entry.advance(1.5)) == [write]
+
+
+@pytest.mark.parametrize("others_reached", [0, 1, 2])
+@pytest.mark.parametrize("started_s_ago", [1.0, 100.0])
+def test_entry_out_of_step_in_a_release_joins_no_streams_of_two_versions(
+    others_reached, started_s_ago
+):
+    """It did not know of the new version yet, and did not ask the others."""
+    site = Site("v1", "v1")
+    for entry in site.entries.values():
+        entry.state.started_at = -started_s_ago
+    # An engine of a new version joins; entry-2 is cut off from the store, or stands still.
+    new = engine(3, held=("a1",), software_version="v2")
+    for name in ("entry-1", "entry-3"):
+        site.entries[name].submit(ev.EndpointSeen, record=new)
+    for name in ("entry-1", "entry-3"):
+        for old in ("e1", "e2"):
+            state = site.entries[name].state.endpoints[old]
+            state.reported_load, state.load_reported_at = 60, site.entries[name].at + 100.0
+    out_of_step = site.entries.pop("entry-2")
+    dispatch = site.begin_stream("entry-1")
+    assert site.software_of(dispatch) == "v2"
+    site.break_stream("entry-1", dispatch, delivered=False)
+    site.entries["entry-2"] = out_of_step
+    for name in ("entry-1", "entry-3")[others_reached:]:
+        del site.entries[name]
+    dispatched = effects_of(fx.Dispatch, site.resume_stream("entry-2"))
+    assert [site.software_of(item) for item in dispatched] == []
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_stream_of_one_version_goes_on_once_another_entry_does_not_know_it_either(answers):
+    site = Site("v1", "v1")
+    for entry in site.entries.values():
+        entry.state.started_at = -100.0
+    if not answers:
+        for name in ("entry-1", "entry-3"):
+            del site.entries[name]
+    effects = site.resume_stream("entry-2", seconds=0.5)
+    if answers:
+        assert site.software_of(only_effect(fx.Dispatch, effects)) == "v1"
+    else:
+        assert only_effect(fx.Refuse, effects).ran is False
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -60,7 +60,8 @@
 def test_unknown_field_of_a_later_release_is_passed_over(kind):
     data = next(
         orjson.loads(line)
-        for line in MESSAGES_BY_RELEASE["b183ee2"].strip().splitlines()
+        for release in ("b183ee2", "unreleased")
+        for line in MESSAGES_BY_RELEASE[release].strip().splitlines()
         if orjson.loads(line)["type"] == kind.__name__
     )
     assert read_message(data | {"from_a_later_release": 1}) == read_message(data)
