Answers to HEAD have no body, on all our servers

Cause: the application returns the same body for every method, and the WSGI server leaves out Content-Length for HEAD but writes the body.

Change: the protocol of all our servers drops the body of answers to HEAD. One test of a stalled watch calls the store with a position.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Iterable, Iterator
 from email import errors
 
 import eventlet
@@ -61,6 +62,23 @@
         return getattr(self.file, name)
 
 
+class DroppedBody:
+    """Runs through the body of a response without passing it on."""
+
+    def __init__(self, body: Iterable[bytes]) -> None:
+        self.body = body
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield nothing for each part of the body."""
+        for _ in self.body:
+            yield b""
+
+    def close(self) -> None:
+        """Close the body."""
+        if hasattr(self.body, "close"):
+            self.body.close()
+
+
 class StrictInput(Input):
     """Reads the body of a request.
 
@@ -283,8 +301,16 @@
         return environ
 
     def handle_one_response(self) -> None:
-        """Answer a request whose head has arrived."""
+        """Answer a request whose head has arrived; an answer to HEAD has no body.
+
+        The library writes what the application returns, which would stand before the next answer.
+        """
         self.cancel_head_timeout()
+        if self.command == "HEAD":
+            application = self.application
+            self.application = lambda environ, start_response: DroppedBody(
+                application(environ, start_response)
+            )
         super().handle_one_response()
 
     def cancel_head_timeout(self) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -11,6 +11,7 @@
 
 from poplarhoist.clock import SystemClock
 from poplarhoist.decisions.gateway.events import CallStatus
+from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.entry.http import SocketReader, single_use_pool
 from poplarhoist.gateway.interfaces import WatchSpec
 from poplarhoist.platform.store import STALL_S, ObjectStore
@@ -117,6 +118,6 @@
     port = serve(OK_HEAD + b"Content-Length: 40\r\n\r\n{", silent_s=9.0)
     store = ObjectStore(f"{HOST}:{port}", SystemClock())
     began_at = time.monotonic()
-    changes = store.watch(WatchSpec("config", long_poll_s=8.0), 1, True)
+    changes = store.watch(WatchSpec("config", long_poll_s=8.0), Position(0, 1), True)
     assert changes.status is CallStatus.UNKNOWN
     assert time.monotonic() - began_at < STALL_S + 1.0
