A request whose caller left while its connection was made is not sent

Cause: cancelling an attempt cuts its socket, and there is none while the connection is made; nothing looked at the cancellation afterwards, nor at an attempt that is created as cancelled.

--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -169,9 +169,14 @@
         return self.check_response_head()
 
     def connect(self) -> bool:
-        """Connect; on failure set the result to NOT_SENT or CANCELLED and return False."""
+        """Connect; on failure set the result to NOT_SENT or CANCELLED and return False.
+
+        The caller may leave while the connection is made, which can take long. Its request must not
+        be sent then.
+        """
         try:
-            self.connection.connect()
+            if not self.cancelled:
+                self.connection.connect()
         except (HTTPError, OSError) as error:
             outcome = Outcome.CANCELLED if self.cancelled else Outcome.NOT_SENT
             refused = isinstance(error, NewConnectionError) and isinstance(
@@ -179,6 +184,9 @@
             )
             self.result = AttemptResult(outcome, type(error).__name__, connection_refused=refused)
             return False
+        if self.cancelled:
+            self.result = AttemptResult(Outcome.CANCELLED, "caller left")
+            return False
         # urllib3 takes the socket off the connection if the response is delimited by its close.
         self.sock = self.connection.sock
         self.expiry = eventlet.spawn_after(self.remaining_s(), self.expire)
