Targets are passed on as they were sent; such that are not ASCII are refused

Cause: http.server replaces the slashes at the beginning of a target by one.

Change: the protocol of all our servers takes the target from the request line, and answers 400 to one that is not ASCII. The tests' stand-ins keep targets as well.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -266,6 +266,8 @@
         """Parse the head; answer 400 and return False if it is unclear how its body ends."""
         if not super().parse_request():
             return False
+        # The library replaces several slashes at the beginning by one.
+        self.path = self.requestline.split()[1]
         problem = self.find_problem()
         if not problem:
             return True
@@ -279,7 +281,9 @@
         self.server.log.error(f"{problem}, from {self.get_client_address()[0]}")
 
     def find_problem(self) -> str:
-        """Return what is wrong with the framing of the request; empty if nothing is."""
+        """Return what is wrong with the request line or the framing; empty if nothing is."""
+        if not self.path.isascii():
+            return "target with bytes that are not ASCII"
         lengths = [text.strip() for text in self.headers.get_all("Content-Length", ())]
         codings = [text.strip().lower() for text in self.headers.get_all("Transfer-Encoding", ())]
         if any(isinstance(defect, HEAD_DEFECTS) for defect in self.headers.defects):
--- a/tests/standin_server.py
+++ b/tests/standin_server.py
@@ -15,6 +15,13 @@
     def log_message(self, *args) -> None:
         """Log nothing."""
 
+    def parse_request(self) -> bool:
+        """Parse the head, and keep the target as it was sent; the library shortens some."""
+        if not super().parse_request():
+            return False
+        self.path = self.requestline.split()[1]
+        return True
+
     def read_body(self) -> bytes:
         """Return the whole request body, chunked or with a Content-Length."""
         if self.headers.get("Transfer-Encoding", "").lower() != "chunked":
