A newer announcement does not withdraw the version required before

Cause: an entry kept the latest announcement only. That is required two seconds after it was read, and until then no version was.

Change: announcements are kept until a later one is required; the latest that is due is required. Engines compare the named version for equality, so a request names the one that its engine is believed to hold where that is newer.

--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -18,6 +18,7 @@
     request_limits,
     requests,
     residency,
+    routing,
     software_versions,
     streams,
 )
@@ -193,7 +194,9 @@
     known = state.announced_versions.get(key)
     if known is not None and known.version >= event.version:
         return
-    state.announced_versions[key] = AnnouncedVersion(event.version, event.at)
+    if known is not None and routing.is_required(state, known, event.at):
+        known.earlier = None
+    state.announced_versions[key] = AnnouncedVersion(event.version, event.at, known)
     effects.append(LogChange("version-announced", {"adapter": str(key), "version": event.version}))
 
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -225,7 +225,7 @@
     version = 0
     prompt = request.prompt
     if prompt is not None:
-        version = routing.required_version(state, prompt.key, at)
+        version = routing.expected_version(state, endpoint, prompt.key, at)
         endpoint.prefill_tokens_by_request[request.request_id] = routing.uncached_prompt_tokens(
             endpoint, prompt, at
         )
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -22,8 +22,15 @@
 )
 from poplarhoist.decisions.gateway.models import AdapterKey, Prompt
 from poplarhoist.decisions.gateway.regions import cross_region_s
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState, RequestState
+from poplarhoist.decisions.gateway.state import (
+    AnnouncedVersion,
+    EndpointState,
+    GatewayState,
+    RequestState,
+)
 
+# Share of the time until an announced version must be used, after which it is required.
+REQUIRED_AFTER = 0.4
 # Seconds for which the load in an endpoint's response stays valid.
 LOAD_REPORT_FRESH_S = 1.0
 # Seconds of attention per pair of prompt tokens; half of the site file's figure, as the square of
@@ -95,13 +102,29 @@
 def required_version(state: GatewayState, key: AdapterKey, at: float) -> int:
     """Return the version that a request must at least get; 0 for any.
 
-    An announced version is required only after 0.4 times `version_deadline_s`, so that engines can
-    load it before.
+    Until an announced version is required, the one announced before it is, if that was.
     """
     announced = state.announced_versions.get(key)
-    if announced is None or at - announced.announced_at < state.limits.version_deadline_s * 0.4:
-        return 0
-    return announced.version
+    while announced is not None and not is_required(state, announced, at):
+        announced = announced.earlier
+    return announced.version if announced is not None else 0
+
+
+def is_required(state: GatewayState, announced: AnnouncedVersion, at: float) -> bool:
+    """Return whether requests need an announced version: engines have time to load it before."""
+    return at - announced.announced_at >= REQUIRED_AFTER * state.limits.version_deadline_s
+
+
+def expected_version(
+    state: GatewayState, endpoint: EndpointState, key: AdapterKey, at: float
+) -> int:
+    """Return the version that an engine must have to run a request; 0 for any.
+
+    The engine compares for equality, so that it is the one that it is believed to hold, if that is
+    newer than the required one.
+    """
+    required = required_version(state, key, at)
+    return max(required, endpoint.held.get(key, 0)) if required else 0
 
 
 def has_version(endpoint: EndpointState, key: AdapterKey, version: int) -> bool:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -618,10 +618,17 @@
 
 @define
 class AnnouncedVersion:
-    """The announced version of an adapter, and when this entry read the announcement."""
+    """The latest announced version of an adapter, and when this entry read the announcement.
+
+    Attributes
+    ----------
+    earlier : AnnouncedVersion or None
+        The version announced before; None if it is no longer needed, as this one is required.
+    """
 
     version: int
     announced_at: float
+    earlier: "AnnouncedVersion | None" = None
 
 
 @define
--- a/tests/test_gateway_residency.py
+++ b/tests/test_gateway_residency.py
@@ -465,6 +465,37 @@
     assert not effects_of(fx.Dispatch, gateway.request("/stream/x", "a1")[1])
 
 
+# Seconds between announcements of versions 2 to 6; the deadline of a version is five seconds.
+@pytest.mark.parametrize("interval_s", [0.1, 0.5, 1.9, 2.1, 4.8])
+def test_newer_announcement_does_not_withdraw_an_earlier_one(interval_s):
+    """Engines with an older version got requests for it again for two seconds."""
+    gateway = leading_gateway(("a1",))
+    announced_at = {}
+    for version in range(2, 7):
+        gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=version)
+        announced_at[version] = gateway.at
+        ends_at = gateway.at + (interval_s if version < 6 else 6.0)
+        while gateway.at < ends_at:
+            dispatched = effects_of(fx.Dispatch, gateway.request("/stream/x", "a1")[1])
+            is_allowed = all(gateway.at - at < 5.0 for at in announced_at.values())
+            assert is_allowed or not dispatched
+            gateway.at += 0.1
+    assert not dispatched
+    assert gateway.state.announced_versions[key("a1")].version == 6
+
+
+@pytest.mark.parametrize(("held", "expected"), [(1, None), (2, 2), (3, 3)])
+def test_request_names_the_version_that_its_engine_holds_if_that_is_newer(held, expected):
+    """The engine turns a request away that names an older version than it has."""
+    gateway = leading_gateway(("a1",))
+    for version in (2, 3):
+        gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=version)
+        gateway.at += 1.9 if version == 3 else 2.1
+    gateway.state.endpoints["e1"].held[key("a1")] = held
+    dispatched = effects_of(fx.Dispatch, gateway.request("/stream/x", "a1")[1])
+    assert [dispatch.version for dispatch in dispatched] == ([expected] if expected else [])
+
+
 def test_fenced_order_ends_the_leadership():
     gateway = leading_gateway()
     order = only_effect(fx.SendOrder, gateway.receive("other", ask("a1")))
