What crashes endpoints is kept in the store, and a refused content gets trials

BUDGET: all entries were killed at once, and a request that had crashed servers reached and crashed four more each time before it was refused again. Cause: crashes were kept in the entries' memory alone. Now the store has a record of each content and each part of prompts that is refused, with its crashes and when it was written; entries read these at their start, and again when the store was restored.

Starved: all servers of a service crashed at one moment while each worked on a GET of one path; the path was refused for 600 s. Cause: what the crashes have in common is refused, and a content got no trial, as parts of prompts do. Now it gets two, 5 and 10 s after its latest crash, by one entry, and none goes on elsewhere when it fails. A request that crashes endpoints thus reaches two more; the users' bound is three after the third crash. Crashes after the refusal count as trials, so that the bound also holds over kills of all entries.

--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -12,6 +12,7 @@
 from poplarhoist.decisions.gateway.broadcast import other_entries, tell_others
 from poplarhoist.decisions.gateway.crash_suspects import (
     CRASH_MEMORY_S,
+    CRASHES_PER_CONTENT,
     CrashReport,
     Verdict,
     content_key,
@@ -55,6 +56,11 @@
 # Seconds from the last crash of a refused part until one request with it is sent as a trial; twice as
 # long after each trial. Without trials nothing could show that a sound part is refused.
 TRIAL_AFTER_S = 20.0
+# The same for a refused content, and its trials at most. Endpoints that all crash at one moment for
+# another reason have their contents in common. A request that crashes endpoints may reach no more than
+# three after it has crashed the third.
+CONTENT_TRIAL_AFTER_S = 5.0
+MAX_CONTENT_TRIALS = 2
 # Seconds after its start in which an entry asks what is refused, and seconds between its questions.
 LEARNING_S = 4.0
 ASK_INTERVAL_S = 0.5
@@ -304,7 +310,7 @@
             effects.append(LogChange(f"{kind}-refused", {kind: name, "crashes": crashes}))
             effects.append(Count("suspect_refused", (kind,)))
         for name in sorted(was - now):
-            state.crash_trials_by_part.pop(name, None)
+            state.crash_trials.pop(content_key(name) if kind == "content" else name, None)
             effects.append(LogChange(f"{kind}-cleared", {kind: name}))
 
 
@@ -376,25 +382,43 @@
 
 
 def begin_trial(state: GatewayState, content: str, prompt: Prompt | None, at: float) -> bool:
-    """Return whether a refused request is sent once, to find out whether its part is sound.
+    """Return whether a refused request is sent once, to find out whether its content or part is sound.
 
-    One entry sends the trials of a part.
+    One entry sends the trials of a content or a part.
     """
     parts = refused_parts(state, prompt)
-    if len(parts) != 1 or content in state.crash_verdict.contents:
+    is_content_refused = content in state.crash_verdict.contents
+    if len(parts) + is_content_refused != 1:
         return False
-    (part,) = parts
+    if is_content_refused:
+        kind, suspect, key = "content", content, content_key(content)
+        trial_after_s, max_trials = CONTENT_TRIAL_AFTER_S, MAX_CONTENT_TRIALS
+    else:
+        (suspect,) = parts
+        kind, key, trial_after_s, max_trials = "part", suspect, TRIAL_AFTER_S, float("inf")
     entries = state.entries or (state.name,)
-    if max(entries, key=lambda entry: rendezvous_weight(part, entry)) != state.name:
+    if max(entries, key=lambda entry: rendezvous_weight(suspect, entry)) != state.name:
         return False
-    trials, last_trial_at = state.crash_trials_by_part.get(part, (0, float("-inf")))
-    last_crash_at = max(report.at for report in state.crash_reports if part in report.parts)
-    if at - max(last_trial_at, last_crash_at) < TRIAL_AFTER_S * 2**trials:
+    trials, last_trial_at = state.crash_trials.get(key, (0, float("-inf")))
+    reports = reports_about(state, kind, suspect)
+    last_crash_at = max(report.at for report in reports)
+    if is_content_refused:
+        trials = max(trials, count_trial_crashes(reports))
+    if trials >= max_trials or at - max(last_trial_at, last_crash_at) < trial_after_s * 2**trials:
         return False
-    state.crash_trials_by_part[part] = trials + 1, at
+    state.crash_trials[key] = trials + 1, at
     return True
 
 
+def count_trial_crashes(reports: list[CrashReport]) -> int:
+    """Return how many crashes of a content came after it was refused: trials of any entry."""
+    crashed_at = sorted(
+        {report.crash: report.at for report in sorted(reports, key=lambda r: -r.at)}.values()
+    )
+    refused_at = crashed_at[CRASHES_PER_CONTENT - 1]
+    return sum(at >= refused_at + CONTENT_TRIAL_AFTER_S / 2 for at in crashed_at)
+
+
 def retry_after_s(state: GatewayState, at: float) -> float:
     """Return the seconds until the earliest report is forgotten, before which nothing changes."""
     earliest = min((report.at for report in state.crash_reports), default=at - CRASH_MEMORY_S)
--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -5,7 +5,7 @@
 from attrs import field, frozen
 
 from poplarhoist.decisions.common_effects import Count, LogChange, Observe, Stop
-from poplarhoist.decisions.gateway.messages import Message
+from poplarhoist.decisions.gateway.messages import Crashed, Message
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord, Refused, RelayTerms
 from poplarhoist.decisions.gateway.positions import Position
 
@@ -87,6 +87,14 @@
     versions: tuple[str, ...]
 
 
+@frozen
+class WriteCrashRecord:
+    """Write to the store what a content or a part of prompts has crashed; without any, remove it."""
+
+    name: str
+    crashes: tuple[Crashed, ...]
+
+
 class OrderKind(enum.StrEnum):
     """Kinds of orders to engines."""
 
@@ -191,6 +199,7 @@
     | ProbeEndpoint
     | Register
     | WriteSoftwareRecord
+    | WriteCrashRecord
     | SendPeer
     | RereadChanges
     | StopListening
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -8,7 +8,7 @@
 from attrs import field, frozen
 
 from poplarhoist.decisions.gateway.limits import GatewayLimits
-from poplarhoist.decisions.gateway.messages import Message
+from poplarhoist.decisions.gateway.messages import Crashed, Message
 from poplarhoist.decisions.gateway.models import (
     Configuration,
     EndpointRecord,
@@ -419,6 +419,39 @@
     status: CallStatus
 
 
+@frozen
+class CrashRecordSeen:
+    """The store's record of a content, or of a part of prompts, that crashes endpoints was read.
+
+    Attributes
+    ----------
+    crashes : tuple
+        Its crashes, with their age at the time of the event.
+    """
+
+    at: float
+    name: str
+    crashes: tuple[Crashed, ...]
+
+
+@frozen
+class CrashRecordsListed:
+    """All records of what crashes endpoints were read."""
+
+    at: float
+    names: frozenset[str]
+
+
+@frozen
+class CrashRecordWritten:
+    """A record of what crashes endpoints was written, or removed if `crash_count` is 0."""
+
+    at: float
+    name: str
+    crash_count: int
+    status: CallStatus
+
+
 @frozen
 class EndpointProbed:
     """An endpoint was probed.
@@ -505,6 +538,9 @@
     | EndpointProbed
     | SoftwareRecordsListed
     | SoftwareRecordWritten
+    | CrashRecordSeen
+    | CrashRecordsListed
+    | CrashRecordWritten
     | StoreAvailabilityChanged
     | StoreGenerationSeen
     | StoreChangesRead
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -9,6 +9,7 @@
     adapter_asks,
     brittle,
     configuration,
+    crash_records,
     crashes,
     endpoints,
     gossip,
@@ -158,6 +159,7 @@
     streams.on_tick(state, versions_by_service, at, effects)
     software_versions.on_tick(state, versions_by_service, at, effects)
     crashes.on_slow_tick(state, at, effects)
+    crash_records.on_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     links.on_slow_tick(state, at, effects)
     leads.on_tick(state, at, effects)
@@ -287,6 +289,9 @@
     ev.EndpointProbed: links.on_probed,
     ev.SoftwareRecordsListed: software_versions.on_listed,
     ev.SoftwareRecordWritten: software_versions.on_written,
+    ev.CrashRecordSeen: crash_records.on_seen,
+    ev.CrashRecordsListed: crash_records.on_listed,
+    ev.CrashRecordWritten: crash_records.on_written,
     ev.LimitsChanged: on_limits,
     ev.DrainRequested: on_drain,
 }
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -274,6 +274,8 @@
             "after_event": request.last_event_id,
         }
     effects.append(LogRequest("sent", request.request_id, fields))
+    # A trial that fails is not tried at another endpoint.
+    request.is_trial = False
 
 
 def remaining_s(request: RequestState, at: float) -> float:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -217,7 +217,7 @@
         Id of the event after which the caller resumes a stream, and of its attempt that began the
         stream; both empty if the request begins one.
     is_trial : bool
-        Whether it is sent although a part of its prompt is refused.
+        Whether its next attempt is sent although its content or a part of its prompt is refused.
     attempt_sent_at, attempt_incarnation : float, int
         When the latest attempt was sent, and to which run of its endpoint.
     attempt_started_at : float or None
@@ -431,6 +431,25 @@
     next_write_at: dict[str, float] = field(factory=dict)
 
 
+@define
+class CrashRecords:
+    """The store's records of what crashes endpoints, as this entry knows them.
+
+    Attributes
+    ----------
+    is_listed : bool
+        Whether they have been read.
+    crash_counts : dict
+        Number of crashes in a record, by its name.
+    next_write_at : dict
+        Earliest time of this entry's next write or removal, by name.
+    """
+
+    is_listed: bool = False
+    crash_counts: dict[str, int] = field(factory=dict)
+    next_write_at: dict[str, float] = field(factory=dict)
+
+
 @define
 class HeldAdapter:
     """An adapter that an engine holds, in the lead's table.
@@ -676,12 +695,15 @@
         When this entry tells the others that a part is sound.
     crash_verdict, crash_verdict_due : Verdict, bool
         What is refused for its crashes, and whether that must be found out anew.
-    crash_trials_by_part : dict
-        Trials that this entry has sent for a refused part, and when the last one.
+    crash_trials : dict
+        Trials that this entry has sent for a refused part or content, and when the last one; by part,
+        and by `crash_suspects.content_key`.
     crashes_asked_at, crashes_repeated_at : float
         When others were last asked for crashes, and when some were last told what is refused.
     stream_origins : dict
         Where streams began, by the id of the caller's attempt, least recent first.
+    crash_records : CrashRecords
+        The store's records of what crashes endpoints.
     software_records : SoftwareRecords
         Services with several software versions, by the store's records.
     links : LinkState
@@ -736,12 +758,13 @@
     sound_notices_due: dict[str, float] = field(factory=dict)
     crash_verdict: Verdict = field(factory=Verdict)
     crash_verdict_due: bool = False
-    crash_trials_by_part: dict[str, tuple[int, float]] = field(factory=dict)
+    crash_trials: dict[str, tuple[int, float]] = field(factory=dict)
     crashes_asked_at: float = float("-inf")
     crashes_repeated_at: float = float("-inf")
     stream_origins: dict[str, StreamOrigin] = field(factory=dict)
     told_positions_by_kind: dict[str, dict[str, Position]] = field(factory=dict)
     departed_software: dict[str, dict[str, float]] = field(factory=dict)
+    crash_records: CrashRecords = field(factory=CrashRecords)
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
     is_first_start: bool = False
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -14,6 +14,7 @@
     OrderStatus,
 )
 from poplarhoist.decisions.gateway.gossip import Freshness
+from poplarhoist.decisions.gateway.messages import Crashed
 from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport, Prompt
 from poplarhoist.decisions.gateway.positions import Position
 
@@ -279,6 +280,12 @@
         The record may exist, or be gone, already.
         """
 
+    def write_crashes(self, name: str, crashes: tuple[Crashed, ...]) -> CallStatus:
+        """Record what a content or a part of prompts has crashed; without any, remove the record.
+
+        The record may exist, or be gone, already.
+        """
+
     def claim(self, claim: Claim) -> tuple[CallStatus, Position, LeadSeen | None]:
         """Write which entry leads an engine, if the record still has the position in the claim.
 
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -12,6 +12,7 @@
     Claim,
     Register,
     RereadChanges,
+    WriteCrashRecord,
     WriteSoftwareRecord,
 )
 from poplarhoist.decisions.gateway.leads import interval_factor
@@ -108,6 +109,9 @@
         decision_loop.set_handler(
             WriteSoftwareRecord, lambda effect: eventlet.spawn_n(self.write_software, effect)
         )
+        decision_loop.set_handler(
+            WriteCrashRecord, lambda effect: eventlet.spawn_n(self.write_crashes, effect)
+        )
         decision_loop.set_handler(
             RereadChanges,
             lambda effect: eventlet.spawn_after(
@@ -419,6 +423,14 @@
             ev.SoftwareRecordWritten(at, effect.service, effect.versions, status)
         )
 
+    def write_crashes(self, effect: WriteCrashRecord) -> None:
+        """Write or remove the record of what crashes endpoints, and submit how it ended."""
+        status = self.store.write_crashes(effect.name, effect.crashes)
+        at = self.decision_loop.event_time()
+        self.decision_loop.submit(
+            ev.CrashRecordWritten(at, effect.name, len(effect.crashes), status)
+        )
+
     def write_claim(self, effect: Claim) -> None:
         """Write this entry's claim to lead an engine, and submit how it ended.
 
--- a/poplarhoist/platform/decoder.py
+++ b/poplarhoist/platform/decoder.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from poplarhoist.clock import Clock
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.platform import documents
@@ -18,6 +19,7 @@
 ENTRY_KIND = "poplarhoist-entries"
 LEAD_KIND = "poplarhoist-leads"
 SOFTWARE_KIND = "poplarhoist-software"
+CRASH_KIND = "poplarhoist-crashes"
 # Name of the record with the configuration in force.
 CURRENT_CONFIGURATION_NAME = "main"
 # Records that could not be decoded of which it is remembered that they were logged.
@@ -29,11 +31,14 @@
 
     Attributes
     ----------
+    clock : Clock
+        Tells how old the crashes in a record are.
     logged_records : dict
         Kind, name and revision of records that could not be decoded, the latest last.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
         self.logged_records: dict[tuple[str, str, int], None] = {}
 
     def decode_list(
@@ -41,7 +46,7 @@
     ) -> list[ev.Event]:
         """Decode all records of a kind, as a generation of the store has them.
 
-        For endpoints, entries, leads and software the last event says that the list is complete.
+        For all but configurations and versions the last event says that the list is complete.
         """
         events = [
             event for item in items for event in self.decode(kind, item, False, at, generation)
@@ -55,6 +60,8 @@
             events.append(ev.LeadsListed(at, generation))
         elif kind == SOFTWARE_KIND:
             events.append(ev.SoftwareRecordsListed(at, names))
+        elif kind == CRASH_KIND:
+            events.append(ev.CrashRecordsListed(at, names))
         return events
 
     def decode(
@@ -69,6 +76,9 @@
                 raise ValueError(item["spec"])
             if kind == LEAD_KIND:
                 return decode_lead_event(at, name, item, is_removed, generation)
+            if kind == CRASH_KIND:
+                crashes = documents.decode_crashes(item["spec"], self.clock.now())
+                return [ev.CrashRecordSeen(at, name, crashes)]
             return DECODERS_BY_KIND[kind](at, name, item, is_removed)
         except DECODE_ERRORS as error:
             self.log_unreadable(kind, item["metadata"], step, error)
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -4,9 +4,12 @@
 """
 
 import re
+from datetime import datetime
 
 from attrs import evolve
+from cattrs.preconf.orjson import make_converter
 
+from poplarhoist.decisions.gateway.messages import Crashed
 from poplarhoist.decisions.gateway.models import (
     AdapterKey,
     BaseModel,
@@ -23,6 +26,7 @@
 from poplarhoist.settings.addresses import is_port
 
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
+crash_converter = make_converter(detailed_validation=False)
 S_PER_MS = 0.001
 # Whole numbers up to this one are the same in every JSON parser.
 MAX_COUNT = 2**53 - 1
@@ -79,6 +83,24 @@
     return value
 
 
+def encode_crashes(crashes: tuple[Crashed, ...], now: datetime) -> dict:
+    """Return the document of crashes, with the time from which on they age."""
+    return {
+        "written_at_s": int(now.timestamp()),
+        "crashes": [crash_converter.unstructure(crashed) for crashed in crashes],
+    }
+
+
+def decode_crashes(spec: dict, now: datetime) -> tuple[Crashed, ...]:
+    """Decode the document of crashes, which are older by the time since it was written.
+
+    Clocks of different instances may differ by seconds; no crash is younger than it was.
+    """
+    age_s = max(0.0, now.timestamp() - to_count(spec["written_at_s"]))
+    crashes = [crash_converter.structure(item, Crashed) for item in spec["crashes"]]
+    return tuple(evolve(crashed, age_s=max(0.0, crashed.age_s) + age_s) for crashed in crashes)
+
+
 def decode_configuration(spec: dict) -> Configuration:
     """Decode a configuration; limits that it leaves out get their defaults."""
     limits = spec.get("limits") or {}
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -13,15 +13,18 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import Claim
 from poplarhoist.decisions.gateway.gossip import Freshness
+from poplarhoist.decisions.gateway.messages import Crashed
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import OnBegun, RecordsCopy, StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
 from poplarhoist.gateway.sockets import socket_options
+from poplarhoist.platform import documents
 from poplarhoist.platform.copies import CopiedKind, latest_position
 from poplarhoist.platform.decoder import (
     CONFIGURATION_KIND,
+    CRASH_KIND,
     ENDPOINT_KIND,
     ENTRY_KIND,
     LEAD_KIND,
@@ -153,6 +156,7 @@
         WatchSpec(ENTRY_KIND, Freshness.SHARED, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
         WatchSpec(LEAD_KIND, Freshness.LEADS, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
         WatchSpec(SOFTWARE_KIND, only_at_start=True),
+        WatchSpec(CRASH_KIND, only_at_start=True),
     )
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
@@ -166,7 +170,7 @@
             block=False,
             socket_options=socket_options(CALL_TIMEOUT_S),
         )
-        self.decoder = RecordDecoder()
+        self.decoder = RecordDecoder(clock)
         self.generation = 0
         self.unclear_generation: str | None = None
         self.copied_kinds = {
@@ -287,12 +291,23 @@
     def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
         """Record that a service has these software versions; without any, remove the record."""
         if not versions:
-            status, code = self.request("delete", "DELETE", record_path(SOFTWARE_KIND, service))
-            is_gone = status is ev.CallStatus.OK or code == NOT_FOUND_CODE
-            return ev.CallStatus.OK if is_gone else status
+            return self.remove_record(SOFTWARE_KIND, service)
         status, _ = self.write_record(SOFTWARE_KIND, service, {"versions": list(versions)}, 0)
         return ev.CallStatus.OK if status is ev.CallStatus.CONFLICT else status
 
+    def write_crashes(self, name: str, crashes: tuple[Crashed, ...]) -> ev.CallStatus:
+        """Record what a content or a part of prompts has crashed; without any, remove the record."""
+        if not crashes:
+            return self.remove_record(CRASH_KIND, name)
+        spec = documents.encode_crashes(crashes, self.clock.now())
+        return self.write_record(CRASH_KIND, name, spec, None)[0]
+
+    def remove_record(self, kind: str, name: str) -> ev.CallStatus:
+        """Remove a record that may be gone already."""
+        status, code = self.request("delete", "DELETE", record_path(kind, name))
+        is_gone = status is ev.CallStatus.OK or code == NOT_FOUND_CODE
+        return ev.CallStatus.OK if is_gone else status
+
     def write_record(self, kind: str, name: str, spec: dict, revision: int | None):
         """Create or replace a record; return status and response data.
 
