Links of the tests and engines of the demonstration listen outside the range of outgoing ports

KNOWN-RED had test_callers_of_entries_without_links...[refuse]: a link of the test's own could not listen again at its port when it healed (address already in use). Links took their ports from the kernel's range of these; they take reserved ones below it now (test_link_can_listen_again_at_its_port_after_a_cut).

The demonstration took its ports in the same way, which is suspected, not shown, to be the cause of its entry; it takes them below that range now, and the entry stays.

--- a/poplarhoist/demo/site.py
+++ b/poplarhoist/demo/site.py
@@ -1,5 +1,7 @@
 """Site of the demonstration: stand-ins and entries on loopback, as green threads."""
 
+import contextlib
+import random
 import socket
 from pathlib import Path
 
@@ -20,15 +22,25 @@
 BATCH = 4
 STEP_S = 0.01
 READY_TIMEOUT_S = 10.0
+# Ports below those of outgoing connections, and how many of them are tried.
+FIRST_PORT, LAST_PORT = 10240, 32000
+MAX_TRIED_PORTS = 500
 POLL_INTERVAL_S = 0.02
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free at the time of the call."""
-    listeners = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
+    """Return ports on loopback that are free at the time of the call.
+
+    The system gives none of them to outgoing connections, which could have the port of an engine
+    when it starts again.
+    """
+    candidates = random.sample(range(FIRST_PORT, LAST_PORT), MAX_TRIED_PORTS)
+    ports: list[int] = []
+    for port in candidates:
+        if len(ports) == count:
+            break
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            ports.append(port)
     return ports
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from tests.ports import free_ports
 from tests.standin_server import HOST
 
 READ_CHUNK_BYTES = 65536
@@ -56,8 +57,9 @@
         self.link_free_at = 0.0
         self.open_sockets: set[socket.socket] = set()
         self.lock = threading.Lock()
-        self.listener = socket.create_server((HOST, 0), backlog=128)
-        self.port = self.listener.getsockname()[1]
+        # Not one that the kernel may give to an outgoing connection while the listener is closed.
+        (self.port,) = free_ports(1)
+        self.listener = socket.create_server((HOST, self.port), backlog=128)
         threading.Thread(target=self.accept_connections, daemon=True).start()
 
     def accept_connections(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,12 @@
 
 import socket
 import threading
+from pathlib import Path
 
 import pytest
 
 from tests.site import ROOT
+from tests.soak.links import Link
 from tests.soak.proxy import Proxy
 from tests.soak.run import run_soak
 from tests.standin_server import HOST
@@ -48,3 +50,12 @@
     proxy.stop()
     target.close()
     assert ends == ["reset"] * RESET_ATTEMPTS
+
+
+def test_link_can_listen_again_at_its_port_after_a_cut():
+    """An outgoing connection of another process had the port, and the link could not be healed."""
+    first, last = map(int, Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split())
+    links = [Link(1) for _ in range(20)]
+    assert not [link.port for link in links if first <= link.port <= last]
+    for link in links:
+        link.stop()
