--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -180,8 +180,8 @@
     def read_all(self, kind: str) -> StoreChanges:
         """Read all records of a kind, page by page.
 
-        A failed page fails the whole read, and so does a store that is restored meanwhile. For endpoints, entries and leads the last event says
-        that the list is complete.
+        A failed page fails the whole read, and so does a store that is restored meanwhile. For all
+        but configurations and versions the last event says that the list is complete.
         """
         items: list[dict] = []
         position: Position | None = None
@@ -364,8 +364,8 @@
             status = CALL_STATUS_BY_CODE.get(code, ev.CallStatus.UNKNOWN)
             result = code
             if not self.is_current(progress.generation_text, generation):
-                return ev.CallStatus.UNKNOWN, OUTDATED
-            if status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
+                status, result = ev.CallStatus.UNKNOWN, OUTDATED
+            elif status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
                 parse = parse_response if method == "GET" else orjson.loads
                 result = parse(answer) if answer else {}
         except HTTPError as error:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -5,6 +5,11 @@
 
 import pytest
 
+from poplarhoist.clock import SystemClock
+from poplarhoist.decisions.gateway.events import CallStatus
+from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.platform import store as store_module
+from poplarhoist.platform.store import ObjectStore
 from tests.platform_site import PlatformEntry
 from tests.platform_standins import configuration
 from tests.platform_store import Store
@@ -195,3 +200,41 @@
     store.put("servers", "d9", endpoint(9))
     time.sleep(KNOWN_S)
     assert entry.log_lines("endpoint-gone") == []
+
+
+# Generation known when a call begins and when it ends, what its response shows, and whether the
+# response may be used.
+@pytest.mark.parametrize(
+    ("known", "known_later", "shown", "is_used"),
+    [
+        (0, 0, None, True),
+        (0, 0, "1", True),
+        (1, 1, "1", True),
+        (1, 1, "2", True),
+        (1, 2, "2", True),
+        (1, 2, "1", False),
+        (1, 3, "2", False),
+        (2, 2, "1", True),
+        (2, 2, "x", True),
+        (1, 2, None, True),
+    ],
+)
+def test_response_from_before_a_restoration_is_not_used(
+    monkeypatch, known, known_later, shown, is_used
+):
+    """It would show records, or a claim, that the store has lost."""
+    store = ObjectStore("127.0.0.1:1", SystemClock())
+    store.generation = known
+
+    def respond(pool, method, path, total_s, max_bytes, on_head, *args, **options):
+        store.generation = known_later
+        on_head({} if shown is None else {"Store-Era": shown})
+        return 200, b'{"items":[],"truncated":false,"currentRev":9}'
+
+    monkeypatch.setattr(store_module, "request_bounded", respond)
+    changes = store.read_all("servers")
+    assert (changes.status is CallStatus.OK) == is_used
+    latest = max(known_later, int(shown) if shown and shown.isdecimal() else 0)
+    assert store.generation == latest
+    if is_used:
+        assert changes.position == Position(latest, 9)
