--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.platform_site import PlatformSite
 from tests.site import ROOT, RunningSite, SiteFile
 
 KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
@@ -39,6 +40,17 @@
         terminalreporter.write_line(f"KNOWN RED: {nodeid}")
 
 
+@pytest.fixture
+def site(tmp_path):
+    """Return an entry on the users' platform that runs as its own process, with stand-ins."""
+    site = PlatformSite(tmp_path)
+    try:
+        site.start()
+        yield site
+    finally:
+        site.stop()
+
+
 @pytest.fixture
 def running_site(tmp_path):
     """Return a function that starts a site as separate processes; all sites stop after the test.
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -29,16 +29,6 @@
 )
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = PlatformSite(tmp_path)
-    try:
-        site.start()
-        yield site
-    finally:
-        site.stop()
-
-
 def chunks():
     yield b"one "
     yield b"two"
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -4,20 +4,9 @@
 
 import pytest
 
-from tests.platform_site import PlatformSite
 from tests.standin_server import HOST
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = PlatformSite(tmp_path)
-    try:
-        site.start()
-        yield site
-    finally:
-        site.stop()
-
-
 def send(connection: socket.socket, method: str, path: str, host: str = "host.test") -> bytes:
     """Send a request and return what has arrived of its answer."""
     head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {method}\r\n"
--- a/tests/test_stop_idle_connections.py
+++ b/tests/test_stop_idle_connections.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from tests.platform_site import PlatformSite
 from tests.standin_server import HOST
 
 CONNECTIONS = 120
@@ -15,16 +14,6 @@
 CLOSED_AFTER_S, USED_WITHIN_S = 2.4, 0.2
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = PlatformSite(tmp_path)
-    try:
-        site.start()
-        yield site
-    finally:
-        site.stop()
-
-
 def request(name: str, method: str) -> bytes:
     """Return a caller's request to the plain service."""
     path = "/once/x" if method == "POST" else "/read/x"
