Announcements that are no longer needed are forgotten

Found on reading: with versions announced less than two seconds apart, an entry kept every announcement of an adapter, as the one before was never old enough when the next came. Now all before the one that is required are dropped with each announcement (test_announcements_that_are_no_longer_needed_are_forgotten).

--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -196,8 +196,9 @@
     known = state.announced_versions.get(key)
     if known is not None and known.version >= event.version:
         return
-    if known is not None and routing.is_required(state, known, event.at):
-        known.earlier = None
+    required = routing.find_required(state, key, event.at)
+    if required is not None:
+        required.earlier = None
     state.announced_versions[key] = AnnouncedVersion(event.version, event.at, known)
     effects.append(LogChange("version-announced", {"adapter": str(key), "version": event.version}))
 
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -104,15 +104,17 @@
 
     Until an announced version is required, the one announced before it is, if that was.
     """
-    announced = state.announced_versions.get(key)
-    while announced is not None and not is_required(state, announced, at):
-        announced = announced.earlier
+    announced = find_required(state, key, at)
     return announced.version if announced is not None else 0
 
 
-def is_required(state: GatewayState, announced: AnnouncedVersion, at: float) -> bool:
-    """Return whether requests need an announced version: engines have time to load it before."""
-    return at - announced.announced_at >= REQUIRED_AFTER * state.limits.version_deadline_s
+def find_required(state: GatewayState, key: AdapterKey, at: float) -> AnnouncedVersion | None:
+    """Return the latest announcement that is old enough for engines to have loaded its version."""
+    required_after_s = REQUIRED_AFTER * state.limits.version_deadline_s
+    announced = state.announced_versions.get(key)
+    while announced is not None and at - announced.announced_at < required_after_s:
+        announced = announced.earlier
+    return announced
 
 
 def expected_version(
--- a/tests/test_gateway_residency.py
+++ b/tests/test_gateway_residency.py
@@ -484,6 +484,18 @@
     assert gateway.state.announced_versions[key("a1")].version == 6
 
 
+def test_announcements_that_are_no_longer_needed_are_forgotten():
+    """A version a second would otherwise keep all announcements of a day."""
+    gateway = leading_gateway(("a1",))
+    for version in range(2, 200):
+        gateway.submit(ev.VersionSeen, model="base", adapter="a1", version=version)
+        gateway.at += 1.0
+    announced, count = gateway.state.announced_versions[key("a1")], 0
+    while announced is not None:
+        announced, count = announced.earlier, count + 1
+    assert count <= 4
+
+
 @pytest.mark.parametrize(("held", "expected"), [(1, None), (2, 2), (3, 3)])
 def test_request_names_the_version_that_its_engine_holds_if_that_is_newer(held, expected):
     """The engine turns a request away that names an older version than it has."""
