--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -10,7 +10,6 @@
 from email import errors
 
 import eventlet
-import eventlet.wsgi
 from eventlet.hubs import get_hub
 from eventlet.wsgi import STATE_CLOSE, STATE_REQUEST, ChunkReadError, HttpProtocol, Input
 
@@ -38,10 +37,6 @@
 BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
-# The library also bounds each line, by less than the configuration allows for a whole head.
-eventlet.wsgi.MAX_HEADER_LINE = eventlet.wsgi.MAX_TOTAL_HEADER_SIZE
-
-
 class LineReader:
     """Passes reads to a file, and records whether a line ended without a carriage return.
 
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -49,6 +49,9 @@
 STATUS_TIMEOUT_S = 5.0
 # Seconds to wait, after accepting stops, for the request of the connection accepted last.
 LAST_REQUEST_GRACE_S = 0.1
+# The library bounds each line of a head by less than the configuration may allow for the whole; only
+# the bound of the whole is to hold.
+eventlet.wsgi.MAX_HEADER_LINE = eventlet.wsgi.MAX_TOTAL_HEADER_SIZE
 # Effects that go into the mailbox of their request.
 REQUEST_EFFECTS = (fx.Dispatch, fx.Refuse, fx.ForwardFailure)
 
