A stopped proxy of the tests leaves its port

Traced: a proxy's listener was closed while a thread waited in accept, so that the kernel listened on. The fault was in the tests' own rig, not in the product.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -142,6 +142,9 @@
 
     def stop(self) -> None:
         """Stop listening and reset all open connections."""
+        # Without the shutdown the kernel listens on for as long as a thread waits in accept.
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         self.reset_all_connections()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,16 @@
     assert ends == ["reset"] * RESET_ATTEMPTS
 
 
+def test_stopped_proxy_leaves_its_port():
+    """Ports of earlier seeds stayed in use, until one was given to two processes of a seed."""
+    proxies = [Proxy(1) for _ in range(20)]
+    for proxy in proxies:
+        proxy.stop()
+    for proxy in proxies:
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((HOST, proxy.port), 1.0).close()
+
+
 def test_link_can_listen_again_at_its_port_after_a_cut():
     """An outgoing connection of another process had the port, and the link could not be healed."""
     first, last = map(int, Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split())
