Crash records choose evidence as messages do; one key and one table of trials for suspects

The records of what crashes endpoints chose their evidence by a second rule (the latest eight) beside that of messages (the heaviest eight, then the latest); one function serves both now. That differs only where a suspect has more than eight reports. The name of a record was taken apart by prefixes of two kinds; it is kind and name now, the same text as before. The order of crashes of a content removed duplicates that cannot be there. No test changed.

--- a/poplarhoist/decisions/gateway/crash_records.py
+++ b/poplarhoist/decisions/gateway/crash_records.py
@@ -10,7 +10,7 @@
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway import crashes
 from poplarhoist.decisions.gateway.broadcast import other_entries
-from poplarhoist.decisions.gateway.crash_suspects import CrashReport, content_key
+from poplarhoist.decisions.gateway.crash_suspects import CrashReport, suspect_key
 from poplarhoist.decisions.gateway.effects import WriteCrashRecord
 from poplarhoist.decisions.gateway.events import (
     CallStatus,
@@ -25,7 +25,6 @@
 WRITERS = 2
 # Seconds until a write that failed is repeated.
 WRITE_RETRY_S = 1.0
-PART_PREFIX = "part:"
 
 
 def on_seen(state: GatewayState, event: CrashRecordSeen, effects: list) -> None:
@@ -61,11 +60,10 @@
     if state.store_unavailable or not records.is_listed:
         return
     verdict = state.crash_verdict
-    refused = {content_key(content) for content in verdict.contents}
-    refused |= {PART_PREFIX + part for part in verdict.parts}
+    refused = {record_name("content", content) for content in verdict.contents}
+    refused |= {record_name("part", part) for part in verdict.parts}
     for name in sorted(refused | records.crash_counts.keys()):
-        reports = remaining_reports(state, name)
-        told = reports[: crashes.EVIDENCE_PER_SUSPECT]
+        told = crashes.choose_evidence(remaining_reports(state, name))
         known_count = records.crash_counts.get(name, 0)
         if told and name in refused:
             is_due = known_count < len(told)
@@ -82,13 +80,15 @@
         effects.append(WriteCrashRecord(name, messages))
 
 
+def record_name(kind: str, suspect: str) -> str:
+    """Return the name of the record of a content or a part."""
+    return f"{kind}:{suspect}"
+
+
 def remaining_reports(state: GatewayState, name: str) -> list[CrashReport]:
-    """Return the crashes for which a content or a part is suspected, latest first."""
-    is_part = name.startswith(PART_PREFIX)
-    kind = "part" if is_part else "content"
-    sound_key = name.removeprefix(PART_PREFIX)
-    sound_at = state.sound_at_by_part.get(sound_key, float("-inf"))
-    suspect = sound_key if is_part else name.removeprefix(content_key(""))
+    """Return the crashes for which what a record is about is suspected, latest first."""
+    kind, _, suspect = name.partition(":")
+    sound_at = state.sound_at_by_part.get(suspect_key(kind, suspect), float("-inf"))
     return [r for r in crashes.reports_about(state, kind, suspect) if r.at > sound_at]
 
 
--- a/poplarhoist/decisions/gateway/crash_suspects.py
+++ b/poplarhoist/decisions/gateway/crash_suspects.py
@@ -134,6 +134,11 @@
     return f"content:{content}"
 
 
+def suspect_key(kind: str, name: str) -> str:
+    """Return the key under which a content or a part is known to be sound: a part's is its name."""
+    return content_key(name) if kind == "content" else name
+
+
 def suspected_parts(report: CrashReport, sound_at_by_part: Mapping[str, float]) -> list[str]:
     """Return the parts that a report throws suspicion on."""
     sound_at = {part: sound_at_by_part.get(part, float("-inf")) for part in report.parts}
--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -17,6 +17,7 @@
     Verdict,
     content_key,
     find_verdict,
+    suspect_key,
 )
 from poplarhoist.decisions.gateway.effects import CheckEndpoint, SendPeer
 from poplarhoist.decisions.gateway.events import AttemptEnded, EndpointChecked, Framing
@@ -61,6 +62,10 @@
 # three after it has crashed the third.
 CONTENT_TRIAL_AFTER_S = 5.0
 MAX_CONTENT_TRIALS = 2
+TRIALS_BY_KIND = {
+    "part": (TRIAL_AFTER_S, float("inf")),
+    "content": (CONTENT_TRIAL_AFTER_S, MAX_CONTENT_TRIALS),
+}
 # Seconds after its start in which an entry asks what is refused, and seconds between its questions.
 LEARNING_S = 4.0
 ASK_INTERVAL_S = 0.5
@@ -310,7 +315,7 @@
             effects.append(LogChange(f"{kind}-refused", {kind: name, "crashes": crashes}))
             effects.append(Count("suspect_refused", (kind,)))
         for name in sorted(was - now):
-            state.crash_trials.pop(content_key(name) if kind == "content" else name, None)
+            state.crash_trials.pop(suspect_key(kind, name), None)
             effects.append(LogChange(f"{kind}-cleared", {kind: name}))
 
 
@@ -357,15 +362,18 @@
     reports: dict[CrashReport, None] = {}
     for kind, names in (("part", verdict.parts), ("content", verdict.contents)):
         for name in sorted(names):
-            about = reports_about(state, kind, name)
-            # Those with a begun response weigh more.
-            about.sort(key=lambda report: not report.has_begun)
-            reports |= dict.fromkeys(about[:EVIDENCE_PER_SUSPECT])
+            reports |= dict.fromkeys(choose_evidence(reports_about(state, kind, name)))
     crashes = tuple(build_message(state, report, at) for report in list(reports)[:MAX_EVIDENCE])
     if crashes:
         effects.append(SendPeer(entry, CrashEvidence(crashes)))
 
 
+def choose_evidence(reports: list[CrashReport]) -> list[CrashReport]:
+    """Return those of the reports about a suspect that are told: the heaviest, then the latest."""
+    # Those with a begun response weigh more.
+    return sorted(reports, key=lambda report: not report.has_begun)[:EVIDENCE_PER_SUSPECT]
+
+
 def is_refused(
     state: GatewayState, content: str, prompt: Prompt | None, at: float, effects: list
 ) -> bool:
@@ -386,23 +394,21 @@
 
     One entry sends the trials of a content or a part.
     """
-    parts = refused_parts(state, prompt)
-    is_content_refused = content in state.crash_verdict.contents
-    if len(parts) + is_content_refused != 1:
+    suspects = [("part", part) for part in refused_parts(state, prompt)]
+    if content in state.crash_verdict.contents:
+        suspects.append(("content", content))
+    if len(suspects) != 1:
         return False
-    if is_content_refused:
-        kind, suspect, key = "content", content, content_key(content)
-        trial_after_s, max_trials = CONTENT_TRIAL_AFTER_S, MAX_CONTENT_TRIALS
-    else:
-        (suspect,) = parts
-        kind, key, trial_after_s, max_trials = "part", suspect, TRIAL_AFTER_S, float("inf")
+    ((kind, name),) = suspects
     entries = state.entries or (state.name,)
-    if max(entries, key=lambda entry: rendezvous_weight(suspect, entry)) != state.name:
+    if max(entries, key=lambda entry: rendezvous_weight(name, entry)) != state.name:
         return False
+    trial_after_s, max_trials = TRIALS_BY_KIND[kind]
+    key = suspect_key(kind, name)
     trials, last_trial_at = state.crash_trials.get(key, (0, float("-inf")))
-    reports = reports_about(state, kind, suspect)
+    reports = reports_about(state, kind, name)
     last_crash_at = max(report.at for report in reports)
-    if is_content_refused:
+    if kind == "content":
         trials = max(trials, count_trial_crashes(reports))
     if trials >= max_trials or at - max(last_trial_at, last_crash_at) < trial_after_s * 2**trials:
         return False
@@ -412,9 +418,8 @@
 
 def count_trial_crashes(reports: list[CrashReport]) -> int:
     """Return how many crashes of a content came after it was refused: trials of any entry."""
-    crashed_at = sorted(
-        {report.crash: report.at for report in sorted(reports, key=lambda r: -r.at)}.values()
-    )
+    # There is one report of each crash about a content.
+    crashed_at = sorted(report.at for report in reports)
     refused_at = crashed_at[CRASHES_PER_CONTENT - 1]
     return sum(at >= refused_at + CONTENT_TRIAL_AFTER_S / 2 for at in crashed_at)
 
