One function ranks names by rendezvous, and one says who writes a record

crash_records.is_writer was software_versions.is_writer over again, and five more places sorted names by the same weight. rendezvous_order and broadcast.is_one_of serve all of them. Nothing behaves differently, and no test changed.

--- a/poplarhoist/decisions/gateway/brittle.py
+++ b/poplarhoist/decisions/gateway/brittle.py
@@ -11,7 +11,7 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange
 from poplarhoist.decisions.gateway.broadcast import tell_others
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import NoRoom
 from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
 
@@ -68,10 +68,7 @@
     come only under a load at which one is soon turned away, and the windows shrink.
     """
     record = endpoint.record
-    entries = sorted(
-        state.entries or (state.name,),
-        key=lambda entry: -rendezvous_weight(record.name, entry),
-    )
+    entries = rendezvous_order(record.name, state.entries or (state.name,))
     part, left = divmod(record.max_concurrent_requests, len(entries))
     return max(1, part + (state.name in entries[:left]))
 
--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Collection
 
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.leads import is_silent
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.state import EntryState, GatewayState
@@ -39,7 +39,7 @@
         for name in state.entries
         if state.regions.get(state.entries[name].zone) == region and not is_silent(state, name, at)
     ]
-    return sorted(names, key=lambda name: -rendezvous_weight(kind, name))
+    return rendezvous_order(kind, names)
 
 
 def rank_in_region(state: GatewayState, kind: str, at: float) -> int:
--- a/poplarhoist/decisions/gateway/crash_records.py
+++ b/poplarhoist/decisions/gateway/crash_records.py
@@ -9,7 +9,7 @@
 
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway import crashes
-from poplarhoist.decisions.gateway.broadcast import other_entries
+from poplarhoist.decisions.gateway.broadcast import is_one_of
 from poplarhoist.decisions.gateway.crash_suspects import CrashReport, suspect_key
 from poplarhoist.decisions.gateway.effects import WriteCrashRecord
 from poplarhoist.decisions.gateway.events import (
@@ -18,7 +18,6 @@
     CrashRecordsListed,
     CrashRecordWritten,
 )
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.state import GatewayState
 
 # Entries that write and remove a record, so that one of them may end before it does.
@@ -72,7 +71,7 @@
         if (
             not is_due
             or at < records.next_write_at.get(name, float("-inf"))
-            or not is_writer(state, name)
+            or not is_one_of(state, name, WRITERS)
         ):
             continue
         records.next_write_at[name] = at + WRITE_RETRY_S
@@ -90,10 +89,3 @@
     kind, _, suspect = name.partition(":")
     sound_at = state.sound_at_by_part.get(suspect_key(kind, suspect), float("-inf"))
     return [r for r in crashes.reports_about(state, kind, suspect) if r.at > sound_at]
-
-
-def is_writer(state: GatewayState, name: str) -> bool:
-    """Return whether this entry writes and removes a record."""
-    names = [state.name, *other_entries(state)]
-    names.sort(key=lambda entry: -rendezvous_weight(name, entry))
-    return state.name in names[:WRITERS]
--- a/poplarhoist/decisions/gateway/request_limits.py
+++ b/poplarhoist/decisions/gateway/request_limits.py
@@ -12,7 +12,7 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange
 from poplarhoist.decisions.gateway.broadcast import tell_others
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import RequestLimit
 from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
 
@@ -127,10 +127,7 @@
     more of them than the rule leaves room for beyond the limit.
     """
     limit = endpoint.limit
-    entries = sorted(
-        state.entries or (state.name,),
-        key=lambda entry: -rendezvous_weight(endpoint.record.name, entry),
-    )
+    entries = rendezvous_order(endpoint.record.name, state.entries or (state.name,))
     most = int((LIMIT_RATIO - 1.0) * WINDOW_S * limit.requests_per_s + EXTRA_REQUESTS)
     count = most - RESERVED_REQUESTS + int((at - limit.news_at) / NO_NEWS_S)
     count = min(most, len(entries), count)
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -14,7 +14,7 @@
 from attrs import frozen
 
 from poplarhoist.decisions.gateway.endpoints import usable_endpoints
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.limits import (
     DECODE_STEP_S,
     PREFILL_TOKENS_PER_S,
@@ -94,7 +94,7 @@
     cached = state.rankings.get((service, key))
     if cached is None:
         names = state.endpoints_by_service.get(service, ())
-        ordered = sorted(names, key=lambda name: -rendezvous_weight(str(key), name))
+        ordered = rendezvous_order(str(key), names)
         cached = state.rankings[service, key] = tuple(ordered[:MAX_RANKED_ENGINES])
     return cached
 
--- a/poplarhoist/decisions/gateway/software_versions.py
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -9,14 +9,13 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import LogChange
-from poplarhoist.decisions.gateway.broadcast import other_entries
+from poplarhoist.decisions.gateway.broadcast import is_one_of
 from poplarhoist.decisions.gateway.effects import WriteSoftwareRecord
 from poplarhoist.decisions.gateway.events import (
     CallStatus,
     SoftwareRecordsListed,
     SoftwareRecordWritten,
 )
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.models import EndpointRecord
 from poplarhoist.decisions.gateway.state import GatewayState
 
@@ -107,14 +106,7 @@
             continue
         if service not in mixed and started_lately(state, at):
             continue
-        if is_writer(state, service):
+        if is_one_of(state, service, WRITERS):
             records.next_write_at[service] = at + WRITE_RETRY_S
             kept = tuple(sorted(versions_by_service[service])) if service in mixed else ()
             effects.append(WriteSoftwareRecord(service, kept))
-
-
-def is_writer(state: GatewayState, service: str) -> bool:
-    """Return whether this entry writes and removes the record of a service."""
-    names = [state.name, *other_entries(state)]
-    names.sort(key=lambda name: -rendezvous_weight(service, name))
-    return state.name in names[:WRITERS]
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -16,7 +16,7 @@
 
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
-from poplarhoist.decisions.gateway.hashing import rendezvous_weight
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan, StreamUnknown
 from poplarhoist.decisions.gateway.software_versions import (
     VERSION_MEMORY_S,
@@ -85,9 +85,7 @@
 
 def keepers(state: GatewayState, caller_id: str, count: int) -> list[str]:
     """Return the other entries that keep the origin of a stream, the same on every entry."""
-    others = other_entries(state)
-    others.sort(key=lambda name: -rendezvous_weight(caller_id, name))
-    return others[:count]
+    return rendezvous_order(caller_id, other_entries(state))[:count]
 
 
 def tell_origin(state: GatewayState, caller_id: str, origin: StreamOrigin, effects: list) -> None:
