All kinds of records are decoded by way of the table again

The lead's generation and the age of crashes had been passed around the table of decoders, by special cases before it. All decoders take a Reading (time of the events, wall time, generation) now. Calls in test_releases.py take it; what they expect is unchanged. The client's check of a generation also stores it, and is named accept_generation.

--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -242,7 +242,7 @@
     def read_all(self, kind: str) -> StoreChanges:
         """Read all records of a kind.
 
-        For endpoints, entries and leads the last event says that the list is complete.
+        For all but configurations and versions the last event says that the list is complete.
         """
 
     def watch(
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -30,6 +30,7 @@
     LEAD_KIND,
     SOFTWARE_KIND,
     VERSION_KIND,
+    Reading,
     RecordDecoder,
 )
 from poplarhoist.platform.records import parse_response
@@ -133,6 +134,8 @@
         Records that other entries may copy, by kind.
     generation : int
         Latest generation that a response has shown; 0 if none did.
+    unclear_generation : str or None
+        What a response said last that tells no generation; None if none did.
     """
 
     watch_specs = (
@@ -170,7 +173,7 @@
             block=False,
             socket_options=socket_options(CALL_TIMEOUT_S),
         )
-        self.decoder = RecordDecoder(clock)
+        self.decoder = RecordDecoder()
         self.generation = 0
         self.unclear_generation: str | None = None
         self.copied_kinds = {
@@ -204,10 +207,14 @@
     def changes_of_list(self, kind: str, items: list[dict], position: Position) -> StoreChanges:
         """Return all records of a kind as events."""
         generation = position.generation
-        events = self.decoder.decode_list(kind, items, self.clock.monotonic(), generation)
+        events = self.decoder.decode_list(kind, items, self.reading(generation))
         last_change = latest_position(items, generation)
         return StoreChanges(ev.CallStatus.OK, position, last_change, tuple(events))
 
+    def reading(self, generation: int) -> Reading:
+        """Return that records of a generation have been read now."""
+        return Reading(self.clock.monotonic(), self.clock.now(), generation)
+
     def copy(self, kind: str, after: Position) -> RecordsCopy | None:
         """Return a copy of all records of a kind, as `Store.copy` says."""
         copied = self.copied_kinds.get(kind)
@@ -245,13 +252,13 @@
                 history_gone=body_or_code == HISTORY_GONE_CODE,
                 was_cut_off=body_or_code == CUT_OFF,
             )
-        at = self.clock.monotonic()
+        reading = self.reading(since.generation)
         events: list[ev.Event] = []
         changes = body_or_code["events"]
         for change in changes:
             is_removed = bool(change.get("tombstone"))
             item = change["object"]
-            events += self.decoder.decode(kind, item, is_removed, at, since.generation)
+            events += self.decoder.decode(kind, item, is_removed, reading)
         last_change = latest_position((change["object"] for change in changes), since.generation)
         position = max(since, Position(since.generation, body_or_code["currentRev"]))
         if kind in self.copied_kinds:
@@ -285,7 +292,7 @@
         position = Position(generation, item["metadata"]["revision"])
         if status is not ev.CallStatus.CONFLICT:
             return status, position, None
-        seen = self.decoder.decode(LEAD_KIND, item, False, self.clock.monotonic(), generation)
+        seen = self.decoder.decode(LEAD_KIND, item, False, self.reading(generation))
         return status, position, seen[0] if seen else None
 
     def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
@@ -363,7 +370,7 @@
             )
             status = CALL_STATUS_BY_CODE.get(code, ev.CallStatus.UNKNOWN)
             result = code
-            if not self.is_current(progress.generation_text, generation):
+            if not self.accept_generation(progress.generation_text, generation):
                 status, result = ev.CallStatus.UNKNOWN, OUTDATED
             elif status in (ev.CallStatus.OK, ev.CallStatus.CONFLICT):
                 parse = parse_response if method == "GET" else orjson.loads
@@ -377,7 +384,7 @@
             self.record_call(operation, path, status, result, progress)
         return status, result
 
-    def is_current(self, generation_text: str | None, known: int) -> bool:
+    def accept_generation(self, generation_text: str | None, known: int) -> bool:
         """Apply the generation that a response shows; return whether the response may be used.
 
         One of an earlier generation may not, if a later one was not known when the call began: the
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -6,6 +6,7 @@
 """
 
 import typing
+from datetime import UTC, datetime
 
 import attrs
 import orjson
@@ -29,6 +30,8 @@
     for line in text.strip().splitlines()
 ]
 
+READING = decoder.Reading(1.0, datetime.fromtimestamp(0.0, UTC), 3)
+
 
 def read_message(data: dict) -> messages.Message:
     return message_converter.structure(data, messages.Message)
@@ -127,11 +130,11 @@
 @pytest.mark.parametrize("release", MESSAGES_BY_RELEASE)
 def test_store_records_of_other_releases_are_read(release, more):
     spec = ENTRY_RECORDS_BY_RELEASE[release] | more
-    (event,) = decoder.decode_entry_event(1.0, "entry-2", {"spec": spec}, False)
+    (event,) = decoder.decode_entry_event(READING, "entry-2", {"spec": spec}, False)
     expected = ev.EntryRecordChanged(
         1.0, "entry-2", "10.0.0.1", 7000, "north-a", spec.get("relay_port", 0)
     )
     assert event == expected
     item = {"spec": LEAD_RECORDS_BY_RELEASE[release] | more, "metadata": {"revision": 9}}
-    (event,) = decoder.decode_lead_event(1.0, "e1", item, False, 3)
+    (event,) = decoder.decode_lead_event(READING, "e1", item, False)
     assert event == ev.LeadSeen(1.0, "e1", "entry-1#b1", 4, Position(3, 9))
