A lost lead ends in one place; the store's return and its restoration have names of their own

Three places dropped a slot table and logged lead-lost; end_leadership does. on_lead keeps the record in one place. store_restored_at was when the store answered again, beside store-restored, which is when it came back older: it is store_returned_at. Runs whose restored record is gone are found in one loop, and endpoints missing from a list are walked in the order of before. Handlers of writes are partials, not lambdas. Nothing behaves differently; no test changed.

--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway import (
@@ -150,6 +150,13 @@
     return departed.restored_record == record
 
 
+def forget_restored(state: GatewayState, names: Collection[str]) -> None:
+    """Apply that the restored store no longer has the records of runs that had left."""
+    for (name, _), departed in state.departed_runs.items():
+        if name in names:
+            departed.restored_record = None
+
+
 def accept_restored(state: GatewayState, at: float, effects: list) -> None:
     """Use endpoints whose restored records did not expire."""
     for departed in list(state.departed_runs.values()):
@@ -191,11 +198,9 @@
     """
     endpoint = state.endpoints.get(event.name)
     if endpoint is None:
-        for (name, _), departed in state.departed_runs.items():
-            if name == event.name:
-                departed.restored_record = None
+        forget_restored(state, {event.name})
         return
-    if state.store_unavailable or event.at - state.store_restored_at < REREGISTRATION_S:
+    if state.store_unavailable or event.at - state.store_returned_at < REREGISTRATION_S:
         if endpoint.missing_until is None:
             returned_at = float("inf") if state.store_unavailable else event.at
             endpoint.missing_until = returned_at + REREGISTRATION_S
@@ -206,9 +211,9 @@
 
 def on_listed(state: GatewayState, event: EndpointsListed, effects: list) -> None:
     """Apply the complete list of records: endpoints not in it are treated as removed."""
-    known = {*state.endpoints, *(name for name, _ in state.departed_runs)}
-    for name in sorted(known - event.names):
+    for name in [name for name in state.endpoints if name not in event.names]:
         on_removed(state, EndpointRemoved(event.at, name), effects)
+    forget_restored(state, {name for name, _ in state.departed_runs} - event.names)
     if not state.endpoints_listed:
         state.endpoints_listed = True
         effects.append(LogChange("endpoints-listed", {"count": len(event.names)}))
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -137,9 +137,7 @@
     for engine, table in list(state.slot_tables.items()):
         record = state.leads.get(engine)
         if record is None or (record.holder, record.epoch) != (own_holder_id(state), table.epoch):
-            del state.slot_tables[engine]
-            fields = {"engine": engine, "epoch": table.epoch, "cause": "store restored"}
-            effects.append(LogChange("lead-lost", fields))
+            end_leadership(state, engine, effects, cause="store restored")
 
 
 def on_lead(state: GatewayState, event: LeadSeen, effects: list) -> None:
@@ -151,18 +149,14 @@
     known = state.leads.get(event.engine)
     if known is not None and known.position >= event.position:
         return
+    is_own = event.holder == own_holder_id(state)
     pending = state.pending_claims.get(event.engine)
-    if event.holder == own_holder_id(state):
-        if pending is not None and pending[0] == event.epoch:
-            begin_leadership(state, event.engine, event.epoch, event.at, effects)
-        state.leads[event.engine] = LeadRecord(event.holder, event.epoch, event.position)
-        return
+    if is_own and pending is not None and pending[0] == event.epoch:
+        begin_leadership(state, event.engine, event.epoch, event.at, effects)
     state.leads[event.engine] = LeadRecord(event.holder, event.epoch, event.position)
     table = state.slot_tables.get(event.engine)
-    if table is not None and table.epoch < event.epoch:
-        del state.slot_tables[event.engine]
-        fields = {"engine": event.engine, "epoch": event.epoch, "holder": event.holder}
-        effects.append(LogChange("lead-lost", fields))
+    if not is_own and table is not None and table.epoch < event.epoch:
+        end_leadership(state, event.engine, effects, epoch=event.epoch, holder=event.holder)
 
 
 def may_lead(state: GatewayState) -> bool:
@@ -268,7 +262,7 @@
     The known record is still that of the previous lead.
     """
     previous_lead = lead_of(state, engine)
-    previous = state.leads.get(engine)
+    previous_epoch = state.leads[engine].epoch if engine in state.leads else 0
     state.pending_claims.pop(engine, None)
     if engine not in state.endpoints:
         return
@@ -279,7 +273,7 @@
     lease_s = state.limits.lease_s + LEASE_MARGIN_S
     if previous_lead not in ("", state.name):
         wait_s = lease_s
-    if generation_of(previous.epoch if previous else 0) < generation_of(epoch):
+    if generation_of(previous_epoch) < generation_of(epoch):
         wait_s = max(wait_s, state.store_generation_seen_at + lease_s - at)
     # Nobody uses an engine that had no lead before.
     usage_delay_s = PEER_USAGE_DELAY_S if epoch > 1 else 0.0
@@ -290,6 +284,12 @@
     effects.append(LogChange("lead-begun", fields))
 
 
+def end_leadership(state: GatewayState, engine: str, effects: list, **more_fields: object) -> None:
+    """Stop leading an engine, as another entry does or may; keyword arguments are logged."""
+    table = state.slot_tables.pop(engine)
+    effects.append(LogChange("lead-lost", {"engine": engine, "epoch": table.epoch, **more_fields}))
+
+
 def release_all(state: GatewayState, effects: list) -> None:
     """Release the leadership of all engines, so that other entries claim them at once."""
     for engine, table in list(state.slot_tables.items()):
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -209,7 +209,7 @@
         return
     state.store_unavailable = not event.available
     if event.available:
-        state.store_restored_at = event.at
+        state.store_returned_at = event.at
         endpoints.on_store_returned(state, event.at)
     else:
         state.store_lost_at = event.at
@@ -226,12 +226,11 @@
     if event.generation <= state.store_generation:
         return
     previous, state.store_generation = state.store_generation, event.generation
-    if not previous and state.is_first_start:
-        return
-    state.store_generation_seen_at = event.at
+    if previous or not state.is_first_start:
+        state.store_generation_seen_at = event.at
     if not previous:
         return
-    state.store_restored_at = event.at
+    state.store_returned_at = event.at
     leads.on_store_restored(state, effects)
     software_versions.on_store_restored(state)
     effects.append(
--- a/poplarhoist/decisions/gateway/residency.py
+++ b/poplarhoist/decisions/gateway/residency.py
@@ -20,7 +20,7 @@
 from poplarhoist.decisions.gateway.effects import OrderKind, ReadReport, SendOrder, SendPeer
 from poplarhoist.decisions.gateway.endpoints import record_warm
 from poplarhoist.decisions.gateway.events import OrderEnded, OrderStatus, ReportReceived
-from poplarhoist.decisions.gateway.leads import interval_factor
+from poplarhoist.decisions.gateway.leads import end_leadership, interval_factor
 from poplarhoist.decisions.gateway.limits import (
     ASK_RETRY_S,
     BACKLOG_BROADCAST_INTERVAL_S,
@@ -495,9 +495,7 @@
             table.unanswered_orders.clear()
             apply_accepted_order(state, table, order, event.status, event.at, effects)
         case OrderStatus.FENCED:
-            del state.slot_tables[event.engine]
-            fields = {"engine": event.engine, "epoch": table.epoch, "cause": "fenced"}
-            effects.append(LogChange("lead-lost", fields))
+            end_leadership(state, event.engine, effects, cause="fenced")
             return
         case OrderStatus.UNKNOWN:
             if order.is_load:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -716,7 +716,7 @@
         Time of the latest event; infinity before the first.
     store_lost_at : float
         When the store last stopped answering.
-    store_unavailable, store_restored_at : bool, float
+    store_unavailable, store_returned_at : bool, float
         Whether the store does not answer, and when it last answered again.
     store_generation, store_generation_seen_at : int, float
         Latest generation of the store, 0 if it is not known, and when this process learned of it;
@@ -773,7 +773,7 @@
     last_slow_tick_at: float = float("-inf")
     store_lost_at: float = float("-inf")
     store_unavailable: bool = False
-    store_restored_at: float = float("-inf")
+    store_returned_at: float = float("-inf")
     store_generation: int = 0
     store_generation_seen_at: float = float("-inf")
     draining_since: float | None = None
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -152,7 +152,7 @@
         Whether a failed watch of this kind shows that the watches of the other kinds may hang too.
         While the store is unreachable, only this kind is retried.
     only_at_start : bool
-        Whether the records are read once and not watched.
+        Whether the records are not watched, but read at the start and when the store was restored.
     notifies_peers : bool
         Whether entries notify one another of changes of this kind, so that with many entries each
         may poll longer.
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -105,13 +105,11 @@
         self.store_reachable_event = eventlet.event.Event()
         self.store_restored_event = eventlet.event.Event()
         self.is_registering = False
-        decision_loop.set_handler(Claim, lambda effect: eventlet.spawn_n(self.write_claim, effect))
+        decision_loop.set_handler(Claim, partial(eventlet.spawn_n, self.write_claim))
         decision_loop.set_handler(
-            WriteSoftwareRecord, lambda effect: eventlet.spawn_n(self.write_software, effect)
-        )
-        decision_loop.set_handler(
-            WriteCrashRecord, lambda effect: eventlet.spawn_n(self.write_crashes, effect)
+            WriteSoftwareRecord, partial(eventlet.spawn_n, self.write_software)
         )
+        decision_loop.set_handler(WriteCrashRecord, partial(eventlet.spawn_n, self.write_crashes))
         decision_loop.set_handler(
             RereadChanges,
             lambda effect: eventlet.spawn_after(
@@ -152,9 +150,10 @@
         is cut off counts as a failed read only if it is the second in a row that ends at once.
         """
         self.read_all(spec)
-        while spec.only_at_start:
-            self.store_restored_event.wait()
-            self.read_all(spec)
+        if spec.only_at_start:
+            while True:
+                self.store_restored_event.wait()
+                self.read_all(spec)
         wait_s, was_cut_early = RETRY_BACKOFF_S, False
         while True:
             watch_started_at = self.decision_loop.event_time()
