Tests share the bytes of a raw request, the wait for a condition and the started site

Three new test files built the same request by hand, and two tests in a fourth waited in a loop of their own. Each assertion stays. The requests of test_request_targets.py and test_head_requests.py have a deadline of six seconds in place of three, which nothing there depends on.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -22,6 +22,19 @@
 ENTRY_ARGS = ("-m", "poplarhoist.platform")
 
 
+def raw_request(method: str, target: bytes, request_id: str, *more_lines: bytes) -> bytes:
+    """Return the bytes of a caller's request without a body, with more header lines if given."""
+    lines = [
+        method.encode() + b" " + target + b" HTTP/1.1",
+        b"Host: host.test",
+        b"X-Request-Id: " + request_id.encode(),
+        b"X-Deadline-Ms: 6000",
+        b"Content-Length: 0",
+        *more_lines,
+    ]
+    return b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+
+
 class PlatformEntry:
     """One entry that runs as its own process.
 
@@ -79,6 +92,13 @@
         records = [json.loads(line) for line in lines]
         return [record for record in records if record["event"] in events]
 
+    def wait_until(self, condition, seconds: float = START_TIMEOUT_S) -> None:
+        """Wait until a condition holds; after a timeout, fail with the end of the entry's log."""
+        deadline_at = time.monotonic() + seconds
+        while not condition():
+            assert time.monotonic() < deadline_at, self.log_path.read_text()[-3000:]
+            time.sleep(0.05)
+
     def check_no_faults(self) -> None:
         """Fail if an exception in the entry's own code was logged."""
         assert self.log_lines(*FAULT_EVENTS) == []
@@ -179,13 +199,6 @@
         """Begin a graceful stop of the entry by SIGTERM."""
         self.process.send_signal(signal.SIGTERM)
 
-    def wait_until(self, condition, seconds: float = START_TIMEOUT_S) -> None:
-        """Wait until a condition holds; after a timeout, fail with the end of the entry's log."""
-        deadline_at = time.monotonic() + seconds
-        while not condition():
-            assert time.monotonic() < deadline_at, self.log_path.read_text()[-3000:]
-            time.sleep(0.05)
-
     def send_request(self, path: str, adapter: str = "", body=b"", method: str = "POST", **headers):
         """Send a caller's request over a new connection; return status, headers and body.
 
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from tests.platform_site import raw_request
 from tests.standin_server import HOST
 
 
-def send(connection: socket.socket, method: str, path: str, host: str = "host.test") -> bytes:
+def send(connection: socket.socket, method: str, path: str) -> bytes:
     """Send a request and return what has arrived of its answer."""
-    head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {method}\r\n"
-    connection.sendall(f"{head}X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n".encode())
+    connection.sendall(raw_request(method, path.encode(), method))
     return connection.recv(65536)
 
 
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform_site import PlatformSite
+from tests.platform_site import PlatformSite, raw_request
 from tests.standin_server import HOST
 
 CATCH_ALL = {
@@ -21,23 +21,16 @@
 
 
 @pytest.fixture
-def site(tmp_path):
-    site = PlatformSite(tmp_path)
-    try:
-        site.start()
-        site.configure(2, CATCH_ALL)
-        site.wait_until(lambda: len(site.log_lines("configuration")) == 2)
-        yield site
-    finally:
-        site.stop()
+def site(site):
+    site.configure(2, CATCH_ALL)
+    site.wait_until(lambda: len(site.log_lines("configuration")) == 2)
+    return site
 
 
 def send(site: PlatformSite, target: bytes, *more_lines: bytes) -> bytes:
     """Send a request with a target; return the first bytes of the answer."""
     with socket.create_connection((HOST, site.port), timeout=5.0) as connection:
-        head = b"GET " + target + b" HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: c1\r\n"
-        lines = b"".join(line + b"\r\n" for line in more_lines)
-        connection.sendall(head + b"X-Deadline-Ms: 3000\r\n" + lines + b"\r\n")
+        connection.sendall(raw_request("GET", target, "c1", *more_lines))
         return connection.recv(65536)
 
 
--- a/tests/test_stop_idle_connections.py
+++ b/tests/test_stop_idle_connections.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.platform_site import raw_request
 from tests.standin_server import HOST
 
 CONNECTIONS = 120
@@ -14,17 +15,11 @@
 CLOSED_AFTER_S, USED_WITHIN_S = 2.4, 0.2
 
 
-def request(name: str, method: str) -> bytes:
-    """Return a caller's request to the plain service."""
-    path = "/once/x" if method == "POST" else "/read/x"
-    head = f"{method} {path} HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: {name}\r\n"
-    return (head + "X-Deadline-Ms: 6000\r\nContent-Length: 0\r\n\r\n").encode()
-
-
 def exchange(connection: socket.socket, name: str, method: str) -> bytes:
     """Send a request over a connection, and return what arrives; empty if the connection ends."""
+    target = b"/once/x" if method == "POST" else b"/read/x"
     try:
-        connection.sendall(request(name, method))
+        connection.sendall(raw_request(method, target, name))
         return connection.recv(65536)
     except OSError:
         return b""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -144,18 +144,14 @@
     copy = store.copy()
     del copy[0][OWN_RECORD]
     store.restore(copy)
-    ends_at = time.monotonic() + KNOWN_S
-    while OWN_RECORD not in store.objects and time.monotonic() < ends_at:
-        time.sleep(0.05)
+    entry.wait_until(lambda: OWN_RECORD in store.objects, KNOWN_S)
     assert OWN_RECORD in store.objects
 
 
 def test_entry_registers_again_after_the_late_removal_of_an_earlier_process(entry):
     """A lost DELETE is carried out after the restart; nobody would ask the entry for adapters."""
     entry.store.remove(*OWN_RECORD)
-    ends_at = time.monotonic() + KNOWN_S
-    while OWN_RECORD not in entry.store.objects and time.monotonic() < ends_at:
-        time.sleep(0.05)
+    entry.wait_until(lambda: OWN_RECORD in entry.store.objects, KNOWN_S)
     assert OWN_RECORD in entry.store.objects
 
 
