--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -3,6 +3,8 @@
 import json
 import threading
 import time
+from bisect import bisect_right
+from operator import itemgetter
 
 from tests.standin_server import Handler, StandIn
 
@@ -133,10 +135,11 @@
             while True:
                 if since < self.oldest_revision or since > self.revision:
                     return 410, {}
+                first = bisect_right(self.history, hidden_until_revision, key=itemgetter(0))
                 events = [
                     {"object": item, "tombstone": gone}
-                    for revision, other, item, gone in self.history
-                    if revision > hidden_until_revision and other == kind
+                    for _, other, item, gone in self.history[first:]
+                    if other == kind
                 ]
                 left_s = ends_at - time.monotonic()
                 if events and self.misses_changes:
--- a/tests/standin_server.py
+++ b/tests/standin_server.py
@@ -47,6 +47,8 @@
     """A threading HTTP server that ignores peers that close their connections."""
 
     daemon_threads = True
+    # Connections that wait to be accepted; many entries connect at the same time.
+    request_queue_size = 128
 
     def handle_error(self, request, client_address) -> None:
         """Ignore connection errors, which occur when a peer closes during a response."""
