An entry that starts after the store came back older learns the configuration that was lost

What callers saw: an entry that starts after a drill answers 404 on a route that was confirmed before it and that the other entries serve, until the operator writes again. Cause: it knows only what the store has, and copies of other entries held the store's older record as well, though these entries kept the later configuration in force. Change: a copy never goes back to an earlier version, and an entry asks eight others at its start whether they know a later version than the store had (not at the first start of the site). Not for endpoints and adapters' versions: those are written by their owners, or told by engines.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Collection
 
+from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.leads import is_silent
 from poplarhoist.decisions.gateway.positions import Position
@@ -22,6 +23,9 @@
 # Entries of a region that may copy from an entry of another region that is ahead; copies are
 # compressed.
 CROSSING_COPIERS = 8
+# Entries that one asks at its start whether they know a later version than the store has. With half of
+# all entries restarted, the chance that none of them ran before is below one percent.
+ASKED_FOR_VERSION = 8
 # Seconds after its start for which an entry looks for a copy before it reads long records itself,
 # and seconds until twice as many give up looking.
 COPY_WAIT_S = 1.5
@@ -108,3 +112,15 @@
     if state.random.random() < 0.5:
         names = names[:READERS_PER_REGION]
     return state.entries[state.random.choice(names)]
+
+
+def peers_to_ask_for_version(state: GatewayState) -> list[EntryState]:
+    """Return the entries that one asks at its start whether they know a later version."""
+    names = other_entries(state)
+    names = state.random.sample(names, min(ASKED_FOR_VERSION, len(names)))
+    return [state.entries[name] for name in names]
+
+
+def has_later_version(state: GatewayState, version: int) -> bool:
+    """Return whether the configuration in force here is later than a version."""
+    return state.configuration is not None and state.configuration.version > version
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -5,7 +5,7 @@
 from urllib.parse import parse_qs, urlencode
 
 import eventlet
-from attrs import define, field
+from attrs import define, evolve, field
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
@@ -32,6 +32,13 @@
 ASK_INTERVAL_S = 2.4
 # Seconds between two entries that are asked for a first copy.
 FIRST_COPY_INTERVAL_S = 0.25
+# Longest wait in seconds, after the start, for the list of entries, which tells who reads long records.
+ENTRIES_WAIT_S = 1.0
+ENTRIES_POLL_S = 0.02
+# Longest pause in seconds before other entries are asked for a later version: many may start at once.
+LATER_VERSION_DELAY_S = 1.0
+# Names the version in the query of an entry that wants only a later one.
+VERSION_QUERY = "version"
 # Adds to a copy what has changed since; returns None if that is not possible.
 Complete = Callable[[StoreChanges], StoreChanges | None]
 
@@ -126,6 +133,41 @@
             eventlet.sleep(FIRST_COPY_INTERVAL_S * (0.5 + self.state.random.random()))
         return None
 
+    def ask_for_later_version(self) -> None:
+        """Ask other entries whether they know a later version than the store had at the start.
+
+        A restored store may have an earlier version than the others have in force.
+        """
+        if self.state.is_first_start:
+            return
+        self.wait_for_entries()
+        eventlet.sleep(LATER_VERSION_DELAY_S * self.state.random.random())
+        for peer in copies.peers_to_ask_for_version(self.state):
+            eventlet.spawn_n(self.adopt_from, peer)
+
+    def wait_for_entries(self) -> None:
+        """Wait for the list of entries, for a while."""
+        ends_at = self.at() + ENTRIES_WAIT_S
+        while not self.state.entries_listed and self.at() < ends_at:
+            eventlet.sleep(ENTRIES_POLL_S)
+
+    def adopt_from(self, peer: EntryState) -> None:
+        """Take a later version from another entry, if it has one."""
+        known = self.state.configuration
+        version = known.version if known is not None else 0
+        copy = self.request_copy(peer, {VERSION_QUERY: version, **position_query(Position())})
+        if copy is None or not copy.data:
+            return
+        try:
+            events = self.store.adopt_copy(self.kind, copy)
+        except ValueError as error:
+            # Another entry may have a sound copy.
+            self.log_failure(peer, error)
+            return
+        self.decision_loop.log.info("later-version-copied", kind=self.kind, peer=peer.name)
+        for event in events:
+            self.decision_loop.submit(event)
+
     def fetch(self, source: EntryState, known: Position) -> StoreChanges | None:
         """Copy records from an entry.
 
@@ -135,13 +177,29 @@
             No events if the entry has no newer records; None if it does not answer, cannot tell, or
             answers with something else than a copy.
         """
-        url = f"http://{source.host}:{source.port}{COPIES_PATH}{self.kind}"
-        query = urlencode({"after": known.revision, "generation": known.generation})
+        copy = self.request_copy(source, position_query(known))
+        if copy is None:
+            return None
+        if not copy.data:
+            return StoreChanges(CallStatus.OK, max(known, copy.position), is_from_store=False)
+        try:
+            changes = self.store.read_copy(self.kind, copy)
+        except (ValueError, KeyError, TypeError) as error:
+            # The next entry, or the store, is asked instead.
+            self.log_failure(source, error)
+            return None
+        fields = {"revision": changes.last_change.revision, "bytes": len(copy.data)}
+        self.decision_loop.log.info("records-copied", kind=self.kind, peer=source.name, **fields)
+        return changes
+
+    def request_copy(self, source: EntryState, query: dict[str, int]) -> RecordsCopy | None:
+        """Request a copy, which is empty if there is nothing newer; None if there is none."""
+        url = f"http://{source.host}:{source.port}{COPIES_PATH}{self.kind}?{urlencode(query)}"
         headers: dict[str, str] = {}
         try:
             status, data = request_once(
                 "GET",
-                f"{url}?{query}",
+                url,
                 WHOLE_S,
                 MAX_COPY_BYTES,
                 headers.update,
@@ -150,40 +208,47 @@
             )
             if status not in (HTTPStatus.OK, HTTPStatus.NO_CONTENT):
                 raise ValueError(f"status {status}")
-            generation = headers.get(GENERATION_HEADER, known.generation or self.store.generation)
-            position = Position(int(generation), int(headers[REVISION_HEADER]))
-            if status == HTTPStatus.NO_CONTENT:
-                return StoreChanges(CallStatus.OK, max(known, position), is_from_store=False)
-            changes = self.store.read_copy(self.kind, RecordsCopy(position, data))
+            known_generation = query["generation"] or self.store.generation
+            generation = int(headers.get(GENERATION_HEADER, known_generation))
+            position = Position(generation, int(headers[REVISION_HEADER]))
         except (HTTPError, ValueError, KeyError, TypeError) as error:
             # The next entry, or the store, is asked instead.
-            detail = f"{type(error).__name__}: {error}"[:200]
-            self.decision_loop.log.info(
-                "copy-failed", kind=self.kind, peer=source.name, detail=detail
-            )
+            self.log_failure(source, error)
             return None
-        fields = {"revision": changes.last_change.revision, "bytes": len(data)}
-        self.decision_loop.log.info("records-copied", kind=self.kind, peer=source.name, **fields)
-        return changes
+        return RecordsCopy(position, data if status == HTTPStatus.OK else b"")
+
+    def log_failure(self, source: EntryState, error: Exception) -> None:
+        """Log why an entry has given no copy."""
+        detail = f"{type(error).__name__}: {error}"[:200]
+        self.decision_loop.log.info("copy-failed", kind=self.kind, peer=source.name, detail=detail)
+
+
+def position_query(known: Position) -> dict[str, int]:
+    """Return the query for what is newer than a position."""
+    return {"after": known.revision, "generation": known.generation}
 
 
 def respond_with_copy(state: GatewayState, store: Store, environ: dict, start_response):
     """Return this entry's records of a kind to another entry.
 
     The status is 204 if none is newer, and 503 if this entry cannot tell: it has not read them yet, or
-    the store is away.
+    the store is away. One that names a version wants a copy only if this entry has a later one.
     """
     kind = environ["PATH_INFO"].removeprefix(COPIES_PATH)
     query = parse_qs(environ.get("QUERY_STRING", ""))
     after = query.get("after", [""])[0]
     generation = query.get("generation", [str(store.generation)])[0]
-    if not all(text.isdecimal() and len(text) <= MAX_DIGITS for text in (after, generation)):
+    version = query.get(VERSION_QUERY, ["0"])[0]
+    numbers = (after, generation, version)
+    if not all(text.isdecimal() and len(text) <= MAX_DIGITS for text in numbers):
         start_response("400 Bad Request", [])
         return [b""]
     copy = store.copy(kind, Position(int(generation), int(after)))
     if copy is None or (not copy.data and state.store_unavailable):
         start_response("503 Service Unavailable", [])
         return [b""]
+    if VERSION_QUERY in query and not copies.has_later_version(state, int(version)):
+        copy = evolve(copy, data=b"")
     headers = [
         ("Content-Type", "application/octet-stream"),
         (REVISION_HEADER, str(copy.position.revision)),
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -268,6 +268,15 @@
             If it is no copy of these records.
         """
 
+    def adopt_copy(self, kind: str, copy: RecordsCopy) -> tuple[Event, ...]:
+        """Take those records of another entry's copy that have later versions than the ones read.
+
+        Raises
+        ------
+        ValueError
+            If it is no copy of these records.
+        """
+
     def register(self, name: str, zone: str, host: str, port: int, relay_port: int) -> CallStatus:
         """Create or replace the record of this entry: its zone and its addresses for peers."""
 
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -48,9 +48,6 @@
 # The same where the records are copied from the entry that gives notice: those that are told at once
 # ask at different times.
 COPY_NOTICE_DELAY_S = 0.05
-# Longest wait in seconds, after the start, for the list of entries, which tells who reads long records.
-ENTRIES_WAIT_S = 1.0
-ENTRIES_POLL_S = 0.02
 
 
 class WatchRenewed(Exception):
@@ -150,6 +147,8 @@
         is cut off counts as a failed read only if it is the second in a row that ends at once.
         """
         self.read_all(spec)
+        if spec.is_copied:
+            eventlet.spawn_n(self.copy_readers_by_kind[spec.kind].ask_for_later_version)
         if spec.only_at_start:
             while True:
                 self.store_restored_event.wait()
@@ -322,9 +321,7 @@
         copy_reader = self.copy_readers_by_kind.get(spec.kind)
         if copy_reader is None:
             return None
-        ends_at = copy_reader.at() + ENTRIES_WAIT_S
-        while not self.decision_loop.state.entries_listed and copy_reader.at() < ends_at:
-            eventlet.sleep(ENTRIES_POLL_S)
+        copy_reader.wait_for_entries()
         return copy_reader.look_for_first_copy(lambda copied: self.complete_copy(spec, copied))
 
     def complete_copy(self, spec: WatchSpec, copied: StoreChanges) -> StoreChanges | None:
--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -33,12 +33,17 @@
     last_change: Position = Position()
     data: bytes = field(default=b"", repr=False)
 
-    def replace(self, items: Iterable[dict], position: Position) -> None:
-        """Keep the records of a list."""
-        items = list(items)
+    def replace(self, items: Iterable[dict], position: Position) -> list[dict]:
+        """Keep and return the records of a list, but none with an earlier version than the one kept here.
+
+        A restored store may have an earlier version than the one that it has confirmed. Entries that
+        start then learn of the later one from copies.
+        """
+        items = with_later_versions(items, self.items())
         self.data = zlib.compress(orjson.dumps(items), COMPRESSION_LEVEL)
         self.position = position
         self.last_change = latest_position(items, position.generation)
+        return items
 
     def apply(self, changes: list[dict], position: Position) -> None:
         """Apply the changes that a watch has returned."""
@@ -86,13 +91,40 @@
 
     def read(self, copy: RecordsCopy) -> list[dict]:
         """Keep another entry's copy, and return its records; raises as `unpack` does."""
-        items = self.unpack(copy.data)
-        self.data, self.position = copy.data, max(self.position, copy.position)
+        items = self.replace(self.unpack(copy.data), max(self.position, copy.position))
         self.last_change = latest_position(items, copy.position.generation)
         return items
 
+    def adopt(self, copy: RecordsCopy) -> list[dict]:
+        """Take later versions from another entry's copy; return their records; raises as `unpack`.
+
+        The positions stay, since the copy may be of another generation.
+        """
+        kept = self.items()
+        adopted = with_later_versions(kept, self.unpack(copy.data))
+        self.data = zlib.compress(orjson.dumps(adopted), COMPRESSION_LEVEL)
+        return [item for item in adopted if item not in kept]
+
 
 def latest_position(items: Iterable[dict], generation: int) -> Position:
     """Return the latest position among records of a generation; revision 0 if there are none."""
     revisions = (item["metadata"].get("revision", 0) for item in items)
     return Position(generation, max(revisions, default=0))
+
+
+def with_later_versions(items: Iterable[dict], others: Iterable[dict]) -> list[dict]:
+    """Return records, each with the content of its namesake among others if that is a later version."""
+    other_by_name = {item["metadata"]["name"]: item for item in others}
+    latest = []
+    for item in items:
+        other = other_by_name.get(item["metadata"]["name"], item)
+        is_later = version_of(other) > version_of(item)
+        latest.append(item | {"spec": other["spec"]} if is_later else item)
+    return latest
+
+
+def version_of(item: dict) -> int:
+    """Return the version that a record names; -1 if it names none."""
+    content = item.get("spec")
+    version = content.get("version") if isinstance(content, dict) else None
+    return version if type(version) is int else -1
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -225,6 +225,11 @@
         changes = self.changes_of_list(kind, self.copied_kinds[kind].read(copy), copy.position)
         return evolve(changes, is_from_store=False)
 
+    def adopt_copy(self, kind: str, copy: RecordsCopy) -> tuple[ev.Event, ...]:
+        """Take later versions from another entry's copy, as `Store.adopt_copy` says."""
+        items = self.copied_kinds[kind].adopt(copy)
+        return tuple(self.decoder.decode_list(kind, items, self.reading(self.generation)))
+
     def watch(
         self, spec: WatchSpec, since: Position, fresh: bool, on_begun: OnBegun | None = None
     ) -> StoreChanges:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -10,7 +10,7 @@
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.platform import store as store_module
 from poplarhoist.platform.store import ObjectStore
-from tests.platform_site import PlatformEntry
+from tests.platform_site import FIRST_START, PlatformEntry
 from tests.platform_standins import configuration
 from tests.platform_store import Store
 
@@ -40,9 +40,9 @@
 class WatchingEntry(PlatformEntry):
     """An entry as a process of its own, whose log tells what it has read from a store."""
 
-    def __init__(self, directory) -> None:
-        self.store = Store()
-        super().__init__("entry-1", directory, self.store.port)
+    def __init__(self, directory, name: str = "entry-1", store: Store | None = None) -> None:
+        self.store = store or Store()
+        super().__init__(name, directory, self.store.port)
 
     def start(self) -> None:
         """Write a record of each kind, and start the entry."""
@@ -198,6 +198,36 @@
     assert entry.log_lines("endpoint-gone") == []
 
 
+# Entries of the region: all read the configuration from the store, or only some.
+@pytest.mark.parametrize("count", [2, 9])
+def test_entry_that_starts_after_a_restoration_learns_the_configuration_that_was_lost(
+    tmp_path, entry, count
+):
+    """It served the older one, and refused requests on routes that the others served."""
+    store = entry.store
+    others = [WatchingEntry(tmp_path, f"entry-{n}", store) for n in range(2, count + 1)]
+    try:
+        for other in others:
+            other.launch()
+        assert all(other.logs("entry-known", 15.0, peer="entry-1") for other in others)
+        copy = store.copy()
+        store.put("config", "main", configuration(9))
+        assert all(known.logs("configuration", version=9) for known in [entry, *others])
+        store.restore(copy)
+        assert others[0].logs("store-restored", generation=2)
+        entry.kill()
+        text = entry.settings_path.read_text()
+        entry.settings_path.write_text(text.replace(FIRST_START, ""))
+        entry.log_path.unlink()
+        entry.launch()
+        assert entry.logs("configuration", 15.0, version=7, before=0) or count > 2
+        assert entry.logs("configuration", version=9)
+    finally:
+        for other in others:
+            other.kill()
+            other.check_no_faults()
+
+
 # Generation known when a call begins and when it ends, what its response shows, and whether the
 # response may be used.
 @pytest.mark.parametrize(
