Readers of the configuration that do not answer cost little, and others read in their place

What callers saw: 404 on a route 4.0 to 4.3 s after it was confirmed, where most records of entries are of such that are gone. Cause: the records of entries that ended without a word stay in the store. The first four of a region's records are taken for its readers, and each entry asks them one after the other, a second each, before it reads the store. An entry counted as silent only if it led an engine and was asked for an adapter. The new tests fail there; the four readers cost four seconds. Change: an entry that does not answer is left out of the order of readers, longer each time, until it speaks. After one such the store is read. A reader that is only asked whether there is anything new has 0.4 s.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -10,7 +10,9 @@
 
 from collections.abc import Collection
 
+from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway.broadcast import other_entries
+from poplarhoist.decisions.gateway.events import CopyAsked
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.leads import is_silent
 from poplarhoist.decisions.gateway.positions import Position
@@ -26,6 +28,9 @@
 # Entries that one asks at its start whether they know a later version than the store has. With half of
 # all entries restarted, the chance that none of them ran before is below one percent.
 ASKED_FOR_VERSION = 8
+# Seconds for which an entry that did not answer is not asked for copies; they double each time.
+MISSED_PAUSE_S = 15.0
+MISSED_PAUSE_MAX_S = 960.0
 # Seconds after its start for which an entry looks for a copy before it reads long records itself,
 # and seconds until twice as many give up looking.
 COPY_WAIT_S = 1.5
@@ -35,17 +40,34 @@
 def reading_order(state: GatewayState, kind: str, at: float) -> list[str]:
     """Return the entries of this region, those that are to read a kind themselves first.
 
-    Silent ones are left out.
+    Silent ones and those that give no copies are left out: the record of an entry that is gone may
+    stay for good.
     """
     region = state.regions.get(state.zone)
     names = [
         name
-        for name in state.entries
-        if state.regions.get(state.entries[name].zone) == region and not is_silent(state, name, at)
+        for name, entry in state.entries.items()
+        if state.regions.get(entry.zone) == region
+        and not is_silent(state, name, at)
+        and entry.no_copies_until <= at
     ]
     return rendezvous_order(kind, names)
 
 
+def on_asked(state: GatewayState, event: CopyAsked, effects: list) -> None:
+    """Record whether an entry answered when it was asked for a copy."""
+    entry = state.entries.get(event.peer)
+    if entry is None:
+        return
+    if event.is_reachable:
+        entry.copies_missed, entry.no_copies_until = 0, float("-inf")
+        return
+    pause_s = min(MISSED_PAUSE_MAX_S, MISSED_PAUSE_S * 2**entry.copies_missed)
+    entry.copies_missed += 1
+    entry.no_copies_until = event.at + pause_s
+    effects.append(LogChange("copies-missed", {"peer": event.peer, "pause_s": pause_s}))
+
+
 def rank_in_region(state: GatewayState, kind: str, at: float) -> int:
     """Return the place of this entry, from 0, in its region's order of readers of a kind.
 
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -470,6 +470,21 @@
     is_reachable: bool
 
 
+@frozen
+class CopyAsked:
+    """Another entry was asked for a copy of records.
+
+    Attributes
+    ----------
+    is_reachable : bool
+        Whether it answered, whatever the answer.
+    """
+
+    at: float
+    peer: str
+    is_reachable: bool
+
+
 @frozen
 class StoreAvailabilityChanged:
     """The store answers again, or no longer answers."""
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -9,6 +9,7 @@
     adapter_asks,
     brittle,
     configuration,
+    copies,
     crash_records,
     crashes,
     endpoints,
@@ -186,7 +187,7 @@
     """Apply a message from another entry, which is thus not silent any more."""
     peer = state.entries.get(event.sender)
     if peer is not None:
-        peer.silent_until = float("-inf")
+        peer.silent_until = peer.no_copies_until = float("-inf")
     handle_message(state, event.sender, event.message, event.at, effects)
 
 
@@ -287,6 +288,7 @@
     ev.ReportReceived: residency.on_report,
     ev.EndpointChecked: crashes.on_checked,
     ev.EndpointProbed: links.on_probed,
+    ev.CopyAsked: copies.on_asked,
     ev.SoftwareRecordsListed: software_versions.on_listed,
     ev.SoftwareRecordWritten: software_versions.on_written,
     ev.CrashRecordSeen: crash_records.on_seen,
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -362,6 +362,10 @@
         Until this time the entry counts as having no links to endpoints.
     avoid_until : float
         Until this time it gets no requests to pass on, as no connection to it could be made.
+    copies_missed : int
+        How often in a row it did not answer when it was asked for a copy of records.
+    no_copies_until : float
+        Until this time it counts as unable to give copies, for that reason.
     relaying : set
         Ids of this entry's requests that it passes on.
     """
@@ -374,6 +378,8 @@
     silent_until: float = float("-inf")
     links_lost_until: float = float("-inf")
     avoid_until: float = float("-inf")
+    copies_missed: int = 0
+    no_copies_until: float = float("-inf")
     relaying: set[str] = field(factory=set)
 
 
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -10,6 +10,7 @@
 from urllib3.exceptions import HTTPError
 
 from poplarhoist.decisions.gateway import copies
+from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.state import EntryState, GatewayState
@@ -25,6 +26,9 @@
 GENERATION_HEADER = "Copy-Generation"
 # Seconds for the first byte of a copy, and for the whole.
 FIRST_BYTE_S = 1.0
+# The same of a reader that is asked whether there is anything new. With the pause before, a change that
+# nobody told of is read from the store within the three seconds after which it must be in force.
+ASK_TIMEOUT_S = 0.4
 WHOLE_S = 3.0
 MAX_COPY_BYTES = 4194304
 MAX_DIGITS = 20
@@ -107,13 +111,21 @@
         return self.copy_from_told(known) or self.ask_readers(known)
 
     def ask_readers(self, known: Position) -> StoreChanges | None:
-        """Copy newer records from a reader; no events if it has none, None if none answers."""
+        """Copy newer records from a reader; no events if it has none, None if there is no answer.
+
+        A reader that does not answer costs time, in which a change may come late. So the store is read
+        then, and another reader is asked the next time.
+        """
         for reader in copies.readers_to_ask(self.state, self.kind, self.at()):
-            changes = self.fetch(reader, known)
-            if changes is not None:
+            changes = self.fetch(reader, known, ASK_TIMEOUT_S)
+            if changes is not None or not self.is_answering(reader):
                 return changes
         return None
 
+    def is_answering(self, peer: EntryState) -> bool:
+        """Return whether an entry answered when it was last asked for a copy."""
+        return peer.copies_missed == 0
+
     def look_for_first_copy(self, complete: Complete) -> StoreChanges | None:
         """Copy all records from any entry of this region; None if there is no copy for a while.
 
@@ -168,16 +180,23 @@
         for event in events:
             self.decision_loop.submit(event)
 
-    def fetch(self, source: EntryState, known: Position) -> StoreChanges | None:
+    def fetch(
+        self, source: EntryState, known: Position, timeout_s: float = FIRST_BYTE_S
+    ) -> StoreChanges | None:
         """Copy records from an entry.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds for the connection, and for the first byte of the response.
+
         Returns
         -------
         StoreChanges or None
             No events if the entry has no newer records; None if it does not answer, cannot tell, or
             answers with something else than a copy.
         """
-        copy = self.request_copy(source, position_query(known))
+        copy = self.request_copy(source, position_query(known), timeout_s)
         if copy is None:
             return None
         if not copy.data:
@@ -192,7 +211,9 @@
         self.decision_loop.log.info("records-copied", kind=self.kind, peer=source.name, **fields)
         return changes
 
-    def request_copy(self, source: EntryState, query: dict[str, int]) -> RecordsCopy | None:
+    def request_copy(
+        self, source: EntryState, query: dict[str, int], timeout_s: float = FIRST_BYTE_S
+    ) -> RecordsCopy | None:
         """Request a copy, which is empty if there is nothing newer; None if there is none."""
         url = f"http://{source.host}:{source.port}{COPIES_PATH}{self.kind}?{urlencode(query)}"
         headers: dict[str, str] = {}
@@ -204,19 +225,30 @@
                 MAX_COPY_BYTES,
                 headers.update,
                 socket_options(WHOLE_S),
-                timeout=Timeout(connect=FIRST_BYTE_S, read=FIRST_BYTE_S),
+                timeout=Timeout(connect=timeout_s, read=timeout_s),
             )
+            self.submit_asked(source, True)
             if status not in (HTTPStatus.OK, HTTPStatus.NO_CONTENT):
                 raise ValueError(f"status {status}")
             known_generation = query["generation"] or self.store.generation
             generation = int(headers.get(GENERATION_HEADER, known_generation))
             position = Position(generation, int(headers[REVISION_HEADER]))
-        except (HTTPError, ValueError, KeyError, TypeError) as error:
+        except HTTPError as error:
             # The next entry, or the store, is asked instead.
             self.log_failure(source, error)
+            self.submit_asked(source, False)
+            return None
+        except (ValueError, KeyError, TypeError) as error:
+            # As above; the entry is alive.
+            self.log_failure(source, error)
             return None
         return RecordsCopy(position, data if status == HTTPStatus.OK else b"")
 
+    def submit_asked(self, peer: EntryState, is_reachable: bool) -> None:
+        """Submit whether an entry answered."""
+        if not is_reachable or not self.is_answering(peer):
+            self.decision_loop.submit(ev.CopyAsked(self.at(), peer.name, is_reachable))
+
     def log_failure(self, source: EntryState, error: Exception) -> None:
         """Log why an entry has given no copy."""
         detail = f"{type(error).__name__}: {error}"[:200]
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -1,21 +1,34 @@
 """Few entries of a region read long records from the store; the others copy them."""
 
+import socket
+import time
 import zlib
 from collections import Counter
 
 import orjson
 import pytest
 
+from poplarhoist.clock import SystemClock
 from poplarhoist.decisions.gateway import copies
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.messages import News
 from poplarhoist.decisions.gateway.positions import Position
-from poplarhoist.gateway.copies import REVISION_HEADER, respond_with_copy
+from poplarhoist.decisions.gateway.reducer import reduce
+from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.entry.metrics import Metrics
+from poplarhoist.gateway.copies import (
+    ASK_INTERVAL_S,
+    REVISION_HEADER,
+    CopyReader,
+    respond_with_copy,
+)
 from poplarhoist.gateway.interfaces import RecordsCopy
 from poplarhoist.platform.copies import CopiedKind
 from tests.gateway import Gateway
 
 KIND = "configuration"
+# Seconds within which a configuration must be in force at the users' smaller sites.
+CONFIGURATION_DEADLINE_S = 3.0
 ZONES = ("north-a", "north-b", "south-a")
 
 
@@ -71,6 +84,47 @@
     assert asked == set(order[lost : lost + copies.READERS_PER_REGION])
 
 
+@pytest.mark.parametrize("gone", [1, 4, 50])
+def test_others_read_where_only_records_are_left_of_readers(gone):
+    """The records of entries that ended without a word stay; they were asked for good."""
+    entries = site(0, 0, 101)
+    order = copies.reading_order(entries["south-a-0"].state, KIND, 0.0)
+    left = entries[order[gone]]
+    for name in order[:gone]:
+        left.submit(ev.CopyAsked, peer=name, is_reachable=False)
+    assert copies.reads_itself(left.state, KIND, left.at)
+    assert not set(order[:gone]) & {
+        peer.name for peer in copies.readers_to_ask(left.state, KIND, left.at)
+    }
+    # One that speaks is a reader again.
+    left.submit(ev.PeerMessageReceived, sender=order[0], message=News(KIND, 9))
+    assert copies.reading_order(left.state, KIND, left.at)[0] == order[0]
+
+
+@pytest.mark.parametrize(("missed", "pause_s"), [(1, 15.0), (2, 30.0), (3, 60.0), (9, 960.0)])
+def test_entry_that_does_not_answer_is_asked_ever_more_rarely(missed, pause_s):
+    entry = site(0, 0, 101)["south-a-0"]
+    for _ in range(missed):
+        entry.submit(ev.CopyAsked, peer="south-a-7", is_reachable=False)
+    asked = entry.state.entries["south-a-7"]
+    assert asked.no_copies_until == entry.at + pause_s
+    entry.submit(ev.CopyAsked, peer="south-a-7", is_reachable=True)
+    assert asked.no_copies_until < entry.at
+
+
+def test_readers_that_do_not_answer_cost_less_than_a_change_may_be_late():
+    """Four readers that were gone cost four seconds, before the store was asked."""
+    entry = site(0, 0, 8)["south-a-0"]
+    loop = DecisionLoop(entry.state, SystemClock(), Metrics(), "south-a-0", reduce, ())
+    silent = socket.create_server(("127.0.0.1", 0))
+    for peer in entry.state.entries.values():
+        peer.host, peer.port = silent.getsockname()
+    began_at = time.monotonic()
+    assert CopyReader(loop, None, KIND).ask_readers(Position(1, 5)) is None
+    assert time.monotonic() - began_at + ASK_INTERVAL_S < CONFIGURATION_DEADLINE_S
+    silent.close()
+
+
 def test_entries_without_a_first_copy_give_up_looking_a_few_at_a_time():
     waits_s = [copies.copy_wait_s(entry.state, KIND, 0.0) for entry in site(0, 0, 101).values()]
     assert waits_s.count(0.0) == copies.READERS_PER_REGION
