Watches of the configuration are as long as its readers make up for, not all entries

Cause: the watches of a kind grow with the number of entries, as those of the others show what one misses. Where all readers' connections to the store go silent, a change came late by the rest of the shortest watch. Change: the length grows with the number of readers. Before, the new test has no count of readers to ask for.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
 
 from poplarhoist.decisions.common_effects import LogChange
@@ -84,6 +85,14 @@
     return rank_in_region(state, kind, at) < READERS_PER_REGION
 
 
+def reader_count(state: GatewayState) -> int:
+    """Return how many entries of all regions read long records from the store."""
+    by_region = Counter(state.regions.get(entry.zone) for entry in state.entries.values())
+    return sum(
+        count if count <= FULL_READERS else READERS_PER_REGION for count in by_region.values()
+    )
+
+
 def copy_wait_s(state: GatewayState, kind: str, at: float) -> float:
     """Return for how many seconds this entry looks for a first copy."""
     rank = rank_in_region(state, kind, at)
--- a/poplarhoist/decisions/gateway/gossip.py
+++ b/poplarhoist/decisions/gateway/gossip.py
@@ -15,7 +15,6 @@
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import RereadChanges, SendPeer
 from poplarhoist.decisions.gateway.events import StoreChangesRead
-from poplarhoist.decisions.gateway.leads import interval_factor
 from poplarhoist.decisions.gateway.messages import News
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.state import GatewayState
@@ -66,14 +65,14 @@
             return not many or bool(state.slot_tables or state.pending_claims)
 
 
-def watch_wait_factor(state: GatewayState) -> float:
-    """Return the factor by which a watch may wait longer, as others report what it misses."""
-    return interval_factor(state, FULL_RATE_READERS)
+def watch_wait_factor(readers: int) -> float:
+    """Return the factor by which a watch may wait longer, as other readers report what it misses."""
+    return max(1.0, readers / FULL_RATE_READERS)
 
 
 def on_changes_read(state: GatewayState, event: StoreChangesRead, effects: list) -> None:
     """Inform some other entries of a change, if there are enough entries for longer watches."""
-    if watch_wait_factor(state) <= 1.0:
+    if watch_wait_factor(len(state.entries)) <= 1.0:
         return
     others = other_entries(state)
     for name in state.random.sample(others, min(GOSSIP_FANOUT, len(others))):
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -6,8 +6,8 @@
 import eventlet
 from attrs import evolve
 
+from poplarhoist.decisions.gateway import copies, gossip
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway import gossip
 from poplarhoist.decisions.gateway.effects import (
     Claim,
     Register,
@@ -259,18 +259,18 @@
         return gossip.needs_fresh_watch(self.decision_loop.state, spec.freshness)
 
     def scale_long_poll(self, spec: WatchSpec) -> WatchSpec:
-        """Return the spec with its long poll scaled with the number of entries.
+        """Return the spec with its long poll scaled with the number of entries that watch the kind.
 
         This applies to kinds that notify peers. The scaled long poll is randomised to 50 to 100 %
         of its length, so that the watches of the entries do not all end at the same time.
         """
-        factor = gossip.watch_wait_factor(self.decision_loop.state)
+        state = self.decision_loop.state
+        readers = copies.reader_count(state) if spec.is_copied else len(state.entries)
+        factor = gossip.watch_wait_factor(readers)
         if not spec.notifies_peers or factor <= 1.0:
             return spec
         long_poll_s = min(LONG_POLL_MAX_S, spec.long_poll_s * factor)
-        return evolve(
-            spec, long_poll_s=long_poll_s * (0.5 + 0.5 * self.decision_loop.state.random.random())
-        )
+        return evolve(spec, long_poll_s=long_poll_s * (0.5 + 0.5 * state.random.random()))
 
     def notice_delay_s(self, kind: str) -> float:
         """Return the seconds between a peer's notice of a change and the restart of a watch."""
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -125,6 +125,14 @@
     silent.close()
 
 
+@pytest.mark.parametrize(
+    ("sizes", "count"), [((1, 0, 0), 1), ((3, 3, 3), 9), ((20, 17, 36), 8), ((47, 47, 101), 8)]
+)
+def test_watches_of_readers_alone_make_up_for_one_that_misses_a_change(sizes, count):
+    """Their length grew with all entries, though only the readers have watches."""
+    assert copies.reader_count(site(*sizes)["north-a-0"].state) == count
+
+
 def test_entries_without_a_first_copy_give_up_looking_a_few_at_a_time():
     waits_s = [copies.copy_wait_s(entry.state, KIND, 0.0) for entry in site(0, 0, 101).values()]
     assert waits_s.count(0.0) == copies.READERS_PER_REGION
