An entry that starts after the store came back older learns adapters' versions and first records too

What callers saw: after the store came back older, an entry that starts lets requests run at an earlier version of an adapter than the other entries, or at none. Versions stay in force at the entries that have read them, but were not passed on; of the configuration, a record that the store lacks altogether was not passed on either. Evidence: the rows version and first-version of the test fail on, where the two of the configuration pass. Change: kinds whose records outlast a restoration are kept with their later versions and lost records. An entry asks eight others at its start, one by one, with a digest of the versions that it knows, and takes what is later or missing. Records are compressed when another entry wants them, not after each change.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -26,9 +26,9 @@
 # Entries of a region that may copy from an entry of another region that is ahead; copies are
 # compressed.
 CROSSING_COPIERS = 8
-# Entries that one asks at its start whether they know a later version than the store has. With half of
+# Entries that one asks at its start whether they know later versions than the store has. With half of
 # all entries restarted, the chance that none of them ran before is below one percent.
-ASKED_FOR_VERSION = 8
+ASKED_FOR_VERSIONS = 8
 # Seconds for which an entry that did not answer is not asked for copies; they double each time.
 MISSED_PAUSE_S = 15.0
 MISSED_PAUSE_MAX_S = 960.0
@@ -145,13 +145,8 @@
     return state.entries[state.random.choice(names)]
 
 
-def peers_to_ask_for_version(state: GatewayState) -> list[EntryState]:
-    """Return the entries that one asks at its start whether they know a later version."""
+def peers_to_ask_for_versions(state: GatewayState) -> list[EntryState]:
+    """Return the entries that one asks at its start whether they know later versions."""
     names = other_entries(state)
-    names = state.random.sample(names, min(ASKED_FOR_VERSION, len(names)))
+    names = state.random.sample(names, min(ASKED_FOR_VERSIONS, len(names)))
     return [state.entries[name] for name in names]
-
-
-def has_later_version(state: GatewayState, version: int) -> bool:
-    """Return whether the configuration in force here is later than a version."""
-    return state.configuration is not None and state.configuration.version > version
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -39,10 +39,10 @@
 # Longest wait in seconds, after the start, for the list of entries, which tells who reads long records.
 ENTRIES_WAIT_S = 1.0
 ENTRIES_POLL_S = 0.02
-# Longest pause in seconds before other entries are asked for a later version: many may start at once.
-LATER_VERSION_DELAY_S = 1.0
-# Names the version in the query of an entry that wants only a later one.
-VERSION_QUERY = "version"
+# Longest pause in seconds before other entries are asked for later versions: many may start at once.
+LATER_VERSIONS_DELAY_S = 1.0
+# Names the digest of known versions in the query of an entry that wants only others.
+VERSIONS_QUERY = "versions"
 # Adds to a copy what has changed since; returns None if that is not possible.
 Complete = Callable[[StoreChanges], StoreChanges | None]
 
@@ -145,17 +145,17 @@
             eventlet.sleep(FIRST_COPY_INTERVAL_S * (0.5 + self.state.random.random()))
         return None
 
-    def ask_for_later_version(self) -> None:
-        """Ask other entries whether they know a later version than the store had at the start.
+    def ask_for_later_versions(self) -> None:
+        """Ask other entries, one by one, whether they know more than the store had at the start.
 
-        A restored store may have an earlier version than the others have in force.
+        A restored store may have earlier versions than the others have in force.
         """
         if self.state.is_first_start:
             return
         self.wait_for_entries()
-        eventlet.sleep(LATER_VERSION_DELAY_S * self.state.random.random())
-        for peer in copies.peers_to_ask_for_version(self.state):
-            eventlet.spawn_n(self.adopt_from, peer)
+        eventlet.sleep(LATER_VERSIONS_DELAY_S * self.state.random.random())
+        for peer in copies.peers_to_ask_for_versions(self.state):
+            self.adopt_from(peer)
 
     def wait_for_entries(self) -> None:
         """Wait for the list of entries, for a while."""
@@ -164,10 +164,9 @@
             eventlet.sleep(ENTRIES_POLL_S)
 
     def adopt_from(self, peer: EntryState) -> None:
-        """Take a later version from another entry, if it has one."""
-        known = self.state.configuration
-        version = known.version if known is not None else 0
-        copy = self.request_copy(peer, {VERSION_QUERY: version, **position_query(Position())})
+        """Take what another entry knows later versions of."""
+        query = {VERSIONS_QUERY: self.store.versions_digest(self.kind)}
+        copy = self.request_copy(peer, query | position_query(Position()), ASK_TIMEOUT_S)
         if copy is None or not copy.data:
             return
         try:
@@ -176,8 +175,9 @@
             # Another entry may have a sound copy.
             self.log_failure(peer, error)
             return
-        self.decision_loop.log.info("later-version-copied", kind=self.kind, peer=peer.name)
         for event in events:
+            fields = {"peer": peer.name, "detail": str(event)[:200]}
+            self.decision_loop.log.info("later-version-copied", kind=self.kind, **fields)
             self.decision_loop.submit(event)
 
     def fetch(
@@ -212,7 +212,7 @@
         return changes
 
     def request_copy(
-        self, source: EntryState, query: dict[str, int], timeout_s: float = FIRST_BYTE_S
+        self, source: EntryState, query: dict[str, int | str], timeout_s: float = FIRST_BYTE_S
     ) -> RecordsCopy | None:
         """Request a copy, which is empty if there is nothing newer; None if there is none."""
         url = f"http://{source.host}:{source.port}{COPIES_PATH}{self.kind}?{urlencode(query)}"
@@ -264,22 +264,20 @@
     """Return this entry's records of a kind to another entry.
 
     The status is 204 if none is newer, and 503 if this entry cannot tell: it has not read them yet, or
-    the store is away. One that names a version wants a copy only if this entry has a later one.
+    the store is away. It is 204 as well if this entry knows the versions that the other one names.
     """
     kind = environ["PATH_INFO"].removeprefix(COPIES_PATH)
     query = parse_qs(environ.get("QUERY_STRING", ""))
     after = query.get("after", [""])[0]
     generation = query.get("generation", [str(store.generation)])[0]
-    version = query.get(VERSION_QUERY, ["0"])[0]
-    numbers = (after, generation, version)
-    if not all(text.isdecimal() and len(text) <= MAX_DIGITS for text in numbers):
+    if not all(text.isdecimal() and len(text) <= MAX_DIGITS for text in (after, generation)):
         start_response("400 Bad Request", [])
         return [b""]
     copy = store.copy(kind, Position(int(generation), int(after)))
     if copy is None or (not copy.data and state.store_unavailable):
         start_response("503 Service Unavailable", [])
         return [b""]
-    if VERSION_QUERY in query and not copies.has_later_version(state, int(version)):
+    if VERSIONS_QUERY in query and query[VERSIONS_QUERY] == [store.versions_digest(kind)]:
         copy = evolve(copy, data=b"")
     headers = [
         ("Content-Type", "application/octet-stream"),
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -159,6 +159,9 @@
     is_copied : bool
         Whether the records may be long, so that most entries of a large region copy them from
         another one (`decisions.gateway.copies`).
+    outlasts_restoration : bool
+        Whether entries keep what they know where a restored store has earlier versions, or lacks a
+        record. An entry that starts then asks the others whether they know more than the store.
     """
 
     kind: str
@@ -169,6 +172,7 @@
     notifies_peers: bool = False
     only_at_start: bool = False
     is_copied: bool = False
+    outlasts_restoration: bool = False
 
 
 @frozen
@@ -268,8 +272,11 @@
             If it is no copy of these records.
         """
 
+    def versions_digest(self, kind: str) -> str:
+        """Return a digest of the versions of all records of a kind that this entry knows."""
+
     def adopt_copy(self, kind: str, copy: RecordsCopy) -> tuple[Event, ...]:
-        """Take those records of another entry's copy that have later versions than the ones read.
+        """Take those records of another entry's copy that are later than the ones read, or missing.
 
         Raises
         ------
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -147,8 +147,9 @@
         is cut off counts as a failed read only if it is the second in a row that ends at once.
         """
         self.read_all(spec)
-        if spec.is_copied:
-            eventlet.spawn_n(self.copy_readers_by_kind[spec.kind].ask_for_later_version)
+        if spec.outlasts_restoration:
+            reader = CopyReader(self.decision_loop, self.store, spec.kind)
+            eventlet.spawn_n(reader.ask_for_later_versions)
         if spec.only_at_start:
             while True:
                 self.store_restored_event.wait()
--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Iterable
+from hashlib import sha256
 
 import orjson
 from attrs import define, field
@@ -10,20 +11,25 @@
 from poplarhoist.gateway.interfaces import RecordsCopy
 from poplarhoist.platform.records import has_metadata
 
-# The fastest level: the records are compressed after each change.
+# The fastest level: the records are compressed after each change that another entry copies.
 COMPRESSION_LEVEL = 1
 
 
 @define
 class CopiedKind:
-    """The records of a kind as last read, in compressed form.
+    """The records of a kind as last read, and their compressed form.
+
+    A restored store may have an earlier version of a record than the one that it has confirmed, or
+    lack the record. What was read before is kept then, so that entries that start later learn of it.
 
     Attributes
     ----------
     position, last_change : Position
         Position up to which changes are known, and the latest one among the records.
+    item_by_name : dict or None
+        The records; None before they were read.
     data : bytes
-        The records, compressed; empty before they were read.
+        The records, compressed; empty until another entry wants them.
     max_bytes : int
         Longest form of the records that is accepted from another entry.
     """
@@ -31,37 +37,62 @@
     max_bytes: int
     position: Position = Position()
     last_change: Position = Position()
+    item_by_name: dict[str, dict] | None = field(default=None, repr=False)
     data: bytes = field(default=b"", repr=False)
 
     def replace(self, items: Iterable[dict], position: Position) -> list[dict]:
-        """Keep and return the records of a list, but none with an earlier version than the one kept here.
-
-        A restored store may have an earlier version than the one that it has confirmed. Entries that
-        start then learn of the later one from copies.
-        """
-        items = with_later_versions(items, self.items())
-        self.data = zlib.compress(orjson.dumps(items), COMPRESSION_LEVEL)
+        """Keep the records of a list, and return all that are known."""
+        item_by_name = {item["metadata"]["name"]: item for item in items}
+        self.last_change = latest_position(item_by_name.values(), position.generation)
         self.position = position
-        self.last_change = latest_position(items, position.generation)
-        return items
+        self.keep(item_by_name | self.later_than(item_by_name))
+        return self.items()
 
     def apply(self, changes: list[dict], position: Position) -> None:
         """Apply the changes that a watch has returned."""
-        if changes:
-            item_by_name = {item["metadata"]["name"]: item for item in self.items()}
-            for change in changes:
-                item = change["object"]
-                item_by_name.pop(item["metadata"]["name"], None)
-                if not change.get("tombstone"):
-                    item_by_name[item["metadata"]["name"]] = item
-            self.replace(item_by_name.values(), position)
-            changed = latest_position((change["object"] for change in changes), position.generation)
-            self.last_change = max(self.last_change, changed)
         self.position = max(self.position, position)
+        if not changes:
+            return
+        item_by_name = dict(self.item_by_name or {})
+        for change in changes:
+            item = change["object"]
+            name = item["metadata"]["name"]
+            if change.get("tombstone"):
+                item_by_name.pop(name, None)
+            elif name not in item_by_name or version_of(item) >= version_of(item_by_name[name]):
+                item_by_name[name] = item
+        self.keep(item_by_name)
+        changed = latest_position((change["object"] for change in changes), position.generation)
+        self.last_change = max(self.last_change, changed)
+
+    def keep(self, item_by_name: dict[str, dict]) -> None:
+        """Replace the records; they are compressed when another entry wants them."""
+        self.item_by_name, self.data = item_by_name, b""
+
+    def later_than(self, item_by_name: dict[str, dict]) -> dict[str, dict]:
+        """Return the records kept here that others lack or have in an earlier version.
+
+        Their revisions are those of the others: the ones of before say nothing in a restored store.
+        """
+        later = {}
+        for name, item in (self.item_by_name or {}).items():
+            other = item_by_name.get(name)
+            if other is None:
+                later[name] = item | {"metadata": {"name": name, "revision": 0}}
+            elif version_of(item) > version_of(other):
+                later[name] = other | {"spec": item["spec"]}
+        return later
 
     def items(self) -> list[dict]:
         """Return the records."""
-        return self.unpack(self.data) if self.data else []
+        return list((self.item_by_name or {}).values())
+
+    def versions_digest(self) -> str:
+        """Return a digest of the names and versions of the records."""
+        versions = sorted(
+            (name, version_of(item)) for name, item in (self.item_by_name or {}).items()
+        )
+        return sha256(orjson.dumps(versions)).hexdigest()
 
     def unpack(self, data: bytes) -> list[dict]:
         """Return the records of a copy.
@@ -85,9 +116,13 @@
 
     def copy(self, after: Position) -> RecordsCopy | None:
         """Return a copy for another entry, as `Store.copy` says."""
-        if not self.data:
+        if self.item_by_name is None:
             return None
-        return RecordsCopy(self.position, self.data if self.last_change > after else b"")
+        if self.last_change <= after:
+            return RecordsCopy(self.position, b"")
+        if not self.data:
+            self.data = zlib.compress(orjson.dumps(self.items()), COMPRESSION_LEVEL)
+        return RecordsCopy(self.position, self.data)
 
     def read(self, copy: RecordsCopy) -> list[dict]:
         """Keep another entry's copy, and return its records; raises as `unpack` does."""
@@ -96,14 +131,15 @@
         return items
 
     def adopt(self, copy: RecordsCopy) -> list[dict]:
-        """Take later versions from another entry's copy; return their records; raises as `unpack`.
+        """Take what is later or missing here from another entry's copy, and return it.
 
-        The positions stay, since the copy may be of another generation.
+        The positions stay, since the copy may be of another generation. Raises as `unpack` does.
         """
-        kept = self.items()
-        adopted = with_later_versions(kept, self.unpack(copy.data))
-        self.data = zlib.compress(orjson.dumps(adopted), COMPRESSION_LEVEL)
-        return [item for item in adopted if item not in kept]
+        other = CopiedKind(self.max_bytes)
+        other.replace(self.unpack(copy.data), copy.position)
+        later = other.later_than(self.item_by_name or {})
+        self.keep((self.item_by_name or {}) | later)
+        return list(later.values())
 
 
 def latest_position(items: Iterable[dict], generation: int) -> Position:
@@ -112,17 +148,6 @@
     return Position(generation, max(revisions, default=0))
 
 
-def with_later_versions(items: Iterable[dict], others: Iterable[dict]) -> list[dict]:
-    """Return records, each with the content of its namesake among others if that is a later version."""
-    other_by_name = {item["metadata"]["name"]: item for item in others}
-    latest = []
-    for item in items:
-        other = other_by_name.get(item["metadata"]["name"], item)
-        is_later = version_of(other) > version_of(item)
-        latest.append(item | {"spec": other["spec"]} if is_later else item)
-    return latest
-
-
 def version_of(item: dict) -> int:
     """Return the version that a record names; -1 if it names none."""
     content = item.get("spec")
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -145,6 +145,7 @@
             long_poll_s=CONFIGURATION_LONG_POLL_S,
             notifies_peers=True,
             is_copied=True,
+            outlasts_restoration=True,
         ),
         WatchSpec(
             ENDPOINT_KIND,
@@ -154,7 +155,11 @@
             probes_store=True,
         ),
         WatchSpec(
-            VERSION_KIND, Freshness.SHARED, long_poll_s=VERSION_LONG_POLL_S, notifies_peers=True
+            VERSION_KIND,
+            Freshness.SHARED,
+            long_poll_s=VERSION_LONG_POLL_S,
+            notifies_peers=True,
+            outlasts_restoration=True,
         ),
         WatchSpec(ENTRY_KIND, Freshness.SHARED, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
         WatchSpec(LEAD_KIND, Freshness.LEADS, pause_between_watches_s=ENTRY_AND_LEAD_PAUSE_S),
@@ -177,7 +182,9 @@
         self.generation = 0
         self.unclear_generation: str | None = None
         self.copied_kinds = {
-            spec.kind: CopiedKind(MAX_RESPONSE_BYTES) for spec in self.watch_specs if spec.is_copied
+            spec.kind: CopiedKind(MAX_RESPONSE_BYTES)
+            for spec in self.watch_specs
+            if spec.is_copied or spec.outlasts_restoration
         }
 
     def read_all(self, kind: str) -> StoreChanges:
@@ -225,6 +232,10 @@
         changes = self.changes_of_list(kind, self.copied_kinds[kind].read(copy), copy.position)
         return evolve(changes, is_from_store=False)
 
+    def versions_digest(self, kind: str) -> str:
+        """Return a digest of the versions read, as `Store.versions_digest` says."""
+        return self.copied_kinds[kind].versions_digest()
+
     def adopt_copy(self, kind: str, copy: RecordsCopy) -> tuple[ev.Event, ...]:
         """Take later versions from another entry's copy, as `Store.adopt_copy` says."""
         items = self.copied_kinds[kind].adopt(copy)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -198,21 +198,36 @@
     assert entry.log_lines("endpoint-gone") == []
 
 
-# Entries of the region: all read the configuration from the store, or only some.
-@pytest.mark.parametrize("count", [2, 9])
-def test_entry_that_starts_after_a_restoration_learns_the_configuration_that_was_lost(
-    tmp_path, entry, count
+# Entries of the region (all read the configuration from the store, or only some), what is lost, and
+# the line that the entry logs once it knows.
+@pytest.mark.parametrize(
+    ("count", "lost", "line"),
+    [
+        (2, ("config", "main", configuration(9)), ("configuration", {"version": 9})),
+        (9, ("config", "main", configuration(9)), ("configuration", {"version": 9})),
+        (2, ("versions", "base.a1", version(2)), ("version-announced", {"version": 2})),
+        (
+            2,
+            ("versions", "base.a2", version(3) | {"adapter": "a2"}),
+            ("version-announced", {"version": 3}),
+        ),
+    ],
+    ids=["configuration", "configuration-of-nine", "version", "first-version"],
+)
+def test_entry_that_starts_after_a_restoration_learns_what_was_lost(
+    tmp_path, entry, count, lost, line
 ):
-    """It served the older one, and refused requests on routes that the others served."""
+    """It served older ones than the others, and refused requests on routes that they served."""
     store = entry.store
+    event, fields = line
     others = [WatchingEntry(tmp_path, f"entry-{n}", store) for n in range(2, count + 1)]
     try:
         for other in others:
             other.launch()
         assert all(other.logs("entry-known", 15.0, peer="entry-1") for other in others)
         copy = store.copy()
-        store.put("config", "main", configuration(9))
-        assert all(known.logs("configuration", version=9) for known in [entry, *others])
+        store.put(*lost)
+        assert all(known.logs(event, **fields) for known in [entry, *others])
         store.restore(copy)
         assert others[0].logs("store-restored", generation=2)
         entry.kill()
@@ -221,7 +236,7 @@
         entry.log_path.unlink()
         entry.launch()
         assert entry.logs("configuration", 15.0, version=7, before=0) or count > 2
-        assert entry.logs("configuration", version=9)
+        assert entry.logs(event, **fields)
     finally:
         for other in others:
             other.kill()
