Entries that missed a change before the store came back older learn it from the others

What callers saw: an entry that was cut off from the store when a configuration was confirmed, and until the store had come back older, served the older one from then on, beside others that served the later one, until the operator wrote again. The same for the version of an adapter. Only an entry that starts asked the others; one that ran before asked nobody, and the others' notices name a position of the generation before, which counts as older than what it has read. Change: an entry asks the others each time that a kind's position is of another generation than before, and at its start as it did. Reading the configuration for the first time at the site's first start still asks nobody.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -26,8 +26,9 @@
 # Entries of a region that may copy from an entry of another region that is ahead; copies are
 # compressed.
 CROSSING_COPIERS = 8
-# Entries that one asks at its start whether they know later versions than the store has. With half of
-# all entries restarted, the chance that none of them ran before is below one percent.
+# Entries that one asks at its start, and after a restoration, whether they know later versions than the
+# store has. With half of all entries restarted, the chance that none of them ran before is below one
+# percent.
 ASKED_FOR_VERSIONS = 8
 # Seconds for which an entry that did not answer is not asked for copies; they double each time.
 MISSED_PAUSE_S = 15.0
@@ -146,7 +147,7 @@
 
 
 def peers_to_ask_for_versions(state: GatewayState) -> list[EntryState]:
-    """Return the entries that one asks at its start whether they know later versions."""
+    """Return the entries that one asks whether they know later versions."""
     names = other_entries(state)
     names = state.random.sample(names, min(ASKED_FOR_VERSIONS, len(names)))
     return [state.entries[name] for name in names]
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -39,7 +39,7 @@
 # Longest wait in seconds, after the start, for the list of entries, which tells who reads long records.
 ENTRIES_WAIT_S = 1.0
 ENTRIES_POLL_S = 0.02
-# Longest pause in seconds before other entries are asked for later versions: many may start at once.
+# Longest pause in seconds before other entries are asked for later versions: many may ask at once.
 LATER_VERSIONS_DELAY_S = 1.0
 # Names the digest of known versions in the query of an entry that wants only others.
 VERSIONS_QUERY = "versions"
@@ -146,12 +146,10 @@
         return None
 
     def ask_for_later_versions(self) -> None:
-        """Ask other entries, one by one, whether they know more than the store had at the start.
+        """Ask other entries, one by one, whether they know more than was read from the store.
 
         A restored store may have earlier versions than the others have in force.
         """
-        if self.state.is_first_start:
-            return
         self.wait_for_entries()
         eventlet.sleep(LATER_VERSIONS_DELAY_S * self.state.random.random())
         for peer in copies.peers_to_ask_for_versions(self.state):
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -147,9 +147,6 @@
         is cut off counts as a failed read only if it is the second in a row that ends at once.
         """
         self.read_all(spec)
-        if spec.outlasts_restoration:
-            reader = CopyReader(self.decision_loop, self.store, spec.kind)
-            eventlet.spawn_n(reader.ask_for_later_versions)
         if spec.only_at_start:
             while True:
                 self.store_restored_event.wait()
@@ -371,6 +368,9 @@
             self.record_success()
         known = self.positions_by_kind.get(spec.kind)
         self.positions_by_kind[spec.kind] = changes.position
+        if spec.outlasts_restoration and self.may_lack_versions(known, changes.position):
+            reader = CopyReader(self.decision_loop, self.store, spec.kind)
+            eventlet.spawn_n(reader.ask_for_later_versions)
         for event in changes.events:
             try:
                 self.decision_loop.submit(event)
@@ -382,6 +382,16 @@
             at = self.decision_loop.event_time()
             self.decision_loop.submit(ev.StoreChangesRead(at, spec.kind, changes.last_change))
 
+    def may_lack_versions(self, known: Position | None, position: Position) -> bool:
+        """Return whether others may know later versions than the store shows, or showed before.
+
+        That is so when this entry starts, or after a restoration: this entry may have missed the
+        latest changes before it.
+        """
+        if known is None:
+            return not self.decision_loop.state.is_first_start
+        return known.generation != position.generation
+
     def record_success(self) -> None:
         """Record that the store has responded, and submit it if it was unreachable."""
         if self.decision_loop.state.store_unavailable:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -13,6 +13,7 @@
 from tests.platform_site import FIRST_START, PlatformEntry
 from tests.platform_standins import configuration
 from tests.platform_store import Store
+from tests.soak.proxy import Proxy, ProxyFault
 
 # Seconds within which all records must be known again; the bound of a draining endpoint.
 KNOWN_S = 3.0
@@ -243,6 +244,41 @@
             other.check_no_faults()
 
 
+@pytest.mark.parametrize(
+    "lost",
+    [("config", "main", configuration(9)), ("versions", "base.a1", version(2))],
+    ids=["configuration", "version"],
+)
+def test_entry_that_missed_a_change_and_the_restoration_learns_what_was_lost(tmp_path, entry, lost):
+    """Only entries that had just started asked the others; it served older ones than they did."""
+    store = entry.store
+    link = Proxy(store.port)
+    late = WatchingEntry(tmp_path, "entry-2", store)
+    text = late.settings_path.read_text()
+    late.settings_path.write_text(text.replace(f":{store.port}", f":{link.port}"))
+    event = "configuration" if lost[0] == "config" else "version-announced"
+    fields = {"version": lost[2]["version"]}
+    try:
+        late.launch()
+        assert late.logs("entry-known", 15.0, peer="entry-1")
+        assert late.logs("configuration") and late.logs("version-announced")
+        assert entry.logs("entry-known", peer="entry-2")
+        copy = store.copy()
+        link.fault = ProxyFault.REFUSE
+        link.reset_all_connections()
+        store.put(*lost)
+        assert entry.logs(event, **fields)
+        store.restore(copy)
+        assert entry.logs("store-restored", generation=2)
+        link.fault = ProxyFault.NONE
+        assert late.logs("store-restored", 5.0, generation=2)
+        assert late.logs(event, **fields)
+    finally:
+        late.kill()
+        link.stop()
+        late.check_no_faults()
+
+
 # Generation known when a call begins and when it ends, what its response shows, and whether the
 # response may be used.
 @pytest.mark.parametrize(
