An entry asks for later versions until eight others could tell, not eight of all records

What callers saw: an entry that starts after the store came back older may serve the older configuration until the operator writes again, though others have the later one. Cause: it asked eight names of the list of entries once; those that were gone, or had not read the records yet, counted as asked. Change: it asks all others in random order, one by one, until eight have told what they know.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -26,10 +26,10 @@
 # Entries of a region that may copy from an entry of another region that is ahead; copies are
 # compressed.
 CROSSING_COPIERS = 8
-# Entries that one asks at its start, and after a restoration, whether they know later versions than the
-# store has. With half of all entries restarted, the chance that none of them ran before is below one
-# percent.
-ASKED_FOR_VERSIONS = 8
+# Entries whose answers one wants at its start, and after a restoration, whether they know later versions
+# than the store has. With half of all entries restarted, the chance that none of them ran before is below
+# one percent.
+ANSWERS_ABOUT_VERSIONS = 8
 # Seconds for which an entry that did not answer is not asked for copies; they double each time.
 MISSED_PAUSE_S = 15.0
 MISSED_PAUSE_MAX_S = 960.0
@@ -147,7 +147,9 @@
 
 
 def peers_to_ask_for_versions(state: GatewayState) -> list[EntryState]:
-    """Return the entries that one asks whether they know later versions."""
+    """Return the entries that one asks whether they know later versions, in random order.
+
+    All others, as those that are gone or have just started themselves cannot tell.
+    """
     names = other_entries(state)
-    names = state.random.sample(names, min(ASKED_FOR_VERSIONS, len(names)))
-    return [state.entries[name] for name in names]
+    return [state.entries[name] for name in state.random.sample(names, len(names))]
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -152,8 +152,11 @@
         """
         self.wait_for_entries()
         eventlet.sleep(LATER_VERSIONS_DELAY_S * self.state.random.random())
+        answered = 0
         for peer in copies.peers_to_ask_for_versions(self.state):
-            self.adopt_from(peer)
+            answered += self.adopt_from(peer)
+            if answered == copies.ANSWERS_ABOUT_VERSIONS:
+                return
 
     def wait_for_entries(self) -> None:
         """Wait for the list of entries, for a while."""
@@ -161,22 +164,23 @@
         while not self.state.entries_listed and self.at() < ends_at:
             eventlet.sleep(ENTRIES_POLL_S)
 
-    def adopt_from(self, peer: EntryState) -> None:
-        """Take what another entry knows later versions of."""
+    def adopt_from(self, peer: EntryState) -> bool:
+        """Take what another entry knows later versions of; return whether it could tell."""
         query = {VERSIONS_QUERY: self.store.versions_digest(self.kind)}
         copy = self.request_copy(peer, query | position_query(Position()), ASK_TIMEOUT_S)
         if copy is None or not copy.data:
-            return
+            return copy is not None
         try:
             events = self.store.adopt_copy(self.kind, copy)
         except ValueError as error:
             # Another entry may have a sound copy.
             self.log_failure(peer, error)
-            return
+            return False
         for event in events:
             fields = {"peer": peer.name, "detail": str(event)[:200]}
             self.decision_loop.log.info("later-version-copied", kind=self.kind, **fields)
             self.decision_loop.submit(event)
+        return True
 
     def fetch(
         self, source: EntryState, known: Position, timeout_s: float = FIRST_BYTE_S
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -16,6 +16,7 @@
 from poplarhoist.decisions.gateway.reducer import reduce
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
+from poplarhoist.gateway import copies as copy_module
 from poplarhoist.gateway.copies import (
     ASK_INTERVAL_S,
     REVISION_HEADER,
@@ -125,6 +126,28 @@
     silent.close()
 
 
+# How many of the others can tell, and how many are asked.
+@pytest.mark.parametrize(("able", "asked"), [(63, 8), (1, 63), (0, 63)])
+def test_entries_that_cannot_tell_are_not_all_that_are_asked_for_later_versions(
+    monkeypatch, able, asked
+):
+    """With 40 of 64 records of entries that were gone, one start in 50 learned nothing."""
+    entry = site(0, 0, 64)["south-a-0"]
+    loop = DecisionLoop(entry.state, SystemClock(), Metrics(), "south-a-0", reduce, ())
+    others = sorted(set(entry.state.entries) - {"south-a-0"})
+    tried = []
+
+    def adopt_from(reader: CopyReader, peer) -> bool:
+        tried.append(peer.name)
+        return peer.name in others[:able]
+
+    monkeypatch.setattr(CopyReader, "adopt_from", adopt_from)
+    monkeypatch.setattr(copy_module, "LATER_VERSIONS_DELAY_S", 0.0)
+    CopyReader(loop, None, KIND).ask_for_later_versions()
+    assert set(others[:able]) & set(tried) or not able
+    assert len(tried) == len(set(tried)) == asked
+
+
 @pytest.mark.parametrize(
     ("sizes", "count"), [((1, 0, 0), 1), ((3, 3, 3), 9), ((20, 17, 36), 8), ((47, 47, 101), 8)]
 )
