Heads that the HTTP library refuses are logged and counted, and answered in the protocol

What callers saw: a request line or a version that cannot be read got a page without a status line, a long head 400 or 414 in HTTP/1.0. What operators saw: nothing; 400, 414, 431 and 505 of the library had neither a log line nor a count, so that proper requests turned away by it left no trace. Evidence: the eight rows of the test fail on (no step in the line, no line, a page instead of a status line). Change: all refusals of a head go one way: `request-not-read` with step, status, detail and the caller's address, the counter by status, and one answer that closes the connection. Headers that are too long get 431 instead of 400. The address is the connection's; the library took what the request before on that connection had in X-Forwarded-For.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -8,10 +8,19 @@
 import re
 from collections.abc import Iterable, Iterator
 from email import errors
+from http import HTTPStatus
 
 import eventlet
 from eventlet.hubs import get_hub
-from eventlet.wsgi import STATE_CLOSE, STATE_REQUEST, ChunkReadError, HttpProtocol, Input
+from eventlet.wsgi import (
+    STATE_CLOSE,
+    STATE_REQUEST,
+    ChunkReadError,
+    HeaderLineTooLong,
+    HeadersTooLarge,
+    HttpProtocol,
+    Input,
+)
 
 # Bytes of lines that may follow one another: chunk sizes with their extensions, and trailers.
 MAX_LINE_BYTES = 16384
@@ -34,7 +43,7 @@
     errors.FirstHeaderLineIsContinuationDefect,
     errors.MisplacedEnvelopeHeaderDefect,
 )
-BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+REFUSAL = "HTTP/1.1 {0.value} {0.phrase}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class LineReader:
@@ -260,25 +269,48 @@
         error = TimeoutError("timeout reading the request head")
         self.head_timeout = eventlet.Timeout(self.head_timeout_s(), error)
         self.rfile.has_bare_line_feed = False
-        return super()._read_request_line()
+        line = super()._read_request_line()
+        if len(line) >= self.server.url_length_limit:
+            self.refuse(HTTPStatus.REQUEST_URI_TOO_LONG, "request line too long")
+            return ""
+        return line
 
     def parse_request(self) -> bool:
-        """Parse the head; answer 400 and return False if it is unclear how its body ends."""
-        if not super().parse_request():
+        """Parse the head; refuse the request and return False if it cannot be read.
+
+        It cannot if it is unclear how its body ends.
+        """
+        try:
+            if not super().parse_request():
+                return False
+        except (HeaderLineTooLong, HeadersTooLarge):
+            self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers too long")
             return False
         # The library replaces several slashes at the beginning by one.
         self.path = self.requestline.split()[1]
         problem = self.find_problem()
         if not problem:
             return True
-        self.on_unreadable(problem)
-        self.wfile.write(BAD_REQUEST)
-        self.close_connection = 1
+        self.refuse(HTTPStatus.BAD_REQUEST, problem)
         return False
 
-    def on_unreadable(self, problem: str) -> None:
-        """Log a request whose framing is unclear."""
-        self.server.log.error(f"{problem}, from {self.get_client_address()[0]}")
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Refuse a request of which the library finds that it cannot be read.
+
+        The library's own answer has no status line while the version of the request is unknown.
+        """
+        self.refuse(HTTPStatus(code), message or "")
+
+    def refuse(self, status: HTTPStatus, problem: str) -> None:
+        """Answer a request whose head cannot be read, and close the connection after it."""
+        self.on_unreadable(status, problem)
+        self.wfile.write(REFUSAL.format(status).encode())
+        self.close_connection = 1
+
+    def on_unreadable(self, status: HTTPStatus, problem: str) -> None:
+        """Log a request whose head cannot be read."""
+        caller = self.client_address[0]
+        self.server.log.error(f"{problem[:200]}, refused with {status.value}, from {caller}")
 
     def find_problem(self) -> str:
         """Return what is wrong with the request line or the framing; empty if nothing is."""
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -76,10 +76,7 @@
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
         except BadRequest as error:
             protocol.close_connection = 1
-            self.count_unreadable(error.status)
-            self.decision_loop.log.warning(
-                "request-not-read", detail=str(error), caller=environ["REMOTE_ADDR"]
-            )
+            self.record_unreadable(error.status, error.step, str(error), environ["REMOTE_ADDR"])
             return json_error(start_response, error.status, str(error))
         target = protocol.path
         head = self.dialect.parse_request_head(header_pairs)
@@ -125,12 +122,23 @@
             terms = relay_headers.parse_request_headers(pairs)
         except ValueError as error:
             message = f"no request of another entry: {error}"
-            raise BadRequest(HTTPStatus.BAD_REQUEST, message) from error
+            raise BadRequest(HTTPStatus.BAD_REQUEST, message, "relay") from error
         return relay_headers.without_relay_headers(pairs), terms
 
-    def count_unreadable(self, status: HTTPStatus) -> None:
-        """Count a request that cannot be read, by the status with which it is refused."""
+    def record_unreadable(self, status: HTTPStatus, step: str, problem: str, caller: str) -> None:
+        """Log and count a request that cannot be read.
+
+        Parameters
+        ----------
+        step : str
+            What could not be read: "head", "body", or "relay" for what entries tell one another.
+        caller : str
+            Address of the other side.
+        """
         self.decision_loop.metrics.count("request_unreadable", (str(int(status)),))
+        self.decision_loop.log.warning(
+            "request-not-read", step=step, status=int(status), detail=problem[:200], caller=caller
+        )
 
     def limits(self) -> CallerLimits:
         """Return the limits on requests; the defaults while there is no configuration."""
@@ -427,11 +435,14 @@
     ----------
     status : HTTPStatus
         Status of the error response.
+    step : str
+        What could not be read.
     """
 
-    def __init__(self, status: HTTPStatus, message: str) -> None:
+    def __init__(self, status: HTTPStatus, message: str, step: str = "body") -> None:
         super().__init__(message)
         self.status = status
+        self.step = step
 
 
 def read_body(environ: dict, limits: CallerLimits) -> bytes:
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -78,10 +78,9 @@
         """Return the seconds within which a body must arrive after its head."""
         return self.server.app.limits().idle_timeout_s
 
-    def on_unreadable(self, problem: str) -> None:
-        """Log and count a request whose framing is unclear."""
-        super().on_unreadable(problem)
-        self.server.app.count_unreadable(HTTPStatus.BAD_REQUEST)
+    def on_unreadable(self, status: HTTPStatus, problem: str) -> None:
+        """Log and count a request whose head cannot be read."""
+        self.server.app.record_unreadable(status, "head", problem, self.client_address[0])
 
     def get_environ(self) -> dict:
         """Return the WSGI environ of a request, with this protocol under `PROTOCOL_KEY`."""
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -1,6 +1,7 @@
 """Heads of requests: targets reach endpoints as they were sent, and long lines are read."""
 
 import socket
+from urllib.request import urlopen
 
 import pytest
 
@@ -78,3 +79,30 @@
     answer = send(site, b"/read/7", b"X-Survey: " + b"a" * 70_000)
     assert answer[9:12] in (b"400", b"431")
     assert site.endpoints["d1"].requests == []
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"GET\r\n\r\n", 400),
+        (b"POST /read/7\r\n\r\n", 400),
+        (b"GET /read/7 HTTP/one\r\n\r\n", 400),
+        (b"GET /read/7 HTTP/2.0\r\n\r\n", 505),
+        (b"GET /read/" + b"a" * 70_000 + b" HTTP/1.1\r\n\r\n", 414),
+        (b"GET /read/7 HTTP/1.1\r\nX-A: " + b"a" * 70_000 + b"\r\n\r\n", 431),
+        (b"GET /read/7 HTTP/1.1\r\n" + b"X-A: aaaa\r\n" * 7000 + b"\r\n", 431),
+        (b"GET /read/7 HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+    ],
+)
+def test_head_that_is_refused_is_answered_logged_and_counted(site, request_bytes, status):
+    """Refusals of the library left no trace, and some had no status line."""
+    with socket.create_connection((HOST, site.port), timeout=5.0) as connection:
+        connection.sendall(request_bytes)
+        assert connection.recv(65536).startswith(b"HTTP/1.1 %d " % status)
+    site.wait_until(lambda: site.log_lines("request-not-read"))
+    (line,) = site.log_lines("request-not-read")
+    assert (line["step"], line["status"], line["caller"]) == ("head", status, HOST)
+    assert line["detail"]
+    with urlopen(f"http://{HOST}:{site.ready_port}/metrics") as response:
+        counted = f'poplarhoist_request_unreadable_total{{status="{status}"}} 1.0'
+        assert counted in response.read().decode()
