A request refused on arrival is logged with its host and the configuration in force

What operators saw: `refused` with `no route` had the path alone. Evidence: the three rows of the test fail without the change (no such field). Change: the line has step, host, path, version of the configuration, and whether another entry had sent the request.

--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -69,15 +69,15 @@
 def on_arrived(state: GatewayState, event: RequestArrived, effects: list) -> None:
     """Find the route of a request and choose its endpoint, or refuse it at once."""
     if state.configuration is None:
-        refuse_unadmitted(event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
+        refuse_unadmitted(state, event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
         return
     route = find_route(state, event.host, event.path)
     if route is None:
-        refuse_unadmitted(event, Refused.NO_ROUTE, 0.0, effects)
+        refuse_unadmitted(state, event, Refused.NO_ROUTE, 0.0, effects)
         return
     relay = event.relay
     if relay is not None and state.configuration.version < relay.configuration_version:
-        refuse_unadmitted(event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
+        refuse_unadmitted(state, event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
         return
     service = choose_service(state, route)
     if relay is None:
@@ -88,7 +88,7 @@
     )
     if is_refused and not is_trial:
         retry_after_s = crashes.retry_after_s(state, event.at)
-        refuse_unadmitted(event, Refused.SUSPECT, retry_after_s, effects)
+        refuse_unadmitted(state, event, Refused.SUSPECT, retry_after_s, effects)
         return
     timeout_s = route.timeout_s
     if event.deadline_s is not None:
@@ -120,11 +120,20 @@
 
 
 def refuse_unadmitted(
-    event: RequestArrived, reason: Refused, retry_after_s: float, effects: list
+    state: GatewayState, event: RequestArrived, reason: Refused, retry_after_s: float, effects: list
 ) -> None:
     """Refuse a request that has no state yet."""
     effects.append(Refuse(event.request_id, reason, False, retry_after_s))
-    fields = {"caller_id": event.caller_id, "reason": reason, "path": event.path}
+    configuration = state.configuration
+    fields = {
+        "caller_id": event.caller_id,
+        "reason": reason,
+        "step": "arrive",
+        "host": event.host,
+        "path": event.path,
+        "configuration": configuration.version if configuration is not None else None,
+        "for_entry": event.relay is not None,
+    }
     effects.append(LogRequest("refused", event.request_id, fields))
     # The second label is the kind of the route, or "arrive" for a request refused on arrival.
     effects.append(Count("refused", (reason.name.lower(), "arrive")))
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -46,6 +46,9 @@
     _, effects = gateway.request(path)
     refusal = only_effect(fx.Refuse, effects)
     assert (refusal.reason, refusal.ran) == (reason, False)
+    fields = only_effect(fx.LogRequest, effects).fields
+    logged = [fields[name] for name in ("step", "host", "path", "configuration")]
+    assert logged == ["arrive", "host.test", path, 1 if configured else None]
 
 
 def test_longest_prefix_wins_and_host_ignores_case_and_port():
