Requests with more than a hundred headers are served

What callers saw: 431 for a head of more than 100 header lines, though it had far fewer bytes than the configuration's maxHeaderBytes, and 502 for one that an entry had to pass on to another entry with its own headers beyond that number. Cause: a limit of the library on the number of lines, besides the one on their bytes. The stand-in endpoints had the same limit and take as many now. Change: only the bytes of a head are bounded; the rows for heads without end still hold.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -5,12 +5,14 @@
 could be hidden.
 """
 
+import http.client
 import re
 from collections.abc import Iterable, Iterator
 from email import errors
 from http import HTTPStatus
 
 import eventlet
+import eventlet.wsgi
 from eventlet.hubs import get_hub
 from eventlet.wsgi import (
     STATE_CLOSE,
@@ -43,6 +45,8 @@
     errors.FirstHeaderLineIsContinuationDefect,
     errors.MisplacedEnvelopeHeaderDefect,
 )
+# The library bounds the number of header lines besides their bytes; only the bytes are to be bounded.
+http.client._MAXHEADERS = eventlet.wsgi.MAX_TOTAL_HEADER_SIZE
 REFUSAL = "HTTP/1.1 {0.value} {0.phrase}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
--- a/tests/endless_requests.py
+++ b/tests/endless_requests.py
@@ -57,6 +57,7 @@
     "trailers": (CHUNKED + b"4\r\nplan\r\n0\r\nX-After: 1\r\n\r\n", b"plan"),
     "coding-upper-case": (b"Transfer-Encoding: Chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n", b"plan"),
     "no-body": (b"\r\n", b""),
+    "many-headers": (b"".join(b"X-%d: a\r\n" % number for number in range(900)) + b"\r\n", b""),
     "multipart": (
         b"Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 4\r\n\r\nplan",
         b"plan",
--- a/tests/standin_server.py
+++ b/tests/standin_server.py
@@ -1,10 +1,13 @@
 """HTTP server in threads of the test process, for the stand-ins of a platform."""
 
+import http.client
 import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 HOST = "127.0.0.1"
+# Endpoints take as many header lines as an entry forwards.
+http.client._MAXHEADERS = 65536
 
 
 class Handler(BaseHTTPRequestHandler):
