Requests with a target in absolute form are served

What callers saw: 404 for `GET http://host/path`, whatever routes there are. RFC 9112, section 3.2.2, has each server accept this form, and take the host from it instead of from the Host header. Cause: the whole target was taken for the path. Evidence: the four rows of the test got 404 before. Change: the authority replaces the Host header, and what follows it is the path that is routed and sent to endpoints, unchanged. A target with user information gets 404 as before.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -39,6 +39,8 @@
 CONNECTION_STATE = 2
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+# Target in absolute form: the authority, and the rest. One with user information is not accepted.
+ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.ASCII | re.IGNORECASE)
 # Defects of a head that the parser does not take for an error; it also reports some of bodies.
 HEAD_DEFECTS = (
     errors.MissingHeaderBodySeparatorDefect,
@@ -292,12 +294,23 @@
             return False
         # The library replaces several slashes at the beginning by one.
         self.path = self.requestline.split()[1]
+        self.resolve_absolute_target()
         problem = self.find_problem()
         if not problem:
             return True
         self.refuse(HTTPStatus.BAD_REQUEST, problem)
         return False
 
+    def resolve_absolute_target(self) -> None:
+        """Take host and path from a target in absolute form, as RFC 9112, section 3.2.2, requires."""
+        target = ABSOLUTE_TARGET.fullmatch(self.path)
+        if target is None:
+            return
+        authority, rest = target.groups(default="")
+        del self.headers["Host"]
+        self.headers["Host"] = authority
+        self.path = rest if rest.startswith("/") else f"/{rest}"
+
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Refuse a request of which the library finds that it cannot be read.
 
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -54,6 +54,26 @@
     assert [path for _, path, _, _ in site.endpoints["d1"].requests] == [target.decode()]
 
 
+@pytest.mark.parametrize(
+    ("target", "path"),
+    [
+        (b"http://host.test/read/7?a=http://b/", "/read/7?a=http://b/"),
+        (b"HTTP://HOST.test:80//read/7", "//read/7"),
+        (b"http://host.test", "/"),
+        (b"http://host.test?a=1", "/?a=1"),
+    ],
+)
+def test_target_in_absolute_form_names_host_and_path(site, target, path):
+    """It got 404; its host comes before that of the header."""
+    with socket.create_connection((HOST, site.port), timeout=5.0) as connection:
+        head = raw_request("GET", target, "c1").replace(b"Host: host.test", b"Host: other.test")
+        connection.sendall(head)
+        assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
+    ((_, received, headers, _),) = site.endpoints["d1"].requests
+    assert received == path
+    assert headers["host"].lower().startswith("host.test")
+
+
 @pytest.mark.parametrize("target", ["/lookup/ü".encode(), b"/lookup/\xff", b"/read/\x80?a"])
 def test_target_that_is_not_ascii_is_refused_and_leaves_nothing_behind(site, target):
     """It was answered with 500, and counted as running at the endpoint for good."""
