Empty lines before a request do not close its connection

What callers saw: a connection closed without an answer, if an empty line came before the request line, for example after the body of the request before it. RFC 9112, section 2.2, has servers pass over such lines. Cause: the library takes the empty line for a request that cannot be read, and closes the connection without an answer. Evidence: the six rows of the test fail before. Change: up to eight empty lines are passed over; meanwhile the connection counts as idle, and the time for a head has not begun.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -16,6 +16,7 @@
 from eventlet.hubs import get_hub
 from eventlet.wsgi import (
     STATE_CLOSE,
+    STATE_IDLE,
     STATE_REQUEST,
     ChunkReadError,
     HeaderLineTooLong,
@@ -39,6 +40,8 @@
 CONNECTION_STATE = 2
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+# Empty lines before a request that are passed over.
+MAX_EMPTY_LINES = 8
 # Target in absolute form: the authority, and the rest. One with user information is not accepted.
 ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.ASCII | re.IGNORECASE)
 # Defects of a head that the parser does not take for an error; it also reports some of bodies.
@@ -257,7 +260,19 @@
             self.cancel_head_timeout()
 
     def _read_request_line(self) -> bytes | str:
-        """Wait for a request and return its first line; the time for its head begins."""
+        """Wait for a request and return its first line that is not empty."""
+        line = self.read_line()
+        for _ in range(MAX_EMPTY_LINES):
+            if line != b"\r\n":
+                break
+            self.cancel_head_timeout()
+            if self.conn_state[CONNECTION_STATE] == STATE_REQUEST:
+                self.conn_state[CONNECTION_STATE] = STATE_IDLE
+            line = self.read_line()
+        return line
+
+    def read_line(self) -> bytes | str:
+        """Wait for a line and return it; the time for the head that it begins starts."""
         if self.server.keepalive and not isinstance(self.server.keepalive, bool):
             self.connection.settimeout(self.server.keepalive)
         try:
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -1,6 +1,7 @@
 """Heads of requests: targets reach endpoints as they were sent, and long lines are read."""
 
 import socket
+import time
 from urllib.request import urlopen
 
 import pytest
@@ -126,3 +127,22 @@
     with urlopen(f"http://{HOST}:{site.ready_port}/metrics") as response:
         counted = f'poplarhoist_request_unreadable_total{{status="{status}"}} 1.0'
         assert counted in response.read().decode()
+
+
+@pytest.mark.parametrize("pieces", [(b"\r\n",), (b"\r\n\r\n",), (b"\r", b"\n")])
+@pytest.mark.parametrize("pause_s", [0.0, 0.2])
+def test_empty_lines_before_a_request_do_not_close_its_connection(site, pieces, pause_s):
+    """The connection was closed without an answer."""
+    with socket.create_connection((HOST, site.port), timeout=5.0) as connection:
+        for number in range(2):
+            for piece in pieces:
+                connection.sendall(piece)
+                time.sleep(pause_s)
+            connection.sendall(raw_request("GET", b"/read/7", f"c{number}"))
+            assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+
+def test_connection_with_nothing_but_empty_lines_is_closed(site):
+    with socket.create_connection((HOST, site.port), timeout=5.0) as connection:
+        connection.sendall(b"\r\n" * 100)
+        assert connection.recv(65536) == b""
