A configuration of which any part cannot be used is refused whole, and the one before stays in force

What callers saw: with a path prefix, service, split or limit of another type, status 500 for all requests of a route, or for all with a body; with a negative timeout, 503. After a version of 1e30 a route that was added and confirmed later got 404 for as long as the process lived, as no later version is above it (a real entry, 3.5 s after the confirmation).

Cause: decode_configuration converted some values and passed others on as they were, so that a document was taken of which requests could not use a part. A prefix that is no text raised while it was applied, and left the version in force with the routes of the one before. Optional members that are null were partly refused; they count as missing now.

The type of each member is checked where it is decoded; the store watcher keeps what it had, as for any record that cannot be decoded.

--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -101,52 +101,117 @@
     return tuple(evolve(crashed, age_s=max(0.0, crashed.age_s) + age_s) for crashed in crashes)
 
 
+def to_whole(value: object) -> int:
+    """Return a count, which may be written as a decimal fraction; raises ValueError if it is none."""
+    return to_count(int(value) if isinstance(value, float) and value.is_integer() else value)
+
+
+def to_quantity(value: object) -> float:
+    """Return a value that is a number from 0 to `MAX_COUNT`; raises ValueError if it is none."""
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"expected a number from 0 to {MAX_COUNT}, got {str(value)[:30]!r}")
+    return float(value)
+
+
+def to_timeout_s(value_ms: object) -> float:
+    """Return the seconds of a timeout in milliseconds.
+
+    Raises
+    ------
+    ValueError
+        If it is none, or 0.
+    """
+    timeout_s = to_quantity(value_ms) * S_PER_MS
+    if not timeout_s:
+        raise ValueError("timeout of 0")
+    return timeout_s
+
+
+def to_instance(kind: type, value: object):
+    """Return a value of a type that JSON has; raises ValueError if it is of another one."""
+    if type(value) is not kind:
+        raise ValueError(f"expected {kind.__name__}, got {str(value)[:30]!r}")
+    return value
+
+
+def present(data: dict, name: str, default: object) -> object:
+    """Return a member of an object; the default if it is missing or null."""
+    value = data.get(name)
+    return default if value is None else value
+
+
 def decode_configuration(spec: dict) -> Configuration:
-    """Decode a configuration; limits that it leaves out get their defaults."""
-    limits = spec.get("limits") or {}
-    defaults = CallerLimits()
+    """Decode a configuration; limits that it leaves out get their defaults.
+
+    A part that cannot be used raises one of `DECODE_ERRORS`, so that nothing of it comes into force.
+    """
+    services = [decode_service(data) for data in to_instance(list, spec["services"])]
     return Configuration(
-        version=int(spec["version"]),
-        routes=tuple(decode_route(route) for route in spec["routes"]),
-        services_by_name={data["name"]: decode_service(data) for data in spec["services"]},
-        limits=CallerLimits(
-            max_header_bytes=limits.get("maxHeaderBytes", defaults.max_header_bytes),
-            max_body_bytes=limits.get("maxBodyBytes", defaults.max_body_bytes),
-            header_timeout_s=limits.get("headerTimeoutMs", defaults.header_timeout_s / S_PER_MS)
-            * S_PER_MS,
-            idle_timeout_s=limits.get("idleTimeoutMs", defaults.idle_timeout_s / S_PER_MS)
-            * S_PER_MS,
-        ),
+        version=to_whole(spec["version"]),
+        routes=tuple(decode_route(route) for route in to_instance(list, spec["routes"])),
+        services_by_name={service.name: service for service in services},
+        limits=decode_limits(to_instance(dict, present(spec, "limits", {}))),
     )
 
 
+def decode_limits(data: dict) -> CallerLimits:
+    """Decode the limits on the requests of callers."""
+    decoded = {
+        field: decode(data[name])
+        for field, name, decode in (
+            ("max_header_bytes", "maxHeaderBytes", to_whole),
+            ("max_body_bytes", "maxBodyBytes", to_whole),
+            ("header_timeout_s", "headerTimeoutMs", to_timeout_s),
+            ("idle_timeout_s", "idleTimeoutMs", to_timeout_s),
+        )
+        if data.get(name) is not None
+    }
+    return CallerLimits(**decoded)
+
+
 def decode_route(data: dict) -> Route:
     """Decode a route; a weighted split replaces the single service."""
-    split = data.get("split")
-    if split:
-        targets = tuple(Target(part["service"], float(part["weight"])) for part in split)
-    else:
-        targets = (Target(data["service"]),)
-    timeout_s = data["timeoutMs"] * S_PER_MS
+    prefix = to_instance(str, data["pathPrefix"])
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise ValueError(f"prefix {prefix[:30]!r} does not begin and end with a slash")
+    timeout_s = to_timeout_s(data["timeoutMs"])
     return Route(
-        name=data.get("name", ""),
-        host=data["host"].lower(),
-        prefix=data["pathPrefix"],
+        name=str(present(data, "name", "")),
+        host=to_instance(str, data["host"]).lower(),
+        prefix=prefix,
         # Requests of a route of unknown kind run at most once.
         kind=ROUTE_KIND_BY_NAME.get(data.get("routeKind"), RouteKind.ONCE),
-        targets=targets,
+        targets=decode_targets(data),
         timeout_s=timeout_s,
-        latency_target_s=data.get("targetLatencyMs", data["timeoutMs"]) * S_PER_MS,
-        max_attempts=max(1, int(data.get("maxAttempts", 1))),
-        priority=int(data.get("priority", 0)),
-        resumable=bool(data.get("resumable", False)),
+        latency_target_s=to_quantity(present(data, "targetLatencyMs", data["timeoutMs"]))
+        * S_PER_MS,
+        max_attempts=max(1, to_whole(present(data, "maxAttempts", 1))),
+        priority=to_whole(present(data, "priority", 0)),
+        resumable=to_instance(bool, present(data, "resumable", False)),
     )
 
 
+def decode_targets(data: dict) -> tuple[Target, ...]:
+    """Decode the services of a route, and their weights if there is a split.
+
+    Raises
+    ------
+    ValueError
+        If no service has a weight.
+    """
+    split = to_instance(list, present(data, "split", []))
+    if not split:
+        return (Target(to_text(data["service"])),)
+    targets = tuple(Target(to_text(part["service"]), to_quantity(part["weight"])) for part in split)
+    if not any(target.weight for target in targets):
+        raise ValueError("split without a weight")
+    return targets
+
+
 def decode_service(data: dict) -> ServiceSpec:
     """Decode a service; its engine profile is None for a plain service."""
-    engine = data.get("engine")
-    spec = ServiceSpec(data["name"], decode_engine_profile(engine) if engine else None)
+    engine = to_instance(dict, present(data, "engine", {}))
+    spec = ServiceSpec(to_text(data["name"]), decode_engine_profile(engine) if engine else None)
     health_path = data.get("healthPath")
     return evolve(spec, health_path=health_path) if isinstance(health_path, str) else spec
 
@@ -155,12 +220,16 @@
     """Decode what each engine of a service offers: slots, memory and base models."""
     models = [
         # ``weightsMb`` is the size of one model here, and the whole memory of the engine below.
-        BaseModel(model["name"], float(model["weightsMb"]), float(model.get("adapterMb", 0.0)))
-        for model in data.get("models", ())
+        BaseModel(
+            to_text(model["name"]),
+            to_quantity(model["weightsMb"]),
+            to_quantity(present(model, "adapterMb", 0.0)),
+        )
+        for model in to_instance(list, present(data, "models", []))
     ]
     return EngineProfile(
-        adapter_slots=int(data.get("adapterSlots", 0)),
-        memory_mb=float(data.get("weightsMb", 0.0)),
+        adapter_slots=to_whole(present(data, "adapterSlots", 0)),
+        memory_mb=to_quantity(present(data, "weightsMb", 0.0)),
         models_by_name={model.name: model for model in models},
     )
 
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -170,6 +170,93 @@
     assert [event for event in seen if kind != "poplarhoist-leads" or event.holder] == []
 
 
+def edit(document, path: tuple, value):
+    """Return a copy of a JSON document with another value at a path of names and numbers."""
+    if not path:
+        return value
+    first, *rest = path
+    changed = edit(document[first] if rest else None, tuple(rest), value)
+    if isinstance(document, list):
+        return [*document[:first], changed, *document[first + 1 :]]
+    return document | {first: changed}
+
+
+LAST_ROUTE = "routes", 3
+ENGINE = "services", 0, "engine"
+# What a part of a configuration cannot be, by its path.
+INVALID_PARTS = {
+    ("version",): ("9", 9.7, True, -1, 1e30, None),
+    ("routes",): (None, {}, "x", [None]),
+    (*LAST_ROUTE, "host"): (None, 7),
+    (*LAST_ROUTE, "pathPrefix"): (None, 7, ["/read/"], "", "read/", "/read"),
+    (*LAST_ROUTE, "timeoutMs"): (None, "6000", 0, -5, True, 1e300),
+    (*LAST_ROUTE, "targetLatencyMs"): ("x", -5, True),
+    (*LAST_ROUTE, "maxAttempts"): ("3", -5, True, 2.5),
+    (*LAST_ROUTE, "priority"): ("3", -5, True, 2.5),
+    (*LAST_ROUTE, "resumable"): ("no", 0, []),
+    (*LAST_ROUTE, "service"): (None, "", 7, [], {}),
+    (*LAST_ROUTE, "split"): (
+        "x",
+        {},
+        [{"service": "desk"}],
+        [{"service": [], "weight": 1}],
+        [{"service": "desk", "weight": 0}, {"service": "annex", "weight": 0}],
+        [{"service": "desk", "weight": 1}, {"service": "annex", "weight": -1}],
+    ),
+    ("services",): (None, {}, "x", [None]),
+    ("services", 1, "name"): (None, 7, []),
+    ENGINE: (7, [], "x"),
+    (*ENGINE, "adapterSlots"): ("8", -1, 2.5),
+    (*ENGINE, "weightsMb"): ("x", -1),
+    (*ENGINE, "models"): ("x", {}, [{}], [{"name": 7, "weightsMb": 1}]),
+    ("limits",): (7, [], "x"),
+    ("limits", "maxHeaderBytes"): ("x", -1, True, [], 1.5),
+    ("limits", "maxBodyBytes"): ("x", -1, True, [], 1.5),
+    ("limits", "headerTimeoutMs"): ("x", -1, 0, True, []),
+    ("limits", "idleTimeoutMs"): ("x", -1, 0, True, []),
+}
+# What it can be, though it is unusual.
+VALID_PARTS = {
+    ("version",): (2.0, 2**53 - 1),
+    ("routes",): ([],),
+    (*LAST_ROUTE, "name"): (None, "", 7),
+    (*LAST_ROUTE, "pathPrefix"): ("/", "/a/b c/\u00fc/"),
+    (*LAST_ROUTE, "routeKind"): ("another", None),
+    (*LAST_ROUTE, "timeoutMs"): (0.5, 12000.0),
+    (*LAST_ROUTE, "targetLatencyMs"): (None, 0, 0.5),
+    (*LAST_ROUTE, "maxAttempts"): (None, 0, 2.0),
+    (*LAST_ROUTE, "priority"): (None, 0, 12),
+    (*LAST_ROUTE, "split"): (
+        None,
+        [],
+        [{"service": "desk", "weight": 0.5}, {"service": "annex", "weight": 0}],
+    ),
+    (*LAST_ROUTE, "unknown"): ({"a": [None]},),
+    ("services", 1, "healthPath"): (None, 7),
+    ENGINE: (None, {}),
+    (*ENGINE, "models"): (None, []),
+    ("limits",): (None, {}),
+    ("limits", "maxBodyBytes"): (None, 0, 4096.0),
+    ("limits", "idleTimeoutMs"): (None, 0.5),
+}
+
+
+@pytest.mark.parametrize("how", ["list", "watch"])
+@pytest.mark.parametrize(
+    ("path", "value", "is_valid"),
+    [
+        pytest.param(path, value, is_valid, id=f"{'.'.join(map(str, path))}-{value!r:.20}")
+        for parts, is_valid in ((INVALID_PARTS, False), (VALID_PARTS, True))
+        for path, values in parts.items()
+        for value in values
+    ],
+)
+def test_configuration_with_an_invalid_part_is_refused_whole(texts, how, path, value, is_valid):
+    spec = json.dumps(edit(configuration(2), path, value))
+    events = texts.read(how, "config", {"main": spec}).events
+    assert [type(event) for event in events] == [ev.ConfigurationSeen] * is_valid
+
+
 def test_unreadable_record_is_logged_once_for_each_revision(texts):
     spec, _ = SOUND["servers"]
     odd = with_field(spec, "slots", ODD_TEXTS["nested-2000"])
