A response of the store that comes late or twice is not taken for the response to another call

What could be seen: all calls to the store shared kept connections, and its responses name no call. One that came once more during the next call was taken for that call's: a claim that was written counted as refused, one that lost against another lead's counted as written (two leads of one engine), a list of entries as the list of all engines, changes of one kind as those of another. Cause: urllib3 closes a kept connection that has something to read before it is used again, which says nothing of what arrives later. Evidence: tests/test_kept_connections.py has a server that sends each answer once more at once, while its connection is idle, or during the next call. Without the change 4 of its 24 cases fail: claim refused, claim written, list, watch of another kind, each during the next call. The other 20 pass on the code before as well; those of orders, reports, copies and requests have a connection each. Change: only watches keep a connection, each kind one of its own; any other call has one that is closed after it.

--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -122,12 +122,17 @@
 
 
 class ObjectStore:
-    """The platform's object store, over pooled connections.
+    """The platform's object store.
+
+    Only watches keep their connection, each kind one of its own. Responses name no call, so that one
+    that comes late or twice on a kept connection may be taken for the response to the next call.
 
     Attributes
     ----------
     metrics : Metrics or None
         Counts calls by operation and status; may be set after construction.
+    watch_pools_by_kind : dict
+        The kept connections.
     decoder : RecordDecoder
         Turns records into events.
     copied_kinds : dict
@@ -169,15 +174,9 @@
 
     def __init__(self, address: str, clock: Clock, metrics: Metrics | None = None) -> None:
         self.clock = clock
-        parsed = Address.parse(address)
+        self.address = Address.parse(address)
         self.metrics = metrics
-        self.pool = StrictPool(
-            parsed.host,
-            parsed.port,
-            maxsize=8,
-            block=False,
-            socket_options=socket_options(CALL_TIMEOUT_S),
-        )
+        self.watch_pools_by_kind: dict[str, StrictPool] = {}
         self.decoder = RecordDecoder()
         self.generation = 0
         self.unclear_generation: str | None = None
@@ -187,6 +186,22 @@
             if spec.is_copied or spec.outlasts_restoration
         }
 
+    def create_pool(self) -> StrictPool:
+        """Return a pool that keeps one connection to the store."""
+        return StrictPool(
+            self.address.host,
+            self.address.port,
+            maxsize=1,
+            block=False,
+            socket_options=socket_options(CALL_TIMEOUT_S),
+        )
+
+    def watch_pool(self, kind: str) -> StrictPool:
+        """Return the pool with the connection for watches of a kind."""
+        if kind not in self.watch_pools_by_kind:
+            self.watch_pools_by_kind[kind] = self.create_pool()
+        return self.watch_pools_by_kind[kind]
+
     def read_all(self, kind: str) -> StoreChanges:
         """Read all records of a kind, page by page.
 
@@ -258,7 +273,12 @@
         path = f"/api/objects/{kind}?{urlencode(query)}"
         timeout_s = spec.long_poll_s + LONG_POLL_MARGIN_S
         status, body_or_code = self.request(
-            "watch", "GET", path, timeout_s=timeout_s, on_begun=on_begun
+            "watch",
+            "GET",
+            path,
+            timeout_s=timeout_s,
+            on_begun=on_begun,
+            kept_pool=self.watch_pool(kind),
         )
         if since.generation != self.generation:
             return StoreChanges(ev.CallStatus.UNKNOWN, history_gone=True)
@@ -355,9 +375,15 @@
         body=None,
         timeout_s: float = CALL_TIMEOUT_S,
         on_begun: OnBegun | None = None,
+        kept_pool: StrictPool | None = None,
     ):
         """Make a call, count it, and log it if it failed.
 
+        Parameters
+        ----------
+        kept_pool : StrictPool or None
+            Pool with a connection that is kept; None for a connection that is closed after the call.
+
         Returns
         -------
         tuple
@@ -370,9 +396,10 @@
         progress = ResponseProgress(self.clock, on_begun)
         generation = self.generation
         status, result = ev.CallStatus.UNKNOWN, ENDED
+        pool = kept_pool or self.create_pool()
         try:
             code, answer = request_bounded(
-                self.pool,
+                pool,
                 method,
                 path,
                 CALL_TIMEOUT_S + RESPONSE_TIMEOUT_RATIO * timeout_s,
@@ -397,6 +424,8 @@
         except ValueError as error:
             status, result = ev.CallStatus.UNKNOWN, f"not JSON: {error}"
         finally:
+            if kept_pool is None:
+                pool.close()
             self.record_call(operation, path, status, result, progress)
         return status, result
 
--- /dev/null
+++ b/tests/test_kept_connections.py
@@ -0,0 +1,247 @@
+"""A response that comes unasked for, late or twice is not taken for the answer to a later call."""
+
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import pytest
+from attrs import frozen
+
+from poplarhoist.clock import SystemClock
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
+from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.gateway.copies import CopyReader
+from poplarhoist.gateway.engines import EngineClient
+from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
+from poplarhoist.platform.dialect import PlatformDialect
+from poplarhoist.platform.store import ObjectStore
+
+HOST = "127.0.0.1"
+PAUSE_S = 0.05
+
+
+def answer(status: int, data: object = None, **headers: str) -> bytes:
+    """Return a response with a JSON body."""
+    body = b"" if data is None else json.dumps(data).encode()
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class RepeatingServer:
+    """Answers calls in turn; each answer comes once more if its connection is kept.
+
+    Attributes
+    ----------
+    when : str
+        When it comes: "at-once", "while-idle" or "during-next", before that call's own answer.
+    """
+
+    def __init__(self, answers: list[bytes], when: str) -> None:
+        self.answers, self.when = list(answers), when
+        self.listener = socket.create_server((HOST, 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: socket.socket) -> None:
+        """Answer the calls of a connection until its other side closes it."""
+        last = b""
+        try:
+            while self.read_request(connection):
+                if self.when == "during-next" and last:
+                    connection.sendall(last)
+                    time.sleep(PAUSE_S)
+                last = self.answers.pop(0)
+                connection.sendall(last * 2 if self.when == "at-once" else last)
+                if self.when == "while-idle":
+                    time.sleep(PAUSE_S)
+                    connection.sendall(last)
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def read_request(self, connection: socket.socket) -> bool:
+        """Read a request; return whether there was one."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = connection.recv(65536)
+            if not part:
+                return False
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        lengths = [line for line in head.lower().split(b"\r\n") if b"content-length" in line]
+        left = int(lengths[0].partition(b":")[2]) - len(body) if lengths else 0
+        while left > 0:
+            left -= len(connection.recv(left))
+        return True
+
+
+@frozen
+class Case:
+    """Two calls over what one client keeps, their answers, and what the second may come to."""
+
+    connect: Callable[[int], Callable[[int], object]]
+    answers: tuple[bytes, bytes]
+    results: tuple[object, ...]
+
+
+def item(name: str, revision: int, **spec: object) -> dict:
+    """Return a record of the store."""
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+def events(*items: dict) -> dict:
+    """Return what a watch responds."""
+    changes = [{"object": record, "tombstone": True} for record in items]
+    return {"events": changes, "currentRev": items[-1]["metadata"]["revision"]}
+
+
+def claim(port: int):
+    store = ObjectStore(f"{HOST}:{port}", SystemClock())
+    return lambda number: store.claim(fx.Claim("e1", number + 1, Position(), "me"))[:2]
+
+
+def read_all(port: int):
+    store = ObjectStore(f"{HOST}:{port}", SystemClock())
+
+    def call(number: int):
+        changes = store.read_all(("poplarhoist-entries", "servers")[number])
+        return changes.status, [event.names for event in changes.events]
+
+    return call
+
+
+def watch(*kinds: str):
+    def connect(port: int):
+        store = ObjectStore(f"{HOST}:{port}", SystemClock())
+
+        def call(number: int):
+            spec = WatchSpec(kinds[number], long_poll_s=0.5)
+            changes = store.watch(spec, Position(0, (4, 7)[number]), True)
+            return changes.status, [event.name for event in changes.events]
+
+        return call
+
+    return connect
+
+
+RECORD = EndpointRecord("e1", "models", HOST, 0, "north-a", 8)
+
+
+def loop(submitted: list) -> SimpleNamespace:
+    """Return what clients use of a decision loop."""
+    return SimpleNamespace(
+        set_handler=lambda *args: None,
+        submit=submitted.append,
+        event_time=time.monotonic,
+        log=SimpleNamespace(info=lambda *args, **fields: None),
+    )
+
+
+def record_at(port: int) -> EndpointRecord:
+    return EndpointRecord("e1", "models", HOST, port, "north-a", 8)
+
+
+def order(port: int):
+    submitted: list = []
+    client = EngineClient(loop(submitted), PlatformDialect(), "me")
+
+    def call(number: int):
+        key = AdapterKey("base", "a1")
+        client.send_order(fx.SendOrder(record_at(port), number, fx.OrderKind.LOAD, key, 1, 0))
+        return submitted[-1].status
+
+    return call
+
+
+def report(port: int):
+    client = EngineClient(loop([]), PlatformDialect(), "me")
+    return lambda number: client.request(record_at(port), "GET", "/api/report", [], None)
+
+
+def copy(port: int):
+    reader = CopyReader(loop([]), SimpleNamespace(generation=1), "config")
+    peer = SimpleNamespace(name="entry-2", host=HOST, port=port, copies_missed=0)
+    return lambda number: reader.request_copy(peer, {"after": 0, "generation": 1}).position.revision
+
+
+def relay(port: int):
+    def call(number: int):
+        request = CallerRequest("1", "POST", "/x", b"", RequestHead("c1", None, None, []))
+        dispatch = fx.Dispatch("1", number, record_at(port), 5.0, 0, False)
+        exchange = Exchange(loop([]), PlatformDialect(), request, dispatch)
+        if exchange.start():
+            exchange.read_body()
+        exchange.close()
+        return exchange.result.outcome
+
+    return call
+
+
+OK, UNKNOWN = ev.CallStatus.OK, ev.CallStatus.UNKNOWN
+DRAINED = answer(200, events(item("d1", 5), item("d2", 7)))
+CASES = {
+    "store-claim-refused": Case(
+        claim, (answer(503), answer(200, item("e1", 9))), ((OK, Position(0, 9)),)
+    ),
+    "store-claim-written": Case(
+        claim,
+        (answer(200, item("e1", 8)), answer(409, item("e1", 9, holder="x", epoch=3))),
+        ((ev.CallStatus.CONFLICT, Position(0, 9)),),
+    ),
+    "store-list": Case(
+        read_all,
+        (
+            answer(200, {"items": [], "currentRev": 5}),
+            answer(200, {"items": [item("d1", 2)], "currentRev": 5}),
+        ),
+        ((OK, [frozenset({"d1"})]),),
+    ),
+    "store-watch-of-another-kind": Case(
+        watch("poplarhoist-entries", "servers"),
+        (DRAINED, answer(200, events(item("d3", 8)))),
+        ((OK, ["d3"]),),
+    ),
+    "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
+    "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
+    "copy": Case(copy, (answer(200, 1, Copy_Revision="1"), answer(204, Copy_Revision="2")), (2,)),
+    "request": Case(
+        relay,
+        (
+            answer(503, X_Not_Executed="1", X_Request_Id="c1"),
+            answer(200, 1, X_Request_Id="c1", X_Response_Seal="s"),
+        ),
+        (ev.Outcome.DONE,),
+    ),
+}
+
+
+@pytest.mark.parametrize("when", ["at-once", "while-idle", "during-next"])
+@pytest.mark.parametrize("name", CASES)
+def test_response_that_comes_twice_is_not_taken_for_the_next_one(name, when):
+    """A claim that was written counted as refused, and the records of one kind as those of another."""
+    case = CASES[name]
+    server = RepeatingServer(case.answers, when)
+    try:
+        call = case.connect(server.port)
+        call(0)
+        # The answer that nobody asked for is there when the next call begins.
+        time.sleep(3 * PAUSE_S if when == "while-idle" else 0.0)
+        assert call(1) in case.results
+    finally:
+        server.listener.close()
