A response to an earlier watch of the store that comes once more does not bring back records of before

What could be seen: watches of a kind keep a connection. Changes that came twice on it, late enough to be read as the response to the next watch, were applied again: an engine that was known by a later list or copy as draining would have been in use again, until its record changed. Cause: a watch took any changes for those since its position. Evidence: the case store-watch of tests/test_kept_connections.py fails without the change when the response comes during the next watch. Change: changes of which neither revision nor position is past the position that was asked for are those of an earlier watch: they are logged (watch-response-repeated) and dropped, and the connection is closed. It counts as a watch that was cut off. Without changes such a response tells nothing; the next one on that connection is one to the same or an earlier position, and what it shows is sound.

--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -202,6 +202,15 @@
             self.watch_pools_by_kind[kind] = self.create_pool()
         return self.watch_pools_by_kind[kind]
 
+    def renew_watch_pool(self, kind: str, since: Position, told: Position) -> None:
+        """Close the connection for watches of a kind, as it has shown changes from before `since`.
+
+        They are the response to an earlier watch, and are applied already: later ones may be known.
+        """
+        log = structlog.get_logger()
+        log.warning("watch-response-repeated", kind=kind, since=str(since), told=str(told))
+        self.watch_pools_by_kind.pop(kind).close()
+
     def read_all(self, kind: str) -> StoreChanges:
         """Read all records of a kind, page by page.
 
@@ -262,7 +271,7 @@
         """Wait for changes of a kind after `since`; no events if the long poll ended.
 
         Revisions say nothing in another generation than that of `since`, and then the history counts
-        as gone.
+        as gone. A response with changes from before `since` only is that to an earlier watch.
         """
         if since.generation != self.generation:
             return StoreChanges(ev.CallStatus.UNKNOWN, history_gone=True)
@@ -288,15 +297,19 @@
                 history_gone=body_or_code == HISTORY_GONE_CODE,
                 was_cut_off=body_or_code == CUT_OFF,
             )
+        changes = body_or_code["events"]
+        last_change = latest_position((change["object"] for change in changes), since.generation)
+        position = Position(since.generation, body_or_code["currentRev"])
+        if changes and max(last_change, position) <= since:
+            self.renew_watch_pool(kind, since, position)
+            return StoreChanges(ev.CallStatus.UNKNOWN, was_cut_off=True)
         reading = self.reading(since.generation)
         events: list[ev.Event] = []
-        changes = body_or_code["events"]
         for change in changes:
             is_removed = bool(change.get("tombstone"))
             item = change["object"]
             events += self.decoder.decode(kind, item, is_removed, reading)
-        last_change = latest_position((change["object"] for change in changes), since.generation)
-        position = max(since, Position(since.generation, body_or_code["currentRev"]))
+        position = max(since, position)
         if kind in self.copied_kinds:
             self.copied_kinds[kind].apply(changes, position)
         return StoreChanges(ev.CallStatus.OK, position, last_change, tuple(events))
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -217,6 +217,11 @@
         (DRAINED, answer(200, events(item("d3", 8)))),
         ((OK, ["d3"]),),
     ),
+    "store-watch": Case(
+        watch("servers", "servers"),
+        (DRAINED, answer(200, events(item("d3", 8)))),
+        ((OK, ["d3"]), (UNKNOWN, [])),
+    ),
     "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
     "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
     "copy": Case(copy, (answer(200, 1, Copy_Revision="1"), answer(204, Copy_Revision="2")), (2,)),
