The soak of changes tells restarted entries that it is not the first start of the site

Cause: the settings of restarted entries still had first_start, where the build was the rig's own folder; the platform sets it only when the whole system starts for the first time. Runs with another build never had it. Change: the line is dropped before a restart. The check is as it was.

--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -162,10 +162,14 @@
             entry = PlatformEntry(f"entry-{number}", self.directory, port, zone)
             if self.build != ROOT:
                 # Builds before the settings had this key refuse it.
-                text = entry.settings_path.read_text()
-                entry.settings_path.write_text(text.replace(FIRST_START, ""))
+                self.drop_first_start(entry)
             self.entries.append(entry)
 
+    def drop_first_start(self, entry: PlatformEntry) -> None:
+        """Drop from the settings of an entry that the whole site starts for the first time."""
+        text = entry.settings_path.read_text()
+        entry.settings_path.write_text(text.replace(FIRST_START, ""))
+
     def note(self, text: str) -> None:
         """Add a line to the timeline."""
         self.timeline.append(f"{time.monotonic() - self.started_at:7.2f} {text}")
@@ -224,6 +228,8 @@
 
     def launch(self, entry: PlatformEntry) -> None:
         """Start an entry."""
+        if self.starts[entry.name]:
+            self.drop_first_start(entry)
         self.starts[entry.name] += 1
         self.in_touch_from[entry.name] = time.monotonic() + IN_TOUCH_S
         entry.launch(ENTRY_ARGS, self.build)
