An entry that copies the configuration does not tell others that there is nothing newer

What callers saw: nothing yet (found on reading); a change may come into force late at an entry that was not told of it. Cause: each entry finds out by itself which readers are gone, so that it takes entries for readers that still copy from others. Such a one answered 204, up to an interval behind. Change: an entry that does not read the store itself answers 503 (cannot tell), and the next one is asked; the store is read where none can tell.

--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -86,6 +86,11 @@
     return rank_in_region(state, kind, at) < READERS_PER_REGION
 
 
+def is_up_to_date(state: GatewayState, kind: str) -> bool:
+    """Return whether this entry would know of newer records of a kind if there were any."""
+    return not state.store_unavailable and reads_itself(state, kind, state.last_event_at)
+
+
 def reader_count(state: GatewayState) -> int:
     """Return how many entries of all regions read long records from the store."""
     by_region = Counter(state.regions.get(entry.zone) for entry in state.entries.values())
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -265,8 +265,9 @@
 def respond_with_copy(state: GatewayState, store: Store, environ: dict, start_response):
     """Return this entry's records of a kind to another entry.
 
-    The status is 204 if none is newer, and 503 if this entry cannot tell: it has not read them yet, or
-    the store is away. It is 204 as well if this entry knows the versions that the other one names.
+    The status is 204 if none is newer, and 503 if this entry cannot tell: it has not read them yet, the
+    store is away, or it does not read the store itself, though the other one takes it for a reader, as
+    each entry finds out by itself which readers are gone. It is 204 as well if this entry knows the versions that the other one names.
     """
     kind = environ["PATH_INFO"].removeprefix(COPIES_PATH)
     query = parse_qs(environ.get("QUERY_STRING", ""))
@@ -276,7 +277,7 @@
         start_response("400 Bad Request", [])
         return [b""]
     copy = store.copy(kind, Position(int(generation), int(after)))
-    if copy is None or (not copy.data and state.store_unavailable):
+    if copy is None or (not copy.data and not copies.is_up_to_date(state, kind)):
         start_response("503 Service Unavailable", [])
         return [b""]
     if VERSIONS_QUERY in query and query[VERSIONS_QUERY] == [store.versions_digest(kind)]:
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -291,3 +291,21 @@
     assert line.startswith(status)
     assert dict(headers).get(REVISION_HEADER) == ("9" if status in ("200", "204") else None)
     assert body == [copy.data if status == "200" else b""]
+
+
+@pytest.mark.parametrize("gone", [0, 1, 3])
+def test_entry_that_copies_does_not_say_that_there_is_nothing_newer(gone):
+    """One that has found readers gone asks entries that have not, and copy from readers themselves."""
+    entries = site(0, 0, 12)
+    order = copies.reading_order(entries["south-a-0"].state, KIND, 0.0)
+    asker = entries[order[-1]]
+    for name in order[:gone]:
+        asker.submit(ev.CopyAsked, peer=name, is_reachable=False)
+    environ = {"PATH_INFO": f"/copies/{KIND}", "QUERY_STRING": "after=9"}
+    store = StubStore(RecordsCopy(Position(1, 9), b""))
+    lines = []
+    for peer in copies.readers_to_ask(asker.state, KIND, asker.at):
+        respond_with_copy(
+            entries[peer.name].state, store, environ, lambda line, headers: lines.append(line[:3])
+        )
+    assert sorted(lines) == ["204"] * (4 - gone) + ["503"] * gone
