--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -124,7 +124,12 @@
         if position > known and name in state.entries and name not in tried
     ]
     return min(
-        (entry for entry in sources if may_cross or state.regions.get(entry.zone) == region),
+        (
+            entry
+            for entry in sources
+            if entry.no_copies_until <= at
+            and (may_cross or state.regions.get(entry.zone) == region)
+        ),
         key=lambda entry: (
             state.regions.get(entry.zone) != region,
             entry.zone != state.zone,
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -82,17 +82,27 @@
         self.told.send()
         self.told = eventlet.event.Event()
 
-    def copy_from_told(self, known: Position) -> StoreChanges | None:
-        """Copy records from an entry that is known to be ahead; None if there is no such copy."""
+    def copy_from_told(self, known: Position) -> tuple[StoreChanges | None, bool]:
+        """Copy records from an entry that is known to be ahead.
+
+        Returns
+        -------
+        StoreChanges or None
+            None if there is no such copy.
+        bool
+            Whether an entry was not reachable; no other one is tried then, as each costs time.
+        """
         tried: set[str] = set()
         while True:
             source = copies.choose_source(self.state, self.kind, known, self.at(), tried)
             if source is None:
-                return None
+                return None, False
             tried.add(source.name)
             changes = self.fetch(source, known)
             if changes is not None and changes.last_change > known:
-                return changes
+                return changes, False
+            if not self.is_answering(source):
+                return None, True
 
     def wait_for_change(self, known: Position) -> StoreChanges | None:
         """Wait until another entry has newer records, and copy them.
@@ -102,13 +112,13 @@
         StoreChanges or None
             No events if there is nothing new; None if no reader of this region answers.
         """
-        changes = self.copy_from_told(known)
-        if changes is not None:
-            return changes
-        wait_s = ASK_INTERVAL_S * (0.5 + 0.5 * self.state.random.random())
-        with eventlet.Timeout(wait_s, False):
-            self.told.wait()
-        return self.copy_from_told(known) or self.ask_readers(known)
+        changes, was_unreachable = self.copy_from_told(known)
+        if changes is None and not was_unreachable:
+            wait_s = ASK_INTERVAL_S * (0.5 + 0.5 * self.state.random.random())
+            with eventlet.Timeout(wait_s, False):
+                self.told.wait()
+            changes, _ = self.copy_from_told(known)
+        return changes or self.ask_readers(known)
 
     def ask_readers(self, known: Position) -> StoreChanges | None:
         """Copy newer records from a reader; no events if it has none, None if there is no answer.
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -223,7 +223,8 @@
         if copy_reader is None:
             return self.watch_once(spec, position)
         if copy_reader.reads_itself():
-            return copy_reader.copy_from_told(position) or self.watch_once(spec, position)
+            changes, _ = copy_reader.copy_from_told(position)
+            return changes or self.watch_once(spec, position)
         changes = copy_reader.wait_for_change(position)
         # A watch without a long poll: the readers may answer again.
         return changes or self.watch_once(evolve(spec, long_poll_s=0.0), position)
--- a/tests/test_gateway_copies.py
+++ b/tests/test_gateway_copies.py
@@ -126,6 +126,21 @@
     silent.close()
 
 
+def test_entries_that_told_of_a_change_and_are_gone_cost_less_than_it_may_be_late():
+    """Each of them cost a second, twice, before a reader or the store was asked."""
+    entry = site(0, 0, 12)["south-a-0"]
+    loop = DecisionLoop(entry.state, SystemClock(), Metrics(), "south-a-0", reduce, ())
+    silent = socket.create_server(("127.0.0.1", 0))
+    for name, peer in entry.state.entries.items():
+        peer.host, peer.port = silent.getsockname()
+        if name in ("south-a-1", "south-a-2", "south-a-3"):
+            entry.submit(ev.PeerMessageReceived, sender=name, message=News(KIND, 9, 1))
+    began_at = time.monotonic()
+    assert CopyReader(loop, None, KIND).wait_for_change(Position(1, 5)) is None
+    assert time.monotonic() - began_at < CONFIGURATION_DEADLINE_S
+    silent.close()
+
+
 # How many of the others can tell, and how many are asked.
 @pytest.mark.parametrize(("able", "asked"), [(63, 8), (1, 63), (0, 63)])
 def test_entries_that_cannot_tell_are_not_all_that_are_asked_for_later_versions(
