Types of content with parts are not parsed with the head of a request

What callers saw: a connection closed without an answer, for a multipart Content-Type that gives its boundary twice in extended form. Operators saw a traceback beside the log lines. Cause: the library parses heads with a parser of mail, which takes the boundary of multipart types to read their parts, and raises TypeError at some. Evidence: the two new rows of SOUND_REQUESTS got no answer before. The stand-in endpoints had the same fault. Change: the head tells the parser of no parts. Callers' bodies reach endpoints as they are; the header is forwarded unchanged.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -55,6 +55,17 @@
 REFUSAL = "HTTP/1.1 {0.value} {0.phrase}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
+class Head(http.client.HTTPMessage):
+    """The headers of a request; it names no type of content that would make the parser read a body.
+
+    The parser of mail takes the parameters of a multipart type, and raises errors at some.
+    """
+
+    def get_content_type(self) -> str:
+        """Return the type of a message without parts."""
+        return self.get_default_type()
+
+
 class LineReader:
     """Passes reads to a file, and records whether a line ended without a carriage return.
 
@@ -237,6 +248,7 @@
     """
 
     head_timeout = None
+    MessageClass = Head
 
     def setup(self) -> None:
         """Open the files of the connection."""
--- a/tests/endless_requests.py
+++ b/tests/endless_requests.py
@@ -58,6 +58,16 @@
     "coding-upper-case": (b"Transfer-Encoding: Chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n", b"plan"),
     "no-body": (b"\r\n", b""),
     "many-headers": (b"".join(b"X-%d: a\r\n" % number for number in range(900)) + b"\r\n", b""),
+    **{
+        f"multipart-{name}": (
+            b"Content-Type: multipart/mixed; %s\r\nContent-Length: 4\r\n\r\nplan" % parameters,
+            b"plan",
+        )
+        for name, parameters in {
+            "boundary-twice": b"boundary*=utf-8''a; boundary*0=b",
+            "boundary-part-twice": b"boundary*9=a; boundary*=us-ascii''b",
+        }.items()
+    },
     "multipart": (
         b"Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 4\r\n\r\nplan",
         b"plan",
--- a/tests/standin_server.py
+++ b/tests/standin_server.py
@@ -10,10 +10,19 @@
 http.client._MAXHEADERS = 65536
 
 
+class Head(http.client.HTTPMessage):
+    """The headers of a request; the parser raises errors at parameters of some multipart types."""
+
+    def get_content_type(self) -> str:
+        """Return the type of a message without parts."""
+        return self.get_default_type()
+
+
 class Handler(BaseHTTPRequestHandler):
     """A request handler that logs nothing and keeps connections open (HTTP/1.1)."""
 
     protocol_version = "HTTP/1.1"
+    MessageClass = Head
 
     def log_message(self, *args) -> None:
         """Log nothing."""
