Numbers of a prompt that cannot be read do not end its request with 500

What callers saw: 500, and a closed connection, for X-Token-Usage or X-Prompt-Prefix with a superscript digit or thousands of digits, and for a count of hundreds of digits, in the middle of a decision. Cause: digits were told by `str.isdigit`, which accepts more than `int` does, and without a bound; a count beyond the range of a float raised OverflowError where the prefill time is worked out. Evidence: these rows of the test fail before. End to end, the three requests got 500 and left `request-failed` lines. Change: a count has one to nine ASCII digits; any other text counts as missing.

--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -1,6 +1,7 @@
 """Parses headers of callers and endpoints, and builds the headers of requests to endpoints."""
 
 import math
+import re
 from collections.abc import Iterable
 from http import HTTPStatus
 
@@ -52,6 +53,8 @@
 )
 # Seconds of a pause whose length cannot be read.
 UNREADABLE_PAUSE_S = 1.0
+# Whole numbers that are read; others cannot be reckoned with.
+COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
 # Priorities go from 0, the most urgent, to this.
 LOWEST_PRIORITY = 9
 
@@ -106,7 +109,7 @@
     parts = []
     for item in value_by_name.get("x-prompt-prefix", "").split(","):
         name, _, tokens = item.strip().rpartition(":")
-        if name and tokens.isdigit():
+        if name and COUNT.fullmatch(tokens):
             parts.append(PrefixSegment(name, int(tokens)))
     return Prompt(
         AdapterKey(base, adapter), parse_int(prompt_tokens), parse_int(output_tokens), tuple(parts)
@@ -114,9 +117,9 @@
 
 
 def parse_int(text: str) -> int:
-    """Parse a whole number; 0 if the text is not a number."""
+    """Parse a whole number of up to 9 digits; 0 if the text is none."""
     text = text.strip()
-    return int(text) if text.isdigit() else 0
+    return int(text) if COUNT.fullmatch(text) else 0
 
 
 def build_request_headers(head: RequestHead, dispatch: Dispatch, last_event_id: str) -> Headers:
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from poplarhoist.platform.headers import parse_response_head
+from poplarhoist.decisions.gateway.models import PrefixSegment
+from poplarhoist.platform.headers import parse_request_head, parse_response_head
 
 UNREADABLE_S = 1.0
 
@@ -65,3 +66,18 @@
 def test_limit_of_an_endpoint_is_a_finite_number_from_zero_on(value, expected):
     headers = [("Server-Limit", value)] if value is not None else []
     assert parse_response_head(200, headers).notice.requests_per_s == expected
+
+
+@pytest.mark.parametrize(
+    ("text", "count"),
+    [("12", 12), ("012", 12), ("9" * 9, 10**9 - 1)]
+    + [(text, 0) for text in ("", "-1", "+1", "1_0", "1.5", "\xb2", "9" * 10, "9" * 400, "9" * 5000)],
+)
+def test_numbers_of_a_prompt_that_cannot_be_read_are_left_out(text, count):
+    """Some were answered with 500."""
+    headers = [("X-Model", "m/a"), ("X-Token-Usage", f"{text},{text}")]
+    headers += [("X-Prompt-Prefix", f"p:{text},q:1")]
+    prompt = parse_request_head(headers).prompt
+    assert (prompt.tokens, prompt.max_output_tokens) == (count, count)
+    segments = ((PrefixSegment("p", count),) if count else ()) + (PrefixSegment("q", 1),)
+    assert prompt.prefix_segments == segments
