A deadline that is not a number is left to the route

What callers saw: 503 with `deadline passed` at once for an X-Deadline-Ms of `nan`, where any other text that is no number leaves the time to the route. Cause: `max(0.0, nan)` is 0. Evidence: the row nan of the test fails before.

--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -89,9 +89,10 @@
 def parse_ms(text: str | None) -> float | None:
     """Convert milliseconds to seconds, at least 0; None if the text is missing or no number."""
     try:
-        return max(0.0, float(text) / MS_PER_S) if text is not None else None
+        milliseconds = float(text) if text is not None else math.nan
     except ValueError:
         return None
+    return None if math.isnan(milliseconds) else max(0.0, milliseconds / MS_PER_S)
 
 
 def parse_prompt(value_by_name: dict[str, str]) -> Prompt | None:
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,5 +1,7 @@
 """Headers of endpoints' responses, as the platform sends them."""
 
+import math
+
 import pytest
 
 from poplarhoist.decisions.gateway.models import PrefixSegment
@@ -71,7 +73,10 @@
 @pytest.mark.parametrize(
     ("text", "count"),
     [("12", 12), ("012", 12), ("9" * 9, 10**9 - 1)]
-    + [(text, 0) for text in ("", "-1", "+1", "1_0", "1.5", "\xb2", "9" * 10, "9" * 400, "9" * 5000)],
+    + [
+        (text, 0)
+        for text in ("", "-1", "+1", "1_0", "1.5", "\xb2", "9" * 10, "9" * 400, "9" * 5000)
+    ],
 )
 def test_numbers_of_a_prompt_that_cannot_be_read_are_left_out(text, count):
     """Some were answered with 500."""
@@ -81,3 +86,13 @@
     assert (prompt.tokens, prompt.max_output_tokens) == (count, count)
     segments = ((PrefixSegment("p", count),) if count else ()) + (PrefixSegment("q", 1),)
     assert prompt.prefix_segments == segments
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("1500", 1.5), ("0", 0.0), ("-1", 0.0), ("inf", math.inf)]
+    + [(text, None) for text in ("nan", "", "soon")],
+)
+def test_deadline_that_is_no_number_is_left_to_the_route(text, seconds):
+    """One that is not a number was taken for a deadline that has passed."""
+    assert parse_request_head([("X-Deadline-Ms", text)]).deadline_s == seconds
