Lengths with many leading zeros are read

What callers saw: 400 for a Content-Length of more than 18 digits, or a chunk size of more than 15, of which the first are zeros. RFC 9110 and 9112 bound neither. Cause: the bound on the digits, which keeps sizes within what can be reckoned with, counted leading zeros. Evidence: the two new rows got 400 before; the rows of absurd lengths still do. Change: up to a hundred zeros may come first. The bounds on lines stay.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -38,8 +38,9 @@
 BODY_TIMEOUT_RATIO = 2
 # Position of the state in what the library keeps of a connection: address, socket, state.
 CONNECTION_STATE = 2
-LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+# Leading zeros carry no size; a number of them that no sender has is refused.
+LENGTH = re.compile(r"0{0,100}[0-9]{1,18}", re.ASCII)
+CHUNK_SIZE = re.compile(rb"0{0,100}[0-9A-Fa-f]{1,15}")
 # Empty lines before a request that are passed over.
 MAX_EMPTY_LINES = 8
 # Target in absolute form: the authority, and the rest. One with user information is not accepted.
--- a/tests/endless_requests.py
+++ b/tests/endless_requests.py
@@ -52,6 +52,11 @@
 SOUND_REQUESTS = {
     "lengths-agree": (b"Content-Length: 4\r\nContent-Length: 4\r\n\r\nplan", b"plan"),
     "chunk-size-padded": (CHUNKED + b"0004\r\nplan\r\n000\r\n\r\n", b"plan"),
+    "chunk-size-with-many-zeros": (
+        CHUNKED + b"0" * 20 + b"4\r\nplan\r\n" + b"0" * 20 + b"\r\n\r\n",
+        b"plan",
+    ),
+    "length-with-many-zeros": (b"Content-Length: " + b"0" * 20 + b"4\r\n\r\nplan", b"plan"),
     "chunk-size-upper-case": (CHUNKED + b"A\r\nplanplanpl\r\n0\r\n\r\n", b"planplanpl"),
     "chunk-extension": (CHUNKED + b"4;a=b\r\nplan\r\n0;last\r\n\r\n", b"plan"),
     "trailers": (CHUNKED + b"4\r\nplan\r\n0\r\nX-After: 1\r\n\r\n", b"plan"),
