An entry without a configuration refuses no body for its size

What callers saw: 413, which they do not repeat, for a body of more than 4 MiB at an entry that has just started, whatever limit the configuration has. Cause: without a configuration the default limit was taken for the one in force. Evidence: the row of the announced length got 413 before. Change: 503, which promises that the request has not run, like for every other request before the first configuration.

--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -76,8 +76,13 @@
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
         except BadRequest as error:
             protocol.close_connection = 1
-            self.record_unreadable(error.status, error.step, str(error), environ["REMOTE_ADDR"])
-            return json_error(start_response, error.status, str(error))
+            status = error.status
+            is_configured = self.decision_loop.state.configuration is not None
+            if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE and not is_configured:
+                # The configuration may allow it.
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+            self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
+            return json_error(start_response, status, str(error))
         target = protocol.path
         head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -9,6 +9,7 @@
 
 from tests.endless_requests import (
     BAD_REQUESTS,
+    CHUNKED,
     ENDLESS_PARTS,
     HIDDEN,
     SOUND_REQUESTS,
@@ -123,3 +124,15 @@
     thread.start()
     thread.join()
     assert results == [200]
+
+
+@pytest.mark.parametrize("rest", [b"Content-Length: 9999999\r\n\r\n", CHUNKED + b"0\r\n\r\n"])
+def test_entry_without_configuration_refuses_no_body_for_its_size(tmp_path, rest):
+    """A body beyond the default limit got 413, which callers do not repeat."""
+    site = PlatformSite(tmp_path)
+    try:
+        site.launch()
+        site.wait_until(lambda: site.get_status() == 503)
+        assert send_raw(site.port, "/once/x", rest).statuses() == [503]
+    finally:
+        site.stop()
