An entry that cannot read a relayed request says that it has not run

What callers may see: 502 instead of 503 for a request that ran nowhere, and an unsafe one is lost: while two entries have different versions of the configuration, the one that is to pass a request on may have a lower limit of bodies. Read in the code, not seen at a caller. Cause: refusals of requests that cannot be read did not say, as all others do, that no endpoint has run them; the other entry took the answer for one to another request, after which the request may have run.

--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -82,7 +82,8 @@
                 # The configuration may allow it.
                 status = HTTPStatus.SERVICE_UNAVAILABLE
             self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
-            return json_error(start_response, status, str(error))
+            headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
+            return json_error(start_response, status, str(error), headers)
         target = protocol.path
         head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
@@ -482,9 +483,11 @@
     return bool(environ.get("CONTENT_LENGTH")) or "HTTP_TRANSFER_ENCODING" in environ
 
 
-def json_error(start_response: Callable, status: int, message: str) -> list[bytes]:
+def json_error(
+    start_response: Callable, status: int, message: str, headers: Iterable[tuple[str, str]] = ()
+) -> list[bytes]:
     """Start an error response of the gateway and return its JSON body."""
-    start_response(status_line(status), [JSON_CONTENT_TYPE])
+    start_response(status_line(status), [JSON_CONTENT_TYPE, *headers])
     return [orjson.dumps({"error": message})]
 
 
