An entry that starts beside an invalid configuration learns the one in force from the other entries

What callers saw: if the store's configuration could not be decoded, running entries kept the one before, as they should, but an entry that started then had none, was not ready and answered all requests with 503 until the next valid one was written.

Cause: entries kept the undecodable record for copies and passed it on; the valid one before was lost with it.

A record that cannot be decoded no longer replaces the one before among the records that are kept for copies, in a list or in a watch. So the entry gets the one in force by the question that it asks at its start in any case.

--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -19,6 +19,7 @@
 class CopiedKind:
     """The records of a kind as last read, and their compressed form.
 
+    Those that cannot be decoded are not given to it, so that it keeps what is in force.
     A restored store may have an earlier version of a record than the one that it has confirmed, or
     lack the record. What was read before is kept then, so that entries that start later learn of it.
 
--- a/poplarhoist/platform/decoder.py
+++ b/poplarhoist/platform/decoder.py
@@ -44,6 +44,20 @@
     generation: int
 
 
+@frozen
+class Decoded:
+    """What records say.
+
+    Attributes
+    ----------
+    unreadable : frozenset
+        Names of the records that could not be decoded.
+    """
+
+    events: list[ev.Event]
+    unreadable: frozenset[str] = frozenset()
+
+
 class RecordDecoder:
     """Decodes records of all kinds.
 
@@ -56,13 +70,14 @@
     def __init__(self) -> None:
         self.logged_records: dict[tuple[str, str, int], None] = {}
 
-    def decode_list(self, kind: str, items: list[dict], reading: Reading) -> list[ev.Event]:
+    def decode_list(self, kind: str, items: list[dict], reading: Reading) -> Decoded:
         """Decode all records of a kind.
 
         For all but configurations and versions the last event says that the list is complete.
         """
         at = reading.at
-        events = [event for item in items for event in self.decode(kind, item, False, reading)]
+        decoded = [self.decode(kind, item, False, reading) for item in items]
+        events = [event for part in decoded for event in part.events]
         names = frozenset(item["metadata"]["name"] for item in items)
         if kind == ENDPOINT_KIND:
             events.append(ev.EndpointsListed(at, names))
@@ -74,9 +89,9 @@
             events.append(ev.SoftwareRecordsListed(at, names))
         elif kind == CRASH_KIND:
             events.append(ev.CrashRecordsListed(at, names))
-        return events
+        return Decoded(events, frozenset().union(*(part.unreadable for part in decoded)))
 
-    def decode(self, kind: str, item: dict, is_removed: bool, reading: Reading) -> list[ev.Event]:
+    def decode(self, kind: str, item: dict, is_removed: bool, reading: Reading) -> Decoded:
         """Decode a record or its removal."""
         name = item["metadata"]["name"]
         step = "decode"
@@ -84,10 +99,10 @@
             if isinstance(item.get("spec"), Unreadable):
                 step = "parse"
                 raise ValueError(item["spec"])
-            return DECODERS_BY_KIND[kind](reading, name, item, is_removed)
+            return Decoded(DECODERS_BY_KIND[kind](reading, name, item, is_removed))
         except DECODE_ERRORS as error:
             self.log_unreadable(kind, item["metadata"], step, error)
-            return unreadable_events(kind, reading, name, item)
+            return Decoded(unreadable_events(kind, reading, name, item), frozenset((name,)))
 
     def log_unreadable(self, kind: str, metadata: dict, step: str, error: Exception) -> None:
         """Log a record that could not be decoded, once for each of its revisions."""
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -30,6 +30,7 @@
     LEAD_KIND,
     SOFTWARE_KIND,
     VERSION_KIND,
+    Decoded,
     Reading,
     RecordDecoder,
 )
@@ -231,16 +232,12 @@
             items += data["items"]
             if not data.get("truncated") or not data["items"]:
                 break
+        decoded = self.decoder.decode_list(kind, items, self.reading(position.generation))
         if kind in self.copied_kinds:
-            self.copied_kinds[kind].replace(items, position)
-        return self.changes_of_list(kind, items, position)
-
-    def changes_of_list(self, kind: str, items: list[dict], position: Position) -> StoreChanges:
-        """Return all records of a kind as events."""
-        generation = position.generation
-        events = self.decoder.decode_list(kind, items, self.reading(generation))
-        last_change = latest_position(items, generation)
-        return StoreChanges(ev.CallStatus.OK, position, last_change, tuple(events))
+            # The earlier one stays in force, and other entries may need it.
+            readable = [i for i in items if i["metadata"]["name"] not in decoded.unreadable]
+            self.copied_kinds[kind].replace(readable, position)
+        return changes_of_list(items, decoded, position)
 
     def reading(self, generation: int) -> Reading:
         """Return that records of a generation have been read now."""
@@ -253,8 +250,9 @@
 
     def read_copy(self, kind: str, copy: RecordsCopy) -> StoreChanges:
         """Read a copy that another entry has made, and keep it; raises as `CopiedKind.read`."""
-        changes = self.changes_of_list(kind, self.copied_kinds[kind].read(copy), copy.position)
-        return evolve(changes, is_from_store=False)
+        items = self.copied_kinds[kind].read(copy)
+        decoded = self.decoder.decode_list(kind, items, self.reading(copy.position.generation))
+        return evolve(changes_of_list(items, decoded, copy.position), is_from_store=False)
 
     def versions_digest(self, kind: str) -> str:
         """Return a digest of the versions read, as `Store.versions_digest` says."""
@@ -263,7 +261,7 @@
     def adopt_copy(self, kind: str, copy: RecordsCopy) -> tuple[ev.Event, ...]:
         """Take later versions from another entry's copy, as `Store.adopt_copy` says."""
         items = self.copied_kinds[kind].adopt(copy)
-        return tuple(self.decoder.decode_list(kind, items, self.reading(self.generation)))
+        return tuple(self.decoder.decode_list(kind, items, self.reading(self.generation)).events)
 
     def watch(
         self, spec: WatchSpec, since: Position, fresh: bool, on_begun: OnBegun | None = None
@@ -305,13 +303,16 @@
             return StoreChanges(ev.CallStatus.UNKNOWN, was_cut_off=True)
         reading = self.reading(since.generation)
         events: list[ev.Event] = []
+        readable = []
         for change in changes:
             is_removed = bool(change.get("tombstone"))
-            item = change["object"]
-            events += self.decoder.decode(kind, item, is_removed, reading)
+            decoded = self.decoder.decode(kind, change["object"], is_removed, reading)
+            events += decoded.events
+            if not decoded.unreadable:
+                readable.append(change)
         position = max(since, position)
         if kind in self.copied_kinds:
-            self.copied_kinds[kind].apply(changes, position)
+            self.copied_kinds[kind].apply(readable, position)
         return StoreChanges(ev.CallStatus.OK, position, last_change, tuple(events))
 
     def register(
@@ -341,7 +342,7 @@
         position = Position(generation, item["metadata"]["revision"])
         if status is not ev.CallStatus.CONFLICT:
             return status, position, None
-        seen = self.decoder.decode(LEAD_KIND, item, False, self.reading(generation))
+        seen = self.decoder.decode(LEAD_KIND, item, False, self.reading(generation)).events
         return status, position, seen[0] if seen else None
 
     def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
@@ -484,6 +485,12 @@
             log.warning("store-call-failed", detail=str(result)[:200])
 
 
+def changes_of_list(items: list[dict], decoded: Decoded, position: Position) -> StoreChanges:
+    """Return all records of a kind as changes."""
+    last_change = latest_position(items, position.generation)
+    return StoreChanges(ev.CallStatus.OK, position, last_change, tuple(decoded.events))
+
+
 def was_cut_off(error: HTTPError) -> bool:
     """Return whether a connection that was made ended without a response."""
     return isinstance(error, ProtocolError) and any(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -279,6 +279,35 @@
         late.check_no_faults()
 
 
+# Entries of the region: all read the configuration from the store, or only some.
+@pytest.mark.parametrize("count", [2, 9])
+def test_entry_that_starts_beside_an_invalid_configuration_learns_the_one_in_force(
+    tmp_path, entry, count
+):
+    """It had none, and answered all requests with 503 until the next one was written."""
+    store = entry.store
+    others = [WatchingEntry(tmp_path, f"entry-{n}", store) for n in range(2, count + 1)]
+    try:
+        for other in others:
+            other.launch()
+        assert all(other.logs("configuration", 15.0, version=7) for other in others)
+        assert all(other.logs("entry-known", 15.0, peer="entry-1") for other in others)
+        store.put("config", "main", configuration(9) | {"services": None})
+        assert any(other.logs("record-unreadable", kind="config") for other in others)
+        entry.kill()
+        text = entry.settings_path.read_text()
+        entry.settings_path.write_text(text.replace(FIRST_START, ""))
+        entry.log_path.unlink()
+        entry.launch()
+        assert entry.logs("configuration", 15.0, version=7, before=0)
+        store.put("config", "main", configuration(11))
+        assert all(known.logs("configuration", version=11) for known in [entry, *others])
+    finally:
+        for other in others:
+            other.kill()
+            other.check_no_faults()
+
+
 # Generation known when a call begins and when it ends, what its response shows, and whether the
 # response may be used.
 @pytest.mark.parametrize(
