Own interface: a response of the platform that comes late or twice is not taken for the response to another call

What could be seen: calls to the platform's objects shared connections that were kept for up to 5 s, and its responses name no call. One that came once more during the next call was taken for that call's: a lease, an intent or the record of a run that was written counted as refused (a run not recorded: its caller is refused, and its key is taken), an older object or listing counted as read now. The operators' tool took an entry's status of before for the one that it asked for. Cause: as for the gateway's store: urllib3 looks at a kept connection before it is used again only. Evidence: tests/test_kept_connections.py; on, with the constructors of there, put, get, list, watch and operator failed, each during the next call; the same responses at once or on an idle connection did no harm. Change: each call has a connection that is closed after it. HttpPlatform needs no clock any more, which changes its calls in two rigs (tests/site.py, tests/endless_calls.py); request_once takes the time of the whole where no other is named.

--- a/poplarhoist/ctl/session.py
+++ b/poplarhoist/ctl/session.py
@@ -10,7 +10,7 @@
 from poplarhoist import wire
 from poplarhoist.context import Environment
 from poplarhoist.ctl.arguments import Command
-from poplarhoist.entry.http import create_pool_manager, request_bounded
+from poplarhoist.entry.http import request_once
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.errors import EntryError, NotFoundError, PoplarhoistError
 from poplarhoist.models import ConfigIndex
@@ -37,8 +37,7 @@
         self.env = env
         self.site: Site = load_site(command.settings)
         author = env.variables.get(OPERATOR_VARIABLE) or getpass.getuser()
-        self.publisher = Publisher(HttpPlatform(self.site.platform, env.clock), author)
-        self.http_pool = create_pool_manager(timeout=CALL_TIMEOUT_S)
+        self.publisher = Publisher(HttpPlatform(self.site.platform), author)
 
     def print_result(self, data: object, text: str) -> None:
         """Print a result: the data as JSON with ``--json``, otherwise the text."""
@@ -154,8 +153,7 @@
         url = f"http://{entry.host}:{entry.port}{path}"
         headers = {"Authorization": f"Bearer {self.site.interfaces.operator_key}"}
         try:
-            status, data = request_bounded(
-                self.http_pool,
+            status, data = request_once(
                 method,
                 url,
                 CALL_TIMEOUT_S,
--- a/poplarhoist/demo/scenario.py
+++ b/poplarhoist/demo/scenario.py
@@ -97,7 +97,7 @@
         )
         self.run_ctl("adapter", "create", ADAPTER_NAMES[0], "--base", "base")
         self.run_ctl("version", "publish", ADAPTER_NAMES[0], "1")
-        platform = HttpPlatform(self.site.settings.platform, self.env.clock)
+        platform = HttpPlatform(self.site.settings.platform)
         index = Publisher(platform, "demo").apply_change(add_remaining_adapters)
         entries = self.site.entries.values()
         self.site.wait_until(
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -368,7 +368,8 @@
 ) -> tuple[int, bytes]:
     """Make a call as `request_bounded` does, over a connection that is closed after it.
 
-    What the other side sends later cannot be taken for the response to another call.
+    What the other side sends later cannot be taken for the response to another call. Without a
+    `timeout` in the options, connecting and each read may take as long as the whole.
 
     Raises
     ------
@@ -377,6 +378,7 @@
     """
     pool = single_use_pool(socket_options=socket_options)
     try:
+        options.setdefault("timeout", urllib3.Timeout(total=total_s))
         return request_bounded(pool, method, url, total_s, max_bytes, on_head, **options)
     finally:
         pool.clear()
--- a/poplarhoist/entry/platform.py
+++ b/poplarhoist/entry/platform.py
@@ -9,7 +9,7 @@
 from urllib3.exceptions import HTTPError
 
 from poplarhoist.decisions.events import CallStatus
-from poplarhoist.entry.http import ShortLivedPool, never_sent
+from poplarhoist.entry.http import never_sent, request_once
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.settings.models import PlatformSettings
 
@@ -93,20 +93,16 @@
 
 
 class HttpPlatform:
-    """The platform's objects over HTTP and JSON.
+    """The platform's objects over HTTP and JSON, each call over a connection of its own.
 
-    Attributes
-    ----------
-    watch_pool : ShortLivedPool
-        Separate pool for watches, which wait up to ``PlatformSettings.watch_s`` per call.
+    Responses name no call, so that one that comes late or twice on a kept connection may be taken for
+    the response to the next call.
     """
 
-    def __init__(self, settings: PlatformSettings, clock, metrics: Metrics | None = None) -> None:
+    def __init__(self, settings: PlatformSettings, metrics: Metrics | None = None) -> None:
         self.settings = settings
         self.base_url = f"http://{settings.host}:{settings.port}/v1"
         self.metrics = metrics
-        self.pool = ShortLivedPool(clock)
-        self.watch_pool = ShortLivedPool(clock)
 
     def get(self, path: str) -> CallResult:
         """Read an object; the status is ``NOT_FOUND`` if there is none."""
@@ -145,7 +141,7 @@
         """
         headers = {"Content-Type": "application/json"}
         try:
-            code, answer = self.pool.request(
+            code, answer = request_once(
                 method,
                 self.base_url + path,
                 self.settings.timeout_s,
@@ -165,9 +161,8 @@
 
     def request_listing(self, kind: str, path: str, items_key: str, timeout_s: float) -> Listing:
         """Make a call that returns the objects or changes under ``items_key``."""
-        pool = self.watch_pool if kind == "watch" else self.pool
         try:
-            code, answer = pool.request("GET", self.base_url + path, timeout_s, MAX_LISTING_BYTES)
+            code, answer = request_once("GET", self.base_url + path, timeout_s, MAX_LISTING_BYTES)
             data = orjson.loads(answer)
         except (HTTPError, orjson.JSONDecodeError):
             self.count_call(kind, CallStatus.UNKNOWN)
--- a/poplarhoist/entry/server.py
+++ b/poplarhoist/entry/server.py
@@ -57,7 +57,7 @@
         )
         relay.seed_peers(state, [to_instance(entry) for entry in site.entries])
         self.core = Core(state, env.clock, self.metrics)
-        self.platform = HttpPlatform(site.platform, env.clock, self.metrics)
+        self.platform = HttpPlatform(site.platform, self.metrics)
         self.platform_effects = PlatformEffects(self.core, self.platform)
         self.endpoint_effects = EndpointEffects(self.core)
         self.peer_transport = PeerTransport(self.core, site.interfaces.peer_key)
--- a/tests/endless_calls.py
+++ b/tests/endless_calls.py
@@ -26,7 +26,6 @@
 from poplarhoist.entry import endpoint_effects, platform
 from poplarhoist.entry.attempts import Attempt, CallerRequest
 from poplarhoist.entry.core import Core
-from poplarhoist.entry.http import create_pool_manager
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.peers import PeerTransport
 from poplarhoist.errors import EntryError
@@ -61,7 +60,7 @@
     """Make a call to the platform."""
     platform.LONG_POLL_MARGIN_S = MARGIN_S
     settings = PlatformSettings(HOST, port, timeout_s=0.5, watch_s=0.3)
-    return str(getattr(platform.HttpPlatform(settings, SystemClock()), method)(*args).status)
+    return str(getattr(platform.HttpPlatform(settings), method)(*args).status)
 
 
 def post_batch(port: int) -> str:
@@ -115,7 +114,6 @@
 def call_entry(port: int) -> str:
     """Call an entry as the operators' tool does."""
     session = OperatorSession.__new__(OperatorSession)
-    session.http_pool = create_pool_manager(timeout=2.0)
     session.site = SimpleNamespace(interfaces=SimpleNamespace(operator_key="k"))
     try:
         session.call_entry(EntrySettings("entry-1", "r1", "r1-a", HOST, port), "GET", "/x")
--- a/tests/site.py
+++ b/tests/site.py
@@ -10,7 +10,6 @@
 
 import urllib3
 
-from poplarhoist.clock import SystemClock
 from poplarhoist.entry.platform import HttpPlatform, token_digest
 from poplarhoist.models import Adapter, Caller, ConfigIndex, Preset, VersionState
 from poplarhoist.publish import Draft, Publisher
@@ -210,7 +209,7 @@
     def publish(self, edit) -> ConfigIndex:
         """Change the configuration; return the new index."""
         settings = PlatformSettings("127.0.0.1", self.file.platform_port)
-        return Publisher(HttpPlatform(settings, SystemClock()), "tests").apply_change(edit)
+        return Publisher(HttpPlatform(settings), "tests").apply_change(edit)
 
     def run_ctl(self, command: str, *args: str, check: bool = True) -> subprocess.CompletedProcess:
         """Run the operators' tool with JSON output; assert that it succeeds if ``check`` is set."""
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -11,16 +11,19 @@
 from attrs import frozen
 
 from poplarhoist.clock import SystemClock
+from poplarhoist.ctl.session import OperatorSession
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.gateway.copies import CopyReader
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
 from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
 from poplarhoist.platform.dialect import PlatformDialect
 from poplarhoist.platform.store import ObjectStore
+from poplarhoist.settings.models import EntrySettings, PlatformSettings
 
 HOST = "127.0.0.1"
 PAUSE_S = 0.05
@@ -193,8 +196,32 @@
     return call
 
 
+def platform(method: str, *arguments: object):
+    def connect(port: int):
+        client = HttpPlatform(PlatformSettings(HOST, port, timeout_s=2.0, watch_s=0.5))
+
+        def call(number: int):
+            result = getattr(client, method)(*arguments)
+            return result.status, getattr(result, "version", getattr(result, "revision", 0))
+
+        return call
+
+    return connect
+
+
+def operate(port: int):
+    session = OperatorSession.__new__(OperatorSession)
+    session.site = SimpleNamespace(interfaces=SimpleNamespace(operator_key="k"))
+    entry = EntrySettings("entry-1", "r1", "r1-a", HOST, port)
+    return lambda number: session.call_entry(entry, "GET", "/x")["number"]
+
+
 OK, UNKNOWN = ev.CallStatus.OK, ev.CallStatus.UNKNOWN
 DRAINED = answer(200, events(item("d1", 5), item("d2", 7)))
+LISTINGS = {
+    key: tuple(answer(200, {"revision": revision, key: []}) for revision in (7, 8))
+    for key in ("objects", "changes")
+}
 CASES = {
     "store-claim-refused": Case(
         claim, (answer(503), answer(200, item("e1", 9))), ((OK, Position(0, 9)),)
@@ -222,6 +249,17 @@
         (DRAINED, answer(200, events(item("d3", 8)))),
         ((OK, ["d3"]), (UNKNOWN, [])),
     ),
+    "platform-put": Case(
+        platform("put", "x", 1, 0), (answer(503), answer(200, {"version": 4})), ((OK, 4),)
+    ),
+    "platform-get": Case(
+        platform("get", "x"),
+        (answer(200, {"version": 3, "value": 1}), answer(200, {"version": 4, "value": 2})),
+        ((OK, 4),),
+    ),
+    "platform-list": Case(platform("list", ("x",)), LISTINGS["objects"], ((OK, 8),)),
+    "platform-watch": Case(platform("watch", ("x",), 5), LISTINGS["changes"], ((OK, 8),)),
+    "operator": Case(operate, (answer(200, {"number": 1}), answer(200, {"number": 2})), (2,)),
     "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
     "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
     "copy": Case(copy, (answer(200, 1, Copy_Revision="1"), answer(204, Copy_Revision="2")), (2,)),
