Own interface: an endpoint's report that comes late or twice is not taken for one from after an order

What could be seen: polls of an endpoint shared connections that were kept for up to 5 s, and a report does not say which poll it answers. One that came once more during the next poll counted as sampled after it was asked for: an order without an answer, which is settled by the next report, would have counted as not carried out, and adapters as held that were gone. Evidence: the case poll of tests/test_kept_connections.py, on with the constructors of there, failed during the next poll. Change: each poll has a connection of its own, as orders have. A poll whose connection is not made in time is made once more, since a lost SYN would make the endpoint count as silent now; only a refused one ends it at once.

--- a/poplarhoist/entry/endpoint_effects.py
+++ b/poplarhoist/entry/endpoint_effects.py
@@ -2,7 +2,6 @@
 
 import eventlet
 import orjson
-from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from poplarhoist import wire
@@ -10,11 +9,9 @@
 from poplarhoist.decisions import events as ev
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.http import (
-    ShortLivedPool,
     is_connection_refused,
     never_sent,
-    request_bounded,
-    single_use_pool,
+    request_once,
 )
 from poplarhoist.models import Endpoint, EndpointReport
 
@@ -34,7 +31,6 @@
 
     def __init__(self, core: Core) -> None:
         self.core = core
-        self.pool = ShortLivedPool(core.clock)
         core.set_handler(fx.PollEndpoint, lambda effect: eventlet.spawn_n(self.poll, effect))
         core.set_handler(fx.SendOrder, lambda effect: eventlet.spawn_n(self.run_order, effect))
 
@@ -64,9 +60,10 @@
         self.core.submit(ev.EndpointReported(self.core.event_time(), polled_at, report))
 
     def fetch_report(self, endpoint: Endpoint) -> EndpointReport:
-        """Return an endpoint's report; retry once over a new connection.
+        """Return an endpoint's report; retry once over another connection.
 
-        The kept-alive connection may be dead without notice.
+        A connection may be dead without notice. None is kept: an earlier report that came once more
+        would be taken for one from after an order.
 
         Raises
         ------
@@ -75,11 +72,11 @@
         """
         call = ("GET", endpoint_url(endpoint) + "/report", REPORT_TIMEOUT_S, MAX_RESPONSE_BYTES)
         try:
-            _, data = self.pool.request(*call)
+            _, data = request_once(*call)
         except HTTPError as error:
-            if never_sent(error):
+            if is_connection_refused(error):
                 raise
-            _, data = self.pool.request(*call)
+            _, data = request_once(*call)
         return wire.load(orjson.loads(data), EndpointReport)
 
     def run_order(self, effect: fx.SendOrder) -> None:
@@ -108,15 +105,13 @@
         }
         total_s = self.core.state.limits.order_s + ORDER_TIMEOUT_MARGIN_S
         try:
-            _, answer = request_bounded(
-                single_use_pool(),
+            _, answer = request_once(
                 "POST",
                 endpoint_url(endpoint) + "/orders",
                 total_s,
                 MAX_RESPONSE_BYTES,
                 body=orjson.dumps(data),
                 headers={"Content-Type": "application/json", "Connection": "close"},
-                timeout=Timeout(total=total_s),
             )
             result = orjson.loads(answer)
             return ev.OrderOutcome(result["outcome"]), str(result.get("reason", ""))
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -16,11 +16,13 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.entry.endpoint_effects import EndpointEffects
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.gateway.copies import CopyReader
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
 from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
+from poplarhoist.models import Endpoint, EndpointKind, Place
 from poplarhoist.platform.dialect import PlatformDialect
 from poplarhoist.platform.store import ObjectStore
 from poplarhoist.settings.models import EntrySettings, PlatformSettings
@@ -209,6 +211,12 @@
     return connect
 
 
+def poll(port: int):
+    effects = EndpointEffects(loop([]))
+    endpoint = Endpoint("e1", EndpointKind.ENGINE, "base", Place("r1", "r1-a"), HOST, port)
+    return lambda number: effects.fetch_report(endpoint).running
+
+
 def operate(port: int):
     session = OperatorSession.__new__(OperatorSession)
     session.site = SimpleNamespace(interfaces=SimpleNamespace(operator_key="k"))
@@ -216,6 +224,12 @@
     return lambda number: session.call_entry(entry, "GET", "/x")["number"]
 
 
+def report_of(running: int) -> bytes:
+    """Return the report of an endpoint of the own interface."""
+    state = {"endpoint": "e1", "boot": "b", "age_s": 0.0, "state": "live", "running": running}
+    return answer(200, state)
+
+
 OK, UNKNOWN = ev.CallStatus.OK, ev.CallStatus.UNKNOWN
 DRAINED = answer(200, events(item("d1", 5), item("d2", 7)))
 LISTINGS = {
@@ -259,6 +273,7 @@
     ),
     "platform-list": Case(platform("list", ("x",)), LISTINGS["objects"], ((OK, 8),)),
     "platform-watch": Case(platform("watch", ("x",), 5), LISTINGS["changes"], ((OK, 8),)),
+    "poll": Case(poll, (report_of(1), report_of(2)), (2,)),
     "operator": Case(operate, (answer(200, {"number": 1}), answer(200, {"number": 2})), (2,)),
     "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
     "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
