Own interface: a peer's response to an earlier batch does not make the next batch count as delivered

What could be seen: batches to a peer share a kept connection, and its response did not name the batch. One that came once more during the next batch was taken for that one's: a batch that the peer refused, or that was lost with its connection, counted as delivered. Cause: as for calls to the platform. Batches are many, so that their connections stay. Evidence: the case peer of tests/test_kept_connections.py, on with the constructors of there, failed during the next batch. Change: a response names its batch (X-Peer-Batch). One that names another is logged (peer-response-to-another-batch), and the batch is sent once more over a new connection, as after a timeout. Entries of earlier releases send no name, and ignore it. A failure names no batch either; one that comes twice makes the peer count as silent until it is heard again. Tests: test_interfaces.py asserts the name of any accepted batch; tests/endless_calls.py passes the number that post_batch needs now.

--- a/poplarhoist/entry/application.py
+++ b/poplarhoist/entry/application.py
@@ -12,7 +12,13 @@
 from poplarhoist.entry.callers import CallerApi
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.operators import OperatorApi
-from poplarhoist.entry.peers import MAX_PEER_BODY_BYTES, PEER_KEY_HEADER, PEER_PATH, PeerTransport
+from poplarhoist.entry.peers import (
+    BATCH_HEADER,
+    MAX_PEER_BODY_BYTES,
+    PEER_KEY_HEADER,
+    PEER_PATH,
+    PeerTransport,
+)
 from poplarhoist.entry.web import require_key
 from poplarhoist.settings.models import Site
 
@@ -102,7 +108,7 @@
         require_key(request.headers.get(PEER_KEY_HEADER, ""), self.site.interfaces.peer_key)
         request.max_content_length = MAX_PEER_BODY_BYTES
         try:
-            self.peer_transport.receive_batch(request.get_data())
+            sequence = self.peer_transport.receive_batch(request.get_data())
         except ValueError as error:
             raise BadRequest(str(error)) from error
-        return Response("")
+        return Response("", headers={BATCH_HEADER: str(sequence)})
--- a/poplarhoist/entry/peers.py
+++ b/poplarhoist/entry/peers.py
@@ -1,7 +1,10 @@
 """Sends messages to other entries in batches, and receives theirs."""
 
+from collections.abc import Mapping
+
 import eventlet
 import orjson
+import structlog
 from eventlet.event import Event
 from urllib3.exceptions import HTTPError
 
@@ -15,6 +18,8 @@
 
 PEER_PATH = "/peer"
 PEER_KEY_HEADER = "X-Peer-Key"
+# Names the batch that a response belongs to; entries of earlier releases do not send it.
+BATCH_HEADER = "X-Peer-Batch"
 SEND_TIMEOUT_S = 1.0
 MAX_SEND_ATTEMPTS = 2
 MAX_BATCH_MESSAGES = 256
@@ -132,38 +137,46 @@
                 "messages": batch,
             }
         )
-        delivered = self.post_batch(peer.instance, body)
+        delivered = self.post_batch(peer.instance, body, self.last_sequence)
         cross_region = peer.instance.place.region != self.core.state.me.place.region
         self.core.metrics.count("peer_bytes", ("yes" if cross_region else "no",), len(body))
         if not delivered:
             self.core.submit(ev.PeerSilent(self.core.event_time(), peer_name))
 
-    def post_batch(self, instance: Instance, body: bytes) -> bool:
+    def post_batch(self, instance: Instance, body: bytes, sequence: int) -> bool:
         """Post a batch and return whether the peer accepted it.
 
         A batch that may have been sent is tried again over a new connection, since the kept-alive
-        connection may be dead without notice.
+        connection may be dead without notice, or bring the response to an earlier batch once more.
         """
         url = f"http://{instance.host}:{instance.port}{PEER_PATH}"
         headers = {"Content-Type": "application/json", PEER_KEY_HEADER: self.peer_key}
         for _ in range(MAX_SEND_ATTEMPTS):
+            heads: list[Mapping[str, str]] = []
             try:
                 status, _ = self.pool.request(
                     "POST",
                     url,
                     SEND_TIMEOUT_S,
                     MAX_PEER_RESPONSE_BYTES,
+                    on_head=heads.append,
                     body=body,
                     headers=headers,
                 )
-                return status == 200
             except HTTPError as error:
                 if never_sent(error):
                     return False
+                continue
+            told = heads[0].get(BATCH_HEADER, str(sequence))
+            if told == str(sequence):
+                return status == 200
+            fields = {"peer": instance.name, "sent": sequence, "told": told[:40]}
+            structlog.get_logger().warning("peer-response-to-another-batch", **fields)
+            self.pool.renew()
         return False
 
-    def receive_batch(self, data: bytes) -> None:
-        """Decode a batch and submit its messages.
+    def receive_batch(self, data: bytes) -> int:
+        """Decode a batch and submit its messages; return its sequence number.
 
         Raises
         ------
@@ -179,3 +192,4 @@
             raise ValueError("malformed batch") from error
         for message in messages:
             self.core.submit(ev.PeerSaid(self.core.event_time(), sender, boot, sequence, message))
+        return sequence
--- a/tests/endless_calls.py
+++ b/tests/endless_calls.py
@@ -66,7 +66,7 @@
 def post_batch(port: int) -> str:
     """Send messages to a peer."""
     transport = PeerTransport(make_core(), "peer-key")
-    return str(transport.post_batch(Instance("entry-2", PLACE, HOST, port), b"{}"))
+    return str(transport.post_batch(Instance("entry-2", PLACE, HOST, port), b"{}", 1))
 
 
 def fetch_report(port: int) -> str:
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -23,7 +23,7 @@
 from poplarhoist.entry.callers import MAX_IDEMPOTENCY_KEY_CHARACTERS
 from poplarhoist.entry.core import Core
 from poplarhoist.entry.metrics import Metrics
-from poplarhoist.entry.peers import PEER_KEY_HEADER, PeerTransport
+from poplarhoist.entry.peers import BATCH_HEADER, PEER_KEY_HEADER, PeerTransport
 from poplarhoist.models import Instance, Place
 from poplarhoist.replay.simulation import TOKEN, Simulation
 from poplarhoist.settings.models import InterfaceSettings, PlatformSettings, Site
@@ -150,6 +150,8 @@
     answer = CLIENT.post("/peer", headers=headers, data=body)
     assert answer.status_code in ((200, 400, 413) if has_key else (401,))
     assert is_clear_answer(answer)
+    if answer.status_code == 200:
+        assert answer.headers[BATCH_HEADER] == str(int(json.loads(body)["sequence"]))
     assert snapshot() == before
 
 
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -17,12 +17,13 @@
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.entry.endpoint_effects import EndpointEffects
+from poplarhoist.entry.peers import PeerTransport
 from poplarhoist.entry.platform import HttpPlatform
 from poplarhoist.gateway.copies import CopyReader
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
 from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
-from poplarhoist.models import Endpoint, EndpointKind, Place
+from poplarhoist.models import Endpoint, EndpointKind, Instance, Place
 from poplarhoist.platform.dialect import PlatformDialect
 from poplarhoist.platform.store import ObjectStore
 from poplarhoist.settings.models import EntrySettings, PlatformSettings
@@ -40,7 +41,7 @@
 
 
 class RepeatingServer:
-    """Answers calls in turn; each answer comes once more if its connection is kept.
+    """Answers calls in turn, the last answer to all further ones; each comes once more on its connection.
 
     Attributes
     ----------
@@ -50,6 +51,7 @@
 
     def __init__(self, answers: list[bytes], when: str) -> None:
         self.answers, self.when = list(answers), when
+        self.last_answer = answers[-1]
         self.listener = socket.create_server((HOST, 0))
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -70,7 +72,7 @@
                 if self.when == "during-next" and last:
                     connection.sendall(last)
                     time.sleep(PAUSE_S)
-                last = self.answers.pop(0)
+                last = self.answers.pop(0) if self.answers else self.last_answer
                 connection.sendall(last * 2 if self.when == "at-once" else last)
                 if self.when == "while-idle":
                     time.sleep(PAUSE_S)
@@ -151,6 +153,7 @@
 def loop(submitted: list) -> SimpleNamespace:
     """Return what clients use of a decision loop."""
     return SimpleNamespace(
+        clock=SystemClock(),
         set_handler=lambda *args: None,
         submit=submitted.append,
         event_time=time.monotonic,
@@ -217,6 +220,13 @@
     return lambda number: effects.fetch_report(endpoint).running
 
 
+def post(port: int):
+    """Two batches, of which the peer accepts the first."""
+    transport = PeerTransport(loop([]), "key")
+    peer = Instance("entry-2", Place("r1", "r1-a"), HOST, port)
+    return lambda number: transport.post_batch(peer, b"{}", number)
+
+
 def operate(port: int):
     session = OperatorSession.__new__(OperatorSession)
     session.site = SimpleNamespace(interfaces=SimpleNamespace(operator_key="k"))
@@ -274,6 +284,7 @@
     "platform-list": Case(platform("list", ("x",)), LISTINGS["objects"], ((OK, 8),)),
     "platform-watch": Case(platform("watch", ("x",), 5), LISTINGS["changes"], ((OK, 8),)),
     "poll": Case(poll, (report_of(1), report_of(2)), (2,)),
+    "peer": Case(post, (answer(200, X_Peer_Batch="0"), answer(400)), (False,)),
     "operator": Case(operate, (answer(200, {"number": 1}), answer(200, {"number": 2})), (2,)),
     "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
     "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
