A refusal that names another request does not make this one count as not run

What could be seen: an answer that says that its request did not run (X-Not-Executed, 421) was taken for the request's own, whatever request it named. A request that ran would have been sent again, or its caller told that it had not run. Requests have a connection each, so that an earlier refusal that comes once more does not reach them; it takes an engine, or something before it, that mixes up its connections. Cause: the refusal was looked at before the id. Change: such a refusal has to name this request or none; else the attempt is broken, as with any answer to another request.

--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -265,9 +265,10 @@
     def check_response_head(self) -> bool:
         """Set the result by the response head; return whether the body is to be read.
 
-        A response that names another request id counts as BROKEN, and so does a successful response
-        without a seal. Status 500 and above counts as FAILED, and so does the response of an entry
-        that was to pass the request on, unless that says that the request did not run.
+        A response that names another request id counts as BROKEN, also if it says that the request did
+        not run; only a refusal may name none. A successful response without a seal counts as BROKEN,
+        too. Status 500 and above counts as FAILED, and so does the response of an entry that was to
+        pass the request on, unless that says that the request did not run.
         """
         status = self.response.status
         self.response_head = self.dialect.parse_response_head(status, self.response.headers.items())
@@ -282,10 +283,11 @@
             headers = relay_headers.without_relay_headers(self.response_head.returned_headers)
             self.result = AttemptResult(outcome, f"refused with {status}", status, headers)
             return outcome is Outcome.FAILED
-        if self.response_head.not_run:
+        told_id, own_id = self.response_head.caller_request_id, self.request.head.caller_request_id
+        if self.response_head.not_run and told_id in ("", own_id):
             self.result = AttemptResult(Outcome.NOT_RUN, f"status {status}", status)
             return False
-        if self.response_head.caller_request_id != self.request.head.caller_request_id:
+        if told_id != own_id:
             self.result = AttemptResult(Outcome.BROKEN, "response to another request", status)
             return False
         if 200 <= status < 300 and not self.response_head.has_seal:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -297,6 +297,9 @@
         ),
         (ev.Outcome.DONE,),
     ),
+    "request-refusal-of-another": Case(
+        relay, (answer(503, X_Not_Executed="1", X_Request_Id="c9"),) * 2, (ev.Outcome.BROKEN,)
+    ),
 }
 
 
