--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -12,9 +12,11 @@
 
 from poplarhoist.clock import SystemClock
 from poplarhoist.ctl.session import OperatorSession
+from poplarhoist.decisions.effects import SendOrder
+from poplarhoist.decisions.events import OrderOutcome
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
+from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord, RelayTerms
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.entry.endpoint_effects import EndpointEffects
 from poplarhoist.entry.peers import PeerTransport
@@ -23,7 +25,7 @@
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
 from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
-from poplarhoist.models import Endpoint, EndpointKind, Instance, Place
+from poplarhoist.models import AdapterRef, Endpoint, EndpointKind, Instance, Place
 from poplarhoist.platform.dialect import PlatformDialect
 from poplarhoist.platform.store import ObjectStore
 from poplarhoist.settings.models import EntrySettings, PlatformSettings
@@ -147,9 +149,6 @@
     return connect
 
 
-RECORD = EndpointRecord("e1", "models", HOST, 0, "north-a", 8)
-
-
 def loop(submitted: list) -> SimpleNamespace:
     """Return what clients use of a decision loop."""
     return SimpleNamespace(
@@ -188,10 +187,10 @@
     return lambda number: reader.request_copy(peer, {"after": 0, "generation": 1}).position.revision
 
 
-def relay(port: int):
+def request(port: int, relay: RelayTerms | None = None):
     def call(number: int):
         request = CallerRequest("1", "POST", "/x", b"", RequestHead("c1", None, None, []))
-        dispatch = fx.Dispatch("1", number, record_at(port), 5.0, 0, False)
+        dispatch = fx.Dispatch("1", number, record_at(port), 5.0, 0, False, relay=relay)
         exchange = Exchange(loop([]), PlatformDialect(), request, dispatch)
         if exchange.start():
             exchange.read_body()
@@ -220,6 +219,16 @@
     return lambda number: effects.fetch_report(endpoint).running
 
 
+def order_own(port: int):
+    endpoint = Endpoint("e1", EndpointKind.ENGINE, "base", Place("r1", "r1-a"), HOST, port)
+    members = SimpleNamespace(endpoints={"e1": SimpleNamespace(endpoint=endpoint)})
+    core = loop([])
+    core.state = SimpleNamespace(members=members, limits=SimpleNamespace(order_s=1.0))
+    effects = EndpointEffects(core)
+    sent = SendOrder("e1", "o1", "load", 1, AdapterRef("a1", 1))
+    return lambda number: effects.send_order(sent)[0]
+
+
 def post(port: int):
     """Two batches, of which the peer accepts the first."""
     transport = PeerTransport(loop([]), "key")
@@ -284,13 +293,26 @@
     "platform-list": Case(platform("list", ("x",)), LISTINGS["objects"], ((OK, 8),)),
     "platform-watch": Case(platform("watch", ("x",), 5), LISTINGS["changes"], ((OK, 8),)),
     "poll": Case(poll, (report_of(1), report_of(2)), (2,)),
+    "order": Case(
+        order_own,
+        (answer(200, {"outcome": "refused"}), answer(200, {"outcome": "done"})),
+        (OrderOutcome.DONE,),
+    ),
     "peer": Case(post, (answer(200, X_Peer_Batch="0"), answer(400)), (False,)),
     "operator": Case(operate, (answer(200, {"number": 1}), answer(200, {"number": 2})), (2,)),
     "engine-order": Case(order, (answer(409), answer(200)), (ev.OrderStatus.DONE,)),
     "engine-report": Case(report, (answer(200, 1), answer(200, 2)), ((200, b"2"),)),
     "copy": Case(copy, (answer(200, 1, Copy_Revision="1"), answer(204, Copy_Revision="2")), (2,)),
+    "request-passed-on": Case(
+        lambda port: request(port, RelayTerms(1)),
+        (
+            answer(503, Relay_Refusal="not-run"),
+            answer(200, 1, X_Request_Id="c1", X_Response_Seal="s"),
+        ),
+        (ev.Outcome.DONE,),
+    ),
     "request": Case(
-        relay,
+        request,
         (
             answer(503, X_Not_Executed="1", X_Request_Id="c1"),
             answer(200, 1, X_Request_Id="c1", X_Response_Seal="s"),
@@ -298,7 +320,7 @@
         (ev.Outcome.DONE,),
     ),
     "request-refusal-of-another": Case(
-        relay, (answer(503, X_Not_Executed="1", X_Request_Id="c9"),) * 2, (ev.Outcome.BROKEN,)
+        request, (answer(503, X_Not_Executed="1", X_Request_Id="c9"),) * 2, (ev.Outcome.BROKEN,)
     ),
 }
 
