Heads that are too long get 400 with the library's phrases, as before

What callers saw: since the first commit of this series 431 instead of 400, also at the product's own interface, whose test wants 400; that test is unchanged. The two rows of the series' own test want 400 now, in HTTP/1.1 and with Content-Length as before. Evidence: tests/test_interfaces.py, row `400 Header Line Too Long`, failed without this change and passes with it.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -53,7 +53,7 @@
 )
 # The library bounds the number of header lines besides their bytes; only the bytes are to be bounded.
 http.client._MAXHEADERS = eventlet.wsgi.MAX_TOTAL_HEADER_SIZE
-REFUSAL = "HTTP/1.1 {0.value} {0.phrase}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+REFUSAL = "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class Head(http.client.HTTPMessage):
@@ -317,8 +317,11 @@
         try:
             if not super().parse_request():
                 return False
-        except (HeaderLineTooLong, HeadersTooLarge):
-            self.refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers too long")
+        except HeaderLineTooLong:
+            self.refuse(HTTPStatus.BAD_REQUEST, "Header Line Too Long", "Header Line Too Long")
+            return False
+        except HeadersTooLarge:
+            self.refuse(HTTPStatus.BAD_REQUEST, "Headers Too Large", "Headers Too Large")
             return False
         # The library replaces several slashes at the beginning by one.
         self.path = self.requestline.split()[1]
@@ -346,10 +349,10 @@
         """
         self.refuse(HTTPStatus(code), message or "")
 
-    def refuse(self, status: HTTPStatus, problem: str) -> None:
+    def refuse(self, status: HTTPStatus, problem: str, phrase: str = "") -> None:
         """Answer a request whose head cannot be read, and close the connection after it."""
         self.on_unreadable(status, problem)
-        self.wfile.write(REFUSAL.format(status).encode())
+        self.wfile.write(REFUSAL.format(status.value, phrase or status.phrase).encode())
         self.close_connection = 1
 
     def on_unreadable(self, status: HTTPStatus, problem: str) -> None:
