The row of a malformed chunk does not wait for its timeout

The row sent a chunk size without the end of its line, so that the answer came at the end of the time for a body, 3 s, which is also what the test waits. It passed alone and failed once beside other tests. With the end of the line it is refused at once; without Relay-Refusal it fails as before.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -138,7 +138,7 @@
         site.stop()
 
 
-@pytest.mark.parametrize("rest", [b"Content-Length: 100001\r\n\r\n", CHUNKED + b"x", b"\r\n"])
+@pytest.mark.parametrize("rest", [b"Content-Length: 100001\r\n\r\n", CHUNKED + b"x\r\n", b"\r\n"])
 def test_entry_that_cannot_read_a_relayed_request_says_that_it_has_not_run(site, rest):
     """Without that, the other entry takes it for one that may have run."""
     assert b"Relay-Refusal: not-run\r\n" in send_raw(site.relay_port, "/once/x", rest).received
