What comes in place of a brittle endpoint that fell over is taken for brittle until it answers

What callers saw: beside many entries, an endpoint that fell over for want of room fell again each time it came back: entries did not know that the new run is brittle, and all that waited went there at once. Cause: a new run, under its old name or another, began as a sound one. Change: while other endpoints of its service, or the earlier run of it, are brittle, it begins with this entry's share of its slots as the window; an answer to a request that was sent after brittleness was last seen ends that. Evidence: the test's two rows fail without the change (six requests sent where two may be).

--- a/poplarhoist/decisions/gateway/brittle.py
+++ b/poplarhoist/decisions/gateway/brittle.py
@@ -13,7 +13,7 @@
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import NoRoom
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
+from poplarhoist.decisions.gateway.state import BrittleState, EndpointState, GatewayState
 
 # Seconds between two growths of a window over all entries, if the endpoint bears one request turned
 # away in a second; fewer if it bears more.
@@ -36,12 +36,25 @@
     A response to a request that was sent before brittleness was last seen does not end it.
     """
     brittle = endpoint.brittle
-    if bears_per_s is None:
-        if brittle.bears_per_s is not None and sent_at > brittle.seen_at:
-            brittle.bears_per_s = None
-            log_change(endpoint, effects)
+    if bears_per_s is not None:
+        learn(state, endpoint, bears_per_s, at, at, effects)
         return
-    brittle.seen_at = at
+    if brittle.bears_per_s is not None and sent_at > brittle.seen_at:
+        brittle.bears_per_s = None
+        log_change(endpoint, effects)
+
+
+def learn(
+    state: GatewayState,
+    endpoint: EndpointState,
+    bears_per_s: float,
+    seen_at: float,
+    at: float,
+    effects: list,
+) -> None:
+    """Apply that an endpoint is brittle, which an answer told some entry at `seen_at`."""
+    brittle = endpoint.brittle
+    brittle.seen_at = max(brittle.seen_at, seen_at)
     if brittle.bears_per_s == bears_per_s:
         return
     is_new = brittle.bears_per_s is None
@@ -52,6 +65,32 @@
     log_change(endpoint, effects)
 
 
+def on_new_run(
+    state: GatewayState,
+    endpoint: EndpointState,
+    brittle_ones: list[BrittleState],
+    at: float,
+    effects: list,
+) -> None:
+    """Take a run that has not answered yet for as brittle as others of its service.
+
+    It may take the place of one that fell over, and all requests that wait would come to it at once.
+    """
+    if brittle_ones:
+        bears_per_s = min(brittle.bears_per_s for brittle in brittle_ones)
+        seen_at = max(brittle.seen_at for brittle in brittle_ones)
+        learn(state, endpoint, bears_per_s, seen_at, at, effects)
+
+
+def brittle_in(state: GatewayState, service: str) -> list[BrittleState]:
+    """Return what is known of the brittle endpoints of a service."""
+    return [
+        endpoint.brittle
+        for endpoint in state.endpoints.values()
+        if endpoint.record.service == service and endpoint.brittle.bears_per_s is not None
+    ]
+
+
 def log_change(endpoint: EndpointState, effects: list) -> None:
     """Log that an endpoint became brittle or sound, or bears another number."""
     brittle = endpoint.brittle
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -62,9 +62,11 @@
             log_endpoint("endpoint-not-back", record, effects)
             return
         endpoint = EndpointState(record, event.at, held=dict(record.held or {}))
-        restore_run(state, endpoint)
+        brittle_ones = brittle.brittle_in(state, record.service)
         state.endpoints[record.name] = endpoint
         log_endpoint("endpoint-new", record, effects)
+        if not restore_run(state, endpoint):
+            brittle.on_new_run(state, endpoint, brittle_ones, event.at, effects)
         endpoint.is_leaving = is_known_leaving(state, record)
         if endpoint.is_leaving:
             log_endpoint("endpoint-leaving", record, effects, source="record")
@@ -75,8 +77,10 @@
     endpoint.missing_until = None
     if record.incarnation != previous.incarnation:
         crashes.on_endpoint_crashed(state, previous, event.at, effects)
+        brittle_ones = brittle.brittle_in(state, record.service)
         reset_endpoint(endpoint)
         log_endpoint("endpoint-restarted", record, effects)
+        brittle.on_new_run(state, endpoint, brittle_ones, event.at, effects)
     endpoint.is_leaving = is_known_leaving(state, record)
     if record.software_version != previous.software_version:
         software_versions.record_departure(state, previous, event.at)
@@ -166,14 +170,16 @@
             on_seen(state, EndpointSeen(at, record), effects)
 
 
-def restore_run(state: GatewayState, endpoint: EndpointState) -> None:
-    """Restore what a run had asked for before its record was removed, if it is the same run."""
+def restore_run(state: GatewayState, endpoint: EndpointState) -> bool:
+    """Restore what a run had asked for before its record was removed; return whether it is the same."""
     record = endpoint.record
     departed = state.departed_runs.pop((record.name, record.incarnation), None)
-    if departed is not None:
-        endpoint.limit = departed.limit
-        endpoint.brittle = departed.brittle
-        endpoint.paused_until = departed.paused_until
+    if departed is None:
+        return False
+    endpoint.limit = departed.limit
+    endpoint.brittle = departed.brittle
+    endpoint.paused_until = departed.paused_until
+    return True
 
 
 def forget_ended_runs(state: GatewayState, at: float) -> None:
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -119,6 +119,24 @@
     assert state.window == len(running) + 1
 
 
+@pytest.mark.parametrize(
+    ("name", "incarnation"), [("d2", 1), ("d1", 2)], ids=["new-name", "same-name"]
+)
+def test_new_run_in_place_of_a_brittle_one_is_not_rushed(name, incarnation):
+    gateway = start_brittle(6)
+    record = gateway.state.endpoints["d1"].record
+    gateway.receive("entry-2", messages.NoRoom("d1", 1, 3.0))
+    gateway.advance(0.1)
+    restarted = evolve(record, name=name, incarnation=incarnation)
+    gateway.submit(ev.EndpointSeen, record=restarted)
+    sent = [effects_of(fx.Dispatch, gateway.request("/read/x")[1]) for _ in range(6)]
+    assert [len(dispatches) for dispatches in sent] == [1, 1, 0, 0, 0, 0]
+    first = sent[0][0]
+    gateway.advance(0.1)
+    answer(gateway, first, None)
+    assert gateway.state.endpoints[name].brittle.bears_per_s is None
+
+
 def test_nothing_beyond_the_window_is_sent_to_one_that_bears_no_request_turned_away():
     gateway = start_gateway(plain_endpoint(1, max_concurrent_requests=6))
     answer(gateway, send_request(gateway), 0.0)
