Entries without room at brittle endpoints get unused places of others

What callers saw: at 40 entries before six brittle engines of four slots at 0.7 of their load a quarter was refused (123 of 163 served), at 64 entries half. Cause: a request turned away shrinks all windows to what is in flight, at most entries to none; these grew by one in some minutes each, while other entries had places that they did not use. Change: an entry without room asks the endpoint's keeper, the first of a rendezvous order; the keeper lends unused places of its own window, and if it has none asks all others, who give it theirs for some seconds as soon as they do not use them. Nothing is sent while nobody lacks places. Two messages, which earlier releases drop.

--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -176,6 +176,45 @@
     bears_per_s: float
 
 
+@frozen
+class PlacesWanted:
+    """Asks for places at a brittle endpoint, as `brittle.py` describes.
+
+    An entry that needs some asks the keeper. The keeper, if it has none, asks all others for those
+    that they do not use.
+
+    Attributes
+    ----------
+    bears_per_s : float
+        Requests that the endpoint bears to turn away in a second.
+    age_s : float
+        Seconds since an answer told that.
+    count : int
+        Requests of the sender, or for a keeper of other entries, that need a place.
+    """
+
+    endpoint: str
+    incarnation: int
+    bears_per_s: float
+    age_s: float
+    count: int
+
+
+@frozen
+class Places:
+    """Gives places at a brittle endpoint; those that are lost on the way are gone.
+
+    Attributes
+    ----------
+    count : int
+        Requests that the receiver may have in flight there in place of the sender.
+    """
+
+    endpoint: str
+    incarnation: int
+    count: int
+
+
 @frozen
 class LinksChanged:
     """Says whether the sender has lost its links to all endpoints; repeated while it has."""
@@ -247,6 +286,8 @@
     | EndpointLeaving
     | LinksChanged
     | NoRoom
+    | Places
+    | PlacesWanted
     | News
     | StreamBegan
     | AskStreamOrigin
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -123,6 +123,10 @@
             endpoints.on_told_leaving(state, message, at, effects)
         case messages.NoRoom():
             brittle.on_told(state, message, at, effects)
+        case messages.PlacesWanted():
+            brittle.on_wanted(state, sender, message, at, effects)
+        case messages.Places():
+            brittle.on_places(state, message, at, effects)
         case messages.LinksChanged():
             links.on_told(state, sender, message, at)
         case messages.News():
@@ -149,6 +153,7 @@
     crashes.on_tick(state, at, effects)
     residency.on_tick(state, at, effects)
     requests.on_tick(state, at, effects)
+    brittle.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
     adapter_asks.send_usage(state, at, effects)
     stop_when_done(state, at, effects)
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -195,8 +195,10 @@
         if streams.runs_software(endpoint, request)
         and not endpoints.takes_requests(state, endpoint, at)
     ]
-    if any(brittle.is_full(endpoint) for endpoint in busy):
-        # Its place becomes free with any response.
+    full = [endpoint for endpoint in busy if brittle.is_full(endpoint)]
+    if full:
+        # Its place becomes free with any response, or another entry has one.
+        brittle.want_places(state, full, request, at, effects)
         waited_s = at - request.arrived_at
         may_wait_s = NO_SLOT_WAIT_SHARE * request.route.latency_target_s - waited_s
     elif busy and not any(pauses.ends_within(endpoint, may_wait_s, at) for endpoint in busy):
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -59,19 +59,34 @@
         Requests that it bears to turn away in a second; None while it is not brittle.
     seen_at : float
         When an answer last told that.
+    sound_at : float
+        When a request was last sent whose answer told that the endpoint is sound.
     window : int
         Requests that this entry may have in flight there.
     grows_at : float
         From this time on the window may grow by one.
     turned_away_at : float
         When it last turned a request of any entry away.
+    wanted_at : float
+        When this entry last asked for places there.
+    wishes : dict
+        At the keeper of its places: how many other entries want, and when they asked, by entry.
+    recalled_at : float
+        At the keeper: when it last asked all others for places that they do not use.
+    recalled_until : float
+        Until this time this entry gives back places that it does not use.
     """
 
     bears_per_s: float | None = None
     seen_at: float = float("-inf")
+    sound_at: float = float("-inf")
     window: int = 0
     grows_at: float = float("-inf")
     turned_away_at: float = float("-inf")
+    wanted_at: float = float("-inf")
+    wishes: dict[str, tuple[int, float]] = field(factory=dict)
+    recalled_at: float = float("-inf")
+    recalled_until: float = float("-inf")
 
 
 @define
--- a/tests/releases.py
+++ b/tests/releases.py
@@ -48,6 +48,8 @@
     "unreleased": """
 {"kind":"kind","revision":3,"generation":3,"type":"News"}
 {"caller_id":"caller_id","type":"StreamUnknown"}
+{"endpoint":"endpoint","incarnation":3,"bears_per_s":1.5,"age_s":1.5,"count":3,"type":"PlacesWanted"}
+{"endpoint":"endpoint","incarnation":3,"count":3,"type":"Places"}
 """,
 }
 ENTRY_RECORDS_BY_RELEASE = {
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -7,6 +7,7 @@
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.models import Refused, RouteKind
 from poplarhoist.decisions.gateway.state import BrittleState
 from poplarhoist.gateway.peers import message_converter
@@ -119,6 +120,69 @@
     assert state.window == len(running) + 1
 
 
+KEEPER = rendezvous_order("d1", ("entry-1", "entry-2", "entry-3"))[0]
+
+
+def start_full(name: str) -> tuple[Gateway, fx.Dispatch]:
+    """Return an entry with one request, as many as it may have, at a brittle endpoint."""
+    names = {"entry-1", "entry-2", "entry-3"}
+    gateway = Gateway(name, tuple(sorted(names - {name})))
+    gateway.configure()
+    gateway.list_endpoints(plain_endpoint(1, max_concurrent_requests=64))
+    dispatch = send_request(gateway)
+    gateway.receive("entry-x", messages.NoRoom("d1", 1, 3.0))
+    return gateway, dispatch
+
+
+def sent_places(effects: list) -> list:
+    """Return receiver and message of the messages about places."""
+    kinds = messages.Places | messages.PlacesWanted
+    sends = effects_of(fx.SendPeer, effects)
+    return [(send.peer, send.message) for send in sends if isinstance(send.message, kinds)]
+
+
+def test_entry_without_room_asks_the_keeper_and_uses_the_place_it_gets():
+    gateway, _ = start_full(min({"entry-1", "entry-2", "entry-3"} - {KEEPER}))
+    request_id, effects = gateway.request("/read/x")
+    assert sent_places(effects) == [(KEEPER, messages.PlacesWanted("d1", 1, 3.0, 0.0, 1))]
+    gateway.receive(KEEPER, messages.Places("d1", 1, 1))
+    assert only_effect(fx.Dispatch, gateway.advance(0.05)).request_id == request_id
+    assert gateway.state.endpoints["d1"].brittle.window == 2
+
+
+def test_keeper_without_room_asks_all_others_and_lends_what_it_gets():
+    gateway, _ = start_full(KEEPER)
+    asker, other = sorted({"entry-1", "entry-2", "entry-3"} - {KEEPER})
+    wanted = messages.PlacesWanted("d1", 1, 3.0, 0.0, 1)
+    assert sorted(sent_places(gateway.receive(asker, wanted))) == [(asker, wanted), (other, wanted)]
+    effects = gateway.receive(other, messages.Places("d1", 1, 1))
+    assert sent_places(effects) == [(asker, messages.Places("d1", 1, 1))]
+    assert gateway.state.endpoints["d1"].brittle.window == 1
+
+
+def test_unused_places_are_given_back_only_when_the_keeper_asks():
+    gateway, dispatch = start_full(min({"entry-1", "entry-2", "entry-3"} - {KEEPER}))
+    gateway.receive(KEEPER, messages.Places("d1", 1, 2))
+    assert sent_places(gateway.advance(1.0)) == []
+    wanted = messages.PlacesWanted("d1", 1, 3.0, 0.0, 1)
+    given = [(KEEPER, messages.Places("d1", 1, 2))]
+    assert sent_places(gateway.receive(KEEPER, wanted)) == given
+    effects = answer(gateway, dispatch) + gateway.advance(0.05)
+    assert sent_places(effects) == [(KEEPER, messages.Places("d1", 1, 1))]
+
+
+def test_question_for_places_does_not_make_a_sound_endpoint_brittle_again():
+    gateway, dispatch = start_full(KEEPER)
+    gateway.advance(1.0)
+    answer(gateway, dispatch)
+    gateway.advance(1.0)
+    answer(gateway, send_request(gateway), None)
+    asker = min({"entry-1", "entry-2", "entry-3"} - {KEEPER})
+    effects = gateway.receive(asker, messages.PlacesWanted("d1", 1, 3.0, 1.5, 2))
+    assert sent_places(effects) == [(asker, messages.Places("d1", 1, 2))]
+    assert gateway.state.endpoints["d1"].brittle.bears_per_s is None
+
+
 @pytest.mark.parametrize(
     ("name", "incarnation"), [("d2", 1), ("d1", 2)], ids=["new-name", "same-name"]
 )
@@ -199,8 +263,15 @@
             endpoint.brittle = BrittleState()
 
 
-def test_message_survives_its_datagram():
-    message = messages.NoRoom("d1", 1, 3.0)
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.NoRoom("d1", 1, 3.0),
+        messages.PlacesWanted("d1", 1, 3.0, 0.5, 2),
+        messages.Places("d1", 1, 2),
+    ],
+)
+def test_message_survives_its_datagram(message):
     sent = message_converter.unstructure(message, unstructure_as=messages.Message)
     assert (
         message_converter.structure(orjson.loads(orjson.dumps(sent)), messages.Message) == message
