Test: requests after an endpoint is gone are counted out, not timed

The test of watches that are cut off sent requests for six seconds, and wanted more than fifty of them after the first three. It now goes on until the time is over and 51 were sent, so that it never checks less than before. A docstring is put in order.

--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -290,9 +290,9 @@
 def respond_with_copy(state: GatewayState, store: Store, environ: dict, start_response):
     """Return this entry's records of a kind to another entry.
 
-    The status is 204 if none is newer, and 503 if this entry cannot tell: it has not read them yet, the
-    store is away, or it does not read the store itself, though the other one takes it for a reader, as
-    each entry finds out by itself which readers are gone. It is 204 as well if this entry knows the versions that the other one names.
+    The status is 204 if none is newer, or if this entry knows the versions that the other one names.
+    It is 503 if this entry cannot tell: it has not read them yet, the store is away, or it does not
+    read the store itself. Others may take it for a reader, as each finds out by itself which are gone.
     """
     kind = environ["PATH_INFO"].removeprefix(COPIES_PATH)
     query = parse_qs(environ.get("QUERY_STRING", ""))
--- a/tests/test_store_watches_cut_off.py
+++ b/tests/test_store_watches_cut_off.py
@@ -11,6 +11,8 @@
 # Seconds within which an endpoint gets no requests any more once its record was removed.
 DRAIN_S = 3.0
 SERVED_ON_S = 6.0
+# Requests after that time, however long they take.
+SERVED_AT_LEAST = 50
 
 
 @pytest.fixture
@@ -41,7 +43,7 @@
         site.store.remove("servers", "d1")
         removed_at = time.monotonic()
         served = []
-        while time.monotonic() < removed_at + SERVED_ON_S:
+        while time.monotonic() < removed_at + SERVED_ON_S or len(served) <= SERVED_AT_LEAST:
             is_late = time.monotonic() > removed_at + DRAIN_S
             before = len(site.endpoints["d1"].requests)
             assert site.send_request("/read/x")[0] == 200
@@ -51,7 +53,6 @@
     finally:
         is_over.set()
         cutter.join()
-    assert len(served) > 50
     assert sum(served) == 0
     assert site.log_lines("store-lost") == []
 
