--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -224,7 +224,7 @@
     relay.seed_peers(state, [peer])
     core = Core(state, VirtualClock(), Metrics())
     peers = PeerTransport(core, "key")
-    peers.post_batch = lambda instance, body: True
+    peers.post_batch = lambda instance, body, sequence: True
     peers.on_send_message(fx.SendMessage("entry-2", Heartbeat(1)))
     outbox = peers.outboxes["entry-2"]
     eventlet.sleep(0)
@@ -243,7 +243,7 @@
     relay.seed_peers(state, [bench.entries["entry-2"].state.me])
     peers = PeerTransport(Core(state, VirtualClock(), Metrics()), "key")
     bodies = []
-    peers.post_batch = lambda instance, body: bodies.append(body) or True
+    peers.post_batch = lambda instance, body, sequence: bodies.append(body) or True
     copy = wire.load_messages([{"type": "PageCopy", "digest": "d", "text": "x" * 100_000}])[0]
     for _ in range(20):
         peers.on_send_message(fx.SendMessage("entry-2", copy))
