A lead that has read no report of its engine does not make requests count as without a slot

What callers saw: 503 to the first request for an adapter after a start, 0.25 s after it came, though engines had free slots. Cause: a new lead may not order before it has read a report, and says so by a View with no room that is not known. The request was taken for one whose lead has no slot, which is refused after a quarter of its objective, so that its caller may retry elsewhere.

--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -660,9 +660,13 @@
 def has_waited_too_long(state: GatewayState, request: RequestState, at: float) -> bool:
     """Return whether a request has waited so long for a slot that its caller should retry."""
     endpoint = state.endpoints.get(request.asked_engine)
-    # Without a fresh View the lead may be gone and another entry may take over, so wait longer.
-    view_is_fresh = endpoint is not None and at - endpoint.lead_view_at <= NO_SLOT_VIEW_FRESH_S
-    share = NO_SLOT_WAIT_SHARE if view_is_fresh else SILENT_LEAD_WAIT_SHARE
+    # Without a fresh View the lead may be gone and another entry may take over, and a lead that has
+    # read no report yet does not know of any slot, so wait longer.
+    view = endpoint.lead_view if endpoint is not None else None
+    says_no_slot = (
+        view is not None and view.is_known and at - endpoint.lead_view_at <= NO_SLOT_VIEW_FRESH_S
+    )
+    share = NO_SLOT_WAIT_SHARE if says_no_slot else SILENT_LEAD_WAIT_SHARE
     return at - request.arrived_at >= share * request.route.latency_target_s
 
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -196,18 +196,20 @@
 
 
 @pytest.mark.parametrize(
-    ("lead_answers", "deadline_s", "refused_after_s"),
+    ("has_report", "deadline_s", "refused_after_s"),
     [
         # The lead reports no slot: a caller that is refused early can retry.
         (True, 6.0, 0.25),
         # The same for a caller that was refused before; its longer wait gives it precedence.
         (True, 5.0, 0.25),
         # The lead does not answer: another entry may become the lead in the meantime.
+        (None, 6.0, 0.75),
+        # The lead does not know yet; its first requests were refused as if there were no slot.
         (False, 6.0, 0.75),
     ],
 )
 def test_request_without_slot_is_refused_in_time_for_a_retry(
-    lead_answers, deadline_s, refused_after_s
+    has_report, deadline_s, refused_after_s
 ):
     gateway = gateway_with_endpoints(peers=("other",))
     gateway.list_endpoints(engine(1))
@@ -216,8 +218,9 @@
     asked_at = gateway.at
     refused: list[fx.Refuse] = []
     while not refused and gateway.at < asked_at + 3.0:
-        if lead_answers:
-            gateway.receive("other", messages.View("e1", {"base": 1}, {}, 0, 0, 0))
+        if has_report is not None:
+            view = messages.View("e1", {"base": 1}, {}, 0, 0, 0, is_known=has_report)
+            gateway.receive("other", view)
         refused = effects_of(fx.Refuse, gateway.advance(0.025))
     assert gateway.at - asked_at == pytest.approx(refused_after_s, abs=0.03)
     assert not refused[0].ran
