An entry that starts waits for other entries only if the store was restored before

What callers saw: after all entries had ended at once, less was served. Cause: since each entry that starts waits for up to a second for the answers of others, which start as well and cannot tell. Change: a store in its first generation has lost nothing, so that nobody can know more. The entry asks in the background then, as before.

--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -48,8 +48,10 @@
 # The same where the records are copied from the entry that gives notice: those that are told at once
 # ask at different times.
 COPY_NOTICE_DELAY_S = 0.05
-# Longest pause in seconds before other entries are asked for later versions after a restoration, which
-# all do at once, and longest wait of an entry that starts for their answers.
+# Generation of a store that was never restored.
+FIRST_GENERATION = 1
+# Longest pause in seconds before other entries are asked for later versions, which all may do at once,
+# and longest wait of an entry that starts for their answers.
 LATER_VERSIONS_DELAY_S = 1.0
 LATER_VERSIONS_WAIT_S = 1.0
 
@@ -387,11 +389,15 @@
             self.decision_loop.submit(ev.StoreChangesRead(at, spec.kind, changes.last_change))
 
     def ask_for_later_versions(self, kind: str, is_start: bool) -> None:
-        """Ask other entries for later versions; at the start, wait for answers for a while."""
+        """Ask other entries for later versions.
+
+        An entry that starts waits for answers for a while if the store has been restored before, since
+        what is submitted next makes it ready.
+        """
+        must_wait = is_start and self.store.generation > FIRST_GENERATION
         reader = CopyReader(self.decision_loop, self.store, kind)
-        is_done = reader.start_asking(0.0 if is_start else LATER_VERSIONS_DELAY_S)
-        if is_start:
-            # What is submitted next makes this entry ready.
+        is_done = reader.start_asking(0.0 if must_wait else LATER_VERSIONS_DELAY_S)
+        if must_wait:
             with eventlet.Timeout(LATER_VERSIONS_WAIT_S, False):
                 is_done.wait()
 
