Records kept for copies: their digest is worked out once, and they are never None

An entry that asks others for later versions worked out the digest of all that it knows for each of them, and each that was asked did so again for each question. It is kept until the records change, as their compressed form is. That they were read is a field of its own, so that five places need no empty table in its place.

--- a/poplarhoist/platform/copies.py
+++ b/poplarhoist/platform/copies.py
@@ -27,10 +27,14 @@
     ----------
     position, last_change : Position
         Position up to which changes are known, and the latest one among the records.
-    item_by_name : dict or None
-        The records; None before they were read.
+    is_read : bool
+        Whether the records were read.
+    item_by_name : dict
+        The records.
     data : bytes
         The records, compressed; empty until another entry wants them.
+    digest : str
+        Digest of their versions; empty until an entry wants it.
     max_bytes : int
         Longest form of the records that is accepted from another entry.
     """
@@ -38,8 +42,10 @@
     max_bytes: int
     position: Position = Position()
     last_change: Position = Position()
-    item_by_name: dict[str, dict] | None = field(default=None, repr=False)
+    is_read: bool = False
+    item_by_name: dict[str, dict] = field(factory=dict, repr=False)
     data: bytes = field(default=b"", repr=False)
+    digest: str = ""
 
     def replace(self, items: Iterable[dict], position: Position) -> list[dict]:
         """Keep the records of a list, and return all that are known."""
@@ -54,7 +60,7 @@
         self.position = max(self.position, position)
         if not changes:
             return
-        item_by_name = dict(self.item_by_name or {})
+        item_by_name = dict(self.item_by_name)
         for change in changes:
             item = change["object"]
             name = item["metadata"]["name"]
@@ -67,8 +73,8 @@
         self.last_change = max(self.last_change, changed)
 
     def keep(self, item_by_name: dict[str, dict]) -> None:
-        """Replace the records; they are compressed when another entry wants them."""
-        self.item_by_name, self.data = item_by_name, b""
+        """Replace the records; what is derived from them is worked out when an entry wants it."""
+        self.is_read, self.item_by_name, self.data, self.digest = True, item_by_name, b"", ""
 
     def later_than(self, item_by_name: dict[str, dict]) -> dict[str, dict]:
         """Return the records kept here that others lack or have in an earlier version.
@@ -76,7 +82,7 @@
         Their revisions are those of the others: the ones of before say nothing in a restored store.
         """
         later = {}
-        for name, item in (self.item_by_name or {}).items():
+        for name, item in self.item_by_name.items():
             other = item_by_name.get(name)
             if other is None:
                 later[name] = item | {"metadata": {"name": name, "revision": 0}}
@@ -86,14 +92,14 @@
 
     def items(self) -> list[dict]:
         """Return the records."""
-        return list((self.item_by_name or {}).values())
+        return list(self.item_by_name.values())
 
     def versions_digest(self) -> str:
         """Return a digest of the names and versions of the records."""
-        versions = sorted(
-            (name, version_of(item)) for name, item in (self.item_by_name or {}).items()
-        )
-        return sha256(orjson.dumps(versions)).hexdigest()
+        if not self.digest:
+            versions = sorted((name, version_of(item)) for name, item in self.item_by_name.items())
+            self.digest = sha256(orjson.dumps(versions)).hexdigest()
+        return self.digest
 
     def unpack(self, data: bytes) -> list[dict]:
         """Return the records of a copy.
@@ -117,7 +123,7 @@
 
     def copy(self, after: Position) -> RecordsCopy | None:
         """Return a copy for another entry, as `Store.copy` says."""
-        if self.item_by_name is None:
+        if not self.is_read:
             return None
         if self.last_change <= after:
             return RecordsCopy(self.position, b"")
@@ -138,8 +144,8 @@
         """
         other = CopiedKind(self.max_bytes)
         other.replace(self.unpack(copy.data), copy.position)
-        later = other.later_than(self.item_by_name or {})
-        self.keep((self.item_by_name or {}) | later)
+        later = other.later_than(self.item_by_name)
+        self.keep(self.item_by_name | later)
         return list(later.values())
 
 
