--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -17,7 +17,7 @@
 from collections import Counter
 from pathlib import Path
 
-from tests.platform_site import FIRST_START, PlatformEntry
+from tests.platform_site import PlatformEntry
 from tests.platform_standins import CountingEndpoint, configuration
 from tests.platform_store import Store
 from tests.site import ROOT, wait_until
@@ -58,8 +58,7 @@
         self.entries = [PlatformEntry(name, directory, self.store.port) for name in names]
         for entry in self.entries:
             # Earlier builds do not know this setting.
-            text = entry.settings_path.read_text()
-            entry.settings_path.write_text(text.replace(FIRST_START, ""))
+            entry.drop_first_start()
         self.ready: set[str] = set()
         self.statuses: Counter = Counter()
         self.refusals: Counter = Counter()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -62,6 +62,11 @@
         self.log_path = directory / f"{name}.log"
         self.process: subprocess.Popen | None = None
 
+    def drop_first_start(self) -> None:
+        """Drop from the settings that the whole site starts for the first time."""
+        text = self.settings_path.read_text()
+        self.settings_path.write_text(text.replace(FIRST_START, ""))
+
     def launch(self, python_args: tuple[str, ...] = ENTRY_ARGS, root: Path = ROOT) -> None:
         """Start the process of the build in `root`; its output is appended to the log file."""
         with self.log_path.open("ab") as output:
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -23,7 +23,7 @@
 from poplarhoist.decisions.gateway.copies import READERS_PER_REGION
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.platform.decoder import CONFIGURATION_KIND
-from tests.platform_site import ENTRY_ARGS, FIRST_START, PlatformEntry
+from tests.platform_site import ENTRY_ARGS, PlatformEntry
 from tests.platform_standins import Endpoint, configuration
 from tests.platform_store import Store
 from tests.site import ROOT
@@ -162,14 +162,9 @@
             entry = PlatformEntry(f"entry-{number}", self.directory, port, zone)
             if self.build != ROOT:
                 # Builds before the settings had this key refuse it.
-                self.drop_first_start(entry)
+                entry.drop_first_start()
             self.entries.append(entry)
 
-    def drop_first_start(self, entry: PlatformEntry) -> None:
-        """Drop from the settings of an entry that the whole site starts for the first time."""
-        text = entry.settings_path.read_text()
-        entry.settings_path.write_text(text.replace(FIRST_START, ""))
-
     def note(self, text: str) -> None:
         """Add a line to the timeline."""
         self.timeline.append(f"{time.monotonic() - self.started_at:7.2f} {text}")
@@ -229,7 +224,7 @@
     def launch(self, entry: PlatformEntry) -> None:
         """Start an entry."""
         if self.starts[entry.name]:
-            self.drop_first_start(entry)
+            entry.drop_first_start()
         self.starts[entry.name] += 1
         self.in_touch_from[entry.name] = time.monotonic() + IN_TOUCH_S
         entry.launch(ENTRY_ARGS, self.build)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -10,7 +10,7 @@
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.platform import store as store_module
 from poplarhoist.platform.store import ObjectStore
-from tests.platform_site import FIRST_START, PlatformEntry
+from tests.platform_site import PlatformEntry
 from tests.platform_standins import configuration
 from tests.platform_store import Store
 from tests.soak.proxy import Proxy, ProxyFault
@@ -55,6 +55,13 @@
         assert self.logs("entry-registered", seconds=15.0)
         assert self.logs("configuration") and self.logs("version-announced")
 
+    def start_again(self) -> None:
+        """Kill the entry and start it, at a site that ran before, with an empty log."""
+        self.kill()
+        self.drop_first_start()
+        self.log_path.unlink()
+        self.launch()
+
     def logs(self, event: str, seconds: float = KNOWN_S, **fields: object) -> bool:
         """Return whether the log has a line with these fields within some seconds."""
         ends_at = time.monotonic() + seconds
@@ -231,11 +238,7 @@
         assert all(known.logs(event, **fields) for known in [entry, *others])
         store.restore(copy)
         assert others[0].logs("store-restored", generation=2)
-        entry.kill()
-        text = entry.settings_path.read_text()
-        entry.settings_path.write_text(text.replace(FIRST_START, ""))
-        entry.log_path.unlink()
-        entry.launch()
+        entry.start_again()
         assert entry.logs(event, 15.0, **fields)
         versions = {line.get("adapter"): [] for line in entry.log_lines(event)}
         for line in entry.log_lines(event):
@@ -297,11 +300,7 @@
         assert all(other.logs("entry-known", 15.0, peer="entry-1") for other in others)
         store.put("config", "main", configuration(9) | {"services": None})
         assert any(other.logs("record-unreadable", kind="config") for other in others)
-        entry.kill()
-        text = entry.settings_path.read_text()
-        entry.settings_path.write_text(text.replace(FIRST_START, ""))
-        entry.log_path.unlink()
-        entry.launch()
+        entry.start_again()
         assert entry.logs("configuration", 15.0, version=7, before=0)
         store.put("config", "main", configuration(11))
         assert all(known.logs("configuration", version=11) for known in [entry, *others])
