--- a/poplarhoist/decisions/gateway/adapter_asks.py
+++ b/poplarhoist/decisions/gateway/adapter_asks.py
@@ -5,6 +5,7 @@
 from poplarhoist.decisions.common_effects import Count
 from poplarhoist.decisions.gateway import endpoints, leads
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.leads import interval_factor
 from poplarhoist.decisions.gateway.limits import (
     ASK_ATTEMPTS,
@@ -14,13 +15,9 @@
 )
 from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
 from poplarhoist.decisions.gateway.models import AdapterKey
+from poplarhoist.decisions.gateway.request_state import RequestState
 from poplarhoist.decisions.gateway.routing import required_version
-from poplarhoist.decisions.gateway.state import (
-    EndpointState,
-    GatewayState,
-    PendingAsk,
-    RequestState,
-)
+from poplarhoist.decisions.gateway.state import GatewayState, PendingAsk
 
 # Seconds for which an Ask repeats an engine's answer that it lacks the adapter.
 ABSENT_FRESH_S = 1.0
--- a/poplarhoist/decisions/gateway/base_models.py
+++ b/poplarhoist/decisions/gateway/base_models.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.models import AdapterKey, EngineProfile
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 
 def model_size_mb(profile: EngineProfile, name: str) -> float:
--- a/poplarhoist/decisions/gateway/brittle.py
+++ b/poplarhoist/decisions/gateway/brittle.py
@@ -18,14 +18,11 @@
 from poplarhoist.decisions.gateway import leads
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.effects import SendPeer
+from poplarhoist.decisions.gateway.endpoint_state import BrittleState, EndpointState
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import NoRoom, Places, PlacesWanted
-from poplarhoist.decisions.gateway.state import (
-    BrittleState,
-    EndpointState,
-    GatewayState,
-    RequestState,
-)
+from poplarhoist.decisions.gateway.request_state import RequestState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds between two growths of a window over all entries, if the endpoint bears one request turned
 # away in a second; fewer if it bears more.
--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -20,16 +20,13 @@
     suspect_key,
 )
 from poplarhoist.decisions.gateway.effects import CheckEndpoint, SendPeer
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.events import AttemptEnded, EndpointChecked, Framing
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.messages import AskCrashes, Crashed, CrashEvidence, PartsSound
 from poplarhoist.decisions.gateway.models import EndpointRecord, Prompt
-from poplarhoist.decisions.gateway.state import (
-    EndpointState,
-    GatewayState,
-    RequestState,
-    Stage,
-)
+from poplarhoist.decisions.gateway.request_state import RequestState, Stage
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds between a broken response and the detected crash of its endpoint within which the two
 # belong together; a crashed engine is detected after three heartbeat intervals.
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -14,6 +14,12 @@
     streams,
 )
 from poplarhoist.decisions.gateway.broadcast import tell_others
+from poplarhoist.decisions.gateway.endpoint_state import (
+    BrittleState,
+    DepartedRun,
+    EndpointState,
+    LimitState,
+)
 from poplarhoist.decisions.gateway.events import (
     EndpointRemoved,
     EndpointSaidLeaving,
@@ -28,14 +34,8 @@
 )
 from poplarhoist.decisions.gateway.messages import EndpointLeaving
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
-from poplarhoist.decisions.gateway.state import (
-    BrittleState,
-    DepartedRun,
-    EndpointState,
-    GatewayState,
-    LimitState,
-    RequestState,
-)
+from poplarhoist.decisions.gateway.request_state import RequestState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds for which the lead's View of an engine's adapters takes precedence over the engine's
 # record, which is written once per heartbeat interval and read some hundred milliseconds later.
--- a/poplarhoist/decisions/gateway/links.py
+++ b/poplarhoist/decisions/gateway/links.py
@@ -19,7 +19,8 @@
 from poplarhoist.decisions.gateway.effects import ProbeEndpoint
 from poplarhoist.decisions.gateway.events import EndpointProbed
 from poplarhoist.decisions.gateway.messages import LinksChanged
-from poplarhoist.decisions.gateway.state import GatewayState, Stage
+from poplarhoist.decisions.gateway.request_state import Stage
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Endpoints in a row that are not reached, after which the links count as lost; all of them where
 # there are fewer.
--- a/poplarhoist/decisions/gateway/pauses.py
+++ b/poplarhoist/decisions/gateway/pauses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import Count, LogChange
-from poplarhoist.decisions.gateway.state import EndpointState
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 
 # Longest pause in seconds. An endpoint that names an absurd time is asked again after that.
 MAX_PAUSE_S = 60.0
--- a/poplarhoist/decisions/gateway/relays.py
+++ b/poplarhoist/decisions/gateway/relays.py
@@ -12,7 +12,8 @@
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import Dispatch, LogRequest, RelayTerms
 from poplarhoist.decisions.gateway.models import EndpointRecord
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState, RequestState
+from poplarhoist.decisions.gateway.request_state import RequestState
+from poplarhoist.decisions.gateway.state import EntryState, GatewayState
 
 # Seconds for which an entry to which no connection could be made gets no requests.
 AVOID_ENTRY_S = 2.0
--- a/poplarhoist/decisions/gateway/request_limits.py
+++ b/poplarhoist/decisions/gateway/request_limits.py
@@ -12,9 +12,10 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange
 from poplarhoist.decisions.gateway.broadcast import tell_others
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import RequestLimit
-from poplarhoist.decisions.gateway.state import EndpointState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # The users' rule: in any window of this length, in seconds, an endpoint gets at most this many times
 # its limit and so many requests more.
--- /dev/null
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -0,0 +1,119 @@
+"""State of a request that has no final response yet; only the reducer changes it.
+
+All times are monotonic seconds of this process.
+"""
+
+import enum
+
+from attrs import define, field
+
+from poplarhoist.decisions.gateway.models import Prompt, Route
+
+
+class Stage(enum.StrEnum):
+    """Whether a request waits in this entry or runs at an endpoint."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+
+
+@define
+class RequestState:
+    """A request that has no final response yet.
+
+    Attributes
+    ----------
+    caller_id : str
+        Id that the caller gave to its attempt; goes into the logs.
+    first_requested_at : float
+        When the caller first sent the request, estimated from the time that its deadline leaves.
+    deadline_at, latency_target_at : float
+        When the response must be complete, and when its first byte is due.
+    content_digest : str
+        Digest of method, path and body; identifies requests that crash endpoints.
+    attempt : int
+        Number of the latest attempt, from 1; 0 before the first.
+    possible_runs : int
+        Attempts that may have run at an endpoint.
+    endpoint_name : str
+        Endpoint of the latest attempt.
+    asked_engine, asked_at : str, float
+        Engine whose lead was asked to load the adapter, and when; an empty name if none.
+    adapter_ready_at : float
+        When the adapter is expected at that engine; infinity if unknown.
+    caller_disconnected : bool
+        Whether the caller has closed its connection while an attempt is running.
+    avoided_endpoints : set
+        Endpoints that failed the request; they get it again only if there are no others.
+    last_event_id, resumed_caller_id : str
+        Id of the event after which the caller resumes a stream, and of its attempt that began the
+        stream; both empty if the request begins one.
+    is_trial : bool
+        Whether its next attempt is sent although its content or a part of its prompt is refused.
+    attempt_sent_at, attempt_incarnation : float, int
+        When the latest attempt was sent, and to which run of its endpoint.
+    attempt_started_at : float or None
+        When the first byte of the response to the latest attempt arrived; None before.
+    attempt_software : str
+        Software version of the endpoint of the latest attempt.
+    software_version : str or None
+        Software version that began the stream, at which alone it may go on; None for any.
+    origin_asked_at : float or None
+        When other entries were asked where the stream began; None if they were not.
+    origin_asked, origin_unknown_to : set
+        The entries that were asked, and those of them that do not know.
+    is_relayed : bool
+        Whether another entry sent the request here, which has no link to its endpoints.
+    relay : str
+        Entry that passes the latest attempt on; empty if it goes to an endpoint.
+    tried_relays : set
+        Entries that the request was sent to.
+    """
+
+    request_id: str
+    caller_id: str
+    route: Route
+    service: str
+    arrived_at: float
+    first_requested_at: float
+    deadline_at: float
+    latency_target_at: float
+    prompt: Prompt | None = None
+    content_digest: str = ""
+    stage: Stage = Stage.WAITING
+    attempt: int = 0
+    possible_runs: int = 0
+    endpoint_name: str = ""
+    response_started: bool = False
+    response_started_at: float = 0.0
+    asked_engine: str = ""
+    asked_at: float = float("-inf")
+    adapter_ready_at: float = float("inf")
+    caller_disconnected: bool = False
+    avoided_endpoints: set[str] = field(factory=set)
+    last_event_id: str = ""
+    resumed_caller_id: str = ""
+    is_trial: bool = False
+    attempt_sent_at: float = float("-inf")
+    attempt_incarnation: int = 0
+    attempt_started_at: float | None = None
+    attempt_software: str = ""
+    software_version: str | None = None
+    origin_asked_at: float | None = None
+    origin_asked: set[str] = field(factory=set)
+    origin_unknown_to: set[str] = field(factory=set)
+    is_relayed: bool = False
+    relay: str = ""
+    tried_relays: set[str] = field(factory=set)
+
+    def begin_attempt(
+        self, at: float, endpoint_name: str = "", incarnation: int = 0, software: str = ""
+    ) -> None:
+        """Begin the next attempt, at a run of an endpoint or, without one, at another entry."""
+        self.stage = Stage.RUNNING
+        self.attempt += 1
+        self.attempt_started_at = None
+        self.attempt_sent_at = at
+        self.endpoint_name = endpoint_name
+        self.attempt_incarnation = incarnation
+        self.attempt_software = software
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -22,6 +22,7 @@
     find_service,
 )
 from poplarhoist.decisions.gateway.effects import Dispatch, ForwardFailure, LogRequest, Refuse
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.events import (
     AttemptEnded,
     EndpointNotice,
@@ -31,12 +32,8 @@
 )
 from poplarhoist.decisions.gateway.limits import ASK_RETRY_S
 from poplarhoist.decisions.gateway.models import Refused
-from poplarhoist.decisions.gateway.state import (
-    EndpointState,
-    GatewayState,
-    RequestState,
-    Stage,
-)
+from poplarhoist.decisions.gateway.request_state import RequestState, Stage
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds that a response needs on its way back; an endpoint gets this much less time.
 RESPONSE_MARGIN_S = 0.01
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -13,6 +13,7 @@
 
 from attrs import frozen
 
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.endpoints import usable_endpoints
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.limits import (
@@ -22,12 +23,8 @@
 )
 from poplarhoist.decisions.gateway.models import AdapterKey, Prompt
 from poplarhoist.decisions.gateway.regions import cross_region_s
-from poplarhoist.decisions.gateway.state import (
-    AnnouncedVersion,
-    EndpointState,
-    GatewayState,
-    RequestState,
-)
+from poplarhoist.decisions.gateway.request_state import RequestState
+from poplarhoist.decisions.gateway.state import AnnouncedVersion, GatewayState
 
 # Share of the time until an announced version must be used, after which it is required.
 REQUIRED_AFTER = 0.4
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -16,19 +16,16 @@
 
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
+from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan, StreamUnknown
+from poplarhoist.decisions.gateway.request_state import RequestState
 from poplarhoist.decisions.gateway.software_versions import (
     VERSION_MEMORY_S,
     has_several,
     may_have_several,
 )
-from poplarhoist.decisions.gateway.state import (
-    EndpointState,
-    GatewayState,
-    RequestState,
-    StreamOrigin,
-)
+from poplarhoist.decisions.gateway.state import GatewayState, StreamOrigin
 
 # Entries that are told where a stream began. With five entries that know it, half of all entries
 # can end at the same moment and only one stream in thirty is forgotten.
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -7,9 +7,9 @@
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
+from poplarhoist.decisions.gateway.endpoint_state import BrittleState
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.models import Refused, RouteKind
-from poplarhoist.decisions.gateway.state import BrittleState
 from poplarhoist.gateway.peers import message_converter
 from poplarhoist.platform.headers import parse_response_head
 from tests.engine_site import HEAD_S, RUN_S, EngineSite
