--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -116,6 +116,43 @@
     health_path: str = "/health"
 
 
+@frozen
+class QuotaTerms:
+    """What a team may use over all entries together.
+
+    Attributes
+    ----------
+    rate_per_s, burst : float
+        Units a second, and units at once beyond that; tokens, or requests.
+    counts_tokens : bool
+        Whether a request counts its prompt tokens and most output tokens; else it counts as one.
+    plain_tokens : int
+        Tokens of a request that does not tell them.
+    """
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool = True
+    plain_tokens: int = 0
+
+
+@frozen
+class Team:
+    """A team whose callers send a key with their requests.
+
+    Attributes
+    ----------
+    priority : int or None
+        Goes before the priority of routes; 0 is the most urgent. None if the team has none.
+    quota : QuotaTerms or None
+        None without a limit.
+    """
+
+    name: str
+    priority: int | None = None
+    quota: QuotaTerms | None = None
+
+
 @frozen
 class CallerLimits:
     """Limits on the requests of callers.
@@ -285,6 +322,8 @@
     LIMITED: the endpoints have named limits and take no more requests now.
     SOFTWARE_VERSION: a stream may go on only at the software version that began it, and no endpoint
     runs that version, or it is not known.
+    UNKNOWN_KEY: the request needs the key of a team and carries none that is known.
+    QUOTA: the request's team has used its quota.
     RELAY: this entry has no link to the endpoints, and the entry that was to pass the request on
     turned it away.
     """
@@ -300,4 +339,6 @@
     DRAINING = "entry is stopping"
     LIMITED = "endpoints take no more requests now"
     SOFTWARE_VERSION = "no endpoint of the stream's software version"
+    UNKNOWN_KEY = "no known key"
+    QUOTA = "quota used up"
     RELAY = "turned away by the entry that was to pass it on"
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from poplarhoist.decisions.gateway.models import Prompt, Route
+from poplarhoist.decisions.gateway.models import Prompt, Route, Team
 
 
 class Stage(enum.StrEnum):
@@ -68,6 +68,8 @@
         Entry that passes the latest attempt on; empty if it goes to an endpoint.
     tried_relays : set
         Entries that the request was sent to.
+    team : Team or None
+        Team of the caller; None if teams are not in force, or the route takes no key.
     """
 
     request_id: str
@@ -105,6 +107,7 @@
     is_relayed: bool = False
     relay: str = ""
     tried_relays: set[str] = field(factory=set)
+    team: Team | None = None
 
     def begin_attempt(
         self, at: float, endpoint_name: str = "", incarnation: int = 0, software: str = ""
