Teams: requests need the key of a team, and endpoints are told its name

The configuration's teams are decoded into a directory by digest of key. A request without a known key is refused with 401 unless its route is anonymous. Callers' headers for key and team are not forwarded while teams are in force; team priority goes before route priority in the waiting order, in Asks and at engines. Copies of records, which hold keys, are given at the inner port only.

--- a/poplarhoist/decisions/gateway/adapter_asks.py
+++ b/poplarhoist/decisions/gateway/adapter_asks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import Count
-from poplarhoist.decisions.gateway import endpoints, leads
+from poplarhoist.decisions.gateway import endpoints, leads, teams
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.leads import interval_factor
@@ -44,11 +44,14 @@
         existing.waiters.add(request.request_id)
         existing.waiting_since = min(existing.waiting_since, request.first_requested_at)
         existing.version = max(existing.version, required_version(state, key, at))
+        if request.team is not None:
+            # Otherwise a request of an urgent team would wait as long as those that asked before it.
+            existing.priority = min(existing.priority, teams.ask_priority(request))
         endpoint = state.endpoints[engine]
         update_ready_times(state, existing, endpoint, at)
         return
     version = required_version(state, key, at)
-    priority, since = request.route.priority, request.first_requested_at
+    priority, since = teams.ask_priority(request), request.first_requested_at
     pending = PendingAsk(engine, key, version, priority, since, at)
     pending.waiters.add(request.request_id)
     state.pending_asks[engine, key] = pending
@@ -57,7 +60,7 @@
             "waits",
             request.request_id,
             {
-                "caller_id": request.caller_id,
+                **request.log_ids(),
                 "adapter": str(key),
                 "version": version,
                 "engine": engine,
--- a/poplarhoist/decisions/gateway/configuration.py
+++ b/poplarhoist/decisions/gateway/configuration.py
@@ -4,7 +4,7 @@
 
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway.events import ConfigurationSeen
-from poplarhoist.decisions.gateway.models import Route, ServiceSpec
+from poplarhoist.decisions.gateway.models import Configuration, Route, ServiceSpec
 from poplarhoist.decisions.gateway.state import GatewayState
 
 
@@ -22,12 +22,18 @@
         routes.sort(key=lambda route: -len(route.prefix))
     state.routes_by_host = by_host
     previous_version = old.version if old is not None else 0
-    effects.append(
-        LogChange(
-            "configuration",
-            {"version": new.version, "before": previous_version, "routes": len(new.routes)},
-        )
-    )
+    fields = {"version": new.version, "before": previous_version, "routes": len(new.routes)}
+    if new.teams is not None:
+        fields |= {"teams": len(new.teams.by_name), "keys": len(new.teams.by_digest)}
+    effects.append(LogChange("configuration", fields))
+    log_unknown_units(old, new, effects)
+
+
+def log_unknown_units(old: Configuration | None, new: Configuration, effects: list) -> None:
+    """Log units of quotas that are unknown, unless the configuration before had them too."""
+    known = old.teams.unknown_units if old is not None and old.teams is not None else frozenset()
+    if new.teams is not None and (units := new.teams.unknown_units - known):
+        effects.append(LogChange("quota-unit-unknown", {"units": sorted(units)}))
 
 
 def find_route(state: GatewayState, host: str, path: str) -> Route | None:
--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -20,8 +20,13 @@
         Seconds that the endpoint may take.
     endpoint : EndpointRecord
         The endpoint, or the entry that passes the request on.
+    priority : int
+        Priority that an engine is told; 0 is the most urgent.
     version : int
         Version of the adapter that the endpoint must have; 0 for any.
+    team : str or None
+        Name of the team that an endpoint is told; empty if no team is known. None if teams are not in
+        force: the caller's own headers for key and team are forwarded. Otherwise they are not.
     relay : RelayTerms or None
         What the entry must keep to that passes the request on; None if it goes to an endpoint.
     """
@@ -34,6 +39,7 @@
     stream: bool
     version: int = 0
     relay: RelayTerms | None = None
+    team: str | None = None
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -167,6 +167,10 @@
         Id of the caller's attempt that began the stream; empty if it does not say.
     relay : RelayTerms or None
         What the entry asks for that sent the request here; None if its caller did.
+    key_digest : bytes
+        Digest of the first key that the caller sent; empty if it sent none that can be a key.
+    key_lines : int
+        Header lines with a key.
     """
 
     at: float
@@ -180,6 +184,8 @@
     last_event_id: str = ""
     resumed_caller_id: str = ""
     relay: RelayTerms | None = None
+    key_digest: bytes = b""
+    key_lines: int = 0
 
 
 class Outcome(enum.StrEnum):
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -46,6 +46,8 @@
         0 is the most urgent.
     resumable : bool
         Whether a stream that broke off may be resumed at another endpoint.
+    anonymous : bool
+        Whether callers need no key of a team.
     """
 
     name: str
@@ -58,6 +60,7 @@
     max_attempts: int = 1
     priority: int = 0
     resumable: bool = False
+    anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -153,6 +156,25 @@
     quota: QuotaTerms | None = None
 
 
+@frozen
+class TeamDirectory:
+    """The teams of a configuration.
+
+    Attributes
+    ----------
+    by_name : dict
+        Teams by name.
+    by_digest : dict
+        Teams by the digest of each of their keys. It is left out of the text form.
+    unknown_units : frozenset
+        Units of quotas that this release does not know; such quotas count tokens.
+    """
+
+    by_name: dict[str, Team] = field(factory=dict)
+    by_digest: dict[bytes, Team] = field(factory=dict, repr=False)
+    unknown_units: frozenset[str] = frozenset()
+
+
 @frozen
 class CallerLimits:
     """Limits on the requests of callers.
@@ -173,12 +195,19 @@
 
 @frozen
 class Configuration:
-    """One version of the complete configuration."""
+    """One version of the complete configuration.
+
+    Attributes
+    ----------
+    teams : TeamDirectory or None
+        None if teams are not in force: keys are not checked, and their headers are forwarded.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services_by_name: dict[str, ServiceSpec]
     limits: CallerLimits = field(factory=CallerLimits)
+    teams: TeamDirectory | None = None
 
 
 @frozen(cache_hash=True, order=True)
@@ -297,11 +326,14 @@
         Attempts of the request that may have run at an endpoint before.
     software_version : str or None
         Software version at which alone a stream may go on; None for any.
+    team : str
+        Name of the team whose key the sending entry has found; empty if it has found none.
     """
 
     configuration_version: int
     possible_runs: int = 0
     software_version: str | None = None
+    team: str = ""
 
 
 class Refused(enum.StrEnum):
--- a/poplarhoist/decisions/gateway/relays.py
+++ b/poplarhoist/decisions/gateway/relays.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import Count
-from poplarhoist.decisions.gateway import endpoints, links
+from poplarhoist.decisions.gateway import endpoints, links, teams
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import Dispatch, LogRequest, RelayTerms
 from poplarhoist.decisions.gateway.models import EndpointRecord
@@ -78,15 +78,19 @@
                 entry.name, request.service, entry.host, entry.relay_port, entry.zone, 0
             ),
             remaining_s=remaining_s,
-            priority=request.route.priority,
+            priority=teams.engine_priority(request),
             stream=request.route.kind == "stream",
             relay=RelayTerms(
-                state.configuration.version, request.possible_runs, request.software_version
+                state.configuration.version,
+                request.possible_runs,
+                request.software_version,
+                request.team.name if request.team is not None else "",
             ),
+            team=teams.told_team(state, request),
         )
     )
     fields = {
-        "caller_id": request.caller_id,
+        **request.log_ids(),
         "attempt": request.attempt,
         "peer": entry.name,
         "links_lost": links.are_lost(state),
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -69,7 +69,8 @@
     tried_relays : set
         Entries that the request was sent to.
     team : Team or None
-        Team of the caller; None if teams are not in force, or the route takes no key.
+        Team of the caller; None if teams were not in force when the request arrived, or if the route
+        is anonymous and the caller sent no known key.
     """
 
     request_id: str
@@ -109,6 +110,11 @@
     tried_relays: set[str] = field(factory=set)
     team: Team | None = None
 
+    def log_ids(self) -> dict[str, object]:
+        """Return the log fields that tell whose request it is."""
+        ids: dict[str, object] = {"caller_id": self.caller_id}
+        return ids if self.team is None else ids | {"team": self.team.name}
+
     def begin_attempt(
         self, at: float, endpoint_name: str = "", incarnation: int = 0, software: str = ""
     ) -> None:
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -15,12 +15,9 @@
     retry_budget,
     routing,
     streams,
+    teams,
 )
-from poplarhoist.decisions.gateway.configuration import (
-    choose_service,
-    find_route,
-    find_service,
-)
+from poplarhoist.decisions.gateway.configuration import choose_service, find_route, find_service
 from poplarhoist.decisions.gateway.effects import Dispatch, ForwardFailure, LogRequest, Refuse
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.events import (
@@ -76,6 +73,10 @@
     if relay is not None and state.configuration.version < relay.configuration_version:
         refuse_unadmitted(state, event, Refused.NOT_CONFIGURED, RETRY_AFTER_S, effects)
         return
+    team = teams.identify(state, event, route)
+    if team is Refused.UNKNOWN_KEY:
+        refuse_unadmitted(state, event, team, 0.0, effects)
+        return
     service = choose_service(state, route)
     if relay is None:
         retry_budget.record_request(state, service, event.at)
@@ -85,7 +86,7 @@
     )
     if is_refused and not is_trial:
         retry_after_s = crashes.retry_after_s(state, event.at)
-        refuse_unadmitted(state, event, Refused.SUSPECT, retry_after_s, effects)
+        refuse_unadmitted(state, event, Refused.SUSPECT, retry_after_s, effects, team)
         return
     timeout_s = route.timeout_s
     if event.deadline_s is not None:
@@ -107,17 +108,19 @@
         is_trial=is_trial,
         last_event_id=event.last_event_id,
         resumed_caller_id=event.resumed_caller_id,
+        team=team,
     )
     if relay is not None:
         request.is_relayed = True
         request.possible_runs = relay.possible_runs
         request.software_version = relay.software_version
     state.requests[request.request_id] = request
+    # Quotas are to admit the request here, before it is placed for the first time.
     place_request(state, request, event.at, effects)
 
 
 def refuse_unadmitted(
-    state: GatewayState, event: RequestArrived, reason: Refused, retry_after_s: float, effects: list
+    state: GatewayState, event: RequestArrived, reason: Refused, retry_after_s, effects, team=None
 ) -> None:
     """Refuse a request that has no state yet."""
     effects.append(Refuse(event.request_id, reason, False, retry_after_s))
@@ -130,10 +133,12 @@
         "path": event.path,
         "configuration": configuration.version if configuration is not None else None,
         "for_entry": event.relay is not None,
+        **({"team": team.name} if team is not None else {}),
     }
     effects.append(LogRequest("refused", event.request_id, fields))
     # The second label is the kind of the route, or "arrive" for a request refused on arrival.
     effects.append(Count("refused", (reason.name.lower(), "arrive")))
+    teams.count_refusal(state, team, reason, effects)
 
 
 def place_request(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
@@ -248,13 +253,14 @@
             attempt=request.attempt,
             endpoint=endpoint.record,
             remaining_s=remaining_s(request, at),
-            priority=request.route.priority,
+            priority=teams.engine_priority(request),
             stream=request.route.kind == "stream",
             version=version,
+            team=teams.told_team(state, request),
         )
     )
     fields = {
-        "caller_id": request.caller_id,
+        **request.log_ids(),
         "attempt": request.attempt,
         "endpoint": endpoint.record.name,
         "incarnation": endpoint.record.incarnation,
@@ -337,7 +343,7 @@
     """
     at = state.last_event_at
     fields = {
-        "caller_id": request.caller_id,
+        **request.log_ids(),
         "reason": reason,
         "ran": request.possible_runs > 0,
         "attempt": request.attempt,
@@ -354,6 +360,7 @@
     effects.append(Refuse(request.request_id, reason, ran, 0.0 if ran else retry_after_s))
     effects.append(LogRequest("refused", request.request_id, fields))
     effects.append(Count("refused", (reason.name.lower(), request.route.kind)))
+    teams.count_refusal(state, request.team, reason, effects)
 
 
 def on_response_started(state: GatewayState, event: ResponseStarted, effects: list) -> None:
@@ -433,7 +440,7 @@
                 "again",
                 request.request_id,
                 {
-                    "caller_id": request.caller_id,
+                    **request.log_ids(),
                     "endpoint": request.endpoint_name,
                     "outcome": event.outcome,
                     "reason": event.reason,
@@ -581,7 +588,7 @@
 def log_end(request: RequestState, event: AttemptEnded, effects: list) -> None:
     """Log the end of a request and observe its latencies."""
     fields = {
-        "caller_id": request.caller_id,
+        **request.log_ids(),
         "endpoint": request.endpoint_name,
         "outcome": event.outcome,
         "status": event.status,
@@ -616,12 +623,12 @@
     if request.stage is Stage.WAITING:
         stop_waiting(state, request)
         state.requests.pop(request_id, None)
-    effects.append(LogRequest("caller-left", request_id, {"caller_id": request.caller_id}))
+    effects.append(LogRequest("caller-left", request_id, request.log_ids()))
 
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Dispatch requests whose adapter is ready, and retry or refuse those that wait."""
-    for request_id in sorted(state.waiting, key=lambda name: waiting_order(state, name)):
+    for request_id in sorted(state.waiting, key=lambda name: teams.waiting_order(state, name)):
         request = state.requests.get(request_id)
         if request is None:
             state.waiting.discard(request_id)
@@ -646,14 +653,6 @@
             place_request(state, request, at, effects)
 
 
-def waiting_order(state: GatewayState, request_id: str) -> tuple:
-    """Return the key by which waiting requests are ordered: the most urgent and oldest first."""
-    request = state.requests.get(request_id)
-    if request is None:
-        return (0, 0.0, request_id)
-    return (request.route.priority, request.first_requested_at, request_id)
-
-
 def has_waited_too_long(state: GatewayState, request: RequestState, at: float) -> bool:
     """Return whether a request has waited so long for a slot that its caller should retry."""
     endpoint = state.endpoints.get(request.asked_engine)
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -12,13 +12,10 @@
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
-from poplarhoist.decisions.gateway.models import (
-    AdapterKey,
-    Configuration,
-    Route,
-)
+from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.request_state import RequestState
+from poplarhoist.decisions.gateway.team_state import TeamState
 
 
 @define
@@ -448,6 +445,8 @@
         Services with several software versions, by the store's records.
     links : LinkState
         This entry's links to endpoints.
+    teams : TeamState
+        What is kept of teams beside the configuration.
     told_positions_by_kind : dict
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
@@ -507,6 +506,7 @@
     crash_records: CrashRecords = field(factory=CrashRecords)
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
+    teams: TeamState = field(factory=TeamState)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -186,7 +186,7 @@
         effects.append(SendPeer(name, AskStreamOrigin(request.resumed_caller_id)))
     if asked:
         fields = {
-            "caller_id": request.caller_id,
+            **request.log_ids(),
             "resumed_caller_id": request.resumed_caller_id,
             "asked": asked,
         }
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -4,6 +4,7 @@
 
 COUNTERS = {
     "refused": ("Requests refused", ("reason", "step")),
+    "team_refused": ("Requests of known teams refused", ("team", "reason")),
     "retry": ("Attempts repeated", ("cause",)),
     "attempt_ended": ("Attempts ended", ("outcome",)),
     "crossing_bytes": ("Bytes of requests and answers between regions", ("direction",)),
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -345,9 +345,10 @@
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Refuse a request of which the library finds that it cannot be read.
 
-        The library's own answer has no status line while the version of the request is unknown.
+        The library's own answer has no status line while the version of the request is unknown. What it
+        quotes of the head, in brackets, is left out of the log: it may be a key of a caller.
         """
-        self.refuse(HTTPStatus(code), message or "")
+        self.refuse(HTTPStatus(code), (message or "").partition(" (")[0])
 
     def refuse(self, status: HTTPStatus, problem: str, phrase: str = "") -> None:
         """Answer a request whose head cannot be read, and close the connection after it."""
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 
@@ -27,8 +28,12 @@
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
     Refused.NO_ROUTE: HTTPStatus.NOT_FOUND,
+    Refused.UNKNOWN_KEY: HTTPStatus.UNAUTHORIZED,
+    Refused.QUOTA: HTTPStatus.TOO_MANY_REQUESTS,
     Refused.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
 }
+# Statuses with which a caller is told when to come back.
+RETRY_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 # Statuses for requests that may have run at an endpoint; 502 for reasons not listed here.
 STATUS_BY_REASON_AFTER_RUN = {Refused.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT}
 # Outcomes in which the endpoint sent a whole response.
@@ -111,6 +116,8 @@
             last_event_id=head.last_event_id,
             resumed_caller_id=head.resumed_caller_id,
             relay=relay,
+            key_digest=head.key_digest,
+            key_lines=head.key_lines,
         )
         return RequestHandler(self, environ, start_response, request).run(event)
 
@@ -288,15 +295,19 @@
     def refuse(self, effect: fx.Refuse) -> list[bytes]:
         """Return an error response of the gateway.
 
-        Retry-After is sent only with 503, in seconds with two decimals.
+        Retry-After is sent only with 503 and 429, in seconds with two decimals. With 429 it is rounded
+        up, as a caller that comes back before finds its quota still used up.
         """
         if effect.ran:
             status = STATUS_BY_REASON_AFTER_RUN.get(effect.reason, HTTPStatus.BAD_GATEWAY)
         else:
             status = STATUS_BY_REASON.get(effect.reason, HTTPStatus.SERVICE_UNAVAILABLE)
         headers = [JSON_CONTENT_TYPE]
-        if effect.retry_after_s and status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append(("Retry-After", f"{effect.retry_after_s:.2f}"))
+        if effect.retry_after_s and status in RETRY_STATUSES:
+            retry_after_s = effect.retry_after_s
+            if status == HTTPStatus.TOO_MANY_REQUESTS:
+                retry_after_s = math.ceil(retry_after_s * 100) / 100
+            headers.append(("Retry-After", f"{retry_after_s:.2f}"))
         if self.is_relay:
             headers.append(relay_headers.build_refusal_header(effect.ran))
         elif status == HTTPStatus.NOT_FOUND:
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 
 from poplarhoist.decisions.gateway.effects import Claim, Dispatch, SendOrder
 from poplarhoist.decisions.gateway.events import (
@@ -35,19 +35,26 @@
         Adapter, token counts and prefix segments of a model request, not the text of the prompt;
         None for requests to plain services.
     forwarded_headers : list
-        Headers that are forwarded to the endpoint.
+        Headers that are forwarded to the endpoint. They are left out of the text form, as they may
+        hold a key.
     last_event_id : str
         Id of the last event that the caller has received; empty if none.
     resumed_caller_id : str
         Id of the caller's attempt that brought the first event of the stream; empty if none.
+    key_digest : bytes
+        Digest of the first key of a team; empty if there is none that can be a key.
+    key_lines : int
+        Header lines with a key.
     """
 
     caller_request_id: str
     deadline_s: float | None
     prompt: Prompt | None
-    forwarded_headers: Headers
+    forwarded_headers: Headers = field(repr=False)
     last_event_id: str = ""
     resumed_caller_id: str = ""
+    key_digest: bytes = b""
+    key_lines: int = 0
 
 
 @frozen
@@ -101,7 +108,8 @@
     ) -> Headers:
         """Return the headers of a request to an endpoint.
 
-        A `last_event_id` that is not empty asks the endpoint to continue a stream after that event.
+        The headers of the caller for key and team are left out if `dispatch` names a team, or says that
+        none is known. A `last_event_id` that is not empty asks the endpoint to continue a stream after that event.
         """
 
     def parse_response_head(self, status: int, headers: Iterable[tuple[str, str]]) -> ResponseHead:
--- a/poplarhoist/gateway/relay_headers.py
+++ b/poplarhoist/gateway/relay_headers.py
@@ -11,6 +11,8 @@
 CONFIGURATION_HEADER = "Relay-Configuration"
 POSSIBLE_RUNS_HEADER = "Relay-Possible-Runs"
 SOFTWARE_HEADER = "Relay-Software"
+# Team whose key the sending entry has found. Only the listener for other entries reads it.
+TEAM_HEADER = "Relay-Team"
 # Start and name of the run of the endpoint that responded.
 ENDPOINT_HEADER = "Relay-Endpoint"
 # How the entry itself ended the request, if no endpoint's response is passed on.
@@ -21,6 +23,7 @@
         CONFIGURATION_HEADER,
         POSSIBLE_RUNS_HEADER,
         SOFTWARE_HEADER,
+        TEAM_HEADER,
         ENDPOINT_HEADER,
         REFUSAL_HEADER,
     )
@@ -47,6 +50,8 @@
     ]
     if terms.software_version is not None:
         headers.append((SOFTWARE_HEADER, terms.software_version))
+    if terms.team:
+        headers.append((TEAM_HEADER, terms.team))
     return headers
 
 
@@ -63,6 +68,7 @@
         int(value_by_name.get(CONFIGURATION_HEADER.lower(), "")),
         int(value_by_name.get(POSSIBLE_RUNS_HEADER.lower(), "")),
         value_by_name.get(SOFTWARE_HEADER.lower()),
+        value_by_name.get(TEAM_HEADER.lower(), ""),
     )
 
 
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -175,15 +175,17 @@
         """Open all sockets and spawn the green threads.
 
         Callers are served on one address, readiness and metrics on two: the readiness address and
-        the inner port, which also receives the datagrams of peers (UDP).
+        the inner port, which also gives other entries copies of records, and receives their datagrams
+        (UDP).
         """
         host, listen = self.settings.host, self.settings.listen
         self.serve_requests(Address.parse(listen.callers), "listen.callers", is_relay=False)
         if listen.relay_port:
             relay_address = Address(host, listen.relay_port)
             self.serve_requests(relay_address, "listen.relay_port", is_relay=True)
-        self.serve_status(Address.parse(listen.ready), "listen.ready")
-        self.serve_status(Address(host, listen.inner_port), "listen.inner_port")
+        self.serve_status(Address.parse(listen.ready), "listen.ready", self.handle_status)
+        inner = Address(host, listen.inner_port)
+        self.serve_status(inner, "listen.inner_port", self.handle_inner)
         eventlet.spawn(self.peer_transport.run)
         eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
         self.store_watcher.start(
@@ -216,12 +218,12 @@
         )
         self.request_servers.append((stoppable, thread))
 
-    def serve_status(self, address: Address, setting: str) -> None:
+    def serve_status(self, address: Address, setting: str, application: Callable) -> None:
         """Spawn a server for readiness and metrics."""
         eventlet.spawn(
             eventlet.wsgi.server,
             open_listener(address.host, address.port, setting),
-            self.handle_status,
+            application,
             log=ServerLog(self.decision_loop.log),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
@@ -231,7 +233,7 @@
         )
 
     def handle_status(self, environ: dict, start_response: Callable) -> list[bytes]:
-        """Return readiness (200 or 503), the metrics, or records for another entry; else 404."""
+        """Return readiness (200 or 503) or the metrics; else 404."""
         if environ["PATH_INFO"] == self.dialect.ready_path:
             is_ready = is_serving(self.decision_loop.state)
             start_response("200 OK" if is_ready else "503 Service Unavailable", [])
@@ -239,11 +241,18 @@
         if environ["PATH_INFO"] == "/metrics":
             start_response("200 OK", [("Content-Type", "text/plain; version=0.0.4")])
             return [generate_latest(self.metrics.registry)]
-        if environ["PATH_INFO"].startswith(COPIES_PATH):
-            return respond_with_copy(self.decision_loop.state, self.store, environ, start_response)
         start_response("404 Not Found", [])
         return [b""]
 
+    def handle_inner(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Return records for another entry, or what `handle_status` returns.
+
+        Records are given at the inner port only, since the configuration holds the keys of teams.
+        """
+        if environ["PATH_INFO"].startswith(COPIES_PATH):
+            return respond_with_copy(self.decision_loop.state, self.store, environ, start_response)
+        return self.handle_status(environ, start_response)
+
     def reload(self) -> None:
         """Read the settings again and submit the limits; on faults keep the current ones."""
         try:
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -18,11 +18,15 @@
     EndpointRecord,
     EngineProfile,
     EngineReport,
+    QuotaTerms,
     Route,
     RouteKind,
     ServiceSpec,
     Target,
+    Team,
+    TeamDirectory,
 )
+from poplarhoist.platform import keys
 from poplarhoist.settings.addresses import is_port
 
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
@@ -40,6 +44,10 @@
     "streaming": RouteKind.STREAM,
 }
 ENDPOINT_STATES = ("ready", "draining")
+# Units of quotas. A quota without a unit, or with one that is not known, counts tokens.
+TOKEN_UNIT, REQUEST_UNIT = "token_count", "request"
+KNOWN_UNITS = (None, TOKEN_UNIT, REQUEST_UNIT)
+MAX_LOGGED_UNIT_CHARACTERS = 40
 
 
 def to_count(value: object, highest: int = MAX_COUNT) -> int:
@@ -151,9 +159,69 @@
         routes=tuple(decode_route(route) for route in to_instance(list, spec["routes"])),
         services_by_name={service.name: service for service in services},
         limits=decode_limits(to_instance(dict, present(spec, "limits", {}))),
+        teams=None if spec.get("tenants") is None else decode_teams(spec["tenants"]),
     )
 
 
+def decode_teams(items: object) -> TeamDirectory:
+    """Decode the teams and their keys.
+
+    Raises
+    ------
+    ValueError
+        If a team or key cannot be used, or two teams have one name or key. The message, which is
+        logged, repeats nothing that may be a key.
+    """
+    if type(items) is not list or not all(type(item) is dict for item in items):
+        raise ValueError("expected a list of teams")
+    by_name: dict[str, Team] = {}
+    by_digest: dict[bytes, Team] = {}
+    for data in items:
+        team = decode_team(data)
+        if team.name in by_name:
+            raise ValueError(f"two teams have the name {team.name[:30]!r}")
+        by_name[team.name] = team
+        team_keys = data["apiKeys"]
+        if type(team_keys) is not list or not all(map(keys.is_key, team_keys)):
+            raise ValueError(f"team {team.name[:30]!r} has a key that cannot be sent")
+        for digest in map(keys.digest_of, team_keys):
+            if by_digest.setdefault(digest, team) is not team:
+                names = f"{by_digest[digest].name[:30]!r} and {team.name[:30]!r}"
+                raise ValueError(f"teams {names} have the same key")
+    unknown_units = [data["unit"] for data in items if data.get("unit") not in KNOWN_UNITS]
+    unit_names = (
+        unit[:MAX_LOGGED_UNIT_CHARACTERS] if type(unit) is str else type(unit).__name__
+        for unit in unknown_units
+    )
+    return TeamDirectory(by_name, by_digest, frozenset(unit_names))
+
+
+def decode_team(data: dict) -> Team:
+    """Decode a team without its keys.
+
+    Raises
+    ------
+    ValueError
+        If its name cannot be sent in a header, or a number is none.
+    """
+    name = data["name"]
+    if type(name) is not str or name != name.strip():
+        raise ValueError("team with a name that cannot be sent")
+    priority = data.get("priority")
+    return Team(to_text(name), None if priority is None else to_whole(priority), decode_quota(data))
+
+
+def decode_quota(data: dict) -> QuotaTerms | None:
+    """Decode the quota of a team; None if it has no rate, or a rate of 0."""
+    terms = QuotaTerms(
+        rate_per_s=to_quantity(present(data, "ratePerS", 0.0)),
+        burst=to_quantity(present(data, "burst", 0.0)),
+        counts_tokens=data.get("unit") != REQUEST_UNIT,
+        plain_tokens=to_whole(present(data, "plainTokens", 0)),
+    )
+    return terms if terms.rate_per_s else None
+
+
 def decode_limits(data: dict) -> CallerLimits:
     """Decode the limits on the requests of callers."""
     decoded = {
@@ -188,6 +256,7 @@
         max_attempts=max(1, to_whole(present(data, "maxAttempts", 1))),
         priority=to_whole(present(data, "priority", 0)),
         resumable=to_instance(bool, present(data, "resumable", False)),
+        anonymous=to_instance(bool, present(data, "anonymous", False)),
     )
 
 
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -11,6 +11,7 @@
 from poplarhoist.decisions.gateway.events import EndpointNotice
 from poplarhoist.decisions.gateway.models import AdapterKey, PrefixSegment, Prompt
 from poplarhoist.gateway.interfaces import Headers, RequestHead, ResponseHead
+from poplarhoist.platform.keys import digest_of
 
 MS_PER_S = 1000.0
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -19,6 +20,11 @@
 TARGET_INSTANCE_HEADER = "X-Target-Instance"
 PRIORITY_HEADER = "X-Request-Priority"
 EXPECT_VERSION_HEADER = "X-Expect-Version"
+KEY_HEADER = "Api-Key"
+TEAM_HEADER = "X-Tenant"
+# Headers of callers that are not forwarded while teams are in force. Some servers take an underscore
+# in a name for a hyphen.
+TEAM_HEADERS = frozenset((KEY_HEADER.lower(), TEAM_HEADER.lower()))
 # Headers that are not forwarded: those that concern one connection only, and Content-Length and
 # Expect, which the HTTP library handles on each connection.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -63,10 +69,12 @@
     """Parse the head of a caller's request.
 
     Hop-by-hop and reserved headers are not forwarded, nor are those that the Connection header
-    names. Of a repeated header the first value counts.
+    names. Of a repeated header the first value counts. A key is read whatever the Connection header
+    names.
     """
     forwarded_headers: Headers = []
     value_by_name: dict[str, str] = {}
+    key_lines = 0
     excluded_names = set(HOP_BY_HOP_HEADERS | RESERVED_HEADERS)
     headers = list(headers)
     for name, value in headers:
@@ -74,6 +82,7 @@
             excluded_names.update(part.strip().lower() for part in value.split(","))
     for name, value in headers:
         value_by_name.setdefault(name.lower(), value)
+        key_lines += name.lower() == KEY_HEADER.lower()
         if name.lower() not in excluded_names:
             forwarded_headers.append((name, value))
     return RequestHead(
@@ -83,6 +92,8 @@
         forwarded_headers=forwarded_headers,
         last_event_id=value_by_name.get("last-event-id", ""),
         resumed_caller_id=value_by_name.get("resumes", ""),
+        key_digest=digest_of(value_by_name.get(KEY_HEADER.lower(), "").strip(" \t")),
+        key_lines=key_lines,
     )
 
 
@@ -126,9 +137,14 @@
 def build_request_headers(head: RequestHead, dispatch: Dispatch, last_event_id: str) -> Headers:
     """Return the headers of a request to an endpoint.
 
-    The priority is sent with model requests only, the expected version only if there is one.
+    The priority is sent with model requests only, the expected version only if there is one. With
+    teams in force, the key goes no further, and only endpoints are told the team.
     """
     headers = list(head.forwarded_headers)
+    if dispatch.team is not None:
+        headers = [pair for pair in headers if not is_team_header(pair[0])]
+        if dispatch.team and dispatch.relay is None:
+            headers.append((TEAM_HEADER, dispatch.team))
     headers.append((DEADLINE_HEADER, str(int(dispatch.remaining_s * MS_PER_S))))
     headers.append((TARGET_INSTANCE_HEADER, dispatch.endpoint.name))
     if head.prompt is not None:
@@ -140,6 +156,11 @@
     return headers
 
 
+def is_team_header(name: str) -> bool:
+    """Return whether a header holds, or may be taken for, a key or the name of a team."""
+    return name.lower().replace("_", "-") in TEAM_HEADERS
+
+
 def parse_response_head(status: int, headers: Iterable[tuple[str, str]]) -> ResponseHead:
     """Parse the head of an endpoint's response.
 
