--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -110,6 +110,7 @@
         """
         endpoint = self.standin
         headers = {name.lower(): value for name, value in self.headers.items()}
+        endpoint.heads.append(str(self.headers))
         endpoint.record_request(self.command, self.path, headers, body)
         request_id = headers.get("x-request-id", "")
         if headers.get("x-target-instance") != endpoint.name:
@@ -268,6 +269,8 @@
         Version by loaded adapter.
     requests : list
         Method, path, headers and body of each caller's request that arrived.
+    heads : list
+        Header lines of each caller's request that arrived, as text.
     faults : list
         Faults of the next requests, one for each, in order. "full": rejected as not executed.
         "full-twice": the same, with a second response on the same connection.
@@ -313,6 +316,7 @@
         self.latest_version = 1
         self.adapters: dict[str, int] = {}
         self.requests: list[tuple[str, str, dict, bytes]] = []
+        self.heads: list[str] = []
         self.accepted_orders: list[dict] = []
         self.faults: list[str] = []
         self.order_faults: list[str] = []
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -366,7 +366,9 @@
     assert received == messages.LinksChanged(True)
 
 
-@pytest.mark.parametrize("terms", [RelayTerms(7), RelayTerms(7, 1, "v2"), RelayTerms(0, 2, "")])
+@pytest.mark.parametrize(
+    "terms", [RelayTerms(7), RelayTerms(7, 1, "v2"), RelayTerms(0, 2, "", "a team, or two")]
+)
 def test_terms_survive_their_headers(terms):
     headers = relay_headers.build_request_headers(terms)
     assert relay_headers.parse_request_headers([("X-Own", "1"), *headers]) == terms
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -182,6 +182,7 @@
 
 
 LAST_ROUTE = "routes", 3
+TEAM = {"name": "survey", "apiKeys": ["k1"]}
 ENGINE = "services", 0, "engine"
 # What a part of a configuration cannot be, by its path.
 INVALID_PARTS = {
@@ -203,6 +204,22 @@
         [{"service": "desk", "weight": 0}, {"service": "annex", "weight": 0}],
         [{"service": "desk", "weight": 1}, {"service": "annex", "weight": -1}],
     ),
+    (*LAST_ROUTE, "anonymous"): ("no", 0, []),
+    ("tenants",): (
+        *({}, "x", 7, True, [None], [{"name": "survey"}], [{"apiKeys": []}]),
+        *(
+            [TEAM | {"name": name}]
+            for name in (None, 7, "", " a", "a ", "a\nb", "\u00fc", "a" * 513)
+        ),
+        *([TEAM | {"apiKeys": keys}] for keys in (None, "k1", {}, [None], [7], [["k1"]])),
+        *([TEAM | {"apiKeys": [key]}] for key in ("", " k", "k\t", "a\nb", "\u00fc", "k" * 513)),
+        *([TEAM | {"priority": value}] for value in ("1", -1, 1.5, True)),
+        *([TEAM | {"ratePerS": value}] for value in ("1", -1, -0.5, 1e300, True, [])),
+        *([TEAM | {"burst": value}] for value in ("1", -1, 1e300)),
+        *([TEAM | {"plainTokens": value}] for value in ("1", -1, 0.5)),
+        [TEAM, TEAM | {"name": "crew"}],
+        [TEAM, TEAM | {"apiKeys": ["k2"]}],
+    ),
     ("services",): (None, {}, "x", [None]),
     ("services", 1, "name"): (None, 7, []),
     ENGINE: (7, [], "x"),
@@ -232,6 +249,12 @@
         [{"service": "desk", "weight": 0.5}, {"service": "annex", "weight": 0}],
     ),
     (*LAST_ROUTE, "unknown"): ({"a": [None]},),
+    (*LAST_ROUTE, "anonymous"): (None, True, False),
+    ("tenants",): (
+        *(None, [], [TEAM]),
+        *([TEAM | {"apiKeys": keys}] for keys in ([], ["k1", "k1"], ["k, 1"], ["k" * 512])),
+        [TEAM | {"priority": None, "unit": [7], "plainTokens": None, "ratePerS": 0, "burst": 0.5}],
+    ),
     ("services", 1, "healthPath"): (None, 7),
     ENGINE: (None, {}),
     (*ENGINE, "models"): (None, []),
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,11 +1,18 @@
-"""Headers of endpoints' responses, as the platform sends them."""
+"""Headers of requests and of endpoints' responses, as the platform sends them."""
 
 import math
 
 import pytest
 
-from poplarhoist.decisions.gateway.models import PrefixSegment
-from poplarhoist.platform.headers import parse_request_head, parse_response_head
+from poplarhoist.decisions.gateway.effects import Dispatch
+from poplarhoist.decisions.gateway.models import PrefixSegment, RelayTerms
+from poplarhoist.platform.headers import (
+    build_request_headers,
+    parse_request_head,
+    parse_response_head,
+)
+from poplarhoist.platform.keys import digest_of
+from tests.gateway import plain_endpoint
 
 UNREADABLE_S = 1.0
 
@@ -96,3 +103,63 @@
 def test_deadline_that_is_no_number_is_left_to_the_route(text, seconds):
     """One that is not a number was taken for a deadline that has passed."""
     assert parse_request_head([("X-Deadline-Ms", text)]).deadline_s == seconds
+
+
+# Values of the lines with a key, and the key that they are read as; None for none.
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        (["k1"], "k1"),
+        ([" \tk1 \t"], "k1"),
+        (["k1", "k2"], "k1"),
+        (["k1,k2"], "k1,k2"),
+        (["K1"], "K1"),
+        (["k" * 512], "k" * 512),
+        ([], None),
+        ([""], None),
+        (["  "], None),
+        (["k" * 513], None),
+        (["k\xfc"], None),
+        (["k\udc80"], None),
+        (["k1\x00"], None),
+        (["\xa0k1"], None),
+    ],
+)
+@pytest.mark.parametrize("name", ["Api-Key", "api-key", "API-KEY"])
+@pytest.mark.parametrize("more", [[], [("Connection", "close, API-Key ")]])
+def test_key_is_read_as_a_digest(values, key, name, more):
+    """Named in the Connection header, or in another case, it was not seen or not counted."""
+    head = parse_request_head([*more, *((name, value) for value in values)])
+    assert head.key_lines == len(values)
+    assert head.key_digest == (digest_of(key) if key is not None else b"")
+    assert len(head.key_digest) == (16 if key is not None else 0)
+    assert key is None or key not in repr(head)
+
+
+CALLER_HEADERS = [
+    ("API-KEY", "k1"),
+    ("api-key", "k2"),
+    ("X-Own", "kept"),
+    ("x-tenant", "other"),
+    ("X-TENANT", "another"),
+    ("X_Tenant", "third"),
+    ("Api_Key", "k3"),
+]
+
+
+# What the dispatch says of the team, whether an entry passes the request on, and what is left.
+@pytest.mark.parametrize(
+    ("team", "relay", "expected"),
+    [
+        (None, None, CALLER_HEADERS),
+        (None, RelayTerms(1), CALLER_HEADERS),
+        ("", None, [("X-Own", "kept")]),
+        ("survey", None, [("X-Own", "kept"), ("X-Tenant", "survey")]),
+        ("survey", RelayTerms(1, team="survey"), [("X-Own", "kept")]),
+    ],
+)
+def test_headers_for_key_and_team_are_forwarded_only_without_teams(team, relay, expected):
+    dispatch = Dispatch("1", 1, plain_endpoint(1), 1.0, 0, False, relay=relay, team=team)
+    headers = build_request_headers(parse_request_head(CALLER_HEADERS), dispatch, "")
+    own = ("X-Deadline-Ms", "X-Target-Instance")
+    assert [pair for pair in headers if pair[0] not in own] == expected
