--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -182,9 +182,10 @@
             raise ValueError(f"two teams have the name {team.name[:30]!r}")
         by_name[team.name] = team
         team_keys = data["apiKeys"]
-        if type(team_keys) is not list or not all(map(keys.is_key, team_keys)):
+        digests = list(map(keys.digest_of, team_keys)) if type(team_keys) is list else [b""]
+        if b"" in digests:
             raise ValueError(f"team {team.name[:30]!r} has a key that cannot be sent")
-        for digest in map(keys.digest_of, team_keys):
+        for digest in digests:
             if by_digest.setdefault(digest, team) is not team:
                 names = f"{by_digest[digest].name[:30]!r} and {team.name[:30]!r}"
                 raise ValueError(f"teams {names} have the same key")
--- a/poplarhoist/platform/keys.py
+++ b/poplarhoist/platform/keys.py
@@ -22,8 +22,8 @@
     )
 
 
-def digest_of(text: str) -> bytes:
-    """Return the digest of a key; empty if the text cannot be a key."""
+def digest_of(text: object) -> bytes:
+    """Return the digest of a key; empty if a value cannot be a key."""
     if not is_key(text):
         return b""
     return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES, key=SECRET).digest()
--- a/tests/test_gateway_teams.py
+++ b/tests/test_gateway_teams.py
@@ -1,5 +1,6 @@
 """Teams: whose a request is, what endpoints are told of it, and which request goes first."""
 
+import orjson
 import pytest
 from attrs import evolve
 from structlog.testing import capture_logs
@@ -15,6 +16,7 @@
     Team,
     TeamDirectory,
 )
+from poplarhoist.gateway.callers import RequestHandler
 from poplarhoist.platform.documents import decode_configuration
 from poplarhoist.platform.store import ObjectStore
 from tests import platform_standins
@@ -197,6 +199,26 @@
         assert pending.priority == expected
 
 
+@pytest.mark.parametrize(
+    ("reason", "retry_after_s", "status", "told"),
+    [
+        (Refused.UNKNOWN_KEY, 0.0, "401 Unauthorized", None),
+        (Refused.QUOTA, 1.231, "429 Too Many Requests", "1.24"),
+        (Refused.QUOTA, 0.001, "429 Too Many Requests", "0.01"),
+        (Refused.LIMITED, 1.231, "503 Service Unavailable", "1.23"),
+    ],
+)
+def test_refusal_says_why_and_when_to_come_back(reason, retry_after_s, status, told):
+    """A time that is rounded down brings the caller back before its quota has room."""
+    handler, answers = RequestHandler.__new__(RequestHandler), []
+    handler.is_relay = False
+    handler.start_response = lambda *answer: answers.append(answer)
+    body = handler.refuse(fx.Refuse("1", reason, False, retry_after_s))
+    ((line, headers),) = answers
+    assert (line, dict(headers).get("Retry-After")) == (status, told)
+    assert orjson.loads(b"".join(body)) == {"error": str(reason), "ran": False}
+
+
 def test_refusals_are_counted_for_a_bounded_number_of_teams():
     """Each label value costs memory for good, and a configuration may bring ever new names."""
     teams = [Team(f"t{number}") for number in range(40)]
