A quota without a unit counts requests

The decoder took a missing unit for tokens, so that a quota of 5 requests a second would have refused nearly all requests. The users' page gives rates in requests unless the unit says tokens.

--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -44,7 +44,8 @@
     "streaming": RouteKind.STREAM,
 }
 ENDPOINT_STATES = ("ready", "draining")
-# Units of quotas. A quota without a unit, or with one that is not known, counts tokens.
+# Units of quotas. A quota without a unit counts requests; one with an unknown unit counts tokens, the
+# stricter reading.
 TOKEN_UNIT, REQUEST_UNIT = "token_count", "request"
 KNOWN_UNITS = (None, TOKEN_UNIT, REQUEST_UNIT)
 MAX_LOGGED_UNIT_CHARACTERS = 40
@@ -217,7 +218,7 @@
     terms = QuotaTerms(
         rate_per_s=to_quantity(present(data, "ratePerS", 0.0)),
         burst=to_quantity(present(data, "burst", 0.0)),
-        counts_tokens=data.get("unit") != REQUEST_UNIT,
+        counts_tokens=data.get("unit") not in (None, REQUEST_UNIT),
         plain_tokens=to_whole(present(data, "plainTokens", 0)),
     )
     return terms if terms.rate_per_s else None
