Gateway: keep connections to endpoints for what may run twice

With "pool" in the settings' contracts, connections of whole responses are kept and reused by repeatable requests and reports. Off by default.

--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -24,6 +24,8 @@
         Version of the adapter that the endpoint must have; 0 for any.
     relay : RelayTerms or None
         What the entry must keep to that passes the request on; None if it goes to an endpoint.
+    may_reuse : bool
+        Whether the request may be sent over a kept connection.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     stream: bool
     version: int = 0
     relay: RelayTerms | None = None
+    may_reuse: bool = False
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -190,6 +190,8 @@
     NOT_RUN: the endpoint says that it did not run the request.
     FAILED: the endpoint responded with an error that has not been passed on.
     BROKEN: the connection broke off, or the response did not belong to this request.
+    STALE: a kept connection ended before the first byte of the response. The request may have run;
+    it says nothing of the endpoint, which may close idle connections at any time.
     TIMED_OUT: the deadline passed.
     CANCELLED: the caller disconnected.
     """
@@ -199,6 +201,7 @@
     NOT_RUN = "not-run"
     FAILED = "failed"
     BROKEN = "broken"
+    STALE = "stale-connection"
     TIMED_OUT = "timed-out"
     CANCELLED = "cancelled"
 
@@ -286,12 +289,15 @@
         Bytes of an event that had not ended when the reading stopped.
     connection_reset : bool
         Whether the endpoint reset the connection.
+    connection_reused : bool
+        Whether the attempt was sent over a kept connection.
     """
 
     framing: Framing = Framing.NONE
     received_bytes: int = 0
     partial_event_bytes: int = 0
     connection_reset: bool = False
+    connection_reused: bool = False
 
     def log_fields(self) -> dict[str, object]:
         """Return the log fields that tell how the body ended."""
@@ -300,6 +306,7 @@
             "body_bytes": self.received_bytes,
             "partial_event_bytes": self.partial_event_bytes,
             "connection_reset": self.connection_reset,
+            "reused": self.connection_reused,
         }
 
 
@@ -333,6 +340,14 @@
     body_end: BodyEnd = BodyEnd()
     notice: EndpointNotice | None = None
 
+    @property
+    def says_busy(self) -> bool:
+        """Whether an endpoint that did not run the request says that it has no time or room."""
+        notice = self.notice
+        return notice is not None and (
+            notice.retry_after_s is not None or notice.bears_per_s is not None
+        )
+
 
 @frozen
 class CallerDisconnected:
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -27,6 +27,8 @@
     engines_check_epochs : bool
         Whether engines reject orders that carry the epoch of an earlier lead, as the site's
         settings state. No decision depends on it; a new lead waits for `lease_s` in either case.
+    keep_connections : bool
+        Whether connections to endpoints are kept for what may run twice.
     """
 
     stop_grace_s: float = 8.0
@@ -36,6 +38,7 @@
     lease_s: float = 3.0
     version_deadline_s: float = 5.0
     engines_check_epochs: bool = True
+    keep_connections: bool = False
 
 
 # Factor on the retry budget; the rest covers entries that do not see each other and so divide the
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -109,11 +109,14 @@
         None for a plain service without adapters.
     health_path : str
         Path at which its endpoints tell their health.
+    max_connections : int
+        Connections that an endpoint takes from all entries together; 0 if unknown.
     """
 
     name: str
     engine: EngineProfile | None = None
     health_path: str = "/health"
+    max_connections: int = 0
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -6,6 +6,7 @@
 from poplarhoist.decisions.gateway import (
     adapter_asks,
     brittle,
+    connection_reuse,
     crashes,
     endpoints,
     links,
@@ -251,6 +252,7 @@
             priority=request.route.priority,
             stream=request.route.kind == "stream",
             version=version,
+            may_reuse=connection_reuse.may_reuse(state, request, at),
         )
     )
     fields = {
@@ -414,7 +416,7 @@
         links.on_answered(state, request.attempt_sent_at, event.at, effects)
     elif event.outcome is Outcome.NOT_SENT:
         links.on_failed(state, request.endpoint_name, request.attempt_sent_at, event.at, effects)
-    elif request.attempt_started_at is None:
+    elif request.attempt_started_at is None and event.outcome is not Outcome.STALE:
         links.on_unanswered(state, request.endpoint_name, request.attempt_sent_at)
     if event.notice is not None:
         apply_notice(state, request, event.notice, event.at, effects)
@@ -442,7 +444,11 @@
             )
         )
         request.stage = Stage.WAITING
-        place_request(state, request, event.at, effects)
+        same_endpoint = connection_reuse.find_endpoint_again(state, request, event)
+        if same_endpoint is not None:
+            dispatch(state, request, same_endpoint, event.at, effects)
+        else:
+            place_request(state, request, event.at, effects)
         return
     end_failed_request(state, request, event, effects)
 
@@ -506,7 +512,7 @@
             request.avoided_endpoints.add(request.endpoint_name)
             if not brittle.explains_fall(endpoint, event.at):
                 crashes.on_attempt_broken(state, request, endpoint, event, effects)
-        case Outcome.NOT_RUN if is_turned_away and says_busy(event):
+        case Outcome.NOT_RUN if is_turned_away and event.says_busy:
             # It is busy, which says nothing of its adapters.
             request.avoided_endpoints.add(request.endpoint_name)
         case Outcome.NOT_RUN if key is not None and key.adapter:
@@ -515,14 +521,6 @@
             request.avoided_endpoints.add(request.endpoint_name)
 
 
-def says_busy(event: AttemptEnded) -> bool:
-    """Return whether an endpoint that did not run a request says that it has no time or room."""
-    notice = event.notice
-    return notice is not None and (
-        notice.retry_after_s is not None or notice.bears_per_s is not None
-    )
-
-
 def may_retry(
     state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
 ) -> bool:
--- a/poplarhoist/decisions/gateway/retry_budget.py
+++ b/poplarhoist/decisions/gateway/retry_budget.py
@@ -32,15 +32,20 @@
     drop_expired(requests, at - state.limits.retry_window_s)
 
 
-def try_spend_retry(state: GatewayState, service: str, at: float) -> bool:
-    """Spend one retry; return False if this entry's part is used up in the current window."""
+def may_spend_retry(state: GatewayState, service: str, at: float) -> bool:
+    """Return whether a retry is left of this entry's part in the current window."""
     window = retry_window(state, service)
     oldest = at - state.limits.retry_window_s
     drop_expired(window.requests, oldest)
     drop_expired(window.retries, oldest)
     slack = state.limits.retry_slack / max(1, len(state.entries))
     allowed = RETRY_BUDGET_SAFETY_FACTOR * (state.limits.retry_ratio * len(window.requests) + slack)
-    if len(window.retries) + 1 > allowed:
+    return len(window.retries) + 1 <= allowed
+
+
+def try_spend_retry(state: GatewayState, service: str, at: float) -> bool:
+    """Spend one retry; return False if this entry's part is used up in the current window."""
+    if not may_spend_retry(state, service, at):
         return False
-    window.retries.append(at)
+    retry_window(state, service).retries.append(at)
     return True
--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -64,25 +64,39 @@
     """Reads from a socket; a reset raises an error.
 
     eventlet's sockets return a reset as the end of the data, like a close in order.
+
+    Attributes
+    ----------
+    received_bytes : int
+        Bytes read so far.
+    is_stopped : bool
+        Whether nothing more is to be read, so that only what is buffered above is left.
     """
 
     def __init__(self, sock) -> None:
         self.sock = sock
         self.raw = sock.makefile("rb", buffering=0)
+        self.received_bytes = 0
+        self.is_stopped = False
 
     def readable(self) -> bool:
         """Return that this object can be read from."""
         return True
 
-    def readinto(self, buffer) -> int:
+    def readinto(self, buffer) -> int | None:
         """Read into a buffer; return the number of bytes, 0 at the end of the connection.
 
+        Once it is stopped it returns None, which stands for "nothing now".
+
         Raises
         ------
         ConnectionResetError
             If the connection ended with a reset.
         """
+        if self.is_stopped:
+            return None
         count = self.raw.readinto(buffer)
+        self.received_bytes += count or 0
         if not count and was_reset(self.sock):
             raise ConnectionResetError("connection was reset")
         return count
@@ -103,9 +117,13 @@
     ----------
     line_bytes : int
         Bytes of lines since data was last read that is no line.
+    leftover_bytes : int
+        Bytes that had been read from the connection when the response was closed, and belong to
+        nothing before.
     """
 
     line_bytes = 0
+    leftover_bytes = 0
 
     def read(self, size: int = -1) -> bytes:
         """Return `size` bytes, or fewer at the end; all that are left if it is negative."""
@@ -135,6 +153,13 @@
             raise RemoteDisconnected("connection ended within a line of the response")
         return line
 
+    def close(self) -> None:
+        """Close the reader, and count what it has read beyond the response."""
+        if not self.closed:
+            self.raw.is_stopped = True
+            self.leftover_bytes = len(self.peek())
+        super().close()
+
 
 class StrictResponse(HTTPResponse):
     """A response that is read through `ResponseReader`, and whose lengths are checked.
@@ -142,12 +167,18 @@
     http.client takes all that `int` accepts for a length or a size, and a length that is none for
     a body that ends with the connection. So a response could be cut, or parts of its framing be
     taken for its body, without a trace.
+
+    Attributes
+    ----------
+    source, reader : SocketReader, ResponseReader
+        Tell how much was received, also once the response is closed.
     """
 
     def __init__(self, sock, *args, **options) -> None:
         super().__init__(sock, *args, **options)
         self.fp.close()
-        self.fp = ResponseReader(SocketReader(sock))
+        self.source = SocketReader(sock)
+        self.fp = self.reader = ResponseReader(self.source)
 
     def begin(self) -> None:
         """Read the head.
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -39,6 +39,9 @@
     "links_changed": ("Losses and returns of this entry's links to endpoints", ("change",)),
     "relayed": ("Requests that other entries were to pass on", ()),
     "lead_silent": ("Leads of engines that did not answer", ()),
+    "connection_opened": ("New connections to endpoints", ("purpose",)),
+    "connection_reused": ("Uses of kept connections to endpoints", ("purpose",)),
+    "connection_dropped": ("Connections to endpoints not kept, or no longer", ("reason",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -18,12 +18,19 @@
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
+from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
 from poplarhoist.gateway.interfaces import Dialect, Headers
+from poplarhoist.gateway.request_bodies import (
+    JSON_CONTENT_TYPE,
+    BadRequest,
+    json_error,
+    read_body,
+    status_line,
+)
 
 # WSGI environ key of the connection's protocol object.
 PROTOCOL_KEY = "poplarhoist.protocol"
-JSON_CONTENT_TYPE = ("Content-Type", "application/json")
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
     Refused.NO_ROUTE: HTTPStatus.NOT_FOUND,
@@ -55,8 +62,13 @@
     request_numbers = itertools.count(1)
 
     def __init__(
-        self, decision_loop: DecisionLoop, dialect: Dialect, is_relay: bool = False
+        self,
+        decision_loop: DecisionLoop,
+        dialect: Dialect,
+        is_relay: bool = False,
+        pool: ConnectionPool | None = None,
     ) -> None:
+        self.pool = pool
         self.decision_loop = decision_loop
         self.dialect = dialect
         self.is_relay = is_relay
@@ -173,6 +185,7 @@
 
     def __init__(self, app: CallerApplication, environ, start_response, request) -> None:
         self.decision_loop = app.decision_loop
+        self.pool = app.pool
         self.dialect = app.dialect
         self.is_relay = app.is_relay
         self.start_response = start_response
@@ -235,7 +248,7 @@
 
     def new_exchange(self, effect: fx.Dispatch) -> Exchange:
         """Create the exchange of an attempt and make it the one that a disconnect cancels."""
-        exchange = Exchange(self.decision_loop, self.dialect, self.request, effect)
+        exchange = Exchange(self.decision_loop, self.dialect, self.request, effect, self.pool)
         exchange.cancelled = self.caller_disconnected
         self.last_exchange = exchange
         self.request.active_exchange = exchange
@@ -432,68 +445,3 @@
             exchange.result.outcome = ev.Outcome.CANCELLED
             self.handler.submit_attempt_ended(exchange)
         self.handler.finish()
-
-
-class BadRequest(Exception):
-    """A request cannot be read.
-
-    Attributes
-    ----------
-    status : HTTPStatus
-        Status of the error response.
-    step : str
-        What could not be read.
-    """
-
-    def __init__(self, status: HTTPStatus, message: str, step: str = "body") -> None:
-        super().__init__(message)
-        self.status = status
-        self.step = step
-
-
-def read_body(environ: dict, limits: CallerLimits) -> bytes:
-    """Return the whole body of a request.
-
-    Raises
-    ------
-    BadRequest
-        If it is larger than the limit, does not arrive in time, is cut off, or is shorter than its
-        Content-Length.
-    """
-    length = environ.get("CONTENT_LENGTH") or ""
-    if length.isdigit() and int(length) > limits.max_body_bytes:
-        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-    body_stream = environ["wsgi.input"]
-    try:
-        body = body_stream.read(limits.max_body_bytes + 1) if announces_body(environ) else b""
-    except TimeoutError as error:
-        message = "request body not received in time"
-        raise BadRequest(HTTPStatus.REQUEST_TIMEOUT, message) from error
-    except (OSError, ValueError) as error:
-        raise BadRequest(HTTPStatus.BAD_REQUEST, f"request body incomplete: {error}") from error
-    if len(body) > limits.max_body_bytes:
-        raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
-    if length.isdigit() and len(body) != int(length):
-        raise BadRequest(HTTPStatus.BAD_REQUEST, "body shorter than announced")
-    return body
-
-
-def announces_body(environ: dict) -> bool:
-    """Return whether the headers announce a body, by Content-Length or Transfer-Encoding."""
-    return bool(environ.get("CONTENT_LENGTH")) or "HTTP_TRANSFER_ENCODING" in environ
-
-
-def json_error(
-    start_response: Callable, status: int, message: str, headers: Iterable[tuple[str, str]] = ()
-) -> list[bytes]:
-    """Start an error response of the gateway and return its JSON body."""
-    start_response(status_line(status), [JSON_CONTENT_TYPE, *headers])
-    return [orjson.dumps({"error": message})]
-
-
-def status_line(status: int) -> str:
-    """Return code and reason phrase; codes that are not registered get the phrase "Status"."""
-    try:
-        return f"{status} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Status"
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -21,7 +21,9 @@
     request_once,
 )
 from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.gateway.connections import ConnectionPool, Purpose
 from poplarhoist.gateway.interfaces import Dialect
+from poplarhoist.gateway.report_calls import get_over_kept
 from poplarhoist.gateway.sockets import socket_options
 
 # Seconds until a request for a report counts as unanswered. An engine responds within milliseconds;
@@ -36,15 +38,27 @@
 
 
 class EngineClient:
-    """Calls engines and probes endpoints, each in a green thread and over a new connection.
+    """Calls engines and probes endpoints, each in a green thread.
+
+    Orders and probes go over new connections: an order must be carried out at most once, and a probe
+    is to find out whether connections can be made. Reports may go over kept ones.
 
     Attributes
     ----------
     holder : str
         Identity of this entry as lead, which each order carries.
+    pool : ConnectionPool or None
+        None to make a new connection for each call.
     """
 
-    def __init__(self, decision_loop: DecisionLoop, dialect: Dialect, holder: str) -> None:
+    def __init__(
+        self,
+        decision_loop: DecisionLoop,
+        dialect: Dialect,
+        holder: str,
+        pool: ConnectionPool | None = None,
+    ) -> None:
+        self.pool = pool
         self.decision_loop = decision_loop
         self.dialect = dialect
         self.holder = holder
@@ -69,9 +83,12 @@
         headers,
         body: bytes | None,
         timeout_s: float = CALL_TIMEOUT_S,
+        purpose: Purpose = Purpose.REPORT,
     ) -> tuple[int, bytes]:
         """Make an HTTP call to an engine and return the status and body of the response.
 
+        The connection is a new one.
+
         If the head of the response says that the engine is stopping, that is submitted at once.
 
         Raises
@@ -80,22 +97,25 @@
             If no whole response arrived in time.
         """
 
-        def check_leaving(response_headers) -> None:
-            if self.dialect.says_leaving(response_headers.items()):
-                self.submit_leaving(record)
-
+        if self.pool is not None:
+            self.pool.count_opened(purpose)
         return request_once(
             method,
             f"http://{record.host}:{record.port}{path}",
             RESPONSE_TIMEOUT_S,
             MAX_RESPONSE_BYTES,
-            check_leaving,
+            lambda response_headers: self.check_leaving(record, response_headers),
             socket_options(timeout_s),
             body=body,
             headers=dict(headers),
             timeout=Timeout(total=timeout_s),
         )
 
+    def check_leaving(self, record: EndpointRecord, response_headers) -> None:
+        """Submit it if the head of a response says that its engine is stopping."""
+        if self.dialect.says_leaving(response_headers.items()):
+            self.submit_leaving(record)
+
     def submit_leaving(self, record: EndpointRecord) -> None:
         """Submit that an engine has said that it is stopping."""
         self.decision_loop.submit(
@@ -112,7 +132,7 @@
         detail = ""
         try:
             code, answer = self.request(
-                effect.engine, "POST", path, headers, body, effect.timeout_s
+                effect.engine, "POST", path, headers, body, effect.timeout_s, Purpose.ORDER
             )
             status = self.dialect.order_status_of(code)
             detail = f"{code} {answer[:100]!r}"
@@ -139,14 +159,33 @@
             If the report cannot be decoded.
         """
         headers = self.dialect.build_report_headers(record)
-        code, body = self.request(record, "GET", self.dialect.report_path(), headers, None)
-        if code != HTTPStatus.OK:
-            return code, None
-        report = self.dialect.decode_report(body)
-        if report.draining:
+        path = self.dialect.report_path()
+        if self.pool is not None and self.pool.is_in_force:
+            code, report = get_over_kept(
+                self.pool,
+                record,
+                path,
+                headers,
+                CALL_TIMEOUT_S,
+                lambda response_headers: self.check_leaving(record, response_headers),
+                self.decode_response,
+            )
+        else:
+            code, report = self.decode_response(*self.request(record, "GET", path, headers, None))
+        if report is not None and report.draining:
             self.submit_leaving(record)
         return code, report
 
+    def decode_response(self, code: int, body: bytes) -> tuple[int, EngineReport | None]:
+        """Return the status of a response, and the report if that is 200.
+
+        Raises
+        ------
+        ValueError
+            If the report cannot be decoded.
+        """
+        return code, self.dialect.decode_report(body) if code == HTTPStatus.OK else None
+
     def read_report(self, effect: ReadReport) -> None:
         """Read an engine's report and submit it; None if it did not arrive or cannot be decoded."""
         asked_at = self.decision_loop.event_time()
@@ -190,7 +229,7 @@
         path = effect.health_path or self.dialect.report_path()
         headers = self.dialect.build_report_headers(record)
         try:
-            self.request(record, "GET", path, headers, None, PROBE_TIMEOUT_S)
+            self.request(record, "GET", path, headers, None, PROBE_TIMEOUT_S, Purpose.PROBE)
         except HTTPError as error:
             detail = type(error).__name__
         structlog.get_logger().info("endpoint-probed", endpoint=record.name, failure=detail)
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -1,12 +1,9 @@
-"""One attempt to run a request at an endpoint, over a new connection.
+"""One attempt to run a request at an endpoint, over a new connection or a kept one.
 
-With a new connection for each attempt, a request that was not sent can be distinguished from one
-that may have run, and a late response to another request cannot be mistaken for the response to
-this one.
+A response names the request that it answers, so that a late one to an earlier request on a kept
+connection is not mistaken for the response to this one.
 """
 
-import contextlib
-import socket
 from collections.abc import Iterator
 from http.client import HTTPException
 
@@ -16,6 +13,7 @@
 from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
 from urllib3.util import SKIP_HEADER
 
+from poplarhoist.decisions.gateway.connection_reuse import Drop
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import (
     BodyEnd,
@@ -31,16 +29,13 @@
     NoContinuation,
     find_last_event_id,
 )
-from poplarhoist.entry.http import READ_CHUNK_BYTES, BodyTooLong, StrictConnection
+from poplarhoist.entry.http import READ_CHUNK_BYTES, BodyTooLong
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
+from poplarhoist.gateway.attempt_connection import AttemptConnection
+from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
-from poplarhoist.gateway.sockets import reset_on_close, socket_options
 
-# Seconds to connect; TCP retransmits a lost SYN after one second.
-CONNECT_TIMEOUT_S = 1.2
-# Seconds that sent bytes may stay unacknowledged before the endpoint counts as lost.
-TCP_USER_TIMEOUT_S = 2.0
 # Bytes of a response that are held before any are passed on: a plain body, a failure, or one event.
 # 64 of them at once take a quarter of what an entry may grow by. What has been passed on cannot be
 # sent again to another endpoint, and usual bodies have less than a hundredth of this.
@@ -98,22 +93,13 @@
     connection_refused: bool = False
 
 
-class Exchange:
+class Exchange(AttemptConnection):
     """Sends a request to an endpoint, or an entry that passes it on, and reads the response.
 
     Attributes
     ----------
-    deadline_at : float
-        Monotonic time at which the attempt times out.
     result : AttemptResult
         BROKEN until the response head is accepted; a later failure replaces it.
-    sock : socket or None
-        The connection's socket. urllib3 hands the socket over to a response that is delimited by
-        the close of the connection, so it is kept here.
-    cancelled : bool
-        Whether the caller disconnected.
-    expired : bool
-        Whether the deadline has passed.
     response_started : bool
         Whether ResponseStarted was submitted.
     received_bytes, partial_event_bytes : int
@@ -128,34 +114,18 @@
         dialect: Dialect,
         request: CallerRequest,
         dispatch: Dispatch,
+        pool: ConnectionPool | None = None,
     ):
-        self.decision_loop = decision_loop
+        super().__init__(decision_loop, dispatch, pool)
         self.dialect = dialect
         self.request = request
-        self.dispatch = dispatch
-        self.deadline_at = decision_loop.event_time() + dispatch.remaining_s
         self.result = AttemptResult(Outcome.BROKEN)
         self.response_head: ResponseHead | None = None
-        self.response = None
-        self.connection = StrictConnection(
-            dispatch.endpoint.host,
-            dispatch.endpoint.port,
-            timeout=min(CONNECT_TIMEOUT_S, dispatch.remaining_s),
-            socket_options=socket_options(TCP_USER_TIMEOUT_S),
-        )
-        self.sock: socket.socket | None = None
-        self.cancelled = False
-        self.expired = False
-        self.expiry = None
         self.response_started = False
         self.received_bytes = 0
         self.partial_event_bytes = 0
         self.connection_reset = False
 
-    def remaining_s(self) -> float:
-        """Return the seconds until the deadline; at least one millisecond."""
-        return max(0.001, self.deadline_at - self.decision_loop.event_time())
-
     def start(self) -> bool:
         """Send the request and check the response head; return whether the body is to be read."""
         if not self.connect():
@@ -176,7 +146,7 @@
         """
         try:
             if not self.cancelled:
-                self.connection.connect()
+                self.open(self.request.head.caller_request_id)
         except (HTTPError, OSError) as error:
             outcome = Outcome.CANCELLED if self.cancelled else Outcome.NOT_SENT
             refused = isinstance(error, NewConnectionError) and isinstance(
@@ -187,10 +157,7 @@
         if self.cancelled:
             self.result = AttemptResult(Outcome.CANCELLED, "caller left")
             return False
-        # urllib3 takes the socket off the connection if the response is delimited by its close.
-        self.sock = self.connection.sock
-        self.expiry = eventlet.spawn_after(self.remaining_s(), self.expire)
-        self.set_read_timeout()
+        self.begin()
         return True
 
     def send(self) -> None:
@@ -239,26 +206,24 @@
         except HTTPException as error:
             raise ProtocolError("no response head", error) from error
 
-    def set_read_timeout(self) -> None:
-        """Let the next read last until the deadline; there is no shorter timeout for silence."""
-        # urllib3 applies the connection's timeout to the socket before it reads a response head.
-        self.connection.timeout = self.remaining_s()
-        self.sock.settimeout(self.connection.timeout)
-
     def record_failure(self, error: Exception) -> None:
         """Set the result of an attempt whose response did not arrive completely.
 
         The outcome is CANCELLED if the caller disconnected, else TIMED_OUT if at most 5 ms remain
-        until the deadline, else BROKEN.
+        until the deadline, STALE if a kept connection ended before it brought a byte, else BROKEN.
         """
         if self.cancelled:
             outcome = Outcome.CANCELLED
         elif self.expired or self.decision_loop.event_time() >= self.deadline_at - 0.005:
             outcome = Outcome.TIMED_OUT
         else:
-            outcome = Outcome.BROKEN
+            outcome = Outcome.STALE if self.is_unanswered_reuse() else Outcome.BROKEN
         # urllib3 wraps the error that tells how the connection failed.
         cause = error.__cause__ or error
+        if outcome is Outcome.STALE and not isinstance(cause, TimeoutError):
+            self.drop_others(Drop.STALE)
+        elif outcome in (Outcome.STALE, Outcome.TIMED_OUT) and self.is_unanswered_reuse():
+            self.drop_others(Drop.SILENT)
         self.connection_reset = type(cause) is ConnectionResetError
         self.result = AttemptResult(outcome, type(cause).__name__)
 
@@ -446,45 +411,20 @@
     def body_end(self) -> BodyEnd:
         """Return how far the body of the response was read."""
         return BodyEnd(
-            self.framing(), self.received_bytes, self.partial_event_bytes, self.connection_reset
+            self.framing(),
+            self.received_bytes,
+            self.partial_event_bytes,
+            self.connection_reset,
+            self.is_reused,
         )
 
-    def cancel(self) -> None:
-        """Cut the connection, so that the endpoint stops its work."""
-        self.cancelled = True
-        self.cut_connection()
-
-    def expire(self) -> None:
-        """End the attempt at its deadline, however small the parts that still arrive in time."""
-        self.expired = True
-        self.cut_connection()
-
-    def cut_connection(self) -> None:
-        """Shut the connection down, and let its close reset it.
-
-        The green thread that reads the response sees the end of the connection and closes it. Two
-        green threads must not close the same connection. After a shutdown the kernel no longer
-        tells the endpoint that bytes were read; without the reset, an endpoint that is blocked in a
-        write might not notice the close.
-        """
-        if self.sock is not None:
-            # Fails if the socket is closed already.
-            with contextlib.suppress(OSError):
-                reset_on_close(self.sock)
-        self.shutdown_socket()
-
-    def shutdown_socket(self) -> None:
-        """Shut the socket down in both directions."""
-        if self.sock is not None:
-            # Fails if the endpoint has already closed or reset the connection.
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
-
     def close(self) -> None:
-        """Shut down and close the connection and the response; called by the thread that reads."""
+        """Keep the connection, or close it and the response; called by the thread that reads."""
+        if self.is_given_back:
+            return
         if self.expiry is not None:
             self.expiry.cancel()
-        self.shutdown_socket()
-        if self.response is not None:
-            self.response.close()
-        self.connection.close()
+        is_answer = self.result.outcome in (Outcome.DONE, Outcome.FAILED)
+        request_id = self.request.head.caller_request_id
+        if not self.give_back(is_answer, bool(self.request.body), request_id):
+            self.disconnect()
--- a/poplarhoist/gateway/logs.py
+++ b/poplarhoist/gateway/logs.py
@@ -29,6 +29,7 @@
     "message-failed",
     "watch-failed",
     "record-failed",
+    "sweep-failed",
 )
 # Log events that count toward the limit for failures; "again" is a retry after a failed attempt.
 FAILURE_EVENTS = frozenset(("refused", "again", *FAULT_EVENTS))
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -26,6 +26,7 @@
 from poplarhoist.entry.protocol import StrictProtocol
 from poplarhoist.entry.server_log import ServerLog
 from poplarhoist.gateway.callers import PROTOCOL_KEY, CallerApplication, StreamBroken
+from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.copies import COPIES_PATH, respond_with_copy
 from poplarhoist.gateway.engines import EngineClient
 from poplarhoist.gateway.interfaces import Dialect, Store
@@ -147,7 +148,7 @@
             zone=settings.zone,
             regions=settings.regions,
             random=random.Random(),
-            limits=settings.bounds.to_limits(),
+            limits=settings.to_limits(),
             is_first_start=settings.first_start,
             started_at=clock.monotonic(),
         )
@@ -160,7 +161,10 @@
         )
         self.decision_loop.set_handler(Stop, lambda effect: eventlet.spawn_n(self.signal_stopped))
         self.store_watcher = StoreWatcher(self.decision_loop, store)
-        self.engine_client = EngineClient(self.decision_loop, dialect, leads.own_holder_id(state))
+        self.connection_pool = ConnectionPool(self.decision_loop)
+        self.engine_client = EngineClient(
+            self.decision_loop, dialect, leads.own_holder_id(state), self.connection_pool
+        )
         self.peer_transport = PeerTransport(
             self.decision_loop, settings.host, settings.listen.inner_port
         )
@@ -186,6 +190,7 @@
         self.serve_status(Address(host, listen.inner_port), "listen.inner_port")
         eventlet.spawn(self.peer_transport.run)
         eventlet.spawn(self.decision_loop.run_ticks, ev.Tick, TICK_INTERVAL_S)
+        eventlet.spawn(self.connection_pool.run)
         self.store_watcher.start(
             self.settings.name,
             self.settings.zone,
@@ -203,7 +208,7 @@
         thread = eventlet.spawn(
             eventlet.wsgi.server,
             stoppable,
-            CallerApplication(self.decision_loop, self.dialect, is_relay),
+            CallerApplication(self.decision_loop, self.dialect, is_relay, self.connection_pool),
             log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
@@ -254,7 +259,7 @@
                 self.decision_loop.log.error("settings-not-read", error=str(error))
             return
         self.decision_loop.submit(
-            ev.LimitsChanged(self.decision_loop.event_time(), settings.bounds.to_limits())
+            ev.LimitsChanged(self.decision_loop.event_time(), settings.to_limits())
         )
 
     def drain(self) -> None:
@@ -297,5 +302,6 @@
         # The settings may have changed since the process read them at its start.
         self.reload()
         self.stopped.wait()
+        self.connection_pool.close()
         structlog.get_logger().info("entry-stopped", entry=self.settings.name)
         self.log.flush()
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -2,13 +2,15 @@
 
 from pathlib import Path
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.settings.addresses import MAX_PORT, describe_shared, is_port
 from poplarhoist.settings.files import load_file, settings_errors
 
 S_PER_MS = 0.001
+# Name in `contracts` with which a site asks for kept connections to endpoints.
+POOL_CONTRACT = "pool"
 
 
 @frozen
@@ -116,6 +118,8 @@
         Region by availability zone.
     first_start : bool
         Whether the whole site starts for the first time, so that no engine has had a lead yet.
+    contracts : list
+        Names of what the site has agreed to; those that this version does not know have no effect.
     """
 
     name: str
@@ -126,6 +130,11 @@
     bounds: LimitSettings = field(factory=LimitSettings)
     regions: dict[str, str] = field(factory=dict)
     first_start: bool = False
+    contracts: list[str] = field(factory=list)
+
+    def to_limits(self) -> GatewayLimits:
+        """Return the limits for the decision loop."""
+        return evolve(self.bounds.to_limits(), keep_connections=POOL_CONTRACT in self.contracts)
 
 
 def load_settings(path: Path) -> GatewaySettings:
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -211,11 +211,26 @@
 def decode_service(data: dict) -> ServiceSpec:
     """Decode a service; its engine profile is None for a plain service."""
     engine = to_instance(dict, present(data, "engine", {}))
-    spec = ServiceSpec(to_text(data["name"]), decode_engine_profile(engine) if engine else None)
+    spec = ServiceSpec(
+        to_text(data["name"]),
+        decode_engine_profile(engine) if engine else None,
+        max_connections=decode_max_connections(data.get("maxConns")),
+    )
     health_path = data.get("healthPath")
     return evolve(spec, health_path=health_path) if isinstance(health_path, str) else spec
 
 
+def decode_max_connections(value: object) -> int:
+    """Return the connections that an endpoint takes; 0 for a value that cannot be read.
+
+    Such a value costs connections, so it need not keep the configuration from coming into force.
+    """
+    try:
+        return to_whole(value)
+    except ValueError:
+        return 0
+
+
 def decode_engine_profile(data: dict) -> EngineProfile:
     """Decode what each engine of a service offers: slots, memory and base models."""
     models = [
