--- a/poplarhoist/gateway/attempt_connection.py
+++ b/poplarhoist/gateway/attempt_connection.py
@@ -105,10 +105,10 @@
         """Return whether a kept connection has not brought a byte of the response."""
         return self.is_reused and not self.connection.has_received
 
-    def drop_others(self, reason: Drop) -> None:
-        """Close the other kept connections to the endpoint: they may be in the same state."""
+    def report_reuse_failed(self, is_silent: bool) -> None:
+        """Tell the pool that a kept connection brought nothing."""
         if self.pool is not None:
-            self.pool.drop_endpoint(self.dispatch.endpoint.name, reason)
+            self.pool.on_failed(self.connection, Drop.SILENT if is_silent else Drop.STALE)
 
     def cancel(self) -> None:
         """Cut the connection, so that the endpoint stops its work."""
--- a/poplarhoist/gateway/connections.py
+++ b/poplarhoist/gateway/connections.py
@@ -212,27 +212,42 @@
         """Return the number of idle connections."""
         return sum(map(len, self.idle_by_endpoint.values()))
 
+    def on_failed(self, connection: EndpointConnection, reason: Drop) -> None:
+        """Apply that a connection failed its use, and close the idle ones to the same endpoint.
+
+        They may be in the same state. Its user closes the failed one.
+        """
+        idle = self.idle_by_endpoint.pop(connection.record.name, [])
+        self.close_all(idle)
+        self.record_drop(connection.record, reason, len(idle) + 1)
+
     def drop_endpoint(self, name: str, reason: Drop) -> None:
         """Close all idle connections to an endpoint."""
         self.drop(self.idle_by_endpoint.pop(name, []), reason)
 
     def drop(self, connections: list[EndpointConnection], reason: Drop) -> None:
         """Close connections that are not in the pool any more, and count and log that."""
-        if not connections:
-            return
+        if connections:
+            self.close_all(connections)
+            self.record_drop(connections[0].record, reason, len(connections))
+
+    def close_all(self, connections: list[EndpointConnection]) -> None:
+        """Close connections."""
         for connection in connections:
             # Fails if the endpoint has reset it.
             with contextlib.suppress(OSError):
                 connection.close()
-        self.decision_loop.metrics.count("connection_dropped", (reason,), len(connections))
+
+    def record_drop(self, record: EndpointRecord, reason: Drop, count: int) -> None:
+        """Count connections that are not kept any more, and log what says something of endpoints."""
+        self.decision_loop.metrics.count("connection_dropped", (reason,), count)
         if reason in LOGGED_REASONS:
-            record = connections[0].record
             self.decision_loop.log.info(
                 "connections-dropped",
                 endpoint=record.name,
                 incarnation=record.incarnation,
                 reason=reason,
-                count=len(connections),
+                count=count,
             )
 
     def sweep(self) -> None:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -13,7 +13,6 @@
 from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
 from urllib3.util import SKIP_HEADER
 
-from poplarhoist.decisions.gateway.connection_reuse import Drop
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import (
     BodyEnd,
@@ -220,10 +219,10 @@
             outcome = Outcome.STALE if self.is_unanswered_reuse() else Outcome.BROKEN
         # urllib3 wraps the error that tells how the connection failed.
         cause = error.__cause__ or error
-        if outcome is Outcome.STALE and not isinstance(cause, TimeoutError):
-            self.drop_others(Drop.STALE)
-        elif outcome in (Outcome.STALE, Outcome.TIMED_OUT) and self.is_unanswered_reuse():
-            self.drop_others(Drop.SILENT)
+        if outcome is not Outcome.CANCELLED and self.is_unanswered_reuse():
+            # The kernel's own timeout of unacknowledged bytes raises TimeoutError, too.
+            is_silent = outcome is Outcome.TIMED_OUT or isinstance(cause, TimeoutError)
+            self.report_reuse_failed(is_silent)
         self.connection_reset = type(cause) is ConnectionResetError
         self.result = AttemptResult(outcome, type(cause).__name__)
 
--- a/poplarhoist/gateway/report_calls.py
+++ b/poplarhoist/gateway/report_calls.py
@@ -61,16 +61,16 @@
         If the report cannot be decoded.
     """
     clock = pool.decision_loop.event_time
-    ends_at = clock() + timeout_s
+    began_at = clock()
     kept = pool.take(record, Purpose.REPORT, KEPT_SHARE * timeout_s)
     if kept is not None:
         with contextlib.suppress(HTTPError, ValueError):
             decoded = call(pool, kept, path, headers, KEPT_SHARE * timeout_s, on_head, decode)
             if decoded[0] == HTTPStatus.OK:
                 return decoded
-        # The others may be in the same state.
-        pool.drop_endpoint(record.name, Drop.STALE if kept.has_received else Drop.SILENT)
-    remaining_s = max(0.001, ends_at - clock())
+        is_silent = not kept.has_received and clock() - began_at >= KEPT_SHARE * timeout_s
+        pool.on_failed(kept, Drop.SILENT if is_silent else Drop.STALE)
+    remaining_s = max(0.001, began_at + timeout_s - clock())
     connection = EndpointConnection(record, remaining_s, timeout_s)
     pool.count_opened(Purpose.REPORT)
     return call(pool, connection, path, headers, remaining_s, on_head, decode)
@@ -103,10 +103,7 @@
             on_head(response.headers)
             body = read_bounded(response, MAX_RESPONSE_BYTES)
         decoded = decode(response.status, body)
-        is_report = decoded[1] is not None and decoded[1].incarnation in (
-            0,
-            connection.record.incarnation,
-        )
+        is_report = decoded[1] is not None and is_same_run(connection.record, decoded[1])
         is_kept = pool.put(connection, describe_end(connection, response, is_report))
         return decoded
     except (HTTPException, OSError) as error:
@@ -114,3 +111,8 @@
     finally:
         if not is_kept:
             connection.close()
+
+
+def is_same_run(record: EndpointRecord, report: EngineReport) -> bool:
+    """Return whether a report may be that of a run; a run of unknown start may be any."""
+    return 0 in (record.incarnation, report.incarnation) or record.incarnation == report.incarnation
