--- a/poplarhoist/decisions/gateway/endpoint_state.py
+++ b/poplarhoist/decisions/gateway/endpoint_state.py
@@ -7,6 +7,7 @@
 
 from poplarhoist.decisions.gateway.messages import Use, View
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
+from poplarhoist.decisions.gateway.paces import PaceState
 
 
 @define
@@ -121,6 +122,8 @@
         Limit on its requests that the endpoint names.
     brittle : BrittleState
         Whether it falls over if it turns requests away, and the room there.
+    pace : PaceState
+        How long work takes there, if it tells that.
     is_leaving : bool
         Whether this run of the endpoint is stopping and takes no new requests.
     paused_until : float
@@ -153,6 +156,7 @@
     warm_adapters: dict[AdapterKey, None] = field(factory=dict)
     limit: LimitState = field(factory=LimitState)
     brittle: BrittleState = field(factory=BrittleState)
+    pace: PaceState = field(factory=PaceState)
     is_leaving: bool = False
     paused_until: float = float("-inf")
     checked_at: float = float("-inf")
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -34,6 +34,7 @@
 )
 from poplarhoist.decisions.gateway.messages import EndpointLeaving
 from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord
+from poplarhoist.decisions.gateway.paces import PaceState
 from poplarhoist.decisions.gateway.request_state import RequestState
 from poplarhoist.decisions.gateway.state import GatewayState
 
@@ -289,6 +290,7 @@
     endpoint.error_rate = 0.0
     endpoint.limit = LimitState()
     endpoint.brittle = BrittleState()
+    endpoint.pace = PaceState()
     endpoint.paused_until = float("-inf")
 
 
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -11,6 +11,7 @@
 from poplarhoist.decisions.gateway.messages import Crashed, Message
 from poplarhoist.decisions.gateway.models import (
     Configuration,
+    EndpointLoad,
     EndpointRecord,
     EngineReport,
     Prompt,
@@ -217,11 +218,14 @@
     bears_per_s : float or None
         Requests that the endpoint, which is brittle, bears to turn away in a second; None if it is
         not.
+    load : EndpointLoad
+        What the endpoint says of its load.
     """
 
     requests_per_s: float | None = None
     retry_after_s: float | None = None
     bears_per_s: float | None = None
+    load: EndpointLoad = EndpointLoad()
 
 
 @frozen
@@ -245,8 +249,6 @@
 
     Attributes
     ----------
-    running, waiting : int
-        Requests at the endpoint according to the response; -1 if it does not say.
     notice : EndpointNotice
         What the head of the response says of the endpoint.
     """
@@ -254,8 +256,6 @@
     at: float
     request_id: str
     attempt: int
-    running: int = -1
-    waiting: int = -1
     notice: EndpointNotice = EndpointNotice()
 
 
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -234,6 +234,26 @@
     software_version: str = ""
 
 
+@frozen
+class EndpointLoad:
+    """What an endpoint says of its load in a response.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests that run and that wait at the endpoint; -1 if unknown.
+    slots : int
+        Requests that the endpoint runs at once; 0 if unknown.
+    pace : float or None
+        How long work takes there now, in multiples of what is usual; None if unknown.
+    """
+
+    running: int = -1
+    waiting: int = -1
+    slots: int = 0
+    pace: float | None = None
+
+
 @frozen
 class EngineReport:
     """An engine's answer to a request for its state; the state is some hundred milliseconds old.
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from poplarhoist.decisions.gateway.models import Prompt, Route, Team
+from poplarhoist.decisions.gateway.paces import Forecast
 
 
 class Stage(enum.StrEnum):
@@ -56,6 +57,8 @@
         When the first byte of the response to the latest attempt arrived; None before.
     attempt_software : str
         Software version of the endpoint of the latest attempt.
+    forecast : Forecast or None
+        What is expected of the latest attempt; None unless its engine tells its pace.
     software_version : str or None
         Software version that began the stream, at which alone it may go on; None for any.
     origin_asked_at : float or None
@@ -100,6 +103,7 @@
     attempt_incarnation: int = 0
     attempt_started_at: float | None = None
     attempt_software: str = ""
+    forecast: Forecast | None = None
     software_version: str | None = None
     origin_asked_at: float | None = None
     origin_asked: set[str] = field(factory=set)
@@ -116,6 +120,7 @@
         self.stage = Stage.RUNNING
         self.attempt += 1
         self.attempt_started_at = None
+        self.forecast = None
         self.attempt_sent_at = at
         self.endpoint_name = endpoint_name
         self.attempt_incarnation = incarnation
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -8,6 +8,7 @@
     brittle,
     crashes,
     endpoints,
+    expected_waits,
     links,
     pauses,
     relays,
@@ -234,10 +235,7 @@
     prompt = request.prompt
     if prompt is not None:
         version = routing.expected_version(state, endpoint, prompt.key, at)
-        endpoint.prefill_tokens_by_request[request.request_id] = routing.uncached_prompt_tokens(
-            endpoint, prompt, at
-        )
-        routing.record_sent_segments(endpoint, prompt, at)
+        routing.record_sent(endpoint, request, at)
         endpoint.in_flight_by_adapter[prompt.key] = (
             endpoint.in_flight_by_adapter.get(prompt.key, 0) + 1
         )
@@ -264,8 +262,7 @@
         "trial": request.is_trial,
         "for_entry": request.is_relayed,
         "waited_s": round(at - request.arrived_at, 4),
-        "backlog_s": round(routing.backlog_s(endpoint, at), 4),
-        "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
+        **routing.backlog_log_fields(endpoint, at),
     }
     if prompt is not None:
         fields |= {
@@ -375,9 +372,7 @@
     if endpoint is None:
         return
     endpoint.prefill_tokens_by_request.pop(request.request_id, None)
-    if event.running >= 0:
-        endpoint.reported_load = event.running + max(0, event.waiting)
-        endpoint.load_reported_at = event.at
+    expected_waits.record_load(endpoint, event.notice.load, event.at)
     if request.prompt is not None:
         key = request.prompt.key
         endpoint.unreported_answered.add(key)
@@ -396,6 +391,7 @@
     sent_at = request.attempt_sent_at
     request_limits.on_notice(state, endpoint, notice.requests_per_s, sent_at, at, effects)
     brittle.on_notice(state, endpoint, notice.bears_per_s, sent_at, at, effects)
+    expected_waits.on_load(state, endpoint, notice.load, at, effects)
 
 
 def on_attempt_ended(state: GatewayState, event: AttemptEnded, effects: list) -> None:
@@ -485,6 +481,7 @@
     by the request from now on. After NOT_RUN of a request with an adapter, only the adapter is
     recorded as absent.
     """
+    expected_waits.on_result(state, request, endpoint, event)
     key = request.prompt.key if request.prompt is not None else None
     is_turned_away = event.outcome is Outcome.NOT_RUN and event.status == 503
     if is_turned_away:
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -13,6 +13,7 @@
 
 from attrs import frozen
 
+from poplarhoist.decisions.gateway import expected_waits, paces
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.endpoints import usable_endpoints
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
@@ -57,6 +58,8 @@
 PREFERRED_RANK_COST_S = 0.3
 # Penalty of a fetch at any other engine.
 COLD_COST_S = 1.15
+# Penalty of an engine that has told that it is full; a fetch at another engine is preferred to it.
+FULL_COST_S = COLD_COST_S + 0.5
 # Number of preferred engines of an adapter; with two, the less busy one can be chosen.
 PREFERRED_ENGINE_COUNT = 2
 # Engines of an adapter's ranking that are considered besides those that hold or held it; the least
@@ -155,6 +158,20 @@
         del endpoint.segment_sent_at[next(iter(endpoint.segment_sent_at))]
 
 
+def record_sent(endpoint: EndpointState, request: RequestState, at: float) -> None:
+    """Record a model request that is sent to an engine, among its requests in flight already."""
+    prompt = request.prompt
+    uncached_tokens = uncached_prompt_tokens(endpoint, prompt, at)
+    if endpoint.pace.is_told:
+        tokens, in_flight = backlog(endpoint, at)
+        request.forecast = paces.Forecast(
+            prefill_s(tokens) + prefill_s(uncached_tokens),
+            (in_flight - 1) * LATENCY_S_PER_RUNNING_REQUEST,
+        )
+    endpoint.prefill_tokens_by_request[request.request_id] = uncached_tokens
+    record_sent_segments(endpoint, prompt, at)
+
+
 def prefill_s(tokens: int) -> float:
     """Return the prefill time of a prompt in seconds.
 
@@ -163,8 +180,8 @@
     return tokens / PREFILL_TOKENS_PER_S + ATTENTION_S_PER_TOKEN_PAIR * tokens * tokens
 
 
-def backlog_s(endpoint: EndpointState, at: float) -> float:
-    """Return how many seconds a new request would wait at an engine before its prefill.
+def backlog(endpoint: EndpointState, at: float) -> tuple[int, int]:
+    """Return the prompt tokens and the requests before a new request at an engine.
 
     The requests of other entries are taken from the lead's latest View, less what this entry had
     reported to the lead itself.
@@ -182,18 +199,36 @@
         )
     if at - endpoint.load_reported_at < LOAD_REPORT_FRESH_S:
         in_flight = max(in_flight, endpoint.reported_load)
-    return prefill_s(prefill_tokens) + in_flight * LATENCY_S_PER_RUNNING_REQUEST
+    return prefill_tokens, in_flight
+
+
+def backlog_s(endpoint: EndpointState, at: float) -> float:
+    """Return how many seconds a new request would wait at an engine before its prefill."""
+    tokens, in_flight = backlog(endpoint, at)
+    latency_s = in_flight * LATENCY_S_PER_RUNNING_REQUEST
+    return paces.engine_s(endpoint.pace, prefill_s(tokens), latency_s, at)
+
+
+def backlog_log_fields(endpoint: EndpointState, at: float) -> dict[str, object]:
+    """Return log fields with what is believed of the queue and the pace of an endpoint."""
+    return {
+        "backlog_s": round(backlog_s(endpoint, at), 4),
+        "view_age_s": round(min(at - endpoint.lead_view_at, 999.0), 2),
+        **paces.log_fields(endpoint.pace, at),
+    }
 
 
 def cost_s(state: GatewayState, endpoint: EndpointState, prompt: Prompt, at: float) -> float:
     """Return the expected seconds to the first byte at an engine that holds the adapter.
 
-    Includes a penalty for the engine's error rate.
+    Includes penalties for the engine's error rate, and for an engine that is full.
     """
     own_prefill_s = prefill_s(uncached_prompt_tokens(endpoint, prompt, at))
+    own_prefill_s = paces.engine_s(endpoint.pace, own_prefill_s, 0.0, at)
     error_cost_s = endpoint.error_rate * ERROR_COST_S
     crossing_s = cross_region_s(state, endpoint.record.zone)
-    return backlog_s(endpoint, at) + own_prefill_s + crossing_s + error_cost_s
+    full_cost_s = FULL_COST_S if paces.is_full(endpoint.pace, at) else 0.0
+    return backlog_s(endpoint, at) + own_prefill_s + crossing_s + error_cost_s + full_cost_s
 
 
 def choose_engine(state: GatewayState, request: RequestState, at: float) -> Choice | None:
@@ -271,7 +306,8 @@
 def slot_wait_s(state: GatewayState, endpoint: EndpointState) -> float:
     """Return how many seconds an adapter would wait for a slot at an engine without a free one."""
     excess_demands = max(0, -endpoint.lead_view.room) if endpoint.lead_view is not None else 0
-    return SLOT_WAIT_S * (1 + count_asks_since_view(state, endpoint) + excess_demands)
+    wait_s = SLOT_WAIT_S * (1 + count_asks_since_view(state, endpoint) + excess_demands)
+    return wait_s * paces.factor(endpoint.pace, state.last_event_at)
 
 
 def headroom_log_fields(state: GatewayState, request: RequestState, at: float) -> dict[str, object]:
@@ -322,10 +358,15 @@
 def choose_plain_endpoint(
     state: GatewayState, request: RequestState, at: float
 ) -> EndpointState | None:
-    """Return the least loaded endpoint of a plain service, at random among equals; None if none."""
+    """Return the least loaded endpoint of a plain service, at random among equals; None if none.
+
+    Where endpoints tell their pace, one is drawn by the expected waits.
+    """
     candidates = usable_endpoints(state, request, at)
     if not candidates:
         return None
+    if any(endpoint.pace.is_told for endpoint in candidates):
+        return expected_waits.choose_plain(state, candidates, at)
     entries = max(1, len(state.entries))
 
     def effective_load(endpoint: EndpointState) -> float:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -12,11 +12,8 @@
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
-from poplarhoist.decisions.gateway.models import (
-    AdapterKey,
-    Configuration,
-    Route,
-)
+from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
+from poplarhoist.decisions.gateway.paces import ServicePace
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.request_state import RequestState
 
@@ -452,6 +449,8 @@
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
         When the latest endpoint of a software version was removed, by service and version.
+    service_paces : dict
+        What was learned of the services whose endpoints tell their pace.
     last_event_at : float
         Time of the latest event; infinity before the first.
     store_lost_at : float
@@ -507,6 +506,7 @@
     crash_records: CrashRecords = field(factory=CrashRecords)
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
+    service_paces: dict[str, ServicePace] = field(factory=dict)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -36,6 +36,7 @@
     "suspect_refused": ("Requests' contents and parts found to crash engines", ("kind",)),
     "order_ended": ("Orders to engines ended", ("status",)),
     "endpoint_brittle": ("Endpoints that became brittle, or sound again", ("change",)),
+    "endpoint_told_full": ("Responses of endpoints that are full", ("kind",)),
     "links_changed": ("Losses and returns of this entry's links to endpoints", ("change",)),
     "relayed": ("Requests that other entries were to pass on", ()),
     "lead_silent": ("Leads of engines that did not answer", ()),
@@ -45,6 +46,7 @@
 HISTOGRAMS = {
     "request_seconds": ("Time from a request's arrival to its end", ("kind", "outcome")),
     "first_byte_seconds": ("Time from a request's arrival to the first byte", ("kind",)),
+    "endpoint_pace": ("Work time at endpoints, in multiples of the usual one", ("kind",)),
     "wait_seconds": ("Time from a request's arrival to its first attempt", ("kind",)),
 }
 # Latency targets of the known deployments are between 0.3 s and 1 s, limits between 1.5 s and 15 s.
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -322,8 +322,6 @@
             self.decision_loop.event_time(),
             self.dispatch.request_id,
             self.dispatch.attempt,
-            self.response_head.running,
-            self.response_head.waiting,
             self.response_head.notice,
         )
         self.decision_loop.submit(event)
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -64,10 +64,8 @@
         Headers that are returned to the caller.
     has_seal : bool
         Whether the endpoint sent the seal, the header with which it signs a response.
-    running, waiting : int
-        Requests that run and wait at the endpoint; -1 if the response does not say.
     notice : EndpointNotice
-        What else the endpoint says of itself.
+        What the endpoint says of its load, and of what it takes.
     is_leaving : bool
         Whether the endpoint says that it is stopping.
     """
@@ -76,8 +74,6 @@
     not_run: bool
     returned_headers: Headers
     has_seal: bool = False
-    running: int = -1
-    waiting: int = -1
     notice: EndpointNotice = EndpointNotice()
     is_leaving: bool = False
 
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -9,7 +9,12 @@
 
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import EndpointNotice
-from poplarhoist.decisions.gateway.models import AdapterKey, PrefixSegment, Prompt
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    EndpointLoad,
+    PrefixSegment,
+    Prompt,
+)
 from poplarhoist.gateway.interfaces import Headers, RequestHead, ResponseHead
 
 MS_PER_S = 1000.0
@@ -55,6 +60,9 @@
 UNREADABLE_PAUSE_S = 1.0
 # Whole numbers that are read; others cannot be reckoned with.
 COUNT = re.compile(r"[0-9]{1,9}", re.ASCII)
+# Figures of an endpoint's load that are read, and the largest that can be meant.
+LOAD_FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+MAX_LOAD_FIGURE = 100_000
 # Priorities go from 0, the most urgent, to this.
 LOWEST_PRIORITY = 9
 
@@ -153,17 +161,13 @@
         value_by_name.setdefault(name.lower(), value)
         if name.lower() not in HOP_BY_HOP_HEADERS or name.lower() == "content-length":
             returned_headers.append((name, value))
-    # X-Server-Load: running requests, waiting requests, slots.
-    load = [parse_int(part) for part in value_by_name.get("x-server-load", "").split(",")]
-    has_load = len(load) == 3
     return ResponseHead(
         caller_request_id=value_by_name.get("x-request-id", ""),
         not_run="x-not-executed" in value_by_name or status == 421,
         returned_headers=returned_headers,
         has_seal="x-response-seal" in value_by_name,
-        running=load[0] if has_load else -1,
-        waiting=load[1] if has_load else -1,
         notice=EndpointNotice(
+            load=parse_load(value_by_name.get("x-server-load", "")),
             requests_per_s=parse_limit(value_by_name.get("server-limit")),
             retry_after_s=parse_pause(status, value_by_name.get("retry-after")),
             bears_per_s=parse_brittle(value_by_name.get("server-brittle")),
@@ -172,6 +176,21 @@
     )
 
 
+def parse_load(text: str) -> EndpointLoad:
+    """Parse X-Server-Load: running requests, waiting requests, slots, and the pace in percent.
+
+    Figures may be missing, and what follows the fourth is ignored. A figure that is no number from
+    0 to `MAX_LOAD_FIGURE` is unknown, and so is a pace of 0; the others count nevertheless.
+    """
+    parts = [part.strip() for part in text.split(",")[:4]]
+    figures = [float(part) if LOAD_FIGURE.fullmatch(part) else -1.0 for part in parts]
+    figures = [figure if figure <= MAX_LOAD_FIGURE else -1.0 for figure in figures]
+    running, waiting, slots, pace = figures + [-1.0] * (4 - len(figures))
+    return EndpointLoad(
+        int(running), int(waiting), max(0, int(slots)), pace / 100.0 if pace > 0.0 else None
+    )
+
+
 def parse_limit(text: str | None) -> float | None:
     """Parse a limit in requests a second; None if there is none, or if it is no number from 0 on."""
     if text is None:
