--- a/poplarhoist/decisions/gateway/expected_waits.py
+++ b/poplarhoist/decisions/gateway/expected_waits.py
@@ -23,7 +23,7 @@
 # Seconds in which a told load comes near to the usual one: some work times of a plain service.
 LOAD_FADES_S = 0.5
 # Exponent of the expected wait in the likelihood of an endpoint.
-SHARPNESS = 3.0
+SHARPNESS = 5.0
 # Seconds added to the wait for an endpoint with an error rate of 1.
 ERROR_WAIT_S = 1.2
 # Wait added for an endpoint of another zone of the region, in usual work times: bytes between zones
--- a/poplarhoist/decisions/gateway/paces.py
+++ b/poplarhoist/decisions/gateway/paces.py
@@ -30,7 +30,7 @@
 # time than most requests.
 PRESENT_PRIOR = 4.0
 BASE_PRIOR = 2.0
-RESULT_PRIOR = 3.0
+RESULT_PRIOR = 2.0
 # Bounds of a reading or a result against what is usual, so that a stray one does not decide alone.
 MIN_SAMPLE = 0.1
 MAX_SAMPLE = 10.0
@@ -45,6 +45,9 @@
 # Weight of the constants in `limits` beside these results, in squared seconds: that of ten requests
 # for which 0.2 s were expected.
 ENGINE_PRIOR_S2 = 10 * 0.2**2
+# Longest known queue, as a share of a request's own prefill, with which its result still counts. A
+# queue is known poorly: with it, a trial of queued engines learned a third of the time they take.
+MAX_QUEUE_SHARE = 0.25
 # Bounds of what engines take against these constants.
 MIN_ENGINE_RATIO = 0.25
 MAX_ENGINE_RATIO = 4.0
@@ -123,12 +126,15 @@
     Attributes
     ----------
     prefill_s : float
-        Prefill of its own prompt and of those before it.
+        Prefill of its own prompt.
+    queue_s : float
+        Prefill of the prompts before it, as far as this entry knows of them.
     latency_s : float
         What the running requests add.
     """
 
     prefill_s: float
+    queue_s: float
     latency_s: float
 
 
@@ -253,13 +259,12 @@
 def record_engine_result(pace: PaceState, forecast: Forecast, result_s: float, at: float) -> None:
     """Learn from the seconds that a request to an engine took until its first event."""
     service = pace.service
-    expected_s = engine_s(pace, forecast.prefill_s, forecast.latency_s, at)
-    if service is None or expected_s <= 0.0:
+    if service is None or forecast.queue_s > MAX_QUEUE_SHARE * forecast.prefill_s:
         return
+    expected_s = engine_s(pace, forecast.prefill_s, forecast.latency_s, at)
     # The ratios of the service are those of an engine of usual pace.
     service.engine_times.add(forecast, result_s / factor(pace, at), at)
-    present = factor(pace, at) / result_factor(pace, at)
-    record_ratio(pace, result_s, expected_s / factor(pace, at) * present, at)
+    record_ratio(pace, result_s, expected_s / result_factor(pace, at), at)
 
 
 def record_ratio(pace: PaceState, result_s: float, expected_s: float, at: float) -> None:
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -165,7 +165,8 @@
     if endpoint.pace.is_told:
         tokens, in_flight = backlog(endpoint, at)
         request.forecast = paces.Forecast(
-            prefill_s(tokens) + prefill_s(uncached_tokens),
+            prefill_s(uncached_tokens),
+            prefill_s(tokens),
             (in_flight - 1) * LATENCY_S_PER_RUNNING_REQUEST,
         )
     endpoint.prefill_tokens_by_request[request.request_id] = uncached_tokens
--- a/tests/gateway_load.py
+++ b/tests/gateway_load.py
@@ -15,7 +15,13 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.models import AdapterKey, EngineReport, PrefixSegment, Prompt
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    EndpointLoad,
+    EngineReport,
+    PrefixSegment,
+    Prompt,
+)
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.reducer import reduce
 from poplarhoist.decisions.gateway.state import GatewayState
@@ -48,10 +54,13 @@
         Largest number of adapters that were held or loading at once.
     refused_loads : int
         Load orders refused because too many loads were running.
+    speed : float
+        Divides the times of prefill and decode steps.
     """
 
     name: str
     zone: str
+    speed: float = 1.0
     held: set[AdapterKey] = field(factory=set)
     loading: set[AdapterKey] = field(factory=set)
     warm: set[AdapterKey] = field(factory=set)
@@ -115,6 +124,8 @@
     late_order_share, lost_answer_share : float
         Share of orders that get no answer and reach the engine seconds later, and of those that are
         carried out at once without an answer.
+    tells_pace : bool or None
+        Whether engines tell their load with their pace, or without; None if they tell no load.
     callers_return : bool
         Whether a caller that is refused comes back once, when it is told to.
     """
@@ -124,6 +135,7 @@
     ) -> None:
         self.late_order_share = self.lost_answer_share = 0.0
         self.callers_return = False
+        self.tells_pace: bool | None = None
         self.random = random.Random(seed)
         self.fetches_at_once = fetches_at_once
         self.at = 0.0
@@ -281,8 +293,11 @@
                 uncached_tokens += part.tokens
                 simulated.cached_segments.add((prompt.key, part.name))
         begins_at = max(self.at, simulated.prefill_until)
-        simulated.prefill_until = begins_at + uncached_tokens / PREFILL_TOKENS_PER_S
+        simulated.prefill_until = begins_at + uncached_tokens / (
+            PREFILL_TOKENS_PER_S * simulated.speed
+        )
         step_s = DECODE_STEP_S + STEP_S_PER_REQUEST * len(simulated.in_flight)
+        step_s /= simulated.speed
         first_s = simulated.prefill_until - self.at + step_s
         self.schedule(first_s + delay_s, self.send_first_byte, name, dispatch)
         duration_s = first_s + request.output_tokens * step_s
@@ -294,12 +309,18 @@
         request = self.requests[dispatch.request_id]
         request.first_byte_after_s = self.at - request.sent_at
         fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
+        if self.tells_pace is not None:
+            simulated = self.engines[dispatch.endpoint.name]
+            pace = 1.0 / simulated.speed if self.tells_pace else None
+            load = EndpointLoad(len(simulated.in_flight), 0, 64, pace)
+            fields["notice"] = ev.EndpointNotice(load=load)
         self.submit(name, ev.ResponseStarted, **fields)
 
     def end_attempt(self, name: str, dispatch: fx.Dispatch, outcome: ev.Outcome) -> None:
         """Submit the end of an attempt to an entry."""
         fields = {"request_id": dispatch.request_id, "attempt": dispatch.attempt}
-        self.submit(name, ev.AttemptEnded, outcome=outcome, **fields)
+        status = 200 if outcome is ev.Outcome.DONE else 404
+        self.submit(name, ev.AttemptEnded, outcome=outcome, status=status, **fields)
 
     def generate_requests(self, seconds: float, per_s: float, adapters: int, skew: float) -> None:
         """Schedule requests whose adapters have a power-law popularity by rank."""
