--- a/poplarhoist/decisions/gateway/paces.py
+++ b/poplarhoist/decisions/gateway/paces.py
@@ -29,7 +29,7 @@
 # Weights of the priors, in samples. A reading says little of the present pace, as it lasts for less
 # time than most requests.
 PRESENT_PRIOR = 4.0
-BASE_PRIOR = 2.0
+BASE_PRIOR = 4.0
 RESULT_PRIOR = 2.0
 # Bounds of a reading or a result against what is usual, so that a stray one does not decide alone.
 MIN_SAMPLE = 0.1
--- a/tests/gateway_load.py
+++ b/tests/gateway_load.py
@@ -126,6 +126,8 @@
         carried out at once without an answer.
     tells_pace : bool or None
         Whether engines tell their load with their pace, or without; None if they tell no load.
+    choices : list
+        Endpoints that requests were sent to, in order.
     callers_return : bool
         Whether a caller that is refused comes back once, when it is told to.
     """
@@ -142,6 +144,7 @@
         self.queue: list = []
         self.order = itertools.count()
         self.requests: dict[str, SimulatedRequest] = {}
+        self.choices: list[str] = []
         self.engines = {
             f"e{n}": SimulatedEngine(f"e{n}", ZONES[n % len(ZONES)]) for n in range(engines)
         }
@@ -205,6 +208,7 @@
             case fx.ReadReport():
                 self.schedule(REPORT_DELAY_S, self.send_report, name, effect.engine.name)
             case fx.Dispatch():
+                self.choices.append(effect.endpoint.name)
                 delay_s = self.one_way_delay_s(zone, self.engines[effect.endpoint.name].zone)
                 self.schedule(delay_s, self.start_request, name, effect, delay_s)
             case fx.Refuse():
