--- a/poplarhoist/decisions/gateway/adapter_asks.py
+++ b/poplarhoist/decisions/gateway/adapter_asks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from poplarhoist.decisions.common_effects import Count
-from poplarhoist.decisions.gateway import endpoints, leads, teams
+from poplarhoist.decisions.gateway import endpoints, leads, slot_search, teams
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.leads import interval_factor
@@ -37,6 +37,7 @@
     """
     key = request.prompt.key
     request.asked_engine = engine
+    request.asked_engines.add(engine)
     request.asked_at = at
     request.adapter_ready_at = float("inf")
     existing = state.pending_asks.get((engine, key))
@@ -93,13 +94,15 @@
     effects.append(SendPeer(lead, message))
 
 
-def withdraw_request(state: GatewayState, request: RequestState) -> None:
+def withdraw_request(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
     """Remove a request from its pending Ask, which ends with its last request."""
     pending = state.pending_asks.get((request.asked_engine, request.prompt.key))
     if pending is not None:
         pending.waiters.discard(request.request_id)
         if not pending.waiters:
             del state.pending_asks[pending.engine, pending.key]
+            if request.adapter_ready_at == float("inf"):
+                slot_search.withdraw_ask(state, pending, at, effects)
     request.asked_engine = ""
     request.adapter_ready_at = float("inf")
 
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -32,6 +32,15 @@
     waited_s: float = 0.0
 
 
+@frozen
+class AskWithdrawn:
+    """Tells the lead of an engine that no request of the sender waits for an adapter there any more."""
+
+    engine: str
+    model: str
+    adapter: str
+
+
 @frozen
 class View:
     """State of an engine, sent by its lead.
@@ -275,6 +284,7 @@
 
 Message = (
     Ask
+    | AskWithdrawn
     | View
     | Use
     | NotLead
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -21,6 +21,7 @@
     requests,
     residency,
     routing,
+    slot_search,
     software_versions,
     streams,
 )
@@ -101,6 +102,8 @@
     match message:
         case messages.Ask():
             residency.on_ask(state, sender, message, at, effects)
+        case messages.AskWithdrawn():
+            slot_search.on_withdrawn(state, sender, message)
         case messages.View():
             reroute_requests(
                 state, adapter_asks.on_lead_view(state, message, at, effects), at, effects
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -40,6 +40,8 @@
         Endpoint of the latest attempt.
     asked_engine, asked_at : str, float
         Engine whose lead was asked to load the adapter, and when; an empty name if none.
+    asked_engines : set
+        Engines that were asked to load the adapter so far.
     adapter_ready_at : float
         When the adapter is expected at that engine; infinity if unknown.
     caller_disconnected : bool
@@ -112,6 +114,7 @@
     is_relayed: bool = False
     relay: str = ""
     tried_relays: set[str] = field(factory=set)
+    asked_engines: set[str] = field(factory=set)
     team: Team | None = None
 
     def log_ids(self) -> dict[str, object]:
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -15,6 +15,7 @@
     request_limits,
     retry_budget,
     routing,
+    slot_search,
     streams,
     teams,
 )
@@ -180,7 +181,7 @@
     entry = relays.choose_entry(state, request, at)
     if entry is None:
         return False
-    stop_waiting(state, request)
+    stop_waiting(state, request, at, effects)
     relays.start(state, request, entry, remaining_s(request, at), at, effects)
     return True
 
@@ -229,7 +230,7 @@
     ):
         refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
         return
-    stop_waiting(state, request)
+    stop_waiting(state, request, at, effects)
     record = endpoint.record
     request.begin_attempt(at, record.name, record.incarnation, record.software_version)
     request_limits.record_sent(endpoint)
@@ -294,11 +295,11 @@
     return max(RESPONSE_MARGIN_S, request.deadline_at - at - RESPONSE_MARGIN_S)
 
 
-def stop_waiting(state: GatewayState, request: RequestState) -> None:
+def stop_waiting(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
     """Remove a request from the waiting requests and from its pending Ask."""
     state.waiting.discard(request.request_id)
     if request.asked_engine:
-        adapter_asks.withdraw_request(state, request)
+        adapter_asks.withdraw_request(state, request, at, effects)
     request.adapter_ready_at = float("inf")
 
 
@@ -350,7 +351,7 @@
         **routing.headroom_log_fields(state, request, at),
         **more_log_fields,
     }
-    stop_waiting(state, request)
+    stop_waiting(state, request, at, effects)
     release_endpoint(state, request)
     state.requests.pop(request.request_id, None)
     ran = request.possible_runs > 0
@@ -618,7 +619,7 @@
         return
     request.caller_disconnected = True
     if request.stage is Stage.WAITING:
-        stop_waiting(state, request)
+        stop_waiting(state, request, at, effects)
         state.requests.pop(request_id, None)
     effects.append(LogRequest("caller-left", request_id, request.log_ids()))
 
@@ -671,15 +672,16 @@
     """
     endpoint = state.endpoints.get(request.asked_engine)
     if endpoint is not None and endpoints.may_get(state, endpoint, request, at):
-        if at - request.asked_at < REROUTE_DELAY_S:
-            return
         choice = routing.choose_engine(state, request, at)
         if choice is None:
             return
+        has_just_asked = at - request.asked_at < REROUTE_DELAY_S
+        if has_just_asked and not slot_search.may_move_at_once(state, request, choice):
+            return
         same_engine = choice.endpoint.record.name == request.asked_engine
         if not choice.has_adapter and (
             same_engine or not routing.has_headroom(state, choice.endpoint, at)
         ):
             return
-    adapter_asks.withdraw_request(state, request)
+    adapter_asks.withdraw_request(state, request, at, effects)
     place_request(state, request, at, effects)
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -4,6 +4,7 @@
 
 COUNTERS = {
     "refused": ("Requests refused", ("reason", "step")),
+    "ask_withdrawn": ("Asks for adapters withdrawn", ()),
     "team_refused": ("Requests of known teams refused", ("team", "reason")),
     "retry": ("Attempts repeated", ("cause",)),
     "attempt_ended": ("Attempts ended", ("outcome",)),
