--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -60,6 +60,9 @@
 COLD_COST_S = 1.15
 # Penalty of an engine that has told that it is full; a fetch at another engine is preferred to it.
 FULL_COST_S = COLD_COST_S + 0.5
+# Penalty of an engine without a free slot that the request has asked already; a fetch at any engine
+# that may have one is preferred.
+ASKED_COST_S = COLD_COST_S
 # Number of preferred engines of an adapter; with two, the less busy one can be chosen.
 PREFERRED_ENGINE_COUNT = 2
 # Engines of an adapter's ranking that are considered besides those that hold or held it; the least
@@ -276,6 +279,8 @@
             options.append((cost + LOADING_COST_S, rank, endpoint, False))
         elif at >= endpoint.no_asks_until:
             wait_s = 0.0 if has_headroom(state, endpoint, at) else slot_wait_s(state, endpoint)
+            if wait_s and endpoint.pace.is_told and endpoint.record.name in request.asked_engines:
+                wait_s += ASKED_COST_S
             if key in endpoint.held:
                 wait_s += VERSION_SWAP_S
             cost += load_cost_s(endpoint, key, rank) + wait_s
