Quotas of teams: keeper, secondary and the asks of entries

Rate limits of teams hold over all entries. Each team has a keeper with a token bucket; entries ask it by datagram. Without teams nothing is sent.

--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -333,6 +333,14 @@
     body_end: BodyEnd = BodyEnd()
     notice: EndpointNotice | None = None
 
+    @property
+    def says_busy(self) -> bool:
+        """Whether an endpoint that did not run the request says that it has no time or room."""
+        notice = self.notice
+        return notice is not None and (
+            notice.retry_after_s is not None or notice.bears_per_s is not None
+        )
+
 
 @frozen
 class CallerDisconnected:
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -27,6 +27,9 @@
     engines_check_epochs : bool
         Whether engines reject orders that carry the epoch of an earlier lead, as the site's
         settings state. No decision depends on it; a new lead waits for `lease_s` in either case.
+    quota_window_s, quota_over, quota_slack : float
+        The rule on quotas of teams: within a window of `quota_window_s` seconds, endpoints get at
+        most rate times window plus burst of a team, times one plus `quota_over`, plus `quota_slack`.
     """
 
     stop_grace_s: float = 8.0
@@ -36,6 +39,9 @@
     lease_s: float = 3.0
     version_deadline_s: float = 5.0
     engines_check_epochs: bool = True
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 110_000.0
 
 
 # Factor on the retry budget; the rest covers entries that do not see each other and so divide the
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -273,6 +273,78 @@
     caller_id: str
 
 
+@frozen
+class QuotaAsk:
+    """Asks the keeper of a team, or its secondary, for tokens of requests that wait.
+
+    It is repeated with the same number while it has no answer.
+
+    Attributes
+    ----------
+    tokens, priorities : tuple
+        Tokens and priority of each request that waits, the most urgent and oldest first.
+    """
+
+    team: str
+    number: int
+    tokens: tuple[float, ...]
+    priorities: tuple[int, ...]
+
+
+@frozen
+class QuotaGrant:
+    """Answers a QuotaAsk.
+
+    Attributes
+    ----------
+    tokens : float
+        Tokens granted: those of the first requests of the ask, and those ahead of further ones.
+    valid_s : float
+        Seconds after the ask was first sent in which they are to be used.
+    retry_after_s : float
+        Seconds after which there will be tokens for the first request that got none; 0 if all did.
+    is_keeper : bool
+        Whether the sender grants by the whole quota. If not, it is the secondary, or it does not
+        grant now, and the team may not have used its quota.
+    """
+
+    team: str
+    number: int
+    tokens: float
+    valid_s: float
+    retry_after_s: float
+    is_keeper: bool
+
+
+@frozen
+class QuotaHandover:
+    """Gives the bucket of a team to its new keeper; the sender grants no more of it.
+
+    Attributes
+    ----------
+    level : float
+        Tokens in the bucket.
+    granted : float
+        Tokens that the sender granted in the present window of the rule.
+    """
+
+    team: str
+    level: float
+    granted: float
+
+
+@frozen
+class QuotaProbe:
+    """Asks for a QuotaEcho; sent by keepers that cannot read the list of entries."""
+
+
+@frozen
+class QuotaEcho:
+    """Says whether the sender knows the receiver as a registered entry."""
+
+    is_listed: bool
+
+
 Message = (
     Ask
     | View
@@ -292,4 +364,9 @@
     | StreamBegan
     | AskStreamOrigin
     | StreamUnknown
+    | QuotaAsk
+    | QuotaGrant
+    | QuotaHandover
+    | QuotaProbe
+    | QuotaEcho
 )
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -324,6 +324,7 @@
     runs that version, or it is not known.
     UNKNOWN_KEY: the request needs the key of a team and carries none that is known.
     QUOTA: the request's team has used its quota.
+    QUOTA_UNKNOWN: no entry that knows what is left of the team's quota answered in time.
     RELAY: this entry has no link to the endpoints, and the entry that was to pass the request on
     turned it away.
     """
@@ -341,4 +342,5 @@
     SOFTWARE_VERSION = "no endpoint of the stream's software version"
     UNKNOWN_KEY = "no known key"
     QUOTA = "quota used up"
+    QUOTA_UNKNOWN = "nobody tells what is left of the quota"
     RELAY = "turned away by the entry that was to pass it on"
--- /dev/null
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -0,0 +1,184 @@
+"""State of the quotas of teams: this entry's asks and tokens, and the buckets that it keeps.
+
+All times are monotonic seconds of this process. Tokens are in the unit of the team's quota.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from attrs import define, field
+
+from poplarhoist.decisions.gateway.messages import QuotaGrant
+from poplarhoist.decisions.gateway.models import QuotaTerms
+
+
+@define
+class PendingQuotaAsk:
+    """The unanswered ask of this entry for tokens of one team.
+
+    Attributes
+    ----------
+    number : int
+        Repeated asks have the same number, so that tokens are not granted twice.
+    to : str
+        Entry that was asked.
+    asked_at, sent_at : float
+        When it was sent first, and when it was sent last.
+    attempts : int
+        Times it was sent to that entry.
+    request_ids, tokens, priorities : tuple
+        The requests that it names, what they need, and how urgent they are.
+    """
+
+    number: int
+    to: str
+    asked_at: float
+    sent_at: float
+    attempts: int = 0
+    request_ids: tuple[str, ...] = ()
+    tokens: tuple[float, ...] = ()
+    priorities: tuple[int, ...] = ()
+
+
+@define
+class Charge:
+    """The tokens of one request.
+
+    Attributes
+    ----------
+    expires_at : float
+        The request may not be sent with them after that.
+    possible_runs : int
+        Runs of the request that were possible when it was charged; a further run needs new tokens.
+    """
+
+    team: str
+    tokens: float
+    expires_at: float
+    possible_runs: int
+
+
+@define
+class Account:
+    """What this entry holds and wants of one team's tokens.
+
+    Attributes
+    ----------
+    prepaid : list
+        When tokens expire, and how many, the earliest first.
+    waiting_since : dict
+        When a request began to wait for tokens, by its id.
+    next_ask_at : float
+        Earliest time of the next ask, if the latest one was refused for a moment.
+    """
+
+    prepaid: list[tuple[float, float]] = field(factory=list)
+    waiting_since: dict[str, float] = field(factory=dict)
+    pending: PendingQuotaAsk | None = None
+    next_ask_at: float = float("-inf")
+
+
+@define
+class TokenBucket:
+    """The token bucket of one team at its keeper or secondary.
+
+    Attributes
+    ----------
+    rate_per_s, burst : float
+        Tokens a second, and the highest level.
+    window_limit : float
+        Most tokens that may be used in one window of the rule, from this bucket alone.
+    overdraft : float
+        How far below zero the most urgent requests may take the level.
+    valid_s : float
+        Seconds after which granted tokens that were not used expire.
+    begins_at : float
+        The level does not grow before.
+    granted : deque
+        Expiry and number of granted tokens that may be used in the present window, in slices.
+    granted_tokens : float
+        Their sum.
+    prepaid : deque
+        Expiry and number of tokens that were granted ahead of requests.
+    asks_by_entry : dict
+        Times and tokens of the latest asks, by entry.
+    answers : dict
+        Answers by entry and number of the ask, and when they were given, the oldest first.
+    promised_until : float
+        By then the tokens accrue that refused asks were told to come back for.
+    accepted_at, accepted_from : float, str
+        When another entry handed the bucket over to this one, and which.
+    """
+
+    rate_per_s: float
+    burst: float
+    window_limit: float
+    overdraft: float
+    valid_s: float
+    level: float
+    refilled_at: float
+    begins_at: float
+    granted: deque[tuple[float, float]] = field(factory=deque)
+    granted_tokens: float = 0.0
+    prepaid: deque[tuple[float, float]] = field(factory=deque)
+    asks_by_entry: dict[str, deque[tuple[float, float]]] = field(factory=dict)
+    answers: dict[tuple[str, int], tuple[QuotaGrant, float]] = field(factory=dict)
+    promised_until: float = float("-inf")
+    accepted_at: float = float("-inf")
+    accepted_from: str = ""
+
+
+@define
+class QuotaState:
+    """What this entry knows of the quotas of teams.
+
+    Attributes
+    ----------
+    is_configured : bool
+        Whether a configuration was in force before.
+    terms_by_team : dict
+        Terms of the teams that have a quota, by the configuration in force.
+    new_teams : set
+        Teams that came with the latest change of a configuration that was in force before.
+    labels : dict
+        Label of a team in metrics.
+    accounts, charges : dict
+        By team, and by request id.
+    last_number : int
+        Number of the latest ask; begins at random, so that numbers of earlier processes differ.
+    silent_until : dict
+        Until when an entry counts as silent, by name.
+    entries, entries_changed_at : frozenset, float
+        Names of the entries that share the roles, and when they last changed.
+    departed_at : dict
+        When an entry left, by name.
+    echoed_at : dict
+        When an entry last said that it lists this one, by name.
+    probed_at : float
+        When the entries were last asked for that.
+    roles_by_team : dict
+        Names of keeper and secondary.
+    buckets, reserves : dict
+        Buckets that this entry keeps, as the keeper and as the secondary, by team.
+    ignore_asks_until : float
+        Asks that arrive before may have waited while this process was paused.
+    """
+
+    is_configured: bool = False
+    terms_by_team: dict[str, QuotaTerms] = field(factory=dict)
+    new_teams: set[str] = field(factory=set)
+    labels: dict[str, str] = field(factory=dict)
+    accounts: dict[str, Account] = field(factory=dict)
+    charges: dict[str, Charge] = field(factory=dict)
+    last_number: int = 0
+    silent_until: dict[str, float] = field(factory=dict)
+    entries: frozenset[str] = frozenset()
+    entries_changed_at: float = float("-inf")
+    departed_at: dict[str, float] = field(factory=dict)
+    echoed_at: dict[str, float] = field(factory=dict)
+    probed_at: float = float("-inf")
+    roles_by_team: dict[str, tuple[str, str]] = field(factory=dict)
+    buckets: dict[str, TokenBucket] = field(factory=dict)
+    reserves: dict[str, TokenBucket] = field(factory=dict)
+    ignore_asks_until: float = float("-inf")
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -17,6 +17,9 @@
     leads,
     links,
     messages,
+    quota_keeper,
+    quota_roles,
+    quotas,
     request_limits,
     requests,
     residency,
@@ -70,6 +73,7 @@
         return
     effects.append(LogChange("entry-was-paused", {"seconds": round(pause_s, 3)}))
     links.on_pause(state, at)
+    quota_keeper.on_pause(state, pause_s, at)
     for table in state.slot_tables.values():
         # Another entry may lead by now. Its record arrives with the next read of a watch, so orders
         # wait for another PAUSE_THRESHOLD_S.
@@ -137,6 +141,26 @@
             streams.on_ask(state, sender, message, effects)
         case messages.StreamUnknown():
             streams.on_unknown(state, sender, message)
+        case messages.QuotaAsk():
+            quota_keeper.on_ask(state, sender, message, at, effects)
+        case messages.QuotaGrant():
+            settle(state, quotas.on_grant(state, sender, message, at, effects), at, effects)
+        case messages.QuotaHandover():
+            quota_keeper.on_handover(state, sender, message, at, effects)
+        case messages.QuotaProbe():
+            quota_roles.on_probe(state, sender, effects)
+        case messages.QuotaEcho():
+            quota_roles.on_echo(state, sender, message, at)
+
+
+def settle(state: GatewayState, decisions: list[quotas.Decision], at: float, effects: list) -> None:
+    """Place or refuse requests that have waited for tokens of their teams."""
+    for decision in decisions:
+        request = decision.request
+        if decision.refusal is None:
+            requests.place_request(state, request, at, effects)
+        else:
+            requests.refuse(state, request, decision.refusal, effects, decision.retry_after_s)
 
 
 def reroute_requests(state: GatewayState, request_ids: set[str], at: float, effects: list) -> None:
@@ -152,6 +176,7 @@
     at = event.at
     crashes.on_tick(state, at, effects)
     residency.on_tick(state, at, effects)
+    settle(state, quotas.on_tick(state, at, effects), at, effects)
     requests.on_tick(state, at, effects)
     brittle.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
@@ -168,6 +193,7 @@
     crash_records.on_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     links.on_slow_tick(state, at, effects)
+    quotas.on_slow_tick(state, at, effects)
     leads.on_tick(state, at, effects)
 
 
@@ -247,6 +273,7 @@
 def on_limits(state: GatewayState, event: ev.LimitsChanged, effects: list) -> None:
     """Apply new settings from now on."""
     state.limits = event.limits
+    quota_keeper.apply_terms(state, event.at)
     effects.append(LogChange("settings-read", {}))
 
 
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -10,6 +10,7 @@
     endpoints,
     links,
     pauses,
+    quotas,
     relays,
     request_limits,
     retry_budget,
@@ -113,7 +114,8 @@
         request.possible_runs = relay.possible_runs
         request.software_version = relay.software_version
     state.requests[request.request_id] = request
-    place_request(state, request, event.at, effects)
+    if quotas.admit(state, request, event.at, effects) is quotas.Admission.ADMITTED:
+        place_request(state, request, event.at, effects)
 
 
 def refuse_unadmitted(
@@ -175,7 +177,8 @@
     if entry is None:
         return False
     stop_waiting(state, request)
-    relays.start(state, request, entry, remaining_s(request, at), at, effects)
+    if quotas.admit(state, request, at, effects) is quotas.Admission.ADMITTED:
+        relays.start(state, request, entry, remaining_s(request, at), at, effects)
     return True
 
 
@@ -224,6 +227,8 @@
         refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
         return
     stop_waiting(state, request)
+    if quotas.admit(state, request, at, effects) is quotas.Admission.WAITING:
+        return
     record = endpoint.record
     request.begin_attempt(at, record.name, record.incarnation, record.software_version)
     request_limits.record_sent(endpoint)
@@ -349,6 +354,7 @@
     }
     stop_waiting(state, request)
     release_endpoint(state, request)
+    quotas.refund(state, request)
     state.requests.pop(request.request_id, None)
     ran = request.possible_runs > 0
     effects.append(Refuse(request.request_id, reason, ran, 0.0 if ran else retry_after_s))
@@ -506,7 +512,7 @@
             request.avoided_endpoints.add(request.endpoint_name)
             if not brittle.explains_fall(endpoint, event.at):
                 crashes.on_attempt_broken(state, request, endpoint, event, effects)
-        case Outcome.NOT_RUN if is_turned_away and says_busy(event):
+        case Outcome.NOT_RUN if is_turned_away and event.says_busy:
             # It is busy, which says nothing of its adapters.
             request.avoided_endpoints.add(request.endpoint_name)
         case Outcome.NOT_RUN if key is not None and key.adapter:
@@ -515,14 +521,6 @@
             request.avoided_endpoints.add(request.endpoint_name)
 
 
-def says_busy(event: AttemptEnded) -> bool:
-    """Return whether an endpoint that did not run a request says that it has no time or room."""
-    notice = event.notice
-    return notice is not None and (
-        notice.retry_after_s is not None or notice.bears_per_s is not None
-    )
-
-
 def may_retry(
     state: GatewayState, request: RequestState, event: AttemptEnded, effects: list
 ) -> bool:
@@ -615,6 +613,7 @@
     request.caller_disconnected = True
     if request.stage is Stage.WAITING:
         stop_waiting(state, request)
+        quotas.refund(state, request)
         state.requests.pop(request_id, None)
     effects.append(LogRequest("caller-left", request_id, {"caller_id": request.caller_id}))
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -12,12 +12,9 @@
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
-from poplarhoist.decisions.gateway.models import (
-    AdapterKey,
-    Configuration,
-    Route,
-)
+from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
 from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.decisions.gateway.quota_state import QuotaState
 from poplarhoist.decisions.gateway.request_state import RequestState
 
 
@@ -448,6 +445,8 @@
         Services with several software versions, by the store's records.
     links : LinkState
         This entry's links to endpoints.
+    quotas : QuotaState
+        The quotas of teams.
     told_positions_by_kind : dict
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
@@ -507,6 +506,7 @@
     crash_records: CrashRecords = field(factory=CrashRecords)
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
+    quotas: QuotaState = field(factory=QuotaState)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -39,6 +39,10 @@
     "links_changed": ("Losses and returns of this entry's links to endpoints", ("change",)),
     "relayed": ("Requests that other entries were to pass on", ()),
     "lead_silent": ("Leads of engines that did not answer", ()),
+    "quota_granted": ("Tokens granted as keeper or secondary", ("team",)),
+    "quota_refused": ("Tokens not granted as keeper or secondary", ("team",)),
+    "quota_forfeited": ("Tokens granted to this entry that expired", ("team",)),
+    "quota_unanswered": ("Asks for tokens without an answer", ("role",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -75,6 +75,9 @@
     engines_check_epochs : bool
         Whether engines reject orders that carry the epoch of an earlier lead. No decision depends
         on it.
+    quota_window_s, quota_over, quota_slack : float
+        How much of a team's requests may run within a window of `quota_window_s` seconds beyond its
+        quota: the share `quota_over` of it, plus `quota_slack` in the quota's unit.
     """
 
     stop_s: float = 8.0
@@ -84,6 +87,9 @@
     lease_ms: float = 3000.0
     version_ms: float = 5000.0
     engines_check_epochs: bool = False
+    quota_window_s: float = 8.0
+    quota_over: float = 0.1
+    quota_slack: float = 110_000.0
 
     def to_limits(self) -> GatewayLimits:
         """Return the limits for the decision loop."""
@@ -95,6 +101,9 @@
             lease_s=self.lease_ms * S_PER_MS,
             version_deadline_s=self.version_ms * S_PER_MS,
             engines_check_epochs=self.engines_check_epochs,
+            quota_window_s=self.quota_window_s,
+            quota_over=self.quota_over,
+            quota_slack=self.quota_slack,
         )
 
 
