--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -283,12 +283,18 @@
     ----------
     tokens, priorities : tuple
         Tokens and priority of each request that waits, the most urgent and oldest first.
+    attempt : int
+        How often it was sent, with this time.
+    returned : float
+        Tokens that the sender was granted and that expired unused.
     """
 
     team: str
     number: int
     tokens: tuple[float, ...]
     priorities: tuple[int, ...]
+    attempt: int = 1
+    returned: float = 0.0
 
 
 @frozen
@@ -297,10 +303,12 @@
 
     Attributes
     ----------
-    tokens : float
-        Tokens granted: those of the first requests of the ask, and those ahead of further ones.
-    valid_s : float
-        Seconds after the ask was first sent in which they are to be used.
+    attempt : int
+        Attempt of the ask for which the tokens were granted.
+    tokens, ahead : float
+        Tokens granted for the first requests of the ask, and ahead of further ones.
+    valid_s, ahead_valid_s : float
+        Seconds after that attempt was sent in which they are to be used.
     retry_after_s : float
         Seconds after which there will be tokens for the first request that got none; 0 if all did.
     is_keeper : bool
@@ -310,10 +318,13 @@
 
     team: str
     number: int
+    attempt: int
     tokens: float
     valid_s: float
     retry_after_s: float
     is_keeper: bool
+    ahead: float = 0.0
+    ahead_valid_s: float = 0.0
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/quota_keeper.py
+++ b/poplarhoist/decisions/gateway/quota_keeper.py
@@ -28,11 +28,22 @@
 KEEPER_SHARE = 0.2
 # Seconds of its rate that the secondary's bucket holds.
 RESERVE_BURST_S = 1.0
-# Most and fewest seconds in which granted tokens are to be used, and the part taken of what the
-# limit of a window leaves for a team that uses its whole rate.
+# Parts of the keeper's part: for tokens that are used later, and by which urgent requests may overdraw
+# the bucket. The rest covers the last request that is granted beyond that.
+VALID_SHARE = 0.4
+OVERDRAFT_SHARE = 0.3
+# Part of its rate below which a team gets tokens for its most urgent requests whatever the bucket's
+# level, by what it used in the present window, and what less urgent ones get less. At random times a
+# team that uses 1/1.8 of its rate needs more than a burst of one second of it.
+CALM_SHARE = 0.85
+PRIORITY_STEP = 0.03
+# Most and fewest seconds in which granted tokens are to be used. An answer takes 0.06 s between
+# regions.
 MAX_VALID_S = 2.0
 MIN_VALID_S = 0.2
-VALID_MARGIN = 0.9
+RESERVE_VALID_S = 0.5
+# The same for tokens that are granted ahead.
+AHEAD_VALID_S = 2.0
 # Seconds in which an entry that lost a role learns of it; a bucket that begins does not grow before.
 # It is not below MAX_VALID_S, so that tokens of a predecessor that died have expired.
 BEGIN_WAIT_S = 2.0
@@ -57,10 +68,11 @@
 PATIENT_PRIORITY = 2
 # Seconds for which answers are remembered; asks are repeated for half a second.
 ANSWER_KEPT_S = 2.0
-# Seconds by which expiries of granted tokens are rounded up, so that a few slices hold them.
-SLICE_S = 0.1
-# Longest time in seconds that a refused ask is told to wait, and the time told by an entry that does
-# not grant now.
+# Seconds of a slice of granted tokens; they count until the end of the slice in which they expire.
+SLICE_S = 0.05
+# Shortest and longest time in seconds that a refused ask is told to wait, and the time told by an
+# entry that does not grant now.
+MIN_RETRY_S = 0.05
 MAX_RETRY_S = 10.0
 NOT_NOW_S = 0.2
 # Seconds after a pause of this process in which asks are ignored that may have waited in its socket.
@@ -86,21 +98,23 @@
         bucket.rate_per_s = RESERVE_SHARE * excess / window_s
         bucket.burst = RESERVE_BURST_S * bucket.rate_per_s
         bucket.window_limit = RESERVE_SHARE * excess
-        bucket.overdraft = 0.0
-        bucket.valid_s = 0.5
+        bucket.overdraft = bucket.calm_limit = 0.0
+        bucket.valid_s = RESERVE_VALID_S
     else:
         bucket.rate_per_s, bucket.burst = terms.rate_per_s, terms.burst
-        bucket.overdraft = KEEPER_SHARE * excess
-        bucket.window_limit = terms.rate_per_s * window_s + terms.burst + bucket.overdraft
-        spare_s = bucket.window_limit / terms.rate_per_s - window_s
-        bucket.valid_s = min(MAX_VALID_S, max(MIN_VALID_S, VALID_MARGIN * spare_s))
+        part = KEEPER_SHARE * excess
+        bucket.overdraft = OVERDRAFT_SHARE * part
+        bucket.window_limit = terms.rate_per_s * window_s + terms.burst + part
+        valid_s = VALID_SHARE * part / terms.rate_per_s
+        bucket.valid_s = min(MAX_VALID_S, max(MIN_VALID_S, valid_s))
+        bucket.calm_limit = terms.rate_per_s * (window_s + bucket.valid_s)
     bucket.level = min(bucket.level, bucket.burst)
 
 
 def make_bucket(state, terms: QuotaTerms, is_reserve: bool, is_full: bool, at: float):
     """Return a new bucket: full, or empty and not growing for `BEGIN_WAIT_S`."""
     begins_at = at if is_full else at + BEGIN_WAIT_S
-    bucket = TokenBucket(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, at, begins_at)
+    bucket = TokenBucket(refilled_at=at, begins_at=begins_at)
     set_terms(bucket, terms, state.limits, is_reserve)
     bucket.level = bucket.burst if is_full else 0.0
     return bucket
@@ -158,41 +172,49 @@
 
 def forget_granted(bucket: TokenBucket, oldest: float) -> None:
     """Forget granted tokens that had expired by a time."""
-    while bucket.granted and bucket.granted[0][0] <= oldest:
-        bucket.granted_tokens -= bucket.granted.popleft()[1]
+    for index in [index for index in bucket.granted if index * SLICE_S <= oldest]:
+        del bucket.granted[index]
 
 
-def record_granted(bucket: TokenBucket, tokens: float, at: float) -> None:
+def granted_tokens(bucket: TokenBucket) -> float:
+    """Return the granted tokens that may be used in the present window."""
+    return sum(bucket.granted.values())
+
+
+def record_granted(bucket: TokenBucket, tokens: float, expires_at: float) -> None:
     """Count tokens that may be used until they expire."""
-    expires_at = math.ceil((at + bucket.valid_s) / SLICE_S) * SLICE_S
-    if bucket.granted and bucket.granted[-1][0] >= expires_at:
-        expires_at, earlier = bucket.granted.pop()
-        bucket.granted.append((expires_at, earlier + tokens))
-    else:
-        bucket.granted.append((expires_at, tokens))
-    bucket.granted_tokens += tokens
+    index = math.ceil(expires_at / SLICE_S)
+    bucket.granted[index] = bucket.granted.get(index, 0.0) + tokens
 
 
-def overdraft(bucket: TokenBucket, priority: int) -> float:
-    """Return how far below zero a request of a priority may take the level.
+def least_level(bucket: TokenBucket, need: float, priority: int) -> float:
+    """Return the level from which on a request gets its tokens, which may take it below zero.
 
-    Else large urgent requests would find tokens more rarely than small ones that are less urgent.
+    It does not depend on the size of usual requests, else large urgent ones would find tokens more
+    rarely than small ones that are less urgent.
     """
-    return bucket.overdraft * max(0.0, 1.0 - max(0, priority) / PATIENT_PRIORITY)
+    if need > bucket.burst + bucket.rate_per_s:
+        return bucket.burst
+    return -bucket.overdraft * max(0.0, 1.0 - max(0, priority) / PATIENT_PRIORITY)
 
 
 def fits(bucket: TokenBucket, need: float, priority: int) -> bool:
-    """Return whether a bucket has the tokens of a request; a full one has those of any."""
-    return (
-        bucket.level + overdraft(bucket, priority) >= min(need, bucket.burst)
-        and bucket.granted_tokens + need <= bucket.window_limit
-    )
+    """Return whether a bucket has the tokens of a request.
+
+    While the team has used little in the present window, it is below its limit whatever the level.
+    """
+    used = granted_tokens(bucket) + need
+    if used > bucket.window_limit:
+        return False
+    calm_share = CALM_SHARE - PRIORITY_STEP * min(max(0, priority), PATIENT_PRIORITY)
+    is_calm = used <= calm_share * bucket.calm_limit and need <= bucket.burst
+    return is_calm or bucket.level >= least_level(bucket, need, priority)
 
 
-def take(bucket: TokenBucket, tokens: float, at: float) -> None:
+def take(bucket: TokenBucket, tokens: float, expires_at: float) -> None:
     """Take granted tokens out of a bucket."""
     bucket.level -= tokens
-    record_granted(bucket, tokens, at)
+    record_granted(bucket, tokens, expires_at)
 
 
 def take_ahead(bucket: TokenBucket, sender: str, asked: float, at: float) -> float:
@@ -207,19 +229,19 @@
         bucket.prepaid.popleft()
     if len(asks) < STEADY_ASKS:
         return 0.0
-    usual = sum(tokens for _, tokens in asks) / STEADY_S * bucket.valid_s / 2.0
+    usual = sum(tokens for _, tokens in asks) / STEADY_S * AHEAD_VALID_S / 2.0
     unused = sum(tokens for _, tokens in bucket.prepaid)
     ahead = min(
         usual,
         AHEAD_SHARE * bucket.burst - unused,
         bucket.level - AHEAD_LEVEL * bucket.burst,
-        bucket.window_limit - bucket.granted_tokens,
+        bucket.window_limit - granted_tokens(bucket),
     )
     # Fewer tokens than a request needs would only expire.
     if ahead < asked:
         return 0.0
-    bucket.prepaid.append((at + bucket.valid_s, ahead))
-    take(bucket, ahead, at)
+    bucket.prepaid.append((at + AHEAD_VALID_S, ahead))
+    take(bucket, ahead, at + AHEAD_VALID_S)
     return ahead
 
 
@@ -227,17 +249,17 @@
     bucket: TokenBucket, need: float, priority: int, window_s: float, at: float
 ) -> float:
     """Return the seconds until a bucket has the tokens of a request and of those refused before."""
-    lacking = min(need, bucket.burst) - overdraft(bucket, priority) - bucket.level
+    lacking = least_level(bucket, need, priority) - bucket.level
     ready_at = max(at, bucket.begins_at) + max(0.0, lacking) / bucket.rate_per_s
-    excess = bucket.granted_tokens + need - bucket.window_limit
-    for expires_at, tokens in bucket.granted:
+    excess = granted_tokens(bucket) + need - bucket.window_limit
+    for index in sorted(bucket.granted):
         if excess <= 0.0:
             break
-        excess -= tokens
-        ready_at = max(ready_at, expires_at + window_s)
+        excess -= bucket.granted[index]
+        ready_at = max(ready_at, index * SLICE_S + window_s)
     ready_at = min(max(ready_at, bucket.promised_until), at + MAX_RETRY_S)
     bucket.promised_until = ready_at + min(need, bucket.burst) / bucket.rate_per_s
-    return max(0.05, ready_at - at)
+    return max(MIN_RETRY_S, ready_at - at)
 
 
 def on_ask(state: GatewayState, sender: str, message: QuotaAsk, at: float, effects: list) -> None:
@@ -248,8 +270,11 @@
     quotas = state.quotas
     is_known = sender in state.entries or sender == state.name
     # Any host can send a message.
-    is_proper = all(math.isfinite(need) and need >= 0.0 for need in message.tokens)
-    if at < quotas.ignore_asks_until or not is_known or not is_proper:
+    is_proper = all(
+        math.isfinite(tokens) and tokens >= 0.0 for tokens in (*message.tokens, message.returned)
+    )
+    is_late = at < quotas.ignore_asks_until and sender != state.name
+    if is_late or not is_known or not is_proper:
         return
     team, number = message.team, message.number
     terms = quotas.terms_by_team.get(team)
@@ -257,7 +282,8 @@
         sync_team(state, team, terms, quota_roles.may_grow(state, at), at, effects)
     bucket = quotas.buckets.get(team) or quotas.reserves.get(team)
     if bucket is None:
-        effects.append(SendPeer(sender, QuotaGrant(team, number, 0.0, 0.0, NOT_NOW_S, False)))
+        nothing = QuotaGrant(team, number, message.attempt, 0.0, 0.0, NOT_NOW_S, False)
+        effects.append(SendPeer(sender, nothing))
         return
     for key, (_, answered_at) in list(bucket.answers.items()):
         if at - answered_at <= ANSWER_KEPT_S:
@@ -280,28 +306,39 @@
 ) -> QuotaGrant:
     """Grant what a bucket has of an ask, and return the answer."""
     window_s = state.limits.quota_window_s
+    team = message.team
+    is_keeper = bucket is state.quotas.buckets.get(team)
     refill(bucket, at)
     forget_granted(bucket, at - window_s)
+    if is_keeper:
+        # They stay counted in the window, so that the rule does not depend on what is returned.
+        bucket.level = min(bucket.burst, bucket.level + message.returned)
     needs = list(zip(message.tokens, message.priorities, strict=False))
-    granted = retry_s = 0.0
+    granted = ahead = retry_s = 0.0
     for index, (need, priority) in enumerate(needs):
         if not fits(bucket, need, priority):
             # Those behind it are less urgent or came later.
             retry_s = retry_after_s(bucket, need, priority, window_s, at)
             refused = sum(tokens for tokens, _ in needs[index:])
-            effects.append(Count("quota_refused", (label(state, message.team),), refused))
+            effects.append(Count("quota_refused", (label(state, team),), refused))
             break
-        take(bucket, need, at)
+        take(bucket, need, at + bucket.valid_s)
         granted += need
-    is_keeper = bucket is state.quotas.buckets.get(message.team)
     if is_keeper and not retry_s:
-        granted += take_ahead(bucket, sender, granted, at)
+        ahead = take_ahead(bucket, sender, granted, at)
     if granted:
-        effects.append(Count("quota_granted", (label(state, message.team),), granted))
-    # A bucket that has just begun is no sign that the team has used its quota.
-    is_known = is_keeper and at >= bucket.begins_at
+        effects.append(Count("quota_granted", (label(state, team),), granted + ahead))
     return QuotaGrant(
-        message.team, message.number, granted, bucket.valid_s, round(retry_s, 3), is_known
+        team=team,
+        number=message.number,
+        attempt=message.attempt,
+        tokens=granted,
+        valid_s=bucket.valid_s,
+        retry_after_s=round(retry_s, 3),
+        # A bucket that has just begun is no sign that the team has used its quota.
+        is_keeper=is_keeper and at >= bucket.begins_at,
+        ahead=ahead,
+        ahead_valid_s=AHEAD_VALID_S,
     )
 
 
@@ -354,7 +391,7 @@
     forget_granted(bucket, at - state.limits.quota_window_s)
     del state.quotas.buckets[team]
     if keeper:
-        message = QuotaHandover(team, bucket.level, bucket.granted_tokens)
+        message = QuotaHandover(team, bucket.level, granted_tokens(bucket))
         effects.append(SendPeer(keeper, message))
     fields = {"team": team, "keeper": keeper, "level": round(bucket.level)}
     effects.append(LogChange("quota-keeper-ended", fields))
@@ -377,7 +414,7 @@
     elif at - bucket.accepted_at <= ACCEPTED_S:
         return
     bucket.accepted_at, bucket.accepted_from = at, sender
-    record_granted(bucket, max(0.0, message.granted), at)
+    record_granted(bucket, max(0.0, message.granted), at + MAX_VALID_S)
     if at < bucket.begins_at:
         bucket.level = min(bucket.burst, bucket.level + message.level)
         bucket.refilled_at = bucket.begins_at = at
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -23,10 +23,12 @@
         Repeated asks have the same number, so that tokens are not granted twice.
     to : str
         Entry that was asked.
-    asked_at, sent_at : float
-        When it was sent first, and when it was sent last.
-    attempts : int
-        Times it was sent to that entry.
+    asked_at : float
+        When the ask began.
+    sent_at : list
+        When it was sent to that entry.
+    returned : float
+        Tokens of this entry that expired unused, which it gives back.
     request_ids, tokens, priorities : tuple
         The requests that it names, what they need, and how urgent they are.
     """
@@ -34,8 +36,8 @@
     number: int
     to: str
     asked_at: float
-    sent_at: float
-    attempts: int = 0
+    returned: float
+    sent_at: list[float] = field(factory=list)
     request_ids: tuple[str, ...] = ()
     tokens: tuple[float, ...] = ()
     priorities: tuple[int, ...] = ()
@@ -67,6 +69,8 @@
     ----------
     prepaid : list
         When tokens expire, and how many, the earliest first.
+    expired : float
+        Tokens that expired unused and were not given back yet.
     waiting_since : dict
         When a request began to wait for tokens, by its id.
     next_ask_at : float
@@ -74,6 +78,7 @@
     """
 
     prepaid: list[tuple[float, float]] = field(factory=list)
+    expired: float = 0.0
     waiting_since: dict[str, float] = field(factory=dict)
     pending: PendingQuotaAsk | None = None
     next_ask_at: float = float("-inf")
@@ -87,16 +92,17 @@
     ----------
     rate_per_s, burst : float
         Tokens a second, and the highest level.
-    window_limit : float
-        Most tokens that may be used in one window of the rule, from this bucket alone.
+    calm_limit, window_limit : float
+        Tokens that count in one window of the rule for a team that uses its rate, and most tokens
+        that may be used in one from this bucket alone.
     overdraft : float
-        How far below zero the most urgent requests may take the level.
+        How far below zero the level may be for the most urgent requests.
     valid_s : float
         Seconds after which granted tokens that were not used expire.
     begins_at : float
         The level does not grow before.
-    granted : deque
-        Expiry and number of granted tokens that may be used in the present window, in slices.
+    granted : dict
+        Granted tokens that may be used in the present window, by the time slice that they expire in.
     granted_tokens : float
         Their sum.
     prepaid : deque
@@ -111,15 +117,16 @@
         When another entry handed the bucket over to this one, and which.
     """
 
-    rate_per_s: float
-    burst: float
-    window_limit: float
-    overdraft: float
-    valid_s: float
-    level: float
     refilled_at: float
     begins_at: float
-    granted: deque[tuple[float, float]] = field(factory=deque)
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    calm_limit: float = 0.0
+    window_limit: float = 0.0
+    overdraft: float = 0.0
+    valid_s: float = 0.0
+    level: float = 0.0
+    granted: dict[int, float] = field(factory=dict)
     granted_tokens: float = 0.0
     prepaid: deque[tuple[float, float]] = field(factory=deque)
     asks_by_entry: dict[str, deque[tuple[float, float]]] = field(factory=dict)
--- a/poplarhoist/decisions/gateway/quotas.py
+++ b/poplarhoist/decisions/gateway/quotas.py
@@ -31,6 +31,9 @@
 NOT_GRANTING_S = 0.25
 # Seconds after which a request that got no answer is refused.
 MAX_WAIT_S = 0.5
+# Seconds after its beginning up to which the wait of a request goes on that was refused for a moment;
+# the next answer comes before the end of the wait.
+MAX_HELD_S = 0.3
 # Requests in one ask, so that it fits a datagram.
 MAX_REQUESTS = 64
 # Seconds after which the caller of a request without an answer may come back.
@@ -86,15 +89,15 @@
     if quota is None:
         return Admission.ADMITTED
     quotas, name = state.quotas, request.team.name
+    account = quotas.accounts.setdefault(name, Account())
     charge = quotas.charges.get(request.request_id)
     if charge is not None:
         is_unused = charge.possible_runs == request.possible_runs
         if is_unused and at < charge.expires_at:
             return Admission.ADMITTED
         if is_unused:
-            forfeit(state, name, charge.tokens, effects)
+            forfeit(state, name, account, charge.tokens, effects)
         del quotas.charges[request.request_id]
-    account = quotas.accounts.setdefault(name, Account())
     drop_expired(state, name, account, at, effects)
     # Prepaid tokens go to those that wait already.
     if not account.waiting_since and try_charge(state, account, request, quota):
@@ -152,11 +155,12 @@
 ) -> None:
     """Forfeit the tokens that were not used in time."""
     while account.prepaid and account.prepaid[0][0] <= at:
-        forfeit(state, team, account.prepaid.pop(0)[1], effects)
+        forfeit(state, team, account, account.prepaid.pop(0)[1], effects)
 
 
-def forfeit(state: GatewayState, team: str, tokens: float, effects: list) -> None:
-    """Count tokens that expired."""
+def forfeit(state: GatewayState, team: str, account: Account, tokens: float, effects: list) -> None:
+    """Count tokens that expired; they are given back with the next ask."""
+    account.expired += tokens
     effects.append(Count("quota_forfeited", (quota_keeper.label(state, team),), tokens))
 
 
@@ -200,15 +204,15 @@
     if not quotas.last_number:
         quotas.last_number = state.random.getrandbits(48)
     quotas.last_number += 1
-    account.pending = PendingQuotaAsk(quotas.last_number, to, at, at, 0)
+    account.pending = PendingQuotaAsk(quotas.last_number, to, at, account.expired)
+    account.expired = 0.0
     send(state, team, account, at, effects)
 
 
 def send(state: GatewayState, team: str, account: Account, at: float, effects: list) -> None:
     """Send the pending ask; a repeated one names the same requests, as far as they still wait."""
     pending = account.pending
-    pending.attempts += 1
-    pending.sent_at = at
+    pending.sent_at.append(at)
     if not pending.request_ids:
         waiting = waiting_requests(state, account)[:MAX_REQUESTS]
         pending.request_ids = tuple(request.request_id for request in waiting)
@@ -216,7 +220,14 @@
             needed_tokens(request.team.quota, request.prompt) for request in waiting
         )
         pending.priorities = tuple(request.route.priority for request in waiting)
-    message = QuotaAsk(team, pending.number, pending.tokens, pending.priorities)
+    message = QuotaAsk(
+        team,
+        pending.number,
+        pending.tokens,
+        pending.priorities,
+        len(pending.sent_at),
+        pending.returned,
+    )
     effects.append(SendPeer(pending.to, message))
 
 
@@ -231,10 +242,11 @@
         return []
     quotas.silent_until.pop(sender, None)
     account.pending = None
-    if message.tokens > 0.0:
-        # Counted from the ask, which was sent before the tokens were granted.
-        account.prepaid.append((pending.asked_at + message.valid_s, message.tokens))
-        account.prepaid.sort()
+    # Counted from the ask, which was sent before the tokens were granted.
+    asked_at = pending.sent_at[max(1, min(message.attempt, len(pending.sent_at))) - 1]
+    account.prepaid.append((asked_at + message.valid_s, message.tokens))
+    account.prepaid.append((asked_at + message.ahead_valid_s, message.ahead))
+    account.prepaid = sorted(batch for batch in account.prepaid if batch[1] > 0.0)
     drop_expired(state, team, account, at, effects)
     decisions = charge_waiting(state, account)
     if message.retry_after_s > 0.0:
@@ -273,15 +285,18 @@
         wait_s = min(max(NOT_GRANTING_S, message.retry_after_s), SILENT_S)
         state.quotas.silent_until[keeper] = at + wait_s
         return []
-    account.next_ask_at = at + message.retry_after_s
     reason = Refused.QUOTA if message.is_keeper else Refused.QUOTA_UNKNOWN
+    again_at = at + message.retry_after_s
     decisions = []
     for request_id in pending.request_ids:
         since = account.waiting_since.get(request_id)
-        if since is not None and account.next_ask_at >= since + MAX_WAIT_S:
-            del account.waiting_since[request_id]
-            request = state.requests[request_id]
-            decisions.append(Decision(request, reason, message.retry_after_s))
+        if since is None:
+            continue
+        if again_at <= since + MAX_HELD_S:
+            account.next_ask_at = again_at
+            continue
+        del account.waiting_since[request_id]
+        decisions.append(Decision(state.requests[request_id], reason, message.retry_after_s))
     return decisions
 
 
@@ -302,8 +317,8 @@
                 del state.quotas.accounts[team]
         elif pending is None:
             ask(state, team, account, at, effects)
-        elif at - pending.sent_at >= RETRY_S:
-            if pending.attempts < ATTEMPTS:
+        elif at - pending.sent_at[-1] >= RETRY_S:
+            if len(pending.sent_at) < ATTEMPTS:
                 send(state, team, account, at, effects)
             else:
                 on_unanswered(state, team, account, at, effects)
