--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -314,6 +314,8 @@
     is_keeper : bool
         Whether the sender grants by the whole quota. If not, it is the secondary, or it does not
         grant now, and the team may not have used its quota.
+    other : str
+        Entry that may grant by the whole quota, if the sender does not; empty if it knows none.
     """
 
     team: str
@@ -325,6 +327,7 @@
     is_keeper: bool
     ahead: float = 0.0
     ahead_valid_s: float = 0.0
+    other: str = ""
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/quota_keeper.py
+++ b/poplarhoist/decisions/gateway/quota_keeper.py
@@ -12,6 +12,8 @@
 import math
 from collections import deque
 
+from attrs import evolve
+
 from poplarhoist.decisions.common_effects import Count, LogChange
 from poplarhoist.decisions.gateway import quota_roles
 from poplarhoist.decisions.gateway.effects import SendPeer
@@ -32,11 +34,6 @@
 # the bucket. The rest covers the last request that is granted beyond that.
 VALID_SHARE = 0.4
 OVERDRAFT_SHARE = 0.3
-# Part of its rate below which a team gets tokens for its most urgent requests whatever the bucket's
-# level, by what it used in the present window, and what less urgent ones get less. At random times a
-# team that uses 1/1.8 of its rate needs more than a burst of one second of it.
-CALM_SHARE = 0.85
-PRIORITY_STEP = 0.03
 # Most and fewest seconds in which granted tokens are to be used. An answer takes 0.06 s between
 # regions.
 MAX_VALID_S = 2.0
@@ -56,6 +53,8 @@
 # Seconds for which a bucket that was handed over stays, while its previous keeper is still listed. It
 # is below BEGIN_WAIT_S, after which that one, if it has returned to the list, may grant again.
 ACCEPTED_S = 1.5
+# Seconds after its start in which an entry may be unknown to others.
+JOINING_S = 10.0
 # Part of the burst that may be granted ahead of requests, lowest level for that as a part of the
 # burst, and the asks of one entry in so many seconds that make it a steady one.
 AHEAD_SHARE = 0.25
@@ -98,7 +97,7 @@
         bucket.rate_per_s = RESERVE_SHARE * excess / window_s
         bucket.burst = RESERVE_BURST_S * bucket.rate_per_s
         bucket.window_limit = RESERVE_SHARE * excess
-        bucket.overdraft = bucket.calm_limit = 0.0
+        bucket.overdraft = 0.0
         bucket.valid_s = RESERVE_VALID_S
     else:
         bucket.rate_per_s, bucket.burst = terms.rate_per_s, terms.burst
@@ -107,7 +106,6 @@
         bucket.window_limit = terms.rate_per_s * window_s + terms.burst + part
         valid_s = VALID_SHARE * part / terms.rate_per_s
         bucket.valid_s = min(MAX_VALID_S, max(MIN_VALID_S, valid_s))
-        bucket.calm_limit = terms.rate_per_s * (window_s + bucket.valid_s)
     bucket.level = min(bucket.level, bucket.burst)
 
 
@@ -199,16 +197,11 @@
 
 
 def fits(bucket: TokenBucket, need: float, priority: int) -> bool:
-    """Return whether a bucket has the tokens of a request.
-
-    While the team has used little in the present window, it is below its limit whatever the level.
-    """
-    used = granted_tokens(bucket) + need
-    if used > bucket.window_limit:
-        return False
-    calm_share = CALM_SHARE - PRIORITY_STEP * min(max(0, priority), PATIENT_PRIORITY)
-    is_calm = used <= calm_share * bucket.calm_limit and need <= bucket.burst
-    return is_calm or bucket.level >= least_level(bucket, need, priority)
+    """Return whether a bucket has the tokens of a request."""
+    return (
+        bucket.level >= least_level(bucket, need, priority)
+        and granted_tokens(bucket) + need <= bucket.window_limit
+    )
 
 
 def take(bucket: TokenBucket, tokens: float, expires_at: float) -> None:
@@ -283,7 +276,8 @@
     bucket = quotas.buckets.get(team) or quotas.reserves.get(team)
     if bucket is None:
         nothing = QuotaGrant(team, number, message.attempt, 0.0, 0.0, NOT_NOW_S, False)
-        effects.append(SendPeer(sender, nothing))
+        keeper = quota_roles.roles(state, team, at)[0]
+        effects.append(SendPeer(sender, evolve(nothing, other=keeper)))
         return
     for key, (_, answered_at) in list(bucket.answers.items()):
         if at - answered_at <= ANSWER_KEPT_S:
@@ -326,6 +320,10 @@
         granted += need
     if is_keeper and not retry_s:
         ahead = take_ahead(bucket, sender, granted, at)
+    # A bucket that has just begun is no sign that the team has used its quota. If this entry joined
+    # lately, the previous keeper may not know of it yet.
+    is_begun = at >= bucket.begins_at
+    is_new = is_keeper and not is_begun and at - state.started_at <= JOINING_S
     if granted:
         effects.append(Count("quota_granted", (label(state, team),), granted + ahead))
     return QuotaGrant(
@@ -335,10 +333,10 @@
         tokens=granted,
         valid_s=bucket.valid_s,
         retry_after_s=round(retry_s, 3),
-        # A bucket that has just begun is no sign that the team has used its quota.
-        is_keeper=is_keeper and at >= bucket.begins_at,
+        is_keeper=is_keeper and is_begun,
         ahead=ahead,
         ahead_valid_s=AHEAD_VALID_S,
+        other=quota_roles.roles(state, team, at)[2] if is_new else "",
     )
 
 
@@ -358,7 +356,7 @@
 ) -> None:
     """Begin or end the buckets of one team."""
     quotas = state.quotas
-    keeper, secondary = quota_roles.roles(state, team, at)
+    keeper, secondary, _ = quota_roles.roles(state, team, at)
     is_site_starting = state.is_first_start and at - state.started_at <= SITE_START_S
     unchanged_s = at - quotas.entries_changed_at
     if is_site_starting and unchanged_s < SETTLED_S:
--- a/poplarhoist/decisions/gateway/quota_roles.py
+++ b/poplarhoist/decisions/gateway/quota_roles.py
@@ -45,8 +45,11 @@
     quotas.roles_by_team.clear()
 
 
-def roles(state: GatewayState, team: str, at: float) -> tuple[str, str]:
-    """Return the names of the keeper and the secondary of a team; empty if there is none."""
+def roles(state: GatewayState, team: str, at: float) -> tuple[str, str, str]:
+    """Return the names of the keeper, the secondary, and who is the keeper without the first one.
+
+    A name is empty if there is no such entry.
+    """
     refresh(state, at)
     known = state.quotas.roles_by_team.get(team)
     if known is None:
@@ -54,14 +57,14 @@
     return known
 
 
-def choose(state: GatewayState, team: str) -> tuple[str, str]:
-    """Choose the keeper and the secondary of a team among the known entries."""
+def choose(state: GatewayState, team: str) -> tuple[str, str, str]:
+    """Choose the entries that serve a team among the known ones."""
     order = rendezvous_order(f"quota|{team}", state.quotas.entries)
     if len(order) < 2:
-        return (order[0] if order else ""), ""
+        return (order[0] if order else ""), "", ""
     region_by_entry = {name: state.regions.get(state.entries[name].zone) for name in order}
     elsewhere = (name for name in order if region_by_entry[name] != region_by_entry[order[0]])
-    return order[0], next(elsewhere, order[1])
+    return order[0], next(elsewhere, order[1]), order[1]
 
 
 def may_grow(state: GatewayState, at: float) -> bool:
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -75,6 +75,8 @@
         When a request began to wait for tokens, by its id.
     next_ask_at : float
         Earliest time of the next ask, if the latest one was refused for a moment.
+    other, other_until : str, float
+        Entry that is asked in place of the keeper, which named it, and until when.
     """
 
     prepaid: list[tuple[float, float]] = field(factory=list)
@@ -82,6 +84,8 @@
     waiting_since: dict[str, float] = field(factory=dict)
     pending: PendingQuotaAsk | None = None
     next_ask_at: float = float("-inf")
+    other: str = ""
+    other_until: float = float("-inf")
 
 
 @define
@@ -92,9 +96,8 @@
     ----------
     rate_per_s, burst : float
         Tokens a second, and the highest level.
-    calm_limit, window_limit : float
-        Tokens that count in one window of the rule for a team that uses its rate, and most tokens
-        that may be used in one from this bucket alone.
+    window_limit : float
+        Most tokens that may be used in one window of the rule, from this bucket alone.
     overdraft : float
         How far below zero the level may be for the most urgent requests.
     valid_s : float
@@ -121,7 +124,6 @@
     begins_at: float
     rate_per_s: float = 0.0
     burst: float = 0.0
-    calm_limit: float = 0.0
     window_limit: float = 0.0
     overdraft: float = 0.0
     valid_s: float = 0.0
@@ -165,7 +167,7 @@
     probed_at : float
         When the entries were last asked for that.
     roles_by_team : dict
-        Names of keeper and secondary.
+        Names of the keeper, the secondary, and the entry that is the keeper without the first one.
     buckets, reserves : dict
         Buckets that this entry keeps, as the keeper and as the secondary, by team.
     ignore_asks_until : float
@@ -185,7 +187,7 @@
     departed_at: dict[str, float] = field(factory=dict)
     echoed_at: dict[str, float] = field(factory=dict)
     probed_at: float = float("-inf")
-    roles_by_team: dict[str, tuple[str, str]] = field(factory=dict)
+    roles_by_team: dict[str, tuple[str, str, str]] = field(factory=dict)
     buckets: dict[str, TokenBucket] = field(factory=dict)
     reserves: dict[str, TokenBucket] = field(factory=dict)
     ignore_asks_until: float = float("-inf")
--- a/poplarhoist/decisions/gateway/quotas.py
+++ b/poplarhoist/decisions/gateway/quotas.py
@@ -29,6 +29,8 @@
 # says that it does not grant now.
 SILENT_S = 5.0
 NOT_GRANTING_S = 0.25
+# Seconds for which an entry is asked that the keeper named.
+OTHER_S = 1.0
 # Seconds after which a request that got no answer is refused.
 MAX_WAIT_S = 0.5
 # Seconds after its beginning up to which the wait of a request goes on that was refused for a moment;
@@ -197,8 +199,11 @@
     if at < account.next_ask_at:
         return
     quotas = state.quotas
-    keeper, secondary = quota_roles.roles(state, team, at)
-    to = secondary if quotas.silent_until.get(keeper, float("-inf")) > at else keeper
+    keeper, secondary, _ = quota_roles.roles(state, team, at)
+    if account.other in state.entries and at < account.other_until:
+        to = account.other
+    else:
+        to = secondary if quotas.silent_until.get(keeper, float("-inf")) > at else keeper
     if not to or not waiting_requests(state, account):
         return
     if not quotas.last_number:
@@ -280,10 +285,7 @@
     Those for which there are tokens in a moment go on waiting. Only the keeper knows that a quota is
     used up.
     """
-    keeper, secondary = quota_roles.roles(state, team, at)
-    if not message.is_keeper and pending.to == keeper and secondary:
-        wait_s = min(max(NOT_GRANTING_S, message.retry_after_s), SILENT_S)
-        state.quotas.silent_until[keeper] = at + wait_s
+    if not message.is_keeper and turn_elsewhere(state, team, account, pending, message, at):
         return []
     reason = Refused.QUOTA if message.is_keeper else Refused.QUOTA_UNKNOWN
     again_at = at + message.retry_after_s
@@ -300,6 +302,31 @@
     return decisions
 
 
+def turn_elsewhere(
+    state: GatewayState,
+    team: str,
+    account: Account,
+    pending: PendingQuotaAsk,
+    message: QuotaGrant,
+    at: float,
+) -> bool:
+    """Choose whom to ask after an entry that does not grant by the whole quota; False if nobody.
+
+    That is the entry that the keeper names, but not a further one that this one names.
+    """
+    keeper, secondary, _ = quota_roles.roles(state, team, at)
+    is_other = bool(account.other)
+    account.other = ""
+    if message.other and not is_other and message.other != pending.to:
+        account.other, account.other_until = message.other, at + OTHER_S
+        return True
+    if pending.to == secondary or not secondary:
+        return False
+    wait_s = min(max(NOT_GRANTING_S, message.retry_after_s), SILENT_S)
+    state.quotas.silent_until[keeper] = at + wait_s
+    return True
+
+
 def on_tick(state: GatewayState, at: float, effects: list) -> list[Decision]:
     """Repeat unanswered asks, and refuse requests that have waited too long for an answer."""
     decisions = []
@@ -330,12 +357,13 @@
 ) -> None:
     """Ask the secondary in place of a silent keeper, or the keeper's successor."""
     pending = account.pending
-    keeper, _ = quota_roles.roles(state, team, at)
-    role = "keeper" if pending.to == keeper else "secondary"
+    keeper, secondary, _ = quota_roles.roles(state, team, at)
+    role = "secondary" if pending.to == secondary else "keeper"
     effects.append(Count("quota_unanswered", (role,)))
-    if pending.to == keeper:
+    account.other = ""
+    if pending.to != secondary:
         state.quotas.silent_until[keeper] = at + SILENT_S
-        effects.append(LogChange("quota-keeper-silent", {"team": team, "peer": keeper}))
+        effects.append(LogChange("quota-keeper-silent", {"team": team, "peer": pending.to}))
     ask(state, team, account, at, effects)
 
 
