--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -338,13 +338,13 @@
     ----------
     level : float
         Tokens in the bucket.
-    granted : float
-        Tokens that the sender granted in the present window of the rule.
+    granted : tuple
+        Seconds until tokens that the sender granted expire, negative if they have, and their number.
     """
 
     team: str
     level: float
-    granted: float
+    granted: tuple[tuple[float, float], ...]
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/quota_keeper.py
+++ b/poplarhoist/decisions/gateway/quota_keeper.py
@@ -67,8 +67,10 @@
 PATIENT_PRIORITY = 2
 # Seconds for which answers are remembered; asks are repeated for half a second.
 ANSWER_KEPT_S = 2.0
-# Seconds of a slice of granted tokens; they count until the end of the slice in which they expire.
+# Seconds of a slice of granted tokens, which count until the end of the slice in which they expire;
+# longer in messages, so that a few slices hold them.
 SLICE_S = 0.05
+HANDOVER_SLICE_S = 0.5
 # Shortest and longest time in seconds that a refused ask is told to wait, and the time told by an
 # entry that does not grant now.
 MIN_RETRY_S = 0.05
@@ -196,12 +198,10 @@
     return -bucket.overdraft * max(0.0, 1.0 - max(0, priority) / PATIENT_PRIORITY)
 
 
-def fits(bucket: TokenBucket, need: float, priority: int) -> bool:
-    """Return whether a bucket has the tokens of a request."""
-    return (
-        bucket.level >= least_level(bucket, need, priority)
-        and granted_tokens(bucket) + need <= bucket.window_limit
-    )
+def fits(bucket: TokenBucket, need: float, priority: int, at: float) -> bool:
+    """Return whether a bucket has the tokens of a request; before it begins, only what it holds."""
+    least = least_level(bucket, need, priority) if at >= bucket.begins_at else need
+    return bucket.level >= least and granted_tokens(bucket) + need <= bucket.window_limit
 
 
 def take(bucket: TokenBucket, tokens: float, expires_at: float) -> None:
@@ -261,7 +261,8 @@
     An entry that does not grant now says so, so that the secondary is asked at once.
     """
     quotas = state.quotas
-    is_known = sender in state.entries or sender == state.name
+    quota_roles.refresh(state, at)
+    is_known = quota_roles.find_entry(state, sender) is not None
     # Any host can send a message.
     is_proper = all(
         math.isfinite(tokens) and tokens >= 0.0 for tokens in (*message.tokens, message.returned)
@@ -310,7 +311,7 @@
     needs = list(zip(message.tokens, message.priorities, strict=False))
     granted = ahead = retry_s = 0.0
     for index, (need, priority) in enumerate(needs):
-        if not fits(bucket, need, priority):
+        if not fits(bucket, need, priority, at):
             # Those behind it are less urgent or came later.
             retry_s = retry_after_s(bucket, need, priority, window_s, at)
             refused = sum(tokens for tokens, _ in needs[index:])
@@ -381,6 +382,15 @@
         quotas.reserves[team] = make_bucket(state, terms, True, is_full, at)
 
 
+def ages(bucket: TokenBucket, at: float) -> tuple[tuple[float, float], ...]:
+    """Return when the granted tokens expire, in seconds from now, in slices of `HANDOVER_SLICE_S`."""
+    by_slice: dict[int, float] = {}
+    for index, tokens in bucket.granted.items():
+        coarse = math.ceil((index * SLICE_S - at) / HANDOVER_SLICE_S)
+        by_slice[coarse] = by_slice.get(coarse, 0.0) + tokens
+    return tuple((coarse * HANDOVER_SLICE_S, tokens) for coarse, tokens in by_slice.items())
+
+
 def hand_over(
     state: GatewayState, team: str, bucket: TokenBucket, keeper: str, at: float, effects: list
 ) -> None:
@@ -389,8 +399,7 @@
     forget_granted(bucket, at - state.limits.quota_window_s)
     del state.quotas.buckets[team]
     if keeper:
-        message = QuotaHandover(team, bucket.level, granted_tokens(bucket))
-        effects.append(SendPeer(keeper, message))
+        effects.append(SendPeer(keeper, QuotaHandover(team, bucket.level, ages(bucket, at))))
     fields = {"team": team, "keeper": keeper, "level": round(bucket.level)}
     effects.append(LogChange("quota-keeper-ended", fields))
 
@@ -412,7 +421,8 @@
     elif at - bucket.accepted_at <= ACCEPTED_S:
         return
     bucket.accepted_at, bucket.accepted_from = at, sender
-    record_granted(bucket, max(0.0, message.granted), at + MAX_VALID_S)
+    for expires_in_s, tokens in message.granted:
+        record_granted(bucket, max(0.0, tokens), at + min(MAX_VALID_S, expires_in_s))
     if at < bucket.begins_at:
         bucket.level = min(bucket.burst, bucket.level + message.level)
         bucket.refilled_at = bucket.begins_at = at
--- a/poplarhoist/decisions/gateway/quota_roles.py
+++ b/poplarhoist/decisions/gateway/quota_roles.py
@@ -16,7 +16,7 @@
 from poplarhoist.decisions.gateway.effects import SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import QuotaEcho, QuotaProbe
-from poplarhoist.decisions.gateway.state import GatewayState
+from poplarhoist.decisions.gateway.state import EntryState, GatewayState
 
 # Seconds for which an entry that left may still run elsewhere; longer than networks stay cut in two.
 DEPARTED_S = 600.0
@@ -30,21 +30,27 @@
 def refresh(state: GatewayState, at: float) -> None:
     """Apply changes of the list of entries. This entry has no role while it stops or is not listed."""
     quotas = state.quotas
-    names = frozenset(state.entries)
-    if state.draining_since is not None:
-        names -= {state.name}
-    if names == quotas.entries:
+    is_stopping = state.draining_since is not None
+    names = state.entries.keys() - ({state.name} if is_stopping else set())
+    if names == quotas.entries.keys():
         return
-    for name in quotas.entries - names - {state.name}:
+    for name in quotas.entries.keys() - names - {state.name}:
+        quotas.departed[name] = quotas.entries[name]
         quotas.departed_at[name] = at
         quotas.echoed_at.pop(name, None)
     for name in names:
+        quotas.departed.pop(name, None)
         quotas.departed_at.pop(name, None)
-    quotas.entries = names
+    quotas.entries = {name: state.entries[name] for name in names}
     quotas.entries_changed_at = at
     quotas.roles_by_team.clear()
 
 
+def find_entry(state: GatewayState, name: str) -> EntryState | None:
+    """Return an entry that is registered, or has left lately and may have requests yet."""
+    return state.entries.get(name) or state.quotas.departed.get(name)
+
+
 def roles(state: GatewayState, team: str, at: float) -> tuple[str, str, str]:
     """Return the names of the keeper, the secondary, and who is the keeper without the first one.
 
@@ -82,6 +88,7 @@
     departed = quotas.departed_at
     for name in [name for name, left_at in departed.items() if at - left_at > DEPARTED_S]:
         del departed[name]
+        del quotas.departed[name]
     present = len(quotas.entries)
     if len(departed) != present:
         return len(departed) > present
@@ -90,7 +97,7 @@
 
 def is_confirmed(state: GatewayState, at: float) -> bool:
     """Return whether most of the entries have said lately that they list this one."""
-    others = state.quotas.entries - {state.name}
+    others = state.quotas.entries.keys() - {state.name}
     echoed_at = state.quotas.echoed_at
     confirmed = sum(at - echoed_at.get(name, float("-inf")) <= ECHO_VALID_S for name in others)
     return 2 * (confirmed + 1) > len(others) + 1
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -6,12 +6,16 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from attrs import define, field
 
 from poplarhoist.decisions.gateway.messages import QuotaGrant
 from poplarhoist.decisions.gateway.models import QuotaTerms
 
+if TYPE_CHECKING:
+    from poplarhoist.decisions.gateway.state import EntryState
+
 
 @define
 class PendingQuotaAsk:
@@ -158,8 +162,10 @@
         Number of the latest ask; begins at random, so that numbers of earlier processes differ.
     silent_until : dict
         Until when an entry counts as silent, by name.
-    entries, entries_changed_at : frozenset, float
-        Names of the entries that share the roles, and when they last changed.
+    entries, entries_changed_at : dict, float
+        The entries that share the roles, by name, and when they last changed.
+    departed : dict
+        Entries that left lately, by name.
     departed_at : dict
         When an entry left, by name.
     echoed_at : dict
@@ -182,8 +188,9 @@
     charges: dict[str, Charge] = field(factory=dict)
     last_number: int = 0
     silent_until: dict[str, float] = field(factory=dict)
-    entries: frozenset[str] = frozenset()
+    entries: dict[str, EntryState] = field(factory=dict)
     entries_changed_at: float = float("-inf")
+    departed: dict[str, EntryState] = field(factory=dict)
     departed_at: dict[str, float] = field(factory=dict)
     echoed_at: dict[str, float] = field(factory=dict)
     probed_at: float = float("-inf")
--- a/poplarhoist/decisions/gateway/quotas.py
+++ b/poplarhoist/decisions/gateway/quotas.py
@@ -370,6 +370,7 @@
 def on_slow_tick(state: GatewayState, at: float, effects: list) -> None:
     """Begin and end this entry's roles, and forget charges of requests that have ended."""
     quotas = state.quotas
+    quota_roles.refresh(state, at)
     if not quotas.terms_by_team and not quotas.charges:
         return
     quota_keeper.sync(state, at, effects)
