--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -347,6 +347,13 @@
     granted: tuple[tuple[float, float], ...]
 
 
+@frozen
+class QuotaClaim:
+    """Says that the sender is the keeper of a team; repeated to entries that may not know it."""
+
+    team: str
+
+
 @frozen
 class QuotaProbe:
     """Asks for a QuotaEcho; sent by keepers that cannot read the list of entries."""
@@ -381,6 +388,7 @@
     | QuotaAsk
     | QuotaGrant
     | QuotaHandover
+    | QuotaClaim
     | QuotaProbe
     | QuotaEcho
 )
--- a/poplarhoist/decisions/gateway/quota_roles.py
+++ b/poplarhoist/decisions/gateway/quota_roles.py
@@ -73,6 +73,12 @@
     return order[0], next(elsewhere, order[1]), order[1]
 
 
+def departed_keepers(state: GatewayState, team: str) -> list[str]:
+    """Return the entries that left lately and were the keeper of a team before this one, if any."""
+    order = rendezvous_order(f"quota|{team}", {*state.quotas.departed, state.name})
+    return order[: order.index(state.name)]
+
+
 def may_grow(state: GatewayState, at: float) -> bool:
     """Return whether no other entry can be the keeper of the teams of which this one is."""
     return not is_outnumbered(state, at) and (
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -122,6 +122,10 @@
         By then the tokens accrue that refused asks were told to come back for.
     accepted_at, accepted_from : float, str
         When another entry handed the bucket over to this one, and which.
+    may_be_unknown : bool
+        Whether it began as this entry joined, so that the previous keeper may not know of that.
+    claimed_at : float
+        When it was last claimed from entries that may think that they are the keeper.
     """
 
     refilled_at: float
@@ -140,6 +144,8 @@
     promised_until: float = float("-inf")
     accepted_at: float = float("-inf")
     accepted_from: str = ""
+    may_be_unknown: bool = False
+    claimed_at: float = float("-inf")
 
 
 @define
@@ -176,6 +182,8 @@
         Names of the keeper, the secondary, and the entry that is the keeper without the first one.
     buckets, reserves : dict
         Buckets that this entry keeps, as the keeper and as the secondary, by team.
+    lost : dict
+        Entry that last claimed the bucket of a team from this one, and when.
     ignore_asks_until : float
         Asks that arrive before may have waited while this process was paused.
     """
@@ -197,4 +205,5 @@
     roles_by_team: dict[str, tuple[str, str, str]] = field(factory=dict)
     buckets: dict[str, TokenBucket] = field(factory=dict)
     reserves: dict[str, TokenBucket] = field(factory=dict)
+    lost: dict[str, tuple[str, float]] = field(factory=dict)
     ignore_asks_until: float = float("-inf")
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -147,6 +147,8 @@
             settle(state, quotas.on_grant(state, sender, message, at, effects), at, effects)
         case messages.QuotaHandover():
             quota_keeper.on_handover(state, sender, message, at, effects)
+        case messages.QuotaClaim():
+            quota_keeper.on_claim(state, sender, message, at, effects)
         case messages.QuotaProbe():
             quota_roles.on_probe(state, sender, effects)
         case messages.QuotaEcho():
