--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -282,6 +282,99 @@
     caller_id: str
 
 
+@frozen
+class QuotaAsk:
+    """Asks the keeper of a team, or its secondary, for tokens of requests that wait.
+
+    It is repeated with the same number while it has no answer.
+
+    Attributes
+    ----------
+    tokens, priorities : tuple
+        Tokens and priority of each request that waits, the most urgent and oldest first.
+    attempt : int
+        How often it was sent, with this time.
+    returned : float
+        Tokens that the sender was granted and that expired unused.
+    """
+
+    team: str
+    number: int
+    tokens: tuple[float, ...]
+    priorities: tuple[int, ...]
+    attempt: int = 1
+    returned: float = 0.0
+
+
+@frozen
+class QuotaGrant:
+    """Answers a QuotaAsk.
+
+    Attributes
+    ----------
+    attempt : int
+        Attempt of the ask for which the tokens were granted.
+    tokens, ahead : float
+        Tokens granted for the first requests of the ask, and ahead of further ones.
+    valid_s, ahead_valid_s : float
+        Seconds after that attempt was sent in which they are to be used.
+    retry_after_s : float
+        Seconds after which there will be tokens for the first request that got none; 0 if all did.
+    is_keeper : bool
+        Whether the sender grants by the whole quota. If not, it is the secondary, or it does not
+        grant now, and the team may not have used its quota.
+    other : str
+        Entry that may grant by the whole quota, if the sender does not; empty if it knows none.
+    """
+
+    team: str
+    number: int
+    attempt: int
+    tokens: float
+    valid_s: float
+    retry_after_s: float
+    is_keeper: bool
+    ahead: float = 0.0
+    ahead_valid_s: float = 0.0
+    other: str = ""
+
+
+@frozen
+class QuotaHandover:
+    """Gives the bucket of a team to its new keeper; the sender grants no more of it.
+
+    Attributes
+    ----------
+    level : float
+        Tokens in the bucket.
+    granted : tuple
+        Seconds until tokens that the sender granted expire, negative if they have, and their number.
+    """
+
+    team: str
+    level: float
+    granted: tuple[tuple[float, float], ...]
+
+
+@frozen
+class QuotaClaim:
+    """Says that the sender is the keeper of a team; repeated to entries that may not know it."""
+
+    team: str
+
+
+@frozen
+class QuotaProbe:
+    """Asks for a QuotaEcho; sent by keepers that cannot read the list of entries."""
+
+
+@frozen
+class QuotaEcho:
+    """Says whether the sender knows the receiver as a registered entry."""
+
+    is_listed: bool
+
+
 Message = (
     Ask
     | AskWithdrawn
@@ -302,4 +395,10 @@
     | StreamBegan
     | AskStreamOrigin
     | StreamUnknown
+    | QuotaAsk
+    | QuotaGrant
+    | QuotaHandover
+    | QuotaClaim
+    | QuotaProbe
+    | QuotaEcho
 )
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -17,6 +17,9 @@
     leads,
     links,
     messages,
+    quota_keeper,
+    quota_roles,
+    quotas,
     request_limits,
     requests,
     residency,
@@ -71,6 +74,7 @@
         return
     effects.append(LogChange("entry-was-paused", {"seconds": round(pause_s, 3)}))
     links.on_pause(state, at)
+    quota_keeper.on_pause(state, pause_s, at)
     for table in state.slot_tables.values():
         # Another entry may lead by now. Its record arrives with the next read of a watch, so orders
         # wait for another PAUSE_THRESHOLD_S.
@@ -140,6 +144,28 @@
             streams.on_ask(state, sender, message, effects)
         case messages.StreamUnknown():
             streams.on_unknown(state, sender, message)
+        case messages.QuotaAsk():
+            quota_keeper.on_ask(state, sender, message, at, effects)
+        case messages.QuotaGrant():
+            settle(state, quotas.on_grant(state, sender, message, at, effects), at, effects)
+        case messages.QuotaHandover():
+            quota_keeper.on_handover(state, sender, message, at, effects)
+        case messages.QuotaClaim():
+            quota_keeper.on_claim(state, sender, message, at, effects)
+        case messages.QuotaProbe():
+            quota_roles.on_probe(state, sender, effects)
+        case messages.QuotaEcho():
+            quota_roles.on_echo(state, sender, message, at)
+
+
+def settle(state: GatewayState, decisions: list[quotas.Decision], at: float, effects: list) -> None:
+    """Place or refuse requests that have waited for tokens of their teams."""
+    for decision in decisions:
+        request = decision.request
+        if decision.refusal is None:
+            requests.place_request(state, request, at, effects)
+        else:
+            requests.refuse(state, request, decision.refusal, effects, decision.retry_after_s)
 
 
 def reroute_requests(state: GatewayState, request_ids: set[str], at: float, effects: list) -> None:
@@ -155,6 +181,7 @@
     at = event.at
     crashes.on_tick(state, at, effects)
     residency.on_tick(state, at, effects)
+    settle(state, quotas.on_tick(state, at, effects), at, effects)
     requests.on_tick(state, at, effects)
     brittle.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
@@ -171,6 +198,7 @@
     crash_records.on_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
     links.on_slow_tick(state, at, effects)
+    quotas.on_slow_tick(state, at, effects)
     leads.on_tick(state, at, effects)
 
 
@@ -199,6 +227,16 @@
     handle_message(state, event.sender, event.message, event.at, effects)
 
 
+def on_configuration(state: GatewayState, event: ev.ConfigurationSeen, effects: list) -> None:
+    """Apply a newer configuration, and the quotas of its teams."""
+    before = state.configuration
+    configuration.on_seen(state, event, effects)
+    if state.configuration is not before:
+        directory = state.configuration.teams
+        teams = list(directory.by_name.values()) if directory is not None else []
+        quota_keeper.on_teams(state, teams, event.at)
+
+
 def on_version(state: GatewayState, event: ev.VersionSeen, effects: list) -> None:
     """Record the announcement of an adapter version."""
     key = AdapterKey(event.model, event.adapter)
@@ -250,6 +288,7 @@
 def on_limits(state: GatewayState, event: ev.LimitsChanged, effects: list) -> None:
     """Apply new settings from now on."""
     state.limits = event.limits
+    quota_keeper.apply_terms(state, event.at)
     effects.append(LogChange("settings-read", {}))
 
 
@@ -271,7 +310,7 @@
 
 HANDLERS = {
     ev.Tick: on_tick,
-    ev.ConfigurationSeen: configuration.on_seen,
+    ev.ConfigurationSeen: on_configuration,
     ev.EndpointSeen: endpoints.on_seen,
     ev.EndpointRemoved: endpoints.on_removed,
     ev.EndpointsListed: endpoints.on_listed,
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -12,6 +12,7 @@
     expected_waits,
     links,
     pauses,
+    quotas,
     relays,
     request_limits,
     retry_budget,
@@ -118,8 +119,8 @@
         request.possible_runs = relay.possible_runs
         request.software_version = relay.software_version
     state.requests[request.request_id] = request
-    # Quotas are to admit the request here, before it is placed for the first time.
-    place_request(state, request, event.at, effects)
+    if quotas.admit(state, request, event.at, effects) is quotas.Admission.ADMITTED:
+        place_request(state, request, event.at, effects)
 
 
 def refuse_unadmitted(
@@ -183,7 +184,8 @@
     if entry is None:
         return False
     stop_waiting(state, request, at, effects)
-    relays.start(state, request, entry, remaining_s(request, at), at, effects)
+    if quotas.admit(state, request, at, effects) is quotas.Admission.ADMITTED:
+        relays.start(state, request, entry, remaining_s(request, at), at, effects)
     return True
 
 
@@ -232,6 +234,8 @@
         refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
         return
     stop_waiting(state, request, at, effects)
+    if quotas.admit(state, request, at, effects) is quotas.Admission.WAITING:
+        return
     record = endpoint.record
     request.begin_attempt(at, record.name, record.incarnation, record.software_version)
     request_limits.record_sent(endpoint)
@@ -355,6 +359,7 @@
     }
     stop_waiting(state, request, at, effects)
     release_endpoint(state, request)
+    quotas.refund(state, request)
     state.requests.pop(request.request_id, None)
     ran = request.possible_runs > 0
     effects.append(Refuse(request.request_id, reason, ran, 0.0 if ran else retry_after_s))
@@ -618,6 +623,7 @@
     request.caller_disconnected = True
     if request.stage is Stage.WAITING:
         stop_waiting(state, request, at, effects)
+        quotas.refund(state, request)
         state.requests.pop(request_id, None)
     effects.append(LogRequest("caller-left", request_id, request.log_ids()))
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -15,6 +15,7 @@
 from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
 from poplarhoist.decisions.gateway.paces import ServicePace
 from poplarhoist.decisions.gateway.positions import Position
+from poplarhoist.decisions.gateway.quota_state import QuotaState
 from poplarhoist.decisions.gateway.request_state import RequestState
 from poplarhoist.decisions.gateway.team_state import TeamState
 
@@ -448,6 +449,8 @@
         This entry's links to endpoints.
     teams : TeamState
         What is kept of teams beside the configuration.
+    quotas : QuotaState
+        The quotas of teams.
     told_positions_by_kind : dict
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
@@ -511,6 +514,7 @@
     links: LinkState = field(factory=LinkState)
     teams: TeamState = field(factory=TeamState)
     service_paces: dict[str, ServicePace] = field(factory=dict)
+    quotas: QuotaState = field(factory=QuotaState)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -45,6 +45,10 @@
     "connection_opened": ("New connections to endpoints", ("purpose",)),
     "connection_reused": ("Uses of kept connections to endpoints", ("purpose",)),
     "connection_dropped": ("Connections to endpoints not kept, or no longer", ("reason",)),
+    "quota_granted": ("Tokens granted as keeper or secondary", ("team",)),
+    "quota_refused": ("Tokens not granted as keeper or secondary", ("team",)),
+    "quota_forfeited": ("Tokens granted to this entry that expired", ("team",)),
+    "quota_unanswered": ("Asks for tokens without an answer", ("role",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
