--- a/poplarhoist/decisions/gateway/copies.py
+++ b/poplarhoist/decisions/gateway/copies.py
@@ -13,11 +13,12 @@
 
 from poplarhoist.decisions.common_effects import LogChange
 from poplarhoist.decisions.gateway.broadcast import other_entries
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.events import CopyAsked
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.leads import is_silent
 from poplarhoist.decisions.gateway.positions import Position
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Entries of a region up to which all read long records themselves.
 FULL_READERS = 6
--- a/poplarhoist/decisions/gateway/leads.py
+++ b/poplarhoist/decisions/gateway/leads.py
@@ -20,6 +20,7 @@
 from poplarhoist.decisions.gateway.configuration import find_service
 from poplarhoist.decisions.gateway.effects import Claim, Register
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.events import (
     CallStatus,
     ClaimEnded,
@@ -31,7 +32,7 @@
 from poplarhoist.decisions.gateway.hashing import rendezvous_weight
 from poplarhoist.decisions.gateway.limits import FULL_RATE_ENTRIES
 from poplarhoist.decisions.gateway.positions import Position, generation_of, next_epoch
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState, LeadRecord, SlotTable
+from poplarhoist.decisions.gateway.state import GatewayState, LeadRecord, SlotTable
 
 # Seconds after the start before engines are claimed, so that entries that start together can
 # register first.
--- a/poplarhoist/decisions/gateway/quota_roles.py
+++ b/poplarhoist/decisions/gateway/quota_roles.py
@@ -14,9 +14,10 @@
 
 from poplarhoist.decisions.gateway.broadcast import tell_others
 from poplarhoist.decisions.gateway.effects import SendPeer
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import QuotaEcho, QuotaProbe
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds for which an entry that left may still run elsewhere; longer than networks stay cut in two.
 DEPARTED_S = 600.0
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -6,16 +6,13 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.messages import QuotaGrant
 from poplarhoist.decisions.gateway.models import QuotaTerms
 
-if TYPE_CHECKING:
-    from poplarhoist.decisions.gateway.state import EntryState
-
 
 @define
 class PendingQuotaAsk:
--- a/poplarhoist/decisions/gateway/relays.py
+++ b/poplarhoist/decisions/gateway/relays.py
@@ -11,9 +11,10 @@
 from poplarhoist.decisions.gateway import endpoints, links, teams
 from poplarhoist.decisions.gateway.broadcast import other_entries
 from poplarhoist.decisions.gateway.effects import Dispatch, LogRequest, RelayTerms
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.models import EndpointRecord
 from poplarhoist.decisions.gateway.request_state import RequestState
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds for which an entry to which no connection could be made gets no requests.
 AVOID_ENTRY_S = 2.0
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -10,6 +10,7 @@
 
 from poplarhoist.decisions.gateway.crash_suspects import Crash, CrashReport, Verdict
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
 from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
@@ -81,41 +82,6 @@
     position: Position
 
 
-@define
-class EntryState:
-    """An entry as registered in the store.
-
-    Attributes
-    ----------
-    relay_port : int
-        Port at which it passes on requests of other entries; 0 if it does not.
-    silent_until : float
-        Until this time the entry counts as silent, as it did not answer.
-    links_lost_until : float
-        Until this time the entry counts as having no links to endpoints.
-    avoid_until : float
-        Until this time it gets no requests to pass on, as no connection to it could be made.
-    copies_missed : int
-        How often in a row it did not answer when it was asked for a copy of records.
-    no_copies_until : float
-        Until this time it counts as unable to give copies, for that reason.
-    relaying : set
-        Ids of this entry's requests that it passes on.
-    """
-
-    name: str
-    host: str
-    port: int
-    zone: str = ""
-    relay_port: int = 0
-    silent_until: float = float("-inf")
-    links_lost_until: float = float("-inf")
-    avoid_until: float = float("-inf")
-    copies_missed: int = 0
-    no_copies_until: float = float("-inf")
-    relaying: set[str] = field(factory=set)
-
-
 @define
 class LinkState:
     """What this entry knows of its links to endpoints.
--- a/poplarhoist/gateway/copies.py
+++ b/poplarhoist/gateway/copies.py
@@ -11,9 +11,10 @@
 
 from poplarhoist.decisions.gateway import copies
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.entry_state import EntryState
 from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.decisions.gateway.positions import Position
-from poplarhoist.decisions.gateway.state import EntryState, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 from poplarhoist.entry.http import request_once
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.interfaces import RecordsCopy, Store, StoreChanges
