--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -29,6 +29,8 @@
         force: the caller's own headers for key and team are forwarded. Otherwise they are not.
     relay : RelayTerms or None
         What the entry must keep to that passes the request on; None if it goes to an endpoint.
+    may_reuse : bool
+        Whether the request may be sent over a kept connection.
     """
 
     request_id: str
@@ -40,6 +42,7 @@
     version: int = 0
     relay: RelayTerms | None = None
     team: str | None = None
+    may_reuse: bool = False
 
 
 @frozen
