--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -45,6 +45,22 @@
     may_reuse: bool = False
 
 
+@frozen
+class Hedge:
+    """Send a request a second time, beside its running attempt; the first whole response counts."""
+
+    request_id: str
+    dispatch: Dispatch
+
+
+@frozen
+class CancelAttempt:
+    """Cut one of two attempts that run side by side; nothing of it is used any more."""
+
+    request_id: str
+    attempt: int
+
+
 @frozen
 class Refuse:
     """Answer a request with an error of the gateway.
@@ -199,6 +215,8 @@
 
 Effect = (
     Dispatch
+    | Hedge
+    | CancelAttempt
     | Refuse
     | ForwardFailure
     | Claim
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -268,6 +268,15 @@
     notice: EndpointNotice = EndpointNotice()
 
 
+@frozen
+class ResponseChosen:
+    """A response too long to be held is passed on as it arrives, so no other one may be."""
+
+    at: float
+    request_id: str
+    attempt: int
+
+
 class Framing(enum.StrEnum):
     """What marks the end of a response body.
 
@@ -565,6 +574,7 @@
     | ClaimEnded
     | RequestArrived
     | ResponseStarted
+    | ResponseChosen
     | AttemptEnded
     | CallerDisconnected
     | PeerMessageReceived
--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -29,6 +29,9 @@
         settings state. No decision depends on it; a new lead waits for `lease_s` in either case.
     keep_connections : bool
         Whether connections to endpoints are kept for what may run twice.
+    hedge_ratio : float
+        Share of a service's requests that may get a second attempt beside a slow one, within a
+        window of `retry_window_s`; 0 for none.
     """
 
     stop_grace_s: float = 8.0
@@ -39,6 +42,7 @@
     version_deadline_s: float = 5.0
     engines_check_epochs: bool = True
     keep_connections: bool = False
+    hedge_ratio: float = 0.0
 
 
 # Factor on the retry budget; the rest covers entries that do not see each other and so divide the
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -14,6 +14,7 @@
     crashes,
     endpoints,
     gossip,
+    hedging,
     leads,
     links,
     messages,
@@ -153,6 +154,7 @@
     crashes.on_tick(state, at, effects)
     residency.on_tick(state, at, effects)
     requests.on_tick(state, at, effects)
+    hedging.on_tick(state, at, effects)
     brittle.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
     adapter_asks.send_usage(state, at, effects)
@@ -284,6 +286,7 @@
     ev.StoreChangesRead: gossip.on_changes_read,
     ev.RequestArrived: requests.on_arrived,
     ev.ResponseStarted: requests.on_response_started,
+    ev.ResponseChosen: hedging.on_response_chosen,
     ev.AttemptEnded: requests.on_attempt_ended,
     ev.CallerDisconnected: lambda state, event, out: requests.on_caller_disconnected(
         state, event.request_id, event.at, out
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -7,8 +7,12 @@
 
 from attrs import define, field
 
+from poplarhoist.decisions.gateway.hedge_state import ParallelAttempt
 from poplarhoist.decisions.gateway.models import Prompt, Route, Team
 
+# Seconds that a response needs on its way back; an endpoint gets this much less time.
+RESPONSE_MARGIN_S = 0.01
+
 
 class Stage(enum.StrEnum):
     """Whether a request waits in this entry or runs at an endpoint."""
@@ -32,7 +36,8 @@
     content_digest : str
         Digest of method, path and body; identifies requests that crash endpoints.
     attempt : int
-        Number of the latest attempt, from 1; 0 before the first.
+        Number of the latest attempt, from 1; 0 before the first. Of two that run side by side, it and
+        the other fields of an attempt belong to the one that was heard from last.
     possible_runs : int
         Attempts that may have run at an endpoint.
     endpoint_name : str
@@ -71,6 +76,10 @@
     team : Team or None
         Team of the caller; None if teams were not in force when the request arrived, or if the route
         is anonymous and the caller sent no known key.
+    hedge_attempt : int
+        Number of the second attempt that was sent beside a slow one; 0 if none was.
+    hedge : ParallelAttempt or None
+        The other one of two attempts that run side by side; None if there is only one.
     """
 
     request_id: str
@@ -109,6 +118,8 @@
     relay: str = ""
     tried_relays: set[str] = field(factory=set)
     team: Team | None = None
+    hedge_attempt: int = 0
+    hedge: ParallelAttempt | None = None
 
     def log_ids(self) -> dict[str, object]:
         """Return the log fields that tell whose request it is."""
@@ -120,9 +131,39 @@
     ) -> None:
         """Begin the next attempt, at a run of an endpoint or, without one, at another entry."""
         self.stage = Stage.RUNNING
-        self.attempt += 1
+        self.attempt = max(self.attempt, self.hedge_attempt) + 1
         self.attempt_started_at = None
         self.attempt_sent_at = at
         self.endpoint_name = endpoint_name
         self.attempt_incarnation = incarnation
         self.attempt_software = software
+
+    def select_attempt(self, attempt: int) -> bool:
+        """Let the fields of an attempt describe this one; return whether it runs.
+
+        Of two attempts that run side by side, the other one is kept in `hedge`.
+        """
+        if attempt == self.attempt:
+            return True
+        other = self.hedge
+        if other is None or other.attempt != attempt:
+            return False
+        self.hedge = ParallelAttempt(
+            self.attempt,
+            self.endpoint_name,
+            self.attempt_incarnation,
+            self.attempt_software,
+            self.attempt_sent_at,
+            self.attempt_started_at,
+        )
+        self.attempt = other.attempt
+        self.endpoint_name = other.endpoint_name
+        self.attempt_incarnation = other.incarnation
+        self.attempt_software = other.software
+        self.attempt_sent_at = other.sent_at
+        self.attempt_started_at = other.started_at
+        return True
+
+    def remaining_s(self, at: float) -> float:
+        """Return the seconds that an endpoint, or the entry that passes it on, may take."""
+        return max(RESPONSE_MARGIN_S, self.deadline_at - at - RESPONSE_MARGIN_S)
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -9,10 +9,12 @@
     connection_reuse,
     crashes,
     endpoints,
+    hedging,
     links,
     pauses,
     relays,
     request_limits,
+    request_logs,
     retry_budget,
     routing,
     streams,
@@ -30,11 +32,9 @@
 )
 from poplarhoist.decisions.gateway.limits import ASK_RETRY_S
 from poplarhoist.decisions.gateway.models import Refused
-from poplarhoist.decisions.gateway.request_state import RequestState, Stage
+from poplarhoist.decisions.gateway.request_state import RESPONSE_MARGIN_S, RequestState, Stage
 from poplarhoist.decisions.gateway.state import GatewayState
 
-# Seconds that a response needs on its way back; an endpoint gets this much less time.
-RESPONSE_MARGIN_S = 0.01
 # Share of the latency target after which a request is refused if no endpoint is available.
 NO_ENDPOINT_WAIT_SHARE = 0.1
 # Share of the latency target after which a request is refused if the lead reports no slot for its
@@ -181,7 +181,7 @@
     if entry is None:
         return False
     stop_waiting(state, request)
-    relays.start(state, request, entry, remaining_s(request, at), at, effects)
+    relays.start(state, request, entry, request.remaining_s(at), at, effects)
     return True
 
 
@@ -253,7 +253,7 @@
             request_id=request.request_id,
             attempt=request.attempt,
             endpoint=endpoint.record,
-            remaining_s=remaining_s(request, at),
+            remaining_s=request.remaining_s(at),
             priority=teams.engine_priority(request),
             stream=request.route.kind == "stream",
             version=version,
@@ -290,15 +290,11 @@
             "after_event": request.last_event_id,
         }
     effects.append(LogRequest("sent", request.request_id, fields))
+    hedging.on_sent(state, request)
     # A trial that fails is not tried at another endpoint.
     request.is_trial = False
 
 
-def remaining_s(request: RequestState, at: float) -> float:
-    """Return the seconds that an endpoint, or the entry that passes a request on, may take."""
-    return max(RESPONSE_MARGIN_S, request.deadline_at - at - RESPONSE_MARGIN_S)
-
-
 def stop_waiting(state: GatewayState, request: RequestState) -> None:
     """Remove a request from the waiting requests and from its pending Ask."""
     state.waiting.discard(request.request_id)
@@ -368,10 +364,11 @@
 def on_response_started(state: GatewayState, event: ResponseStarted, effects: list) -> None:
     """Record the first byte of a response, and what it says of the endpoint's load and adapters."""
     request = state.requests.get(event.request_id)
-    if request is None or request.attempt != event.attempt:
+    if request is None or not request.select_attempt(event.attempt):
         return
     if request.attempt_started_at is None:
         request.attempt_started_at = event.at
+        hedging.record_first_byte(state, request, event.at)
     if not request.response_started:
         request.response_started_at = event.at
     request.response_started = True
@@ -410,7 +407,7 @@
 def on_attempt_ended(state: GatewayState, event: AttemptEnded, effects: list) -> None:
     """Finish a request, retry it or refuse it."""
     request = state.requests.get(event.request_id)
-    if request is None or request.attempt != event.attempt:
+    if request is None or not request.select_attempt(event.attempt):
         return
     effects.append(Count("attempt_ended", (event.outcome,)))
     if event.reason in BOUND_REASONS:
@@ -430,12 +427,15 @@
     if endpoint is not None:
         record_endpoint_result(state, request, endpoint, event, effects)
     if request.caller_disconnected or event.outcome in (Outcome.DONE, Outcome.CANCELLED):
+        hedging.on_decided(state, request, event, effects)
         finish(state, request, event, effects)
         return
     if event.outcome not in (Outcome.NOT_SENT, Outcome.NOT_RUN):
         request.possible_runs += 1
     if event.delivered and request.software_version is None:
         request.software_version = request.attempt_software
+    if hedging.go_on_with_other(state, request, event, effects):
+        return
     if may_retry(state, request, event, effects):
         effects.append(
             LogRequest(
@@ -560,7 +560,7 @@
     if event.outcome is Outcome.FAILED:
         state.requests.pop(request.request_id, None)
         effects.append(ForwardFailure(request.request_id))
-        log_end(request, event, effects)
+        request_logs.log_end(request, event, effects)
         return
     reason = Refused.DEADLINE if event.outcome is Outcome.TIMED_OUT else Refused.LOST
     if event.outcome in (Outcome.NOT_RUN, Outcome.NOT_SENT):
@@ -580,33 +580,7 @@
 def finish(state: GatewayState, request: RequestState, event: AttemptEnded, effects: list) -> None:
     """Forget a request that has its response, or whose caller disconnected."""
     state.requests.pop(request.request_id, None)
-    log_end(request, event, effects)
-
-
-def log_end(request: RequestState, event: AttemptEnded, effects: list) -> None:
-    """Log the end of a request and observe its latencies."""
-    fields = {
-        **request.log_ids(),
-        "endpoint": request.endpoint_name,
-        "outcome": event.outcome,
-        "status": event.status,
-        "took_s": round(event.at - request.arrived_at, 4),
-        "first_s": (
-            round(request.response_started_at - request.arrived_at, 4)
-            if request.response_started
-            else None
-        ),
-        "attempt": request.attempt,
-        "late": request.response_started
-        and request.response_started_at > request.latency_target_at,
-        **event.body_end.log_fields(),
-    }
-    effects.append(LogRequest("answered", request.request_id, fields))
-    kind = request.route.kind
-    effects.append(Observe("request_seconds", (kind, event.outcome), event.at - request.arrived_at))
-    if request.response_started:
-        first_s = request.response_started_at - request.arrived_at
-        effects.append(Observe("first_byte_seconds", (kind,), first_s))
+    request_logs.log_end(request, event, effects)
 
 
 def on_caller_disconnected(state: GatewayState, request_id: str, at: float, effects: list) -> None:
--- a/poplarhoist/decisions/gateway/retry_budget.py
+++ b/poplarhoist/decisions/gateway/retry_budget.py
@@ -32,15 +32,23 @@
     drop_expired(requests, at - state.limits.retry_window_s)
 
 
-def may_spend_retry(state: GatewayState, service: str, at: float) -> bool:
-    """Return whether a retry is left of this entry's part in the current window."""
+def may_spend_retry(
+    state: GatewayState, service: str, at: float, reserved_share: float = 0.0
+) -> bool:
+    """Return whether a retry is left of this entry's part in the current window.
+
+    Parameters
+    ----------
+    reserved_share : float
+        Share of that part, from 0 to 1, that is to be left for others.
+    """
     window = retry_window(state, service)
     oldest = at - state.limits.retry_window_s
     drop_expired(window.requests, oldest)
     drop_expired(window.retries, oldest)
     slack = state.limits.retry_slack / max(1, len(state.entries))
     allowed = RETRY_BUDGET_SAFETY_FACTOR * (state.limits.retry_ratio * len(window.requests) + slack)
-    return len(window.retries) + 1 <= allowed
+    return len(window.retries) + 1 <= allowed * (1.0 - reserved_share)
 
 
 def try_spend_retry(state: GatewayState, service: str, at: float) -> bool:
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -320,10 +320,17 @@
 
 
 def choose_plain_endpoint(
-    state: GatewayState, request: RequestState, at: float
+    state: GatewayState,
+    request: RequestState,
+    at: float,
+    candidates: list[EndpointState] | None = None,
 ) -> EndpointState | None:
-    """Return the least loaded endpoint of a plain service, at random among equals; None if none."""
-    candidates = usable_endpoints(state, request, at)
+    """Return the least loaded endpoint of a plain service, at random among equals; None if none.
+
+    Without `candidates`, all usable ones are considered.
+    """
+    if candidates is None:
+        candidates = usable_endpoints(state, request, at)
     if not candidates:
         return None
     entries = max(1, len(state.entries))
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -10,6 +10,7 @@
 
 from poplarhoist.decisions.gateway.crash_suspects import Crash, CrashReport, Verdict
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
+from poplarhoist.decisions.gateway.hedge_state import HedgeState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
 from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
@@ -447,6 +448,8 @@
         This entry's links to endpoints.
     teams : TeamState
         What is kept of teams beside the configuration.
+    hedges : HedgeState
+        What is kept for second attempts beside slow ones.
     told_positions_by_kind : dict
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
@@ -507,6 +510,7 @@
     software_records: SoftwareRecords = field(factory=SoftwareRecords)
     links: LinkState = field(factory=LinkState)
     teams: TeamState = field(factory=TeamState)
+    hedges: HedgeState = field(factory=HedgeState)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -43,6 +43,10 @@
     "connection_opened": ("New connections to endpoints", ("purpose",)),
     "connection_reused": ("Uses of kept connections to endpoints", ("purpose",)),
     "connection_dropped": ("Connections to endpoints not kept, or no longer", ("reason",)),
+    "hedge_sent": ("Second attempts sent beside slow ones", ()),
+    "hedge_ended": ("Second attempts ended", ("result",)),
+    "hedge_not_sent": ("Second attempts that were due and not sent", ("reason",)),
+    "hedge_extra_seconds": ("Seconds of attempts that another one made useless", ()),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -21,6 +21,7 @@
 from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.hedged_attempts import HedgedAttempt, HedgeRunner
 from poplarhoist.gateway.interfaces import Dialect, Headers
 from poplarhoist.gateway.request_bodies import (
     JSON_CONTENT_TYPE,
@@ -72,8 +73,10 @@
         dialect: Dialect,
         is_relay: bool = False,
         pool: ConnectionPool | None = None,
+        hedge_runner: HedgeRunner | None = None,
     ) -> None:
         self.pool = pool
+        self.hedge_runner = hedge_runner
         self.decision_loop = decision_loop
         self.dialect = dialect
         self.is_relay = is_relay
@@ -186,6 +189,8 @@
         The latest attempt.
     caller_watch : CallerWatch
         Calls `on_caller_disconnected` when the caller closes its connection.
+    hedge : HedgedAttempt or None
+        The second attempt beside the latest one.
     is_relay : bool
         Whether the caller is another entry.
     """
@@ -193,6 +198,8 @@
     def __init__(self, app: CallerApplication, environ, start_response, request) -> None:
         self.decision_loop = app.decision_loop
         self.pool = app.pool
+        self.hedge_runner = app.hedge_runner
+        self.hedge: HedgedAttempt | None = None
         self.dialect = app.dialect
         self.is_relay = app.is_relay
         self.start_response = start_response
@@ -207,6 +214,8 @@
     def run(self, event: ev.RequestArrived) -> Iterable[bytes]:
         """Submit the request and carry out its effects; return the response body."""
         is_streamed = False
+        if self.hedge_runner is not None:
+            self.hedge_runner.add(self)
         try:
             self.decision_loop.submit(event)
             while True:
@@ -218,11 +227,19 @@
                 if isinstance(effect, fx.ForwardFailure):
                     return self.respond(self.last_failure)
                 start = self.start_stream if effect.stream else self.start_plain
+                self.hedge = None
                 exchange, first_chunk, chunks = start(effect)
+                has_ended = False
+                if self.hedge is not None:
+                    exchange, first_chunk, chunks, has_ended = self.hedge.settle(
+                        exchange, first_chunk, chunks
+                    )
+                    self.last_exchange = exchange
                 if first_chunk is not None:
                     is_streamed = True
                     return StreamedBody(self, exchange, first_chunk, chunks)
-                self.submit_attempt_ended(exchange)
+                if not has_ended:
+                    self.submit_attempt_ended(exchange)
                 if exchange.result.outcome is ev.Outcome.DONE:
                     return self.respond(exchange.result)
                 self.last_failure = exchange.result
@@ -370,6 +387,8 @@
         self.decision_loop.submit(
             ev.CallerDisconnected(self.decision_loop.event_time(), self.request.request_id)
         )
+        if self.hedge is not None:
+            self.hedge.cancel()
         if self.request.active_exchange is not None:
             self.request.active_exchange.cancel()
         else:
@@ -381,6 +400,8 @@
         The server may read the next request from the connection only after the watch has stopped.
         """
         self.caller_watch.stop()
+        if self.hedge_runner is not None:
+            self.hedge_runner.remove(self.request.request_id)
         self.decision_loop.close_mailbox(self.request.request_id)
 
 
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -29,6 +29,7 @@
 from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.copies import COPIES_PATH, respond_with_copy
 from poplarhoist.gateway.engines import EngineClient
+from poplarhoist.gateway.hedged_attempts import HedgeRunner
 from poplarhoist.gateway.interfaces import Dialect, Store
 from poplarhoist.gateway.logs import BoundedLog
 from poplarhoist.gateway.peers import PeerTransport
@@ -162,6 +163,7 @@
         self.decision_loop.set_handler(Stop, lambda effect: eventlet.spawn_n(self.signal_stopped))
         self.store_watcher = StoreWatcher(self.decision_loop, store)
         self.connection_pool = ConnectionPool(self.decision_loop)
+        self.hedge_runner = HedgeRunner(self.decision_loop)
         self.engine_client = EngineClient(
             self.decision_loop, dialect, leads.own_holder_id(state), self.connection_pool
         )
@@ -210,7 +212,14 @@
         thread = eventlet.spawn(
             eventlet.wsgi.server,
             stoppable,
-            CallerApplication(self.decision_loop, self.dialect, is_relay, self.connection_pool),
+            CallerApplication(
+                self.decision_loop,
+                self.dialect,
+                is_relay,
+                self.connection_pool,
+                # What other entries pass on gets no second attempt.
+                None if is_relay else self.hedge_runner,
+            ),
             log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -77,6 +77,9 @@
     engines_check_epochs : bool
         Whether engines reject orders that carry the epoch of an earlier lead. No decision depends
         on it.
+    hedge_ratio : float
+        Share of a service's requests that may get a second attempt beside a slow one, within a
+        window of `retry_window_s`; 0 for none.
     """
 
     stop_s: float = 8.0
@@ -86,6 +89,7 @@
     lease_ms: float = 3000.0
     version_ms: float = 5000.0
     engines_check_epochs: bool = False
+    hedge_ratio: float = 0.0
 
     def to_limits(self) -> GatewayLimits:
         """Return the limits for the decision loop."""
@@ -97,6 +101,7 @@
             lease_s=self.lease_ms * S_PER_MS,
             version_deadline_s=self.version_ms * S_PER_MS,
             engines_check_epochs=self.engines_check_epochs,
+            hedge_ratio=self.hedge_ratio,
         )
 
 
