--- a/poplarhoist/decisions/gateway/hedging.py
+++ b/poplarhoist/decisions/gateway/hedging.py
@@ -225,7 +225,8 @@
 
     Other entries are assumed to send it requests too, as for a first attempt.
     """
-    slots = endpoint.record.slots
+    # An endpoint that registered no number of slots has at least one.
+    slots = max(1, endpoint.record.max_concurrent_requests)
     if len(endpoint.in_flight) * max(1, min(len(state.entries), 3)) >= slots:
         return False
     is_known = at - endpoint.load_reported_at < FULL_REPORT_S
