--- a/tests/gateway_hedging_load.py
+++ b/tests/gateway_hedging_load.py
@@ -84,11 +84,19 @@
     step_s = 0.005
 
     def __init__(
-        self, share: float, hedge_ratio: float, seed: int, entries: int, max_waiting: int
+        self,
+        share: float,
+        hedge_ratio: float,
+        seed: int,
+        entries: int,
+        max_waiting: int,
+        is_sticky: bool,
     ) -> None:
         self.random = random.Random(seed)
         self.result = LoadResult()
         self.max_waiting = max_waiting
+        # Whether what takes long is the request, so that another attempt takes as long.
+        self.is_sticky = is_sticky
         self.at = 0.0
         names = [f"entry-{n}" for n in range(entries)]
         records = [
@@ -170,7 +178,8 @@
             self.end(entry, dispatch, ev.Outcome.NOT_RUN, status=503)
             return
         # The same for an attempt with second attempts and without them.
-        draws = random.Random(f"{self.seed}{dispatch.request_id}#{dispatch.attempt}")
+        number = 0 if self.is_sticky else dispatch.attempt
+        draws = random.Random(f"{self.seed}{dispatch.request_id}#{number}")
         work_s = WORK_S * draws.lognormvariate(0.0, WORK_SIGMA)
         if draws.random() < STALL_SHARE:
             work_s *= STALL_FACTOR
@@ -233,19 +242,27 @@
     seed: int = 1,
     entries: int = 8,
     max_waiting: int = MAX_WAITING,
+    is_sticky: bool = False,
 ) -> LoadResult:
     """Return the result of a load of this share of the endpoints' capacity."""
-    return HedgingLoad(share, hedge_ratio, seed, entries, max_waiting).run()
+    return HedgingLoad(share, hedge_ratio, seed, entries, max_waiting, is_sticky).run()
 
 
 def main() -> None:
     """Print the figures of docs/design/hedging.md."""
     cases = itertools.product(
-        ((8, MAX_WAITING), (70, MAX_WAITING), (8, 10000)), (0.3, 0.7, 0.95, 1.2), (0.0, 0.05)
+        (
+            (8, MAX_WAITING, False),
+            (70, MAX_WAITING, False),
+            (8, 10000, False),
+            (8, MAX_WAITING, True),
+        ),
+        (0.3, 0.7, 0.95, 1.2),
+        (0.0, 0.05),
     )
-    for (entries, max_waiting), share, ratio in cases:
-        result = run_load(share, ratio, 1, entries, max_waiting)
-        without = run_load(share, 0.0, 1, entries, max_waiting)
+    for (entries, max_waiting, is_sticky), share, ratio in cases:
+        result = run_load(share, ratio, 1, entries, max_waiting, is_sticky)
+        without = run_load(share, 0.0, 1, entries, max_waiting, is_sticky)
         times = " ".join(
             f"{1000 * result.percentile_s(quantile):6.0f}" for quantile in (0.5, 0.95, 0.99, 0.999)
         )
@@ -255,7 +272,7 @@
             if key[0] == "hedge_not_sent"
         }
         print(
-            f"{entries:2} {max_waiting:5} {share} {ratio:4} {result.requests:6} {result.answered:6} {result.in_time:6} "
+            f"{entries:2} {max_waiting:5} {is_sticky:1} {share} {ratio:4} {result.requests:6} {result.answered:6} {result.in_time:6} "
             f"{result.hedges:5} {result.worked_s / without.worked_s - 1:+.4f} {result.wasted_s / result.worked_s:.4f} {times} {reasons}",
             flush=True,
         )
--- a/tests/test_gateway_hedging_end_to_end.py
+++ b/tests/test_gateway_hedging_end_to_end.py
@@ -1,5 +1,6 @@
 """Second attempts beside slow ones, by a real entry between stand-ins."""
 
+import contextlib
 import http.client
 import select
 import socket
@@ -162,23 +163,49 @@
     site.wait_until(lambda: site.results() == ["left"])
 
 
-def test_first_attempt_that_cannot_connect_does_not_delay_the_second_answer(site):
-    # Connections beyond the backlog are not accepted, so that connecting takes 1.2 s.
+@contextlib.contextmanager
+def unconnectable(endpoint):
+    """Give an endpoint an address at which connections are not accepted, so that making one takes long."""
     listener = socket.create_server((HOST, 0), backlog=0)
     fillers = [socket.socket() for _ in range(3)]
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex(listener.getsockname())
-    site.first.port, own_port = listener.getsockname()[1], site.first.port
+    endpoint.port, own_port = listener.getsockname()[1], endpoint.port
     try:
+        yield listener
+    finally:
+        endpoint.port = own_port
+        for opened in (listener, *fillers):
+            opened.close()
+
+
+def test_first_attempt_that_cannot_connect_does_not_delay_the_second_answer(site):
+    with unconnectable(site.first):
         site.start()
         status, body, took_s = send(site)
         assert (status, body) == (200, b"d2")
         assert took_s < 1.1
-    finally:
-        site.first.port = own_port
-        for opened in (listener, *fillers):
-            opened.close()
+
+
+def test_second_attempt_that_still_connects_is_not_sent_after_the_first_answer(site):
+    site.first.delay_s = 1.5 * SLOW_AFTER_S
+    with unconnectable(site.second) as listener:
+        site.start()
+        assert send(site)[:2] == (200, b"d1")
+        site.wait_until(lambda: site.results() == ["lost"])
+        # Whatever connects now, also the attempt that tries again after a second, sends nothing.
+        listener.settimeout(1.5)
+        received, accepted = b"", []
+        with contextlib.suppress(TimeoutError):
+            while True:
+                accepted.append(listener.accept()[0])
+        for connection in accepted:
+            connection.setblocking(False)
+            with contextlib.suppress(OSError):
+                received += connection.recv(1000)
+            connection.close()
+        assert received == b""
 
 
 # Never for requests that must run at most once, and not without the setting.
