--- a/poplarhoist/decisions/gateway/limits.py
+++ b/poplarhoist/decisions/gateway/limits.py
@@ -32,6 +32,9 @@
     quota_window_s, quota_over, quota_slack : float
         The rule on quotas of teams: within a window of `quota_window_s` seconds, endpoints get at
         most rate times window plus burst of a team, times one plus `quota_over`, plus `quota_slack`.
+    hedge_ratio : float
+        Share of a service's requests that may get a second attempt beside a slow one, within a
+        window of `retry_window_s`; 0 for none.
     """
 
     stop_grace_s: float = 8.0
@@ -45,6 +48,7 @@
     quota_window_s: float = 8.0
     quota_over: float = 0.1
     quota_slack: float = 110_000.0
+    hedge_ratio: float = 0.0
 
 
 # Factor on the retry budget; the rest covers entries that do not see each other and so divide the
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -362,13 +362,18 @@
 
 
 def choose_plain_endpoint(
-    state: GatewayState, request: RequestState, at: float
+    state: GatewayState,
+    request: RequestState,
+    at: float,
+    candidates: list[EndpointState] | None = None,
 ) -> EndpointState | None:
     """Return the least loaded endpoint of a plain service, at random among equals; None if none.
 
-    Where endpoints tell their pace, one is drawn by the expected waits.
+    Where endpoints tell their pace, one is drawn by the expected waits. Without `candidates`, all
+    usable ones are considered.
     """
-    candidates = usable_endpoints(state, request, at)
+    if candidates is None:
+        candidates = usable_endpoints(state, request, at)
     if not candidates:
         return None
     if any(endpoint.pace.is_told for endpoint in candidates):
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -11,6 +11,7 @@
 from poplarhoist.decisions.gateway.crash_suspects import Crash, CrashReport, Verdict
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
 from poplarhoist.decisions.gateway.entry_state import EntryState
+from poplarhoist.decisions.gateway.hedge_state import HedgeState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
 from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
@@ -417,6 +418,8 @@
         What is kept of teams beside the configuration.
     quotas : QuotaState
         The quotas of teams.
+    hedges : HedgeState
+        What is kept for second attempts beside slow ones.
     told_positions_by_kind : dict
         Latest position of a kind of record that another entry has read, by kind and entry.
     departed_software : dict
@@ -481,6 +484,7 @@
     teams: TeamState = field(factory=TeamState)
     service_paces: dict[str, ServicePace] = field(factory=dict)
     quotas: QuotaState = field(factory=QuotaState)
+    hedges: HedgeState = field(factory=HedgeState)
     is_first_start: bool = False
     started_at: float = 0.0
     last_event_at: float = float("inf")
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -49,6 +49,10 @@
     "quota_refused": ("Tokens not granted as keeper or secondary", ("team",)),
     "quota_forfeited": ("Tokens granted to this entry that expired", ("team",)),
     "quota_unanswered": ("Asks for tokens without an answer", ("role",)),
+    "hedge_sent": ("Second attempts sent beside slow ones", ()),
+    "hedge_ended": ("Second attempts ended", ("result",)),
+    "hedge_not_sent": ("Second attempts that were due and not sent", ("reason",)),
+    "hedge_extra_seconds": ("Seconds of attempts that another one made useless", ()),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -80,6 +80,9 @@
     quota_window_s, quota_over, quota_slack : float
         How much of a team's requests may run within a window of `quota_window_s` seconds beyond its
         quota: the share `quota_over` of it, plus `quota_slack` in the quota's unit.
+    hedge_ratio : float
+        Share of a service's requests that may get a second attempt beside a slow one, within a
+        window of `retry_window_s`; 0 for none.
     """
 
     stop_s: float = 8.0
@@ -91,7 +94,8 @@
     engines_check_epochs: bool = False
     quota_window_s: float = 8.0
     quota_over: float = 0.1
-    quota_slack: float = 110_000.0
+    quota_slack: float = 0.0
+    hedge_ratio: float = 0.0
 
     def to_limits(self) -> GatewayLimits:
         """Return the limits for the decision loop."""
@@ -106,6 +110,7 @@
             quota_window_s=self.quota_window_s,
             quota_over=self.quota_over,
             quota_slack=self.quota_slack,
+            hedge_ratio=self.hedge_ratio,
         )
 
 
