--- a/tests/gateway_hedging_load.py
+++ b/tests/gateway_hedging_load.py
@@ -16,6 +16,7 @@
 from poplarhoist.decisions.common_effects import Count
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.decisions.gateway.models import EndpointLoad
 from tests.gateway import REGIONS, Gateway, plain_endpoint
 
 ENDPOINTS = 6
@@ -207,7 +208,8 @@
         """Let an answer arrive, with the load of its endpoint."""
         ids = {"request_id": attempt.dispatch.request_id, "attempt": attempt.dispatch.attempt}
         load = {"running": len(server.running), "waiting": len(server.waiting)}
-        self.submit(attempt.entry, ev.ResponseStarted, **ids, **load)
+        notice = ev.EndpointNotice(load=EndpointLoad(**load))
+        self.submit(attempt.entry, ev.ResponseStarted, **ids, notice=notice)
         self.end(attempt.entry, attempt.dispatch, ev.Outcome.DONE, status=200)
         # When within the step the work was done.
         done_at = self.at + self.step_s + attempt.work_s / server.speed
