An entry counts what it holds for callers, and stays within its machine's memory and descriptors

What connections, heads, bodies and responses cost is counted in one budget, whose size follows from the settings memory_mb and max_fds. What finds no room is refused with 503 and a time to come back; connections that send or read too slowly give way. Long bodies lie in pages of their own and are not copied.

--- a/poplarhoist/entry/caller_watch.py
+++ b/poplarhoist/entry/caller_watch.py
@@ -42,3 +42,9 @@
         """Stop watching; must be called before the server reads from the connection again."""
         if self.thread is not None:
             self.thread.kill()
+        # The request, its head and its body are in a circle of references over this.
+        self.on_disconnect = ignore_disconnect
+
+
+def ignore_disconnect() -> None:
+    """Do nothing; the request has ended."""
--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -39,6 +39,8 @@
     "links_changed": ("Losses and returns of this entry's links to endpoints", ("change",)),
     "relayed": ("Requests that other entries were to pass on", ()),
     "lead_silent": ("Leads of engines that did not answer", ()),
+    "no_room": ("Requests refused as an entry has no memory for them", ("kind",)),
+    "connection_evicted": ("Connections closed for others when memory was short", ("phase",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -7,7 +7,7 @@
 
 import http.client
 import re
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from email import errors
 from http import HTTPStatus
 
@@ -74,17 +74,22 @@
     ----------
     has_bare_line_feed : bool
         Whether there was such a line since this was last set to False.
+    on_line : callable or None
+        Is called with the bytes of each line.
     """
 
     def __init__(self, file) -> None:
         self.file = file
         self.has_bare_line_feed = False
+        self.on_line: Callable[[int], None] | None = None
 
     def readline(self, size: int = -1) -> bytes:
         """Return the next line, or the first `size` bytes of it."""
         line = self.file.readline(size)
         if line.endswith(b"\n") and not line.endswith(b"\r\n"):
             self.has_bare_line_feed = True
+        if self.on_line is not None:
+            self.on_line(len(line))
         return line
 
     def __getattr__(self, name: str) -> object:
@@ -129,6 +134,8 @@
         Bytes read since other green threads last ran, with `BYTES_PER_LINE` for each line.
     has_failed : bool
         Whether reading has failed, so that what follows cannot be understood.
+    on_bytes : callable or None
+        Is called with the bytes read of the body, now and then.
     """
 
     def __init__(self, library_input: Input, timeout_s: float | None) -> None:
@@ -144,6 +151,7 @@
         self.line_bytes = 0
         self.turn_bytes = 0
         self.has_failed = False
+        self.on_bytes: Callable[[int], None] | None = None
 
     def read(self, length: int | None = None) -> bytes:
         """Return `length` bytes of the body, or all that are left.
@@ -155,12 +163,35 @@
         eventlet.wsgi.ChunkReadError
             If a chunked body is malformed.
         """
+        return self.read_in_time(super().read, length)
+
+    def read_piece(self, length: int) -> bytes:
+        """Return the next bytes of the body, `length` at most; none at its end.
+
+        Of a body with a length, these are the bytes that have arrived.
+
+        Raises
+        ------
+        TimeoutError, eventlet.wsgi.ChunkReadError
+            As `read`.
+        """
+        if self.chunked_input:
+            return self.read(length)
+        data = self.read_in_time(self._do_read, self.rfile.read1, length)
+        if self.on_bytes is not None:
+            self.on_bytes(len(data))
+        # A read of data that is there already lets no other green threads run.
+        eventlet.sleep(0)
+        return data
+
+    def read_in_time(self, reader: Callable[..., bytes], *args: object) -> bytes:
+        """Return what a function reads, within the time that is left for the body."""
         left_s = self.ends_at - get_hub().clock()
         timeout_s = None if left_s == float("inf") else max(0.0, left_s)
         try:
             with eventlet.Timeout(timeout_s, TimeoutError("request body not received in time")):
-                return super().read(length)
-        except (OSError, ChunkReadError):
+                return reader(*args)
+        except Exception:
             self.has_failed = True
             raise
 
@@ -189,7 +220,7 @@
         if self.should_send_hundred_continue:
             self.send_hundred_continue_response()
             self.is_hundred_continue_response_sent = True
-        reader = rfile.readline if use_readline else rfile.read
+        reader = rfile.readline if use_readline else rfile.read1
         wanted = float("inf") if length is None or length < 0 else length
         body = bytearray()
         while wanted > 0 and self.chunk_length != 0:
@@ -203,6 +234,8 @@
             self.take_turn(len(data))
             self.line_bytes = 0
             body += data
+            if self.on_bytes is not None:
+                self.on_bytes(len(data))
             self.position += len(data)
             wanted -= len(data)
             if self.position == self.chunk_length and self.read_line(rfile) != b"":
@@ -238,6 +271,8 @@
         if self.turn_bytes >= TURN_BYTES:
             self.turn_bytes = 0
             eventlet.sleep(0)
+            if self.on_bytes is not None:
+                self.on_bytes(0)
 
 
 class StrictProtocol(HttpProtocol):
@@ -299,6 +334,9 @@
             # The bytes arrived before that; their request must not run.
             self.close_connection = 1
             return ""
+        if not self.begin_head():
+            self.close_connection = 1
+            return ""
         self.conn_state[CONNECTION_STATE] = STATE_REQUEST
         error = TimeoutError("timeout reading the request head")
         self.head_timeout = eventlet.Timeout(self.head_timeout_s(), error)
@@ -309,6 +347,10 @@
             return ""
         return line
 
+    def begin_head(self) -> bool:
+        """Return whether the request may be read whose first bytes have arrived."""
+        return True
+
     def parse_request(self) -> bool:
         """Parse the head; refuse the request and return False if it cannot be read.
 
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -19,11 +19,11 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
 from poplarhoist.gateway.interfaces import Dialect, Headers
 from poplarhoist.gateway.request_reading import BadRequest, read_body
+from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED
 
-# WSGI environ key of the connection's protocol object.
-PROTOCOL_KEY = "poplarhoist.protocol"
 JSON_CONTENT_TYPE = ("Content-Type", "application/json")
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
@@ -77,21 +77,24 @@
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
         except BadRequest as error:
             protocol.close_connection = 1
+            headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
+            if error.retry_after_s is not None:
+                headers.append(("Retry-After", f"{error.retry_after_s:.2f}"))
+                return json_error(start_response, error.status, str(error), headers, ran=False)
             status = error.status
             is_configured = self.decision_loop.state.configuration is not None
             if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE and not is_configured:
                 # The configuration may allow it.
                 status = HTTPStatus.SERVICE_UNAVAILABLE
             self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
-            headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
             return json_error(start_response, status, str(error), headers)
         target = protocol.path
         head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
         method = environ["REQUEST_METHOD"]
-        content_digest = xxhash.xxh3_64_hexdigest(
-            b"\n".join((method.encode(), target.encode(), body))
-        )
+        digest = xxhash.xxh3_64(b"\n".join((method.encode(), target.encode(), b"")))
+        # The body is not copied.
+        digest.update(body)
         request = CallerRequest(
             request_id=f"{next(self.request_numbers)}",
             method=method,
@@ -99,6 +102,7 @@
             body=body,
             head=head,
             last_event_id=head.last_event_id,
+            room=environ.get(ROOM_KEY, UNBOUNDED),
         )
         event = ev.RequestArrived(
             at=self.decision_loop.event_time(),
@@ -108,7 +112,7 @@
             path=path,
             deadline_s=head.deadline_s,
             prompt=head.prompt,
-            content_digest=content_digest,
+            content_digest=digest.hexdigest(),
             last_event_id=head.last_event_id,
             resumed_caller_id=head.resumed_caller_id,
             relay=relay,
@@ -359,6 +363,8 @@
         """
         self.caller_watch.stop()
         self.decision_loop.close_mailbox(self.request.request_id)
+        # Not only when the garbage collector finds the circles of references.
+        self.request.body = b""
 
 
 class StreamedBody:
@@ -436,11 +442,15 @@
 
 
 def json_error(
-    start_response: Callable, status: int, message: str, headers: Iterable[tuple[str, str]] = ()
+    start_response: Callable,
+    status: int,
+    message: str,
+    headers: Iterable[tuple[str, str]] = (),
+    **more: object,
 ) -> list[bytes]:
-    """Start an error response of the gateway and return its JSON body."""
+    """Start an error response of the gateway and return its JSON body, with more keys if given."""
     start_response(status_line(status), [JSON_CONTENT_TYPE, *headers])
-    return [orjson.dumps({"error": message})]
+    return [orjson.dumps({"error": message, **more})]
 
 
 def status_line(status: int) -> str:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -25,6 +25,7 @@
     Outcome,
     ResponseStarted,
 )
+from poplarhoist.decisions.gateway.memory_budget import Kind
 from poplarhoist.entry.event_stream import (
     ContinuationCheck,
     EventSplitter,
@@ -35,6 +36,7 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
+from poplarhoist.gateway.room import UNBOUNDED, Room, UnboundedRoom
 from poplarhoist.gateway.sockets import reset_on_close, socket_options
 
 # Seconds to connect; TCP retransmits a lost SYN after one second.
@@ -45,6 +47,8 @@
 # 64 of them at once take a quarter of what an entry may grow by. What has been passed on cannot be
 # sent again to another endpoint, and usual bodies have less than a hundredth of this.
 MAX_HELD_BYTES = 262144
+# Bytes of a long body that are passed on at once; callers that do not read hold that much.
+PASSED_ON_BYTES = 16384
 EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that urllib3 would add where the caller sent none.
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
@@ -64,16 +68,19 @@
         Whether the caller has received a part of the response.
     active_exchange : Exchange or None
         The attempt that is cancelled if the caller disconnects.
+    room : Room
+        Counts what is held for the request.
     """
 
     request_id: str
     method: str
     target: str
-    body: bytes
+    body: bytes | memoryview
     head: RequestHead
     last_event_id: str = ""
     delivered: bool = False
     active_exchange: "Exchange | None" = None
+    room: Room | UnboundedRoom = UNBOUNDED
 
 
 @define
@@ -331,7 +338,7 @@
     def read_body(self) -> None:
         """Read the whole response body into the result; on a failure set the result instead.
 
-        A body of more than `MAX_HELD_BYTES` is a failure.
+        A body of more than `MAX_HELD_BYTES` is a failure, and so is one for which there is no room.
         """
         if self.read_beginning():
             self.record_failure(BodyTooLong("body too long"))
@@ -339,12 +346,17 @@
     def read_beginning(self) -> bool:
         """Read the response body into the result, up to a little more than `MAX_HELD_BYTES`.
 
+        It is less if there is no room for more.
+
         Returns
         -------
         bool
             Whether there may be more. On a failure the result is set, and there is no more.
         """
         body = bytearray()
+        room = self.request.room
+        # What an earlier attempt has left is no longer held.
+        room.give_back(Kind.RESPONSE)
         try:
             while len(body) <= MAX_HELD_BYTES:
                 data = self.read_available()
@@ -352,6 +364,9 @@
                     self.result.body = bytes(body)
                     return False
                 body += data
+                # The buffer and the body of the result, for a moment.
+                if not room.try_take(Kind.RESPONSE, 2 * len(data)):
+                    break
         except (HTTPError, OSError) as error:
             self.record_failure(error)
             return False
@@ -364,19 +379,23 @@
         A failure ends the iteration and sets the result.
         """
         beginning, self.result.body = self.result.body, b""
-        yield beginning
+        # Whoever writes a part copies it to frame it.
+        for start in range(0, len(beginning), PASSED_ON_BYTES):
+            yield beginning[start : start + PASSED_ON_BYTES]
+        del beginning
+        self.request.room.give_back(Kind.RESPONSE)
         try:
-            while data := self.read_available():
+            while data := self.read_available(PASSED_ON_BYTES):
                 yield data
         except (HTTPError, OSError) as error:
             self.record_failure(error)
 
-    def read_available(self) -> bytes:
+    def read_available(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes:
         """Wait for the next bytes of the body and return them; empty at the end."""
         self.set_read_timeout()
         if self.request.method == "HEAD":
             return b""
-        data = self.response.read1(READ_CHUNK_BYTES, decode_content=False)
+        data = self.response.read1(max_bytes, decode_content=False)
         if self.expired:
             raise TimeoutError("deadline passed")
         # A read of data that is there already does not let other green threads run.
@@ -408,6 +427,7 @@
                 self.partial_event_bytes = len(events.partial_event)
                 if self.partial_event_bytes > MAX_HELD_BYTES:
                     raise BodyTooLong("event too long")
+                self.count_partial_event()
                 if whole_events:
                     if continuation is not None:
                         continuation.feed(whole_events)
@@ -422,6 +442,20 @@
         if events.partial_event or (has_no_end and not self.received_bytes):
             self.record_failure(EOFError())
 
+    def count_partial_event(self) -> None:
+        """Count what is held of an event that is not whole, if it is long.
+
+        Raises
+        ------
+        BodyTooLong
+            If there is no room for it.
+        """
+        if self.partial_event_bytes <= READ_CHUNK_BYTES:
+            return
+        self.request.room.give_back(Kind.RESPONSE)
+        if not self.request.room.try_take(Kind.RESPONSE, self.partial_event_bytes):
+            raise BodyTooLong("no room for the event")
+
     def is_event_stream(self) -> bool:
         """Return whether the body consists of events; it does unless its content type differs."""
         content_type = self.response.headers.get("content-type", EVENT_STREAM_TYPE)
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -2,11 +2,11 @@
 
 import os
 import random
+import resource
 import signal
 import socket
 import uuid
 from collections.abc import Callable
-from http import HTTPStatus
 
 import eventlet
 import eventlet.wsgi
@@ -18,21 +18,22 @@
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import leads
+from poplarhoist.decisions.gateway.memory_budget import Group, create_budget
 from poplarhoist.decisions.gateway.reducer import is_serving, reduce
 from poplarhoist.decisions.gateway.state import GatewayState
 from poplarhoist.entry.listener import StoppableListener, open_listener
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
-from poplarhoist.entry.protocol import StrictProtocol
 from poplarhoist.entry.server_log import ServerLog
-from poplarhoist.gateway.callers import PROTOCOL_KEY, CallerApplication, StreamBroken
+from poplarhoist.gateway.callers import CallerApplication, StreamBroken
 from poplarhoist.gateway.copies import COPIES_PATH, respond_with_copy
 from poplarhoist.gateway.engines import EngineClient
+from poplarhoist.gateway.guarded_protocol import GatewayProtocol, GuardedProtocol
 from poplarhoist.gateway.interfaces import Dialect, Store
 from poplarhoist.gateway.logs import BoundedLog
 from poplarhoist.gateway.peers import PeerTransport
+from poplarhoist.gateway.room import GuardedListener, RoomGuard
 from poplarhoist.gateway.settings import Address, GatewaySettings
-from poplarhoist.gateway.sockets import reset_on_close
 from poplarhoist.gateway.store_watcher import StoreWatcher
 
 # Seconds between ticks; a tenth of the time that an adapter takes to load.
@@ -41,8 +42,8 @@
 SEND_BUFFER_BYTES = 65536
 # Seconds that an idle connection stays open beyond IDLE_TIMEOUT_S.
 IDLE_MARGIN_S = 5.0
-# Leaves enough of a machine's file descriptors for connections to endpoints.
-MAX_CALLER_CONNECTIONS = 2000
+# More than the memory budget grants, which bounds the connections.
+MAX_GREEN_THREADS = 4096
 # Seconds of idleness up to which callers rely on a connection to stay open.
 IDLE_TIMEOUT_S = 15.0
 # Seconds within which a request for readiness or metrics must arrive.
@@ -56,58 +57,10 @@
 REQUEST_EFFECTS = (fx.Dispatch, fx.Refuse, fx.ForwardFailure)
 
 
-class GatewayProtocol(StrictProtocol):
-    """HTTP protocol of callers' connections.
-
-    It puts itself into the WSGI environ, since the application needs the request target as it was
-    sent and may close or reset the connection after the response.
-
-    Attributes
-    ----------
-    resets_connection : bool
-        Whether the connection is to end with a reset.
-    """
-
-    resets_connection = False
-
-    def head_timeout_s(self) -> float:
-        """Return the seconds within which a head must arrive after its first byte."""
-        return self.server.app.limits().header_timeout_s
-
-    def body_timeout_s(self) -> float:
-        """Return the seconds within which a body must arrive after its head."""
-        return self.server.app.limits().idle_timeout_s
-
-    def on_unreadable(self, status: HTTPStatus, problem: str) -> None:
-        """Log and count a request whose head cannot be read."""
-        self.server.app.record_unreadable(status, "head", problem, self.client_address[0])
-
-    def get_environ(self) -> dict:
-        """Return the WSGI environ of a request, with this protocol under `PROTOCOL_KEY`."""
-        environ = super().get_environ()
-        environ[PROTOCOL_KEY] = self
-        # eventlet's input stream ends at the end of a chunked body.
-        environ["wsgi.input_terminated"] = True
-        return environ
-
-    def break_off_response(self) -> None:
-        """Let the connection end so that the response looks incomplete.
-
-        Without its final chunk it does. A caller of HTTP/1.0 gets no chunks, so that only a reset
-        tells a response that was cut short from a whole one.
-        """
-        self.close_connection = 1
-        self.resets_connection = self.request_version != "HTTP/1.1"
-
-    def finish(self) -> None:
-        """Close the connection, with a reset if the response was broken off without chunks."""
-        if self.resets_connection:
-            reset_on_close(self.connection)
-            self.rfile.close()
-            self.wfile.close()
-            self.connection.close()
-            return
-        super().finish()
+def descriptor_limit() -> int:
+    """Return how many descriptors the system lets this process have; 0 for no bound."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(0, soft_limit)
 
 
 class GatewayServer:
@@ -164,6 +117,12 @@
         self.peer_transport = PeerTransport(
             self.decision_loop, settings.host, settings.listen.inner_port
         )
+        self.room_guard = RoomGuard(
+            create_budget(settings.memory_mb, settings.max_fds or descriptor_limit()),
+            self.metrics,
+            self.decision_loop.log,
+            self.decision_loop.event_time,
+        )
         self.request_servers: list[tuple[StoppableListener, eventlet.greenthread.GreenThread]] = []
         self.stopped = eventlet.event.Event()
 
@@ -202,14 +161,14 @@
         stoppable = StoppableListener(listener)
         thread = eventlet.spawn(
             eventlet.wsgi.server,
-            stoppable,
+            GuardedListener(stoppable, self.room_guard, Group.REQUESTS),
             CallerApplication(self.decision_loop, self.dialect, is_relay),
             log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
             minimum_chunk_size=1,
             protocol=GatewayProtocol,
-            max_size=MAX_CALLER_CONNECTIONS,
+            max_size=MAX_GREEN_THREADS,
             keepalive=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
             socket_timeout=IDLE_TIMEOUT_S + IDLE_MARGIN_S,
             url_length_limit=eventlet.wsgi.MAX_TOTAL_HEADER_SIZE,
@@ -218,14 +177,16 @@
 
     def serve_status(self, address: Address, setting: str) -> None:
         """Spawn a server for readiness and metrics."""
+        listener = open_listener(address.host, address.port, setting)
         eventlet.spawn(
             eventlet.wsgi.server,
-            open_listener(address.host, address.port, setting),
+            GuardedListener(listener, self.room_guard, Group.STATUS),
             self.handle_status,
             log=ServerLog(self.decision_loop.log),
             log_format=ServerLog.LINE_FORMAT,
             debug=False,
-            protocol=StrictProtocol,
+            protocol=GuardedProtocol,
+            max_size=MAX_GREEN_THREADS,
             keepalive=IDLE_TIMEOUT_S,
             socket_timeout=STATUS_TIMEOUT_S,
         )
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from attrs import field, frozen
+from attrs import field, frozen, validators
 
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.settings.addresses import MAX_PORT, describe_shared, is_port
@@ -116,6 +116,10 @@
         Region by availability zone.
     first_start : bool
         Whether the whole site starts for the first time, so that no engine has had a lead yet.
+    memory_mb : float
+        Memory of the machine in MB; what is held for callers stays within a share of it.
+    max_fds : int
+        Descriptors that the process may have; 0 for what the system allows.
     """
 
     name: str
@@ -126,6 +130,8 @@
     bounds: LimitSettings = field(factory=LimitSettings)
     regions: dict[str, str] = field(factory=dict)
     first_start: bool = False
+    memory_mb: float = field(default=300.0, validator=validators.gt(0))
+    max_fds: int = field(default=0, validator=validators.ge(0))
 
 
 def load_settings(path: Path) -> GatewaySettings:
