--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -18,13 +18,14 @@
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
-from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.attempts import CallerRequest
+from poplarhoist.gateway.error_responses import JSON_CONTENT_TYPE, json_error, status_line
+from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
 from poplarhoist.gateway.interfaces import Dialect, Headers
 from poplarhoist.gateway.request_reading import BadRequest, read_body
 from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED
 
-JSON_CONTENT_TYPE = ("Content-Type", "application/json")
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
     Refused.NO_ROUTE: HTTPStatus.NOT_FOUND,
@@ -439,23 +440,3 @@
             exchange.result.outcome = ev.Outcome.CANCELLED
             self.handler.submit_attempt_ended(exchange)
         self.handler.finish()
-
-
-def json_error(
-    start_response: Callable,
-    status: int,
-    message: str,
-    headers: Iterable[tuple[str, str]] = (),
-    **more: object,
-) -> list[bytes]:
-    """Start an error response of the gateway and return its JSON body, with more keys if given."""
-    start_response(status_line(status), [JSON_CONTENT_TYPE, *headers])
-    return [orjson.dumps({"error": message, **more})]
-
-
-def status_line(status: int) -> str:
-    """Return code and reason phrase; codes that are not registered get the phrase "Status"."""
-    try:
-        return f"{status} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Status"
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -11,7 +11,6 @@
 from http.client import HTTPException
 
 import eventlet
-from attrs import define, field
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
 from urllib3.util import SKIP_HEADER
@@ -35,8 +34,8 @@
 from poplarhoist.entry.http import READ_CHUNK_BYTES, BodyTooLong, StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
-from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
-from poplarhoist.gateway.room import UNBOUNDED, Room, UnboundedRoom
+from poplarhoist.gateway.attempts import AttemptResult, CallerRequest
+from poplarhoist.gateway.interfaces import Dialect, ResponseHead
 from poplarhoist.gateway.sockets import reset_on_close, socket_options
 
 # Seconds to connect; TCP retransmits a lost SYN after one second.
@@ -54,57 +53,6 @@
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
 
 
-@define
-class CallerRequest:
-    """A caller's request, shared by all of its attempts.
-
-    Attributes
-    ----------
-    target : str
-        Request target as the caller sent it: path and query.
-    last_event_id : str
-        Id of the last event that the caller has received; a resumed stream continues after it.
-    delivered : bool
-        Whether the caller has received a part of the response.
-    active_exchange : Exchange or None
-        The attempt that is cancelled if the caller disconnects.
-    room : Room
-        Counts what is held for the request.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    body: bytes | memoryview
-    head: RequestHead
-    last_event_id: str = ""
-    delivered: bool = False
-    active_exchange: "Exchange | None" = None
-    room: Room | UnboundedRoom = UNBOUNDED
-
-
-@define
-class AttemptResult:
-    """How an attempt ended, and the response body unless it was streamed.
-
-    Attributes
-    ----------
-    reason : str
-        Cause of a failure, for the logs.
-    status : int
-        The endpoint's status code; 0 if there was no response.
-    connection_refused : bool
-        Whether the endpoint's address refused the connection.
-    """
-
-    outcome: Outcome
-    reason: str = ""
-    status: int = 0
-    headers: Headers = field(factory=list)
-    body: bytes = b""
-    connection_refused: bool = False
-
-
 class Exchange:
     """Sends a request to an endpoint, or an entry that passes it on, and reads the response.
 
