--- a/poplarhoist/entry/metrics.py
+++ b/poplarhoist/entry/metrics.py
@@ -53,6 +53,8 @@
     "hedge_ended": ("Second attempts ended", ("result",)),
     "hedge_not_sent": ("Second attempts that were due and not sent", ("reason",)),
     "hedge_extra_seconds": ("Seconds of attempts that another one made useless", ()),
+    "no_room": ("Requests refused as an entry has no memory for them", ("kind",)),
+    "connection_evicted": ("Connections closed for others when memory was short", ("phase",)),
     "stream_resumed": ("Streams resumed on a new connection", ("result",)),
 }
 
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -8,7 +8,6 @@
 from http.client import HTTPException
 
 import eventlet
-from attrs import define, field
 from urllib3 import HTTPHeaderDict
 from urllib3.exceptions import HTTPError, NewConnectionError, ProtocolError
 from urllib3.util import SKIP_HEADER
@@ -22,6 +21,7 @@
     Outcome,
     ResponseStarted,
 )
+from poplarhoist.decisions.gateway.memory_budget import Kind
 from poplarhoist.entry.event_stream import (
     ContinuationCheck,
     EventSplitter,
@@ -32,66 +32,21 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
 from poplarhoist.gateway.attempt_connection import AttemptConnection
+from poplarhoist.gateway.attempts import AttemptResult, CallerRequest
 from poplarhoist.gateway.connections import ConnectionPool
-from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead, ResponseHead
+from poplarhoist.gateway.interfaces import Dialect, ResponseHead
 
 # Bytes of a response that are held before any are passed on: a plain body, a failure, or one event.
 # 64 of them at once take a quarter of what an entry may grow by. What has been passed on cannot be
 # sent again to another endpoint, and usual bodies have less than a hundredth of this.
 MAX_HELD_BYTES = 262144
+# Bytes of a long body that are passed on at once; callers that do not read hold that much.
+PASSED_ON_BYTES = 16384
 EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that urllib3 would add where the caller sent none.
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
 
 
-@define
-class CallerRequest:
-    """A caller's request, shared by all of its attempts.
-
-    Attributes
-    ----------
-    target : str
-        Request target as the caller sent it: path and query.
-    last_event_id : str
-        Id of the last event that the caller has received; a resumed stream continues after it.
-    delivered : bool
-        Whether the caller has received a part of the response.
-    active_exchange : Exchange or None
-        The attempt that is cancelled if the caller disconnects.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    body: bytes
-    head: RequestHead
-    last_event_id: str = ""
-    delivered: bool = False
-    active_exchange: "Exchange | None" = None
-
-
-@define
-class AttemptResult:
-    """How an attempt ended, and the response body unless it was streamed.
-
-    Attributes
-    ----------
-    reason : str
-        Cause of a failure, for the logs.
-    status : int
-        The endpoint's status code; 0 if there was no response.
-    connection_refused : bool
-        Whether the endpoint's address refused the connection.
-    """
-
-    outcome: Outcome
-    reason: str = ""
-    status: int = 0
-    headers: Headers = field(factory=list)
-    body: bytes = b""
-    connection_refused: bool = False
-
-
 class Exchange(AttemptConnection):
     """Sends a request to an endpoint, or an entry that passes it on, and reads the response.
 
@@ -293,7 +248,7 @@
     def read_body(self) -> None:
         """Read the whole response body into the result; on a failure set the result instead.
 
-        A body of more than `MAX_HELD_BYTES` is a failure.
+        A body of more than `MAX_HELD_BYTES` is a failure, and so is one for which there is no room.
         """
         if self.read_beginning():
             self.record_failure(BodyTooLong("body too long"))
@@ -301,12 +256,17 @@
     def read_beginning(self) -> bool:
         """Read the response body into the result, up to a little more than `MAX_HELD_BYTES`.
 
+        It is less if there is no room for more.
+
         Returns
         -------
         bool
             Whether there may be more. On a failure the result is set, and there is no more.
         """
         body = bytearray()
+        room = self.request.room
+        # What an earlier attempt has left is no longer held.
+        room.give_back(Kind.RESPONSE)
         try:
             while len(body) <= MAX_HELD_BYTES:
                 data = self.read_available()
@@ -314,6 +274,9 @@
                     self.result.body = bytes(body)
                     return False
                 body += data
+                # The buffer and the body of the result, for a moment.
+                if not room.try_take(Kind.RESPONSE, 2 * len(data)):
+                    break
         except (HTTPError, OSError) as error:
             self.record_failure(error)
             return False
@@ -326,19 +289,23 @@
         A failure ends the iteration and sets the result.
         """
         beginning, self.result.body = self.result.body, b""
-        yield beginning
+        # Whoever writes a part copies it to frame it.
+        for start in range(0, len(beginning), PASSED_ON_BYTES):
+            yield beginning[start : start + PASSED_ON_BYTES]
+        del beginning
+        self.request.room.give_back(Kind.RESPONSE)
         try:
-            while data := self.read_available():
+            while data := self.read_available(PASSED_ON_BYTES):
                 yield data
         except (HTTPError, OSError) as error:
             self.record_failure(error)
 
-    def read_available(self) -> bytes:
+    def read_available(self, max_bytes: int = READ_CHUNK_BYTES) -> bytes:
         """Wait for the next bytes of the body and return them; empty at the end."""
         self.set_read_timeout()
         if self.request.method == "HEAD":
             return b""
-        data = self.response.read1(READ_CHUNK_BYTES, decode_content=False)
+        data = self.response.read1(max_bytes, decode_content=False)
         if self.expired:
             raise TimeoutError("deadline passed")
         # A read of data that is there already does not let other green threads run.
@@ -370,6 +337,7 @@
                 self.partial_event_bytes = len(events.partial_event)
                 if self.partial_event_bytes > MAX_HELD_BYTES:
                     raise BodyTooLong("event too long")
+                self.count_partial_event()
                 if whole_events:
                     if continuation is not None:
                         continuation.feed(whole_events)
@@ -384,6 +352,20 @@
         if events.partial_event or (has_no_end and not self.received_bytes):
             self.record_failure(EOFError())
 
+    def count_partial_event(self) -> None:
+        """Count what is held of an event that is not whole, if it is long.
+
+        Raises
+        ------
+        BodyTooLong
+            If there is no room for it.
+        """
+        if self.partial_event_bytes <= READ_CHUNK_BYTES:
+            return
+        self.request.room.give_back(Kind.RESPONSE)
+        if not self.request.room.try_take(Kind.RESPONSE, self.partial_event_bytes):
+            raise BodyTooLong("no room for the event")
+
     def is_event_stream(self) -> bool:
         """Return whether the body consists of events; it does unless its content type differs."""
         content_type = self.response.headers.get("content-type", EVENT_STREAM_TYPE)
--- a/poplarhoist/gateway/settings.py
+++ b/poplarhoist/gateway/settings.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from attrs import evolve, field, frozen
+from attrs import evolve, field, frozen, validators
 
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.settings.addresses import MAX_PORT, describe_shared, is_port
@@ -134,6 +134,10 @@
         Whether the whole site starts for the first time, so that no engine has had a lead yet.
     contracts : list
         Names of what the site has agreed to; those that this version does not know have no effect.
+    memory_mb : float
+        Memory of the machine in MB; what is held for callers stays within a share of it.
+    max_fds : int
+        Descriptors that the process may have; 0 for what the system allows.
     """
 
     name: str
@@ -145,6 +149,8 @@
     regions: dict[str, str] = field(factory=dict)
     first_start: bool = False
     contracts: list[str] = field(factory=list)
+    memory_mb: float = field(default=300.0, validator=validators.gt(0))
+    max_fds: int = field(default=0, validator=validators.ge(0))
 
     def to_limits(self) -> GatewayLimits:
         """Return the limits for the decision loop."""
--- a/tests/test_exchange_cancelled.py
+++ b/tests/test_exchange_cancelled.py
@@ -8,7 +8,8 @@
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import Outcome
 from poplarhoist.decisions.gateway.models import EndpointRecord
-from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.attempts import CallerRequest
+from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.interfaces import RequestHead
 from poplarhoist.platform.dialect import PlatformDialect
 from tests.platform_standins import Endpoint
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -20,9 +20,10 @@
 from poplarhoist.decisions.gateway.reducer import reduce
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
+from poplarhoist.gateway.attempts import CallerRequest
 from poplarhoist.gateway.connections import ConnectionPool, parse_idle_limit_s
 from poplarhoist.gateway.engines import EngineClient
-from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.interfaces import RequestHead
 from poplarhoist.platform.dialect import PlatformDialect
 from tests.gateway import Gateway, plain_endpoint
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -21,9 +21,10 @@
 from poplarhoist.entry.endpoint_effects import EndpointEffects
 from poplarhoist.entry.peers import PeerTransport
 from poplarhoist.entry.platform import HttpPlatform
+from poplarhoist.gateway.attempts import CallerRequest
 from poplarhoist.gateway.copies import CopyReader
 from poplarhoist.gateway.engines import EngineClient
-from poplarhoist.gateway.exchange import CallerRequest, Exchange
+from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.interfaces import RequestHead, WatchSpec
 from poplarhoist.models import AdapterRef, Endpoint, EndpointKind, Instance, Place
 from poplarhoist.platform.dialect import PlatformDialect
