--- a/poplarhoist/decisions/gateway/quota_keeper.py
+++ b/poplarhoist/decisions/gateway/quota_keeper.py
@@ -90,7 +90,7 @@
     """
     quotas = state.quotas
     quota_roles.refresh(state, at)
-    is_known = quota_roles.find_entry(state, sender) is not None
+    is_known = quota_roles.find_address(state, sender) is not None
     # Any host can send a message.
     is_proper = all(
         math.isfinite(tokens) and tokens >= 0.0 for tokens in (*message.tokens, message.returned)
--- a/poplarhoist/decisions/gateway/quota_roles.py
+++ b/poplarhoist/decisions/gateway/quota_roles.py
@@ -16,6 +16,7 @@
 from poplarhoist.decisions.gateway.effects import SendPeer
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import QuotaEcho, QuotaProbe
+from poplarhoist.decisions.gateway.quota_state import EntryAddress
 from poplarhoist.decisions.gateway.state import EntryState, GatewayState
 
 # Seconds for which an entry that left may still run elsewhere; longer than networks stay cut in two.
@@ -41,14 +42,20 @@
     for name in names:
         quotas.departed.pop(name, None)
         quotas.departed_at.pop(name, None)
-    quotas.entries = {name: state.entries[name] for name in names}
+    quotas.entries = {name: address_of(state.entries[name]) for name in names}
     quotas.entries_changed_at = at
     quotas.roles_by_team.clear()
 
 
-def find_entry(state: GatewayState, name: str) -> EntryState | None:
-    """Return an entry that is registered, or has left lately and may have requests yet."""
-    return state.entries.get(name) or state.quotas.departed.get(name)
+def address_of(entry: EntryState) -> EntryAddress:
+    """Return the address of an entry."""
+    return EntryAddress(entry.host, entry.port)
+
+
+def find_address(state: GatewayState, name: str) -> EntryAddress | None:
+    """Return the address of an entry that is registered, or has left lately and may run yet."""
+    entry = state.entries.get(name)
+    return address_of(entry) if entry is not None else state.quotas.departed.get(name)
 
 
 def roles(state: GatewayState, team: str, at: float) -> tuple[str, str, str]:
--- a/poplarhoist/decisions/gateway/quota_state.py
+++ b/poplarhoist/decisions/gateway/quota_state.py
@@ -6,15 +6,19 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from poplarhoist.decisions.gateway.messages import QuotaGrant
 from poplarhoist.decisions.gateway.models import QuotaTerms
 
-if TYPE_CHECKING:
-    from poplarhoist.decisions.gateway.state import EntryState
+
+@frozen
+class EntryAddress:
+    """Where an entry receives messages."""
+
+    host: str
+    port: int
 
 
 @define
@@ -169,9 +173,9 @@
     silent_until : dict
         Until when an entry counts as silent, by name.
     entries, entries_changed_at : dict, float
-        The entries that share the roles, by name, and when they last changed.
+        Addresses of the entries that share the roles, by name, and when these last changed.
     departed : dict
-        Entries that left lately, by name.
+        Addresses of entries that left lately, by name.
     departed_at : dict
         When an entry left, by name.
     echoed_at : dict
@@ -196,9 +200,9 @@
     charges: dict[str, Charge] = field(factory=dict)
     last_number: int = 0
     silent_until: dict[str, float] = field(factory=dict)
-    entries: dict[str, EntryState] = field(factory=dict)
+    entries: dict[str, EntryAddress] = field(factory=dict)
     entries_changed_at: float = float("-inf")
-    departed: dict[str, EntryState] = field(factory=dict)
+    departed: dict[str, EntryAddress] = field(factory=dict)
     departed_at: dict[str, float] = field(factory=dict)
     echoed_at: dict[str, float] = field(factory=dict)
     probed_at: float = float("-inf")
--- a/poplarhoist/gateway/peers.py
+++ b/poplarhoist/gateway/peers.py
@@ -14,7 +14,7 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import SendPeer
 from poplarhoist.decisions.gateway.messages import Message
-from poplarhoist.decisions.gateway.quota_roles import find_entry
+from poplarhoist.decisions.gateway.quota_roles import find_address
 from poplarhoist.entry.listener import open_datagram_socket
 from poplarhoist.entry.loop import DecisionLoop
 
@@ -38,7 +38,7 @@
 
         It is dropped and counted if the entry is unknown or sending fails.
         """
-        peer = find_entry(self.decision_loop.state, effect.peer)
+        peer = find_address(self.decision_loop.state, effect.peer)
         if peer is None:
             self.decision_loop.metrics.count("peer_message_dropped", ("unknown",))
             return
--- a/tests/releases.py
+++ b/tests/releases.py
@@ -50,6 +50,12 @@
 {"caller_id":"caller_id","type":"StreamUnknown"}
 {"endpoint":"endpoint","incarnation":3,"bears_per_s":1.5,"age_s":1.5,"count":3,"type":"PlacesWanted"}
 {"endpoint":"endpoint","incarnation":3,"count":3,"type":"Places"}
+{"team":"team","number":3,"tokens":[1.5],"priorities":[3],"attempt":3,"returned":1.5,"type":"QuotaAsk"}
+{"team":"team","number":3,"attempt":3,"tokens":1.5,"valid_s":1.5,"retry_after_s":1.5,"is_keeper":true,"ahead":1.5,"ahead_valid_s":1.5,"other":"other","type":"QuotaGrant"}
+{"team":"team","level":1.5,"granted":[[1.5,1.5]],"type":"QuotaHandover"}
+{"team":"team","type":"QuotaClaim"}
+{"type":"QuotaProbe"}
+{"is_listed":true,"type":"QuotaEcho"}
 """,
 }
 ENTRY_RECORDS_BY_RELEASE = {
