--- a/poplarhoist/decisions/gateway/memory_budget.py
+++ b/poplarhoist/decisions/gateway/memory_budget.py
@@ -38,6 +38,9 @@
 # Least rate of a request that is being read, and seconds by which it may be behind.
 LEAST_BYTES_PER_S = 65536
 GRACE_S = 0.5
+# The same of a head, which callers send at once. While connections wait to be accepted, each one that
+# sends nothing keeps them waiting for so long.
+HEAD_GRACE_S = 0.1
 # Seconds after which a refused request may come back if nothing says when there is room: by then most
 # requests that wait for endpoints have been answered.
 RETRY_AFTER_S = 1.0
@@ -96,6 +99,8 @@
     ----------
     bytes_by_kind : dict
         What is held, at what it costs.
+    total_bytes : int
+        All that is held beside the connection itself.
     phase : Phase
         Connections that wait for an endpoint are not evicted.
     due_at : float
@@ -114,11 +119,7 @@
     bytes_by_kind: dict[Kind, int] = field(factory=dict)
     received_bytes: int = 0
     is_evicted: bool = False
-
-    @property
-    def total_bytes(self) -> int:
-        """All that is held beside the connection itself."""
-        return sum(self.bytes_by_kind.values())
+    total_bytes: int = 0
 
     def is_behind(self, at: float) -> bool:
         """Return whether the connection gives way to others."""
@@ -223,7 +224,7 @@
         Whether to grant it in any case.
     """
     if is_urgent or budget.connection_count(group) < budget.max_connections[group]:
-        budget.holdings[number] = Holding(number, group, at + GRACE_S)
+        budget.holdings[number] = Holding(number, group, at + HEAD_GRACE_S)
         return GRANTED
     members = [holding for holding in budget.holdings.values() if holding.group is group]
     if any(holding.is_evicted for holding in members):
@@ -266,6 +267,13 @@
         ),
         key=received_bytes,
     )
+    if not is_large and asking.phase is not Phase.READS_HEAD:
+        # Heads without end would take what is reserved for small requests while they grow.
+        victims += sorted(
+            (h for h in others if not h.is_behind(at) and h.phase is Phase.READS_HEAD),
+            key=total_bytes,
+            reverse=True,
+        )
     evicted = []
     for victim in victims:
         evicted.append(victim)
@@ -296,10 +304,10 @@
 def lacking_bytes(budget: MemoryBudget, asking: Holding, count: int) -> int:
     """Return the bytes that are missing for a holding to take more; none if it is not positive."""
     lacking = budget.used_bytes + count - budget.size_bytes
-    total_bytes = asking.total_bytes
-    if total_bytes + count <= SMALL_BYTES:
+    held_bytes = asking.total_bytes
+    if held_bytes + count <= SMALL_BYTES:
         return lacking
-    added = count if total_bytes > SMALL_BYTES else total_bytes + count
+    added = count if held_bytes > SMALL_BYTES else held_bytes + count
     large_bytes = budget.size_bytes - budget.reserved_bytes
     return max(lacking, budget.large_bytes + added - large_bytes)
 
@@ -308,7 +316,7 @@
     """Count bytes as held; fewer if `count` is negative."""
     before = holding.total_bytes
     holding.bytes_by_kind[kind] = holding.bytes_by_kind.get(kind, 0) + count
-    after = before + count
+    after = holding.total_bytes = before + count
     budget.used_bytes += count
     budget.large_bytes += after * (after > SMALL_BYTES) - before * (before > SMALL_BYTES)
 
@@ -330,22 +338,29 @@
     """Record what a connection does from now on."""
     holding = budget.holdings[number]
     holding.phase = phase
-    holding.due_at = at + GRACE_S
+    holding.due_at = at + grace_s(phase)
     holding.received_bytes = 0
 
 
 def record_progress(budget: MemoryBudget, number: int, count: int, at: float) -> None:
-    """Record that bytes have arrived; a burst counts for `GRACE_S` at most."""
+    """Record that bytes have arrived; a burst counts for the time of grace at most."""
     holding = budget.holdings[number]
     holding.received_bytes += count
-    holding.due_at = min(at + GRACE_S, max(holding.due_at, at) + count / LEAST_BYTES_PER_S)
+    holding.due_at = min(
+        at + grace_s(holding.phase), max(holding.due_at, at) + count / LEAST_BYTES_PER_S
+    )
 
 
 def postpone(budget: MemoryBudget, number: int, at: float) -> None:
     """Spare a holding, for which bytes have arrived that this entry has not read yet."""
     holding = budget.holdings[number]
     holding.is_evicted = False
-    holding.due_at = at + GRACE_S
+    holding.due_at = at + grace_s(holding.phase)
+
+
+def grace_s(phase: Phase) -> float:
+    """Return the seconds by which a connection may be behind."""
+    return HEAD_GRACE_S if phase is Phase.READS_HEAD else GRACE_S
 
 
 def due_time(holding: Holding) -> float:
@@ -353,6 +368,11 @@
     return holding.due_at
 
 
+def total_bytes(holding: Holding) -> int:
+    """Return all that is held beside the connection itself."""
+    return holding.total_bytes
+
+
 def received_bytes(holding: Holding) -> int:
     """Return the bytes received of a body."""
     return holding.received_bytes
--- a/poplarhoist/gateway/guarded_protocol.py
+++ b/poplarhoist/gateway/guarded_protocol.py
@@ -22,7 +22,7 @@
 # WSGI environ key of the connection's protocol object.
 PROTOCOL_KEY = "poplarhoist.protocol"
 # Cost of header lines that is asked for at once; each question costs time.
-HEAD_STEP_BYTES = 16384
+HEAD_STEP_BYTES = 32768
 
 
 class WatchedWriter:
@@ -106,11 +106,12 @@
                 self.count_line(len(self.raw_requestline))
                 if not super().parse_request():
                     return False
+            self.room.check()
+            self.room.begin(Phase.WAITS)
             self.room.take(Kind.HEAD, self.uncounted_bytes + REQUEST_BYTES)
         except NoRoom as error:
             self.refuse_for_room(error)
             return False
-        self.room.begin(Phase.WAITS)
         return True
 
     @contextmanager
@@ -133,9 +134,12 @@
         NoRoom
             If there is no room for it.
         """
-        self.room.progress(count)
+        if not count:
+            # The end of a connection that was evicted, not of its head.
+            self.room.check()
         self.uncounted_bytes += HEADER_LINE_BYTES + HEADER_COPIES * count
         if self.uncounted_bytes >= HEAD_STEP_BYTES:
+            self.room.progress(self.uncounted_bytes)
             self.room.take(Kind.HEAD, self.uncounted_bytes)
             self.uncounted_bytes = 0
 
--- a/poplarhoist/gateway/room.py
+++ b/poplarhoist/gateway/room.py
@@ -25,8 +25,9 @@
 
 # WSGI environ key of the connection's room.
 ROOM_KEY = "poplarhoist.room"
-# Seconds between two looks whether an evicted connection has ended, and the longest wait for that.
-POLL_S = 0.01
+# Seconds between two looks whether an evicted connection has ended, and the longest wait for that. Each
+# look goes over all connections.
+POLL_S = 0.03
 MAX_WAIT_S = 1.0
 # Seconds between two looks whether one more connection finds room. Others wait to be accepted.
 ACCEPT_POLL_S = 0.02
