--- a/poplarhoist/decisions/gateway/memory_budget.py
+++ b/poplarhoist/decisions/gateway/memory_budget.py
@@ -38,8 +38,8 @@
 # Least rate of a request that is being read, and seconds by which it may be behind.
 LEAST_BYTES_PER_S = 65536
 GRACE_S = 0.5
-# The same of a head, which callers send at once: with 0.5 s, 600 connections with heads without end kept
-# a further one from being answered for over two seconds.
+# The same of a head, which callers send at once. While connections wait to be accepted, each one that
+# sends nothing keeps them waiting for so long.
 HEAD_GRACE_S = 0.1
 # Seconds after which a refused request may come back if nothing says when there is room: by then most
 # requests that wait for endpoints have been answered.
