--- a/tests/test_gateway_quotas.py
+++ b/tests/test_gateway_quotas.py
@@ -11,14 +11,7 @@
 from poplarhoist.decisions.gateway import messages, quota_keeper, quotas
 from poplarhoist.decisions.gateway.models import AdapterKey, Prompt, QuotaTerms, Refused, RelayTerms
 from tests.gateway import REGIONS, effects_of, only_effect, plain_endpoint, start_gateway
-from tests.quota_site import (
-    USUAL,
-    WINDOW_S,
-    Site,
-    charge_by_caller_id,
-    permitted,
-    team,
-)
+from tests.quota_site import USUAL, WINDOW_S, Site, charge_by_caller_id, permitted, team
 
 HOT = 5 * USUAL
 LARGE_RATE = 137_000.0
@@ -388,7 +381,7 @@
 
 
 def entry_of_team(monkeypatch, *records):
-    """Return an entry with a team, which is the only one, and the function that lets it run dry."""
+    """Return an entry that holds 5,000 tokens of a team."""
     charge_by_caller_id(monkeypatch, lambda: {"a": team("a")})
     gateway = start_gateway(*records)
     gateway.state.quotas.accounts["a"] = quotas.Account([(1e9, 5000.0)])
