--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -35,6 +35,8 @@
 REPORT_LAG_S = 0.2
 HELD_CONNECTIONS_BACKLOG = 1024
 START_S = 20.0
+# A case may take 120 s.
+LONGEST_CASE_S = 117.0
 # Seconds between two looks at the memory of a process, and from its end to its next start.
 MEMORY_POLL_S = 0.02
 RESTART_DELAY_S = 0.5
@@ -336,6 +338,7 @@
         self.coming: set[str] = set()
         self.held_before: set[str] = set()
         self.in_use: dict[str, int] = {}
+        self.leaving_adapters: set[str] = set()
         self.ran: dict[str, float] = {}
         self.arrived: list[tuple[float, str, str]] = []
         self.more_headers: dict[str, str] = {}
@@ -447,11 +450,14 @@
         if not adapter:
             return 200 if order["op"] == "load" else 409
         if order["op"] == "unload":
-            if self.in_use.get(adapter):
-                return 409
-            self.adapters.discard(adapter)
+            if adapter not in self.adapters:
+                return 200
             self.order_count += 1
-            return 200
+            if not self.in_use.get(adapter):
+                self.adapters.discard(adapter)
+                return 200
+            self.leaving_adapters.add(adapter)
+            return 202
         if adapter in self.adapters or adapter in self.coming:
             return 200
         if len(self.coming) >= LOADS_PER_ENGINE:
@@ -484,7 +490,7 @@
             return await self.reject(writer, 421, request_id, {"X-Instance-Id": self.name} | echo)
         if adapter and adapter not in self.adapters:
             return await self.reject(writer, 421, request_id, echo)
-        if self.running >= self.slots:
+        if self.running >= self.slots or (adapter and adapter in self.leaving_adapters):
             return await self.reject(writer, 503, request_id, {"X-Not-Executed": "1"} | echo)
         self.arrived.append((time.monotonic(), request_id, "ran"))
         after = call.header("last-event-id")
@@ -504,10 +510,15 @@
                 self.record.write(f"{self.name} drops {request_id}: connection closed")
                 return False
             work.result()
+            # The entry uses a new connection for each request, and closes it.
+            await asyncio.wait({closed}, timeout=HEARTBEAT_S)
             return False
         finally:
             self.running -= 1
             self.in_use[adapter] -= 1
+            if adapter in self.leaving_adapters and not self.in_use[adapter]:
+                self.leaving_adapters.discard(adapter)
+                self.adapters.discard(adapter)
             for task in (work, closed):
                 task.cancel()
 
@@ -521,7 +532,7 @@
 
     async def work(self, call: Call, echo: dict[str, str], writer, is_stream: bool) -> None:
         """Run a request to its end; the connection closes after it."""
-        headers = {"X-Response-Seal": f"seal-{self.name}", "Connection": "close"} | echo
+        headers = {"X-Response-Seal": f"seal-{self.name}"} | echo
         if not is_stream:
             await asyncio.sleep(self.work_s)
             body = b"done " + call.header("x-request-id").encode() + b" " + call.body
@@ -809,23 +820,40 @@
 
 
 def run_case(directory: Path, case) -> None:
-    """Run a case in a temporary folder and exit with its status; 2 if it could not run."""
+    """Run a case in a temporary folder and exit with its status; 2 if it could not run.
+
+    The process ends at once then: open tasks are not waited for, as one that misses its cancellation
+    would keep it.
+    """
     record = Record(directory)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.conclude(f"trouble: {has_trouble}")
-    with tempfile.TemporaryDirectory() as scratch:
-        entries: list[Entry] = []
+    scratch = tempfile.TemporaryDirectory()
+    entries: list[Entry] = []
+
+    def finish(status: int, reason: str = "") -> None:
+        """End all processes that the case has started, and this one."""
+        if reason:
+            record.conclude(f"could not run: {reason}")
+        for entry in entries:
+            entry.stop()
+            if "KEEP_LOGS" in os.environ:
+                (directory / entry.log_path.name).write_bytes(entry.log_path.read_bytes())
+        scratch.cleanup()
+        record.conclude(f"exit status {status}")
+        record.file.close()
+        sys.stdout.flush()
+        os._exit(status)
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(LONGEST_CASE_S, finish, 2, "out of time")
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, finish, 2, "ended by a signal")
         try:
-            status = asyncio.run(case(record, Path(scratch), entries, has_trouble))
+            status = await case(record, Path(scratch.name), entries, has_trouble)
         except Exception as error:
-            record.conclude(f"could not run: {type(error).__name__}: {error}")
-            status = 2
-        finally:
-            for entry in entries:
-                entry.stop()
-            if "KEEP_LOGS" in os.environ:
-                for entry in entries:
-                    (directory / entry.log_path.name).write_bytes(entry.log_path.read_bytes())
-    record.conclude(f"exit status {status}")
-    record.file.close()
-    sys.exit(status)
+            finish(2, f"{type(error).__name__}: {error}")
+        finish(status)
+
+    asyncio.run(run())
