Streams begin only at software versions that the store has a record of

Cause: an entry that starts knows a version that is gone only by the store's record. It was written once an entry had seen two versions, by watches that may be seconds behind, so after the version had been used. Whoever ended before left no trace of it.

Change: the store has a record of each software version of services with resumable streams, also a single one, written before a stream begins there. Entries read the records at their start; a version without endpoints counts as one that left just now. How long it counts follows from the routes' timeouts (30 s at least). While the store is unreachable, streams begin at recorded versions, and at others only if none is left. A record is removed after an up-to-date list of endpoints. A service without a record, at an entry that starts later than the site, may have streams of earlier builds, and its streams of unknown origin are refused too.

--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -6,7 +6,13 @@
 
 from poplarhoist.decisions.common_effects import Count, LogChange, Observe, Stop
 from poplarhoist.decisions.gateway.messages import Crashed, Message
-from poplarhoist.decisions.gateway.models import AdapterKey, EndpointRecord, Refused, RelayTerms
+from poplarhoist.decisions.gateway.models import (
+    AdapterKey,
+    EndpointRecord,
+    Refused,
+    RelayTerms,
+    ServiceVersion,
+)
 from poplarhoist.decisions.gateway.positions import Position
 
 
@@ -106,10 +112,16 @@
 
 @frozen
 class WriteSoftwareRecord:
-    """Write to the store which software versions a service has; without any, remove the record."""
+    """Write to the store that endpoints of a service have a software version."""
+
+    service_version: ServiceVersion
+
+
+@frozen
+class RemoveSoftwareRecord:
+    """Remove that record from the store, unless an endpoint has the version again."""
 
-    service: str
-    versions: tuple[str, ...]
+    service_version: ServiceVersion
 
 
 @frozen
@@ -226,6 +238,7 @@
     | ProbeEndpoint
     | Register
     | WriteSoftwareRecord
+    | RemoveSoftwareRecord
     | WriteCrashRecord
     | SendPeer
     | RereadChanges
--- a/poplarhoist/decisions/gateway/endpoints.py
+++ b/poplarhoist/decisions/gateway/endpoints.py
@@ -72,6 +72,7 @@
         if endpoint.is_leaving:
             log_endpoint("endpoint-leaving", record, effects, source="record")
         rebuild_service_index(state)
+        software_versions.on_endpoint_seen(state, record, event.at, effects)
         return
     previous, was_leaving = endpoint.record, endpoint.is_leaving
     endpoint.record = record
@@ -85,6 +86,7 @@
     endpoint.is_leaving = is_known_leaving(state, record)
     if record.software_version != previous.software_version:
         software_versions.record_departure(state, previous, event.at)
+        software_versions.on_endpoint_seen(state, record, event.at, effects)
     if endpoint.is_leaving and not was_leaving:
         log_endpoint("endpoint-leaving", record, effects, source="record")
     if (previous.service, was_leaving) != (record.service, endpoint.is_leaving):
@@ -345,9 +347,14 @@
 def may_get(state: GatewayState, endpoint: EndpointState, request: RequestState, at: float) -> bool:
     """Return whether an endpoint may get a request now at all.
 
-    It must run the software version that the request needs, and take another request.
+    It must run the software version that the request needs, or a recorded one if the request begins
+    a stream, and take another request.
     """
-    return streams.runs_software(endpoint, request) and takes_requests(state, endpoint, at)
+    return (
+        streams.runs_software(endpoint, request)
+        and software_versions.may_run(state, endpoint, request)
+        and takes_requests(state, endpoint, at)
+    )
 
 
 def takes_requests(state: GatewayState, endpoint: EndpointState, at: float) -> bool:
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -16,6 +16,7 @@
     EngineReport,
     Prompt,
     RelayTerms,
+    ServiceVersion,
 )
 from poplarhoist.decisions.gateway.positions import Position
 
@@ -101,17 +102,18 @@
 
 
 @frozen
-class SoftwareRecordsListed:
-    """The records of services with several software versions were read.
+class SoftwareRecordSeen:
+    """The store's record of a software version was read."""
 
-    Attributes
-    ----------
-    services : frozenset
-        Services that have a record.
-    """
+    at: float
+    service_version: ServiceVersion
+
+
+@frozen
+class SoftwareRecordsListed:
+    """All records of software versions were read."""
 
     at: float
-    services: frozenset[str]
 
 
 @frozen
@@ -441,11 +443,22 @@
 
 @frozen
 class SoftwareRecordWritten:
-    """The record of a service was written, or removed if there are no `versions`."""
+    """The record of a software version was written, or exists already."""
+
+    at: float
+    service_version: ServiceVersion
+    status: CallStatus
+
+
+@frozen
+class SoftwareRecordRemoved:
+    """The record of a software version was removed, or is gone already.
+
+    The status is CONFLICT if an endpoint has that version again.
+    """
 
     at: float
-    service: str
-    versions: tuple[str, ...]
+    service_version: ServiceVersion
     status: CallStatus
 
 
@@ -582,8 +595,10 @@
     | ReportReceived
     | EndpointChecked
     | EndpointProbed
+    | SoftwareRecordSeen
     | SoftwareRecordsListed
     | SoftwareRecordWritten
+    | SoftwareRecordRemoved
     | CrashRecordSeen
     | CrashRecordsListed
     | CrashRecordWritten
--- a/poplarhoist/decisions/gateway/messages.py
+++ b/poplarhoist/decisions/gateway/messages.py
@@ -264,6 +264,14 @@
     service: str
 
 
+@frozen
+class SoftwareRecorded:
+    """Says that the store has a record of a software version; others need not write it then."""
+
+    service: str
+    version: str
+
+
 @frozen
 class AskStreamOrigin:
     """Asks at which software version a stream began.
@@ -393,6 +401,7 @@
     | PlacesWanted
     | News
     | StreamBegan
+    | SoftwareRecorded
     | AskStreamOrigin
     | StreamUnknown
     | QuotaAsk
--- a/poplarhoist/decisions/gateway/models.py
+++ b/poplarhoist/decisions/gateway/models.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
 
 class RouteKind(enum.StrEnum):
@@ -233,6 +233,23 @@
         return cls(model, adapter)
 
 
+@frozen(order=True, cache_hash=True)
+class ServiceVersion:
+    """A version of the software that endpoints of a service run."""
+
+    service: str
+    version: str
+
+    @property
+    def name(self) -> str:
+        """Name of it, the same on every entry."""
+        return f"{self.service}@{self.version}"
+
+    def log_fields(self) -> dict[str, str]:
+        """Return the fields of a log line about it."""
+        return {"service": self.service, "software": self.version}
+
+
 @frozen
 class EndpointRecord:
     """An endpoint as it registers itself in the store.
@@ -251,6 +268,8 @@
         Base models whose weights it can load without the weight store.
     software_version : str
         Version of the software that the endpoint runs, not of its models; empty if unknown.
+    service_version : ServiceVersion
+        Its service and software version.
     """
 
     name: str
@@ -264,6 +283,14 @@
     held: dict[AdapterKey, int] | None = None
     warm_models: frozenset[str] = frozenset()
     software_version: str = ""
+    service_version: ServiceVersion = field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=Factory(
+            lambda self: ServiceVersion(self.service, self.software_version), takes_self=True
+        ),
+    )
 
 
 @frozen
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -141,6 +141,8 @@
             gossip.on_news(state, sender, message, effects)
         case messages.StreamBegan():
             streams.on_stream_began(state, message, at)
+        case messages.SoftwareRecorded():
+            software_versions.on_told(state, sender, message, at)
         case messages.AskStreamOrigin():
             streams.on_ask(state, sender, message, effects)
         case messages.StreamUnknown():
@@ -195,7 +197,7 @@
     endpoints.on_tick(state, at, effects)
     versions_by_service = software_versions.known_versions(state, at)
     streams.on_tick(state, versions_by_service, at, effects)
-    software_versions.on_tick(state, versions_by_service, at, effects)
+    software_versions.on_tick(state, at, effects)
     crashes.on_slow_tick(state, at, effects)
     crash_records.on_tick(state, at, effects)
     request_limits.on_slow_tick(state, at, leads.interval_factor(state), effects)
@@ -230,13 +232,14 @@
 
 
 def on_configuration(state: GatewayState, event: ev.ConfigurationSeen, effects: list) -> None:
-    """Apply a newer configuration, and the quotas of its teams."""
+    """Apply a newer configuration, the quotas of its teams, and what streams it lets resume."""
     before = state.configuration
     configuration.on_seen(state, event, effects)
     if state.configuration is not before:
         directory = state.configuration.teams
         teams = list(directory.by_name.values()) if directory is not None else []
         quota_keeper.on_teams(state, teams, event.at)
+        software_versions.on_configuration(state, event.at, effects)
 
 
 def on_version(state: GatewayState, event: ev.VersionSeen, effects: list) -> None:
@@ -304,9 +307,16 @@
 
 
 def is_serving(state: GatewayState) -> bool:
-    """Return whether this entry is ready for callers."""
+    """Return whether this entry is ready for callers.
+
+    Without the records of software versions it begins no resumable streams.
+    """
+    has_records = state.software_records.listed_services is not None or state.store_unavailable
     return (
-        state.configuration is not None and state.endpoints_listed and state.draining_since is None
+        state.configuration is not None
+        and state.endpoints_listed
+        and has_records
+        and state.draining_since is None
     )
 
 
@@ -339,8 +349,10 @@
     ev.EndpointChecked: crashes.on_checked,
     ev.EndpointProbed: links.on_probed,
     ev.CopyAsked: copies.on_asked,
+    ev.SoftwareRecordSeen: software_versions.on_seen,
     ev.SoftwareRecordsListed: software_versions.on_listed,
     ev.SoftwareRecordWritten: software_versions.on_written,
+    ev.SoftwareRecordRemoved: software_versions.on_removed,
     ev.CrashRecordSeen: crash_records.on_seen,
     ev.CrashRecordsListed: crash_records.on_listed,
     ev.CrashRecordWritten: crash_records.on_written,
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -14,13 +14,16 @@
 from poplarhoist.decisions.gateway.hedge_state import HedgeState
 from poplarhoist.decisions.gateway.limits import GatewayLimits
 from poplarhoist.decisions.gateway.messages import Use
-from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route
+from poplarhoist.decisions.gateway.models import AdapterKey, Configuration, Route, ServiceVersion
 from poplarhoist.decisions.gateway.paces import ServicePace
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.quota_state import QuotaState
 from poplarhoist.decisions.gateway.request_state import RequestState
 from poplarhoist.decisions.gateway.team_state import TeamState
 
+# Least seconds for which a stream may be resumed.
+VERSION_MEMORY_S = 30.0
+
 
 @define
 class StreamOrigin:
@@ -120,21 +123,36 @@
 
 @define
 class SoftwareRecords:
-    """The store's records of services with several software versions, as this entry knows them.
+    """The store's records of software versions, as this entry knows them.
 
     Attributes
     ----------
     is_listed : bool
         Whether they have been read.
-    services : set
-        Services that have a record.
-    next_write_at : dict
-        Earliest time of this entry's next write or removal, by service.
+    listed_services : set or None
+        Services that had a record then; None before.
+    needed_at : dict
+        When an endpoint last had a recorded version, or this entry learned of the record.
+    write_at : dict
+        Earliest time of this entry's next write, by version that has no record.
+    remove_at : dict
+        Earliest time of this entry's next removal, by recorded version without endpoints.
+    unrecordable_services : set
+        Services whose streams may begin at a version without a record, as the store is unreachable.
+    resumable_services : set
+        Services with resumable streams; only their versions are recorded.
+    memory_s : float
+        Seconds for which a stream may be resumed, and a version counts that no endpoint has any more.
     """
 
     is_listed: bool = False
-    services: set[str] = field(factory=set)
-    next_write_at: dict[str, float] = field(factory=dict)
+    listed_services: set[str] | None = None
+    needed_at: dict[ServiceVersion, float] = field(factory=dict)
+    write_at: dict[ServiceVersion, float] = field(factory=dict)
+    remove_at: dict[ServiceVersion, float] = field(factory=dict)
+    unrecordable_services: set[str] = field(factory=set)
+    resumable_services: set[str] = field(factory=set)
+    memory_s: float = VERSION_MEMORY_S
 
 
 @define
@@ -411,7 +429,7 @@
     crash_records : CrashRecords
         The store's records of what crashes endpoints.
     software_records : SoftwareRecords
-        Services with several software versions, by the store's records.
+        Software versions of services, by the store's records.
     links : LinkState
         This entry's links to endpoints.
     teams : TeamState
--- a/poplarhoist/decisions/gateway/streams.py
+++ b/poplarhoist/decisions/gateway/streams.py
@@ -20,11 +20,7 @@
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
 from poplarhoist.decisions.gateway.messages import AskStreamOrigin, StreamBegan, StreamUnknown
 from poplarhoist.decisions.gateway.request_state import RequestState
-from poplarhoist.decisions.gateway.software_versions import (
-    VERSION_MEMORY_S,
-    has_several,
-    may_have_several,
-)
+from poplarhoist.decisions.gateway.software_versions import has_several, may_have_several
 from poplarhoist.decisions.gateway.state import GatewayState, StreamOrigin
 
 # Entries that are told where a stream began. With five entries that know it, half of all entries
@@ -34,8 +30,6 @@
 ASKED_ENTRIES = ORIGIN_REPLICAS + 2
 # Seconds to wait for an answer: two round trips between regions and a scheduling delay.
 ORIGIN_ANSWER_S = 0.15
-# Seconds for which a stream may be resumed.
-ORIGIN_MEMORY_S = VERSION_MEMORY_S
 # Streams remembered per entry; bounds memory. Entries of the largest site remember about 400.
 MAX_ORIGINS = 10_000
 
@@ -125,7 +119,7 @@
 ) -> None:
     """Forget old streams, and tell of this entry's once their service has several versions."""
     for caller_id, origin in list(state.stream_origins.items()):
-        if at - origin.known_at <= ORIGIN_MEMORY_S:
+        if at - origin.known_at <= state.software_records.memory_s:
             break
         del state.stream_origins[caller_id]
     mixed_services = {
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -15,7 +15,12 @@
 )
 from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.decisions.gateway.messages import Crashed
-from poplarhoist.decisions.gateway.models import EndpointRecord, EngineReport, Prompt
+from poplarhoist.decisions.gateway.models import (
+    EndpointRecord,
+    EngineReport,
+    Prompt,
+    ServiceVersion,
+)
 from poplarhoist.decisions.gateway.positions import Position
 
 Headers = list[tuple[str, str]]
@@ -294,10 +299,13 @@
     def unregister(self, name: str) -> CallStatus:
         """Remove the record of this entry."""
 
-    def write_software(self, service: str, versions: tuple[str, ...]) -> CallStatus:
-        """Record that a service has these software versions; without any, remove the record.
+    def write_software(self, service_version: ServiceVersion) -> CallStatus:
+        """Record that endpoints of a service have a software version; it may be recorded already."""
 
-        The record may exist, or be gone, already.
+    def remove_software(self, service_version: ServiceVersion) -> CallStatus:
+        """Remove the record of a software version; it may be gone already.
+
+        The status is CONFLICT if an endpoint has that version, as an up-to-date read shows.
         """
 
     def write_crashes(self, name: str, crashes: tuple[Crashed, ...]) -> CallStatus:
--- a/poplarhoist/gateway/store_watcher.py
+++ b/poplarhoist/gateway/store_watcher.py
@@ -11,6 +11,7 @@
 from poplarhoist.decisions.gateway.effects import (
     Claim,
     Register,
+    RemoveSoftwareRecord,
     RereadChanges,
     WriteCrashRecord,
     WriteSoftwareRecord,
@@ -112,6 +113,9 @@
         decision_loop.set_handler(
             WriteSoftwareRecord, partial(eventlet.spawn_n, self.write_software)
         )
+        decision_loop.set_handler(
+            RemoveSoftwareRecord, partial(eventlet.spawn_n, self.remove_software)
+        )
         decision_loop.set_handler(WriteCrashRecord, partial(eventlet.spawn_n, self.write_crashes))
         decision_loop.set_handler(
             RereadChanges,
@@ -442,12 +446,18 @@
             )
 
     def write_software(self, effect: WriteSoftwareRecord) -> None:
-        """Write or remove the record of a service's software versions, and submit how it ended."""
-        status = self.store.write_software(effect.service, effect.versions)
+        """Write the record of a software version, and submit how it ended."""
+        status = self.store.write_software(effect.service_version)
+        self.submit_generation()
         at = self.decision_loop.event_time()
-        self.decision_loop.submit(
-            ev.SoftwareRecordWritten(at, effect.service, effect.versions, status)
-        )
+        self.decision_loop.submit(ev.SoftwareRecordWritten(at, effect.service_version, status))
+
+    def remove_software(self, effect: RemoveSoftwareRecord) -> None:
+        """Remove the record of a software version, and submit how it ended."""
+        status = self.store.remove_software(effect.service_version)
+        self.submit_generation()
+        at = self.decision_loop.event_time()
+        self.decision_loop.submit(ev.SoftwareRecordRemoved(at, effect.service_version, status))
 
     def write_crashes(self, effect: WriteCrashRecord) -> None:
         """Write or remove the record of what crashes endpoints, and submit how it ended."""
--- a/poplarhoist/platform/decoder.py
+++ b/poplarhoist/platform/decoder.py
@@ -19,7 +19,7 @@
 # Kinds of records that only the gateway's entries write.
 ENTRY_KIND = "poplarhoist-entries"
 LEAD_KIND = "poplarhoist-leads"
-SOFTWARE_KIND = "poplarhoist-software"
+SOFTWARE_KIND = "poplarhoist-software-versions"
 CRASH_KIND = "poplarhoist-crashes"
 # Name of the record with the configuration in force.
 CURRENT_CONFIGURATION_NAME = "main"
@@ -86,7 +86,7 @@
         elif kind == LEAD_KIND:
             events.append(ev.LeadsListed(at, reading.generation))
         elif kind == SOFTWARE_KIND:
-            events.append(ev.SoftwareRecordsListed(at, names))
+            events.append(ev.SoftwareRecordsListed(at))
         elif kind == CRASH_KIND:
             events.append(ev.CrashRecordsListed(at, names))
         return Decoded(events, frozenset().union(*(part.unreadable for part in decoded)))
@@ -174,6 +174,13 @@
     return [ev.LeadSeen(reading.at, name, holder, epoch, position)]
 
 
+def decode_software_event(
+    reading: Reading, name: str, item: dict, is_removed: bool
+) -> list[ev.Event]:
+    """Decode a software version of a service; the kind is not watched, so that no removal is read."""
+    return [ev.SoftwareRecordSeen(reading.at, documents.decode_service_version(item["spec"]))]
+
+
 def decode_crash_event(reading: Reading, name: str, item: dict, is_removed: bool) -> list[ev.Event]:
     """Decode what crashed endpoints; the kind is not watched, so that no removal is read."""
     crashes = documents.decode_crashes(item["spec"], reading.now)
@@ -198,6 +205,5 @@
     ENTRY_KIND: decode_entry_event,
     LEAD_KIND: decode_lead_event,
     CRASH_KIND: decode_crash_event,
-    # The list of names tells all.
-    SOFTWARE_KIND: lambda reading, name, item, is_removed: [],
+    SOFTWARE_KIND: decode_software_event,
 }
--- a/poplarhoist/platform/documents.py
+++ b/poplarhoist/platform/documents.py
@@ -3,6 +3,7 @@
 A document that cannot be decoded raises one of `DECODE_ERRORS`; the calling code logs it.
 """
 
+import hashlib
 import re
 from datetime import datetime
 
@@ -22,6 +23,7 @@
     Route,
     RouteKind,
     ServiceSpec,
+    ServiceVersion,
     Target,
     Team,
     TeamDirectory,
@@ -392,6 +394,23 @@
     )
 
 
+def software_record_name(service_version: ServiceVersion) -> str:
+    """Return the name of the record of a software version; any text may be a version."""
+    digest = hashlib.sha256(service_version.version.encode()).hexdigest()
+    return f"{service_version.service}.{digest[:16]}"
+
+
+def encode_service_version(service_version: ServiceVersion) -> dict:
+    """Encode the record of a software version."""
+    return {"service": service_version.service, "version": service_version.version}
+
+
+def decode_service_version(spec: dict) -> ServiceVersion:
+    """Decode the record of a software version; the version may be empty, as it may be unknown."""
+    version = spec["version"]
+    return ServiceVersion(to_text(spec["service"]), to_text(version) if version else "")
+
+
 def decode_version_announcement(spec: dict) -> tuple[str, str, int]:
     """Return model, adapter (empty for the base model) and version of an announcement."""
     adapter = spec.get("adapter")
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -14,6 +14,7 @@
 from poplarhoist.decisions.gateway.effects import Claim
 from poplarhoist.decisions.gateway.gossip import Freshness
 from poplarhoist.decisions.gateway.messages import Crashed
+from poplarhoist.decisions.gateway.models import ServiceVersion
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
@@ -345,13 +346,29 @@
         seen = self.decoder.decode(LEAD_KIND, item, False, self.reading(generation)).events
         return status, position, seen[0] if seen else None
 
-    def write_software(self, service: str, versions: tuple[str, ...]) -> ev.CallStatus:
-        """Record that a service has these software versions; without any, remove the record."""
-        if not versions:
-            return self.remove_record(SOFTWARE_KIND, service)
-        status, _ = self.write_record(SOFTWARE_KIND, service, {"versions": list(versions)}, 0)
+    def write_software(self, service_version: ServiceVersion) -> ev.CallStatus:
+        """Record that endpoints of a service have a software version; it may be recorded already."""
+        spec = documents.encode_service_version(service_version)
+        name = documents.software_record_name(service_version)
+        generation = self.generation
+        status, _ = self.write_record(SOFTWARE_KIND, name, spec, 0)
+        if generation != self.generation:
+            # The store may have been restored to a copy without it.
+            return ev.CallStatus.UNKNOWN
         return ev.CallStatus.OK if status is ev.CallStatus.CONFLICT else status
 
+    def remove_software(self, service_version: ServiceVersion) -> ev.CallStatus:
+        """Remove that record, as `Store.remove_software` says."""
+        changes = self.read_all(ENDPOINT_KIND)
+        if changes.status is not ev.CallStatus.OK:
+            return changes.status
+        if any(
+            isinstance(event, ev.EndpointSeen) and event.record.service_version == service_version
+            for event in changes.events
+        ):
+            return ev.CallStatus.CONFLICT
+        return self.remove_record(SOFTWARE_KIND, documents.software_record_name(service_version))
+
     def write_crashes(self, name: str, crashes: tuple[Crashed, ...]) -> ev.CallStatus:
         """Record what a content or a part of prompts has crashed; without any, remove the record."""
         if not crashes:
--- a/tests/engine_site.py
+++ b/tests/engine_site.py
@@ -203,6 +203,9 @@
                 self.cut_attempt(name, effect)
             else:
                 self.call_in(SEND_S, lambda e=effect: self.reach_engine(name, e))
+        for effect in effects_of(fx.WriteSoftwareRecord, effects):
+            fields = {"service_version": effect.service_version, "status": ev.CallStatus.OK}
+            self.submit(name, ev.SoftwareRecordWritten, **fields)
         for effect in effects_of(fx.ProbeEndpoint, effects):
             self.call_in(PROBE_TIMEOUT_S, lambda e=effect, at=self.at: self.end_probe(name, e, at))
         for effect in effects_of(fx.CheckEndpoint, effects):
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -115,7 +115,7 @@
             )
         self.submit(ev.EntriesListed, names=frozenset((name, *peers)))
         self.submit(ev.LeadsListed)
-        self.submit(ev.SoftwareRecordsListed, services=frozenset())
+        self.submit(ev.SoftwareRecordsListed)
 
     def submit(self, kind, /, **fields) -> list:
         """Apply an event at the current time and return its effects."""
@@ -128,9 +128,11 @@
         self.submit(ev.ConfigurationSeen, configuration=configuration(version, routes))
 
     def list_endpoints(self, *records: EndpointRecord) -> None:
-        """Apply a complete list of endpoint records."""
+        """Apply a complete list of endpoint records; the store names their software versions."""
         for record in records:
+            self.submit(ev.SoftwareRecordSeen, service_version=record.service_version)
             self.submit(ev.EndpointSeen, record=record)
+        self.submit(ev.SoftwareRecordsListed)
         self.submit(ev.EndpointsListed, names=frozenset(record.name for record in records))
 
     def advance(self, seconds: float, step_s: float = 0.025) -> list:
--- a/tests/releases.py
+++ b/tests/releases.py
@@ -48,6 +48,7 @@
     "unreleased": """
 {"kind":"kind","revision":3,"generation":3,"type":"News"}
 {"caller_id":"caller_id","type":"StreamUnknown"}
+{"service":"service","version":"version","type":"SoftwareRecorded"}
 {"endpoint":"endpoint","incarnation":3,"bears_per_s":1.5,"age_s":1.5,"count":3,"type":"PlacesWanted"}
 {"endpoint":"endpoint","incarnation":3,"count":3,"type":"Places"}
 {"engine":"engine","model":"model","adapter":"adapter","type":"AskWithdrawn"}
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -537,19 +537,26 @@
         site.stop()
 
 
-# Software versions before the only entry is killed, and the one that is left when it is back.
-@pytest.mark.parametrize(("before", "expected"), [(("v1", "v2"), 503), (("v1", "v1"), 200)])
+# Software versions before the only entry is killed, those that have registered once it is back, and
+# the status of a resumption. The entry has not seen "v2" in the second row.
+@pytest.mark.parametrize(
+    ("before", "after", "expected"),
+    [(("v1", "v2"), ("v2",), 503), (("v1", "v1"), ("v2",), 503), (("v1", "v1"), ("v1",), 200)],
+)
 def test_stream_is_not_joined_from_two_versions_after_the_entries_were_killed(
-    site, before, expected
+    site, before, after, expected
 ):
     for name, version in zip(("e1", "e2"), before, strict=True):
         site.endpoints[name].software_version = version
         site.endpoints[name].adapters["a1"] = 1
     site.register_endpoints("e1", "e2")
-    site.wait_until(lambda: len(site.store_names("poplarhoist-software")) == len(set(before)) - 1)
+    kind = "poplarhoist-software-versions"
+    site.wait_until(lambda: len(site.store_names(kind)) == len(set(before)))
     assert site.send_request("/resume/x", "a1", X_Request_Id="began")[0] == 200
     site.kill()
     site.store.remove("servers", "e1")
+    site.endpoints["e2"].software_version = after[0]
+    site.register_endpoints("e2")
     site.launch()
     site.wait_until(lambda: site.get_status() == 200)
     resumption = {"Last_Event_Id": "2", "Resumes": "began"}
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -21,6 +21,7 @@
     Freshness,
     needs_fresh_watch,
 )
+from poplarhoist.decisions.gateway.models import ServiceVersion
 from poplarhoist.decisions.gateway.positions import Position
 from poplarhoist.decisions.gateway.reducer import reduce
 from poplarhoist.entry.loop import DecisionLoop
@@ -95,8 +96,8 @@
         """Accept the record of this entry."""
         return CallStatus.OK
 
-    def write_software(self, service: str, versions: tuple[str, ...]) -> CallStatus:
-        """Accept the record of a service."""
+    def write_software(self, service_version: ServiceVersion) -> CallStatus:
+        """Accept the record of a software version."""
         return CallStatus.OK
 
     def claim(self, claim: fx.Claim):
