Responses that are read at once are bounded together

A list whose pages never end was kept without any bound.

Cause: bounds per call, set for what a sound response may need; nothing counted them together.

Change: responses of the store share 16 MB, all pages of a list have 16 MB and may not repeat a record, answers of engines have 256 KB. test_odd_records.py knows the records of software versions.

--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -32,9 +32,10 @@
 # Seconds for the answer to a probe: a connection and a round trip between regions, and shorter than
 # the interval of probes.
 PROBE_TIMEOUT_S = 0.45
-# Seconds for the whole response, and its longest body; a report lists some dozens of adapters.
+# Seconds for the whole response, and its longest body. A report lists some dozens of adapters, and a
+# lead reads those of all its engines at once.
 RESPONSE_TIMEOUT_S = 2 * CALL_TIMEOUT_S
-MAX_RESPONSE_BYTES = 1048576
+MAX_RESPONSE_BYTES = 262144
 
 
 class EngineClient:
--- a/poplarhoist/gateway/report_calls.py
+++ b/poplarhoist/gateway/report_calls.py
@@ -23,7 +23,7 @@
 # Share of the time of a call that a kept connection gets. An engine answers within milliseconds, and
 # what is left is enough for a new connection and a round trip between regions.
 KEPT_SHARE = 0.4
-MAX_RESPONSE_BYTES = 1048576
+MAX_RESPONSE_BYTES = 262144
 
 Decoded = tuple[int, EngineReport | None]
 Decode = Callable[[int, bytes], Decoded]
--- a/poplarhoist/platform/store.py
+++ b/poplarhoist/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store: lists, watches, registration, claims to lead engines."""
 
 import re
+from collections.abc import Callable
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -16,7 +17,7 @@
 from poplarhoist.decisions.gateway.messages import Crashed
 from poplarhoist.decisions.gateway.models import ServiceVersion
 from poplarhoist.decisions.gateway.positions import Position
-from poplarhoist.entry.http import StrictPool, never_sent, request_bounded
+from poplarhoist.entry.http import BodyTooLong, StrictPool, never_sent, request_bounded
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.gateway.interfaces import OnBegun, RecordsCopy, StoreChanges, WatchSpec
 from poplarhoist.gateway.settings import Address
@@ -43,6 +44,9 @@
 # at most a megabyte at once.
 RESPONSE_TIMEOUT_RATIO = 3
 MAX_RESPONSE_BYTES = 8388608
+# Bytes of responses that are held at once over all calls, and of all pages of a list. All kinds are
+# read at once, and the smallest machines have 160 MB.
+MAX_HELD_BYTES = 2 * MAX_RESPONSE_BYTES
 # Longest pause in seconds within a response: its connection may have gone silent. A watch is not
 # restarted once its response has begun.
 STALL_S = 2.0
@@ -97,6 +101,8 @@
         When its head arrived; None before.
     received_bytes : int
         Bytes of its body so far.
+    on_received : callable or None
+        Is called with the number of bytes of each part of the body.
     generation_text : str or None
         What the head says of the generation of the store.
     """
@@ -105,6 +111,7 @@
     on_begun: OnBegun | None = None
     head_at: float | None = None
     received_bytes: int = 0
+    on_received: Callable[[int], None] | None = None
     generation_text: str | None = None
 
     def on_head(self, headers) -> None:
@@ -117,12 +124,40 @@
     def on_bytes(self, count: int) -> None:
         """Record the arrival of a part of the body."""
         self.received_bytes += count
+        if self.on_received is not None:
+            self.on_received(count)
 
     def body_s(self) -> float:
         """Return the seconds since the head arrived; 0 if it did not."""
         return 0.0 if self.head_at is None else self.clock.monotonic() - self.head_at
 
 
+@define
+class HeldBytes:
+    """Counts the bytes of a response among those that its store holds."""
+
+    store: "ObjectStore"
+    count: int = 0
+
+    def add(self, count: int) -> None:
+        """Count a part of the body that has arrived.
+
+        Raises
+        ------
+        BodyTooLong
+            If all responses together are too long.
+        """
+        self.count += count
+        self.store.held_bytes += count
+        if self.store.held_bytes > MAX_HELD_BYTES:
+            raise BodyTooLong(f"responses longer than {MAX_HELD_BYTES} bytes")
+
+    def give_back(self) -> None:
+        """Stop counting the response."""
+        self.store.held_bytes -= self.count
+        self.count = 0
+
+
 class ObjectStore:
     """The platform's object store.
 
@@ -143,6 +178,8 @@
         Latest generation that a response has shown; 0 if none did.
     unclear_generation : str or None
         What a response said last that tells no generation; None if none did.
+    held_bytes : int
+        Bytes of responses that are being read.
     """
 
     watch_specs = (
@@ -182,6 +219,7 @@
         self.decoder = RecordDecoder()
         self.generation = 0
         self.unclear_generation: str | None = None
+        self.held_bytes = 0
         self.copied_kinds = {
             spec.kind: CopiedKind(MAX_RESPONSE_BYTES)
             for spec in self.watch_specs
@@ -216,16 +254,28 @@
     def read_all(self, kind: str) -> StoreChanges:
         """Read all records of a kind, page by page.
 
-        A failed page fails the whole read, and so does a store that is restored meanwhile. For all
-        but configurations and versions the last event says that the list is complete.
+        A failed page fails the whole read, and so does a store that is restored meanwhile, a page that
+        does not continue the one before, and a list of more than `MAX_HELD_BYTES`. For all but
+        configurations and versions the last event says that the list is complete.
         """
         items: list[dict] = []
         position: Position | None = None
+        list_bytes = 0
+        names: set[str] = set()
         while True:
+            progress = ResponseProgress(self.clock)
             query = f"?{urlencode({'after': items[-1]['metadata']['name']})}" if items else ""
-            status, data = self.request("list", "GET", f"/api/objects/{kind}{query}")
+            status, data = self.request(
+                "list", "GET", f"/api/objects/{kind}{query}", progress=progress
+            )
             if status is not ev.CallStatus.OK:
                 return StoreChanges(status)
+            list_bytes += progress.received_bytes
+            page_names = {item["metadata"]["name"] for item in data["items"]}
+            if list_bytes > MAX_HELD_BYTES or page_names & names:
+                structlog.get_logger().warning("list-without-end", kind=kind, bytes=list_bytes)
+                return StoreChanges(ev.CallStatus.UNKNOWN)
+            names |= page_names
             # The first page's position, so that changes between the pages are read again.
             position = position or Position(self.generation, data["currentRev"])
             if position.generation != self.generation:
@@ -407,6 +457,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         on_begun: OnBegun | None = None,
         kept_pool: StrictPool | None = None,
+        progress: ResponseProgress | None = None,
     ):
         """Make a call, count it, and log it if it failed.
 
@@ -414,6 +465,8 @@
         ----------
         kept_pool : StrictPool or None
             Pool with a connection that is kept; None for a connection that is closed after the call.
+        progress : ResponseProgress or None
+            Tells the caller how much was received.
 
         Returns
         -------
@@ -424,7 +477,9 @@
         """
         headers = {"Content-Type": "application/json"}
         data = orjson.dumps(body) if body is not None else None
-        progress = ResponseProgress(self.clock, on_begun)
+        progress = progress or ResponseProgress(self.clock, on_begun)
+        held = HeldBytes(self)
+        progress.on_received = held.add
         generation = self.generation
         status, result = ev.CallStatus.UNKNOWN, ENDED
         pool = kept_pool or self.create_pool()
@@ -455,6 +510,7 @@
         except ValueError as error:
             status, result = ev.CallStatus.UNKNOWN, f"not JSON: {error}"
         finally:
+            held.give_back()
             if kept_pool is None:
                 pool.close()
             self.record_call(operation, path, status, result, progress)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -38,6 +38,10 @@
         ev.EntryRecordChanged,
     ),
     "poplarhoist-leads": ({"holder": "entry-1#b1", "epoch": 4}, ev.LeadSeen),
+    "poplarhoist-software-versions": (
+        {"service": "models", "version": "v1"},
+        ev.SoftwareRecordSeen,
+    ),
     "poplarhoist-crashes": (
         {"written_at_s": 1_800_000_000, "crashes": [{"content": "c", "endpoint": "e1"}]},
         ev.CrashRecordSeen,
