The deadline of an attempt holds nothing once the attempt has ended

Cause: the deadline was a green thread that was spawned for later. eventlet keeps one that is cancelled until its time, and the traceback of its cancellation keeps the frames of the handler, and with them the request, its head and its response.

Change: a timer of the hub, which drops its arguments when it is cancelled; the watch of a caller drops its thread.

--- a/poplarhoist/entry/caller_watch.py
+++ b/poplarhoist/entry/caller_watch.py
@@ -42,6 +42,7 @@
         """Stop watching; must be called before the server reads from the connection again."""
         if self.thread is not None:
             self.thread.kill()
+            self.thread = None
         # The request, its head and its body are in a circle of references over this.
         self.on_disconnect = ignore_disconnect
 
--- a/poplarhoist/gateway/attempt_connection.py
+++ b/poplarhoist/gateway/attempt_connection.py
@@ -7,6 +7,7 @@
 import socket
 
 import eventlet
+from eventlet.hubs import get_hub
 
 from poplarhoist.decisions.gateway import connection_reuse
 from poplarhoist.decisions.gateway.connection_reuse import Drop
@@ -92,7 +93,10 @@
         """Let the deadline cut the connection from now on."""
         # urllib3 takes the socket off the connection if the response is delimited by its close.
         self.sock = self.connection.sock
-        self.expiry = eventlet.spawn_after(self.remaining_s(), self.expire)
+        # A green thread that is cancelled stays until its time, with all that its canceller holds.
+        self.expiry = get_hub().schedule_call_global(
+            self.remaining_s(), eventlet.spawn_n, self.expire
+        )
         self.set_read_timeout()
 
     def set_read_timeout(self) -> None:
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -403,6 +403,7 @@
             return
         if self.expiry is not None:
             self.expiry.cancel()
+            self.expiry = None
         is_answer = self.result.outcome in (Outcome.DONE, Outcome.FAILED)
         request_id = self.request.head.caller_request_id
         if not self.give_back(is_answer, bool(self.request.body), request_id):
