A caller that leaves between two attempts of a stream is let go

Cause: the ended attempt of a stream stayed the one that a leaving caller cancels. The thread that waits for the next attempt was not woken, and its connection and room stayed for good.

Change: the thread ends its attempts in one place, which also takes them from what is cancelled.

--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -90,6 +90,7 @@
         try:
             body = read_body(environ, self.limits())
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
+            head = self.dialect.parse_request_head(header_pairs)
         except BadRequest as error:
             protocol.close_connection = 1
             headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
@@ -104,7 +105,6 @@
             self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
             return json_error(start_response, status, str(error), headers)
         target = protocol.path
-        head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
         method = environ["REQUEST_METHOD"]
         digest = xxhash.xxh3_64(b"\n".join((method.encode(), target.encode(), b"")))
@@ -247,6 +247,12 @@
             if not is_streamed:
                 self.finish()
 
+    def end_exchange(self, exchange: Exchange) -> None:
+        """Close the exchange of an attempt; a caller that leaves from now on cancels nothing of it."""
+        exchange.close()
+        if self.request.active_exchange is exchange:
+            self.request.active_exchange = None
+
     def start_plain(self, effect: fx.Dispatch) -> tuple[Exchange, bytes | None, Iterator | None]:
         """Run an attempt and read the whole response body, unless it is too long to be held.
 
@@ -266,8 +272,7 @@
                     first_chunk = next(chunks)
         finally:
             if first_chunk is None:
-                exchange.close()
-                self.request.active_exchange = None
+                self.end_exchange(exchange)
         return exchange, first_chunk, chunks
 
     def new_exchange(self, effect: fx.Dispatch) -> Exchange:
@@ -290,16 +295,16 @@
         """
         exchange = self.new_exchange(effect)
         if not exchange.start():
-            exchange.close()
+            self.end_exchange(exchange)
             return exchange, None, None
         if exchange.result.status != HTTPStatus.OK:
             exchange.read_body()
-            exchange.close()
+            self.end_exchange(exchange)
             return exchange, None, None
         chunks = exchange.iter_chunks()
         first_chunk = next(chunks, None)
         if first_chunk is None:
-            exchange.close()
+            self.end_exchange(exchange)
         return exchange, first_chunk, chunks
 
     def endpoint_headers(self, exchange: Exchange | None) -> Headers:
@@ -395,7 +400,7 @@
             self.mailbox.put(None)
 
     def finish(self) -> None:
-        """Stop the disconnect watch and drop the mailbox.
+        """Stop the disconnect watch, and drop the mailbox.
 
         The server may read the next request from the connection only after the watch has stopped.
         """
@@ -405,6 +410,7 @@
         self.decision_loop.close_mailbox(self.request.request_id)
         # Not only when the garbage collector finds the circles of references.
         self.request.body = b""
+        self.request.active_exchange = self.last_exchange = self.last_failure = None
 
 
 class StreamedBody:
@@ -439,7 +445,7 @@
                 self.handler.request.delivered = True
                 yield data
             exchange, self.exchange = self.exchange, None
-            exchange.close()
+            self.handler.end_exchange(exchange)
             self.handler.submit_attempt_ended(exchange)
             if exchange.result.outcome is ev.Outcome.DONE:
                 return
@@ -475,7 +481,7 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.cancelled = True
-            exchange.close()
+            self.handler.end_exchange(exchange)
             exchange.result.outcome = ev.Outcome.CANCELLED
             self.handler.submit_attempt_ended(exchange)
         self.handler.finish()
