An exception ends its request, and proper header values raise none

The same for a method that is no token and control characters in a target.

Cause: urllib3 raises ValueError for these, which the thread of the request did not expect. It ended without the end of its attempt, so the decision loop kept the request for good, and counted it at its endpoint.

Change: any exception ends an attempt as broken, with a line; a thread that ends in any other way lets the decision loop forget its request, with another line. Both are faults: each test with real processes fails if one is logged. Header lines are sent as they are. Such methods and targets are refused with 400.

--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -327,6 +327,14 @@
         }
 
 
+@frozen
+class RequestAbandoned:
+    """A request ended without any of its usual ends, such as by an exception."""
+
+    at: float
+    request_id: str
+
+
 @frozen
 class AttemptEnded:
     """An attempt ended.
@@ -589,6 +597,7 @@
     | ResponseStarted
     | ResponseChosen
     | AttemptEnded
+    | RequestAbandoned
     | CallerDisconnected
     | PeerMessageReceived
     | OrderEnded
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -340,6 +340,7 @@
     ev.ResponseStarted: requests.on_response_started,
     ev.ResponseChosen: hedging.on_response_chosen,
     ev.AttemptEnded: requests.on_attempt_ended,
+    ev.RequestAbandoned: requests.on_abandoned,
     ev.CallerDisconnected: lambda state, event, out: requests.on_caller_disconnected(
         state, event.request_id, event.at, out
     ),
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -30,6 +30,7 @@
     AttemptEnded,
     EndpointNotice,
     Outcome,
+    RequestAbandoned,
     RequestArrived,
     ResponseStarted,
 )
@@ -586,6 +587,23 @@
     request_logs.log_end(request, event, effects)
 
 
+def on_abandoned(state: GatewayState, event: RequestAbandoned, effects: list) -> None:
+    """Forget a request that nobody carries on, with all that it holds here."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return
+    stop_waiting(state, request, event.at, effects)
+    hedging.cut_other(state, request, event.at, "left", effects)
+    if request.relay:
+        relays.release(state, request)
+    release_endpoint(state, request)
+    if request.stage is Stage.WAITING:
+        quotas.refund(state, request)
+    state.requests.pop(request.request_id, None)
+    fields = {**request.log_ids(), "endpoint": request.endpoint_name, "stage": request.stage}
+    effects.append(LogRequest("request-abandoned", request.request_id, fields))
+
+
 def on_caller_disconnected(state: GatewayState, request_id: str, at: float, effects: list) -> None:
     """Forget a waiting request whose caller disconnected.
 
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -43,6 +43,9 @@
 CHUNK_SIZE = re.compile(rb"0{0,100}[0-9A-Fa-f]{1,15}")
 # Empty lines before a request that are passed over.
 MAX_EMPTY_LINES = 8
+# Method and target that a request to an endpoint may have (RFC 9110, section 5.6.2; RFC 3986).
+METHOD = re.compile(r"[-!#$%&'*+.^_`|~0-9A-Za-z]+", re.ASCII)
+TARGET = re.compile(r"[\x21-\x7e]+")
 # Target in absolute form: the authority, and the rest. One with user information is not accepted.
 ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.ASCII | re.IGNORECASE)
 # Defects of a head that the parser does not take for an error; it also reports some of bodies.
@@ -405,8 +408,12 @@
 
     def find_problem(self) -> str:
         """Return what is wrong with the request line or the framing; empty if nothing is."""
+        if not METHOD.fullmatch(self.command):
+            return "method that is no token"
         if not self.path.isascii():
             return "target with bytes that are not ASCII"
+        if not TARGET.fullmatch(self.path):
+            return "target with control characters"
         lengths = [text.strip() for text in self.headers.get_all("Content-Length", ())]
         codings = [text.strip().lower() for text in self.headers.get_all("Transfer-Encoding", ())]
         if any(isinstance(defect, HEAD_DEFECTS) for defect in self.headers.defects):
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -19,7 +19,7 @@
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway import relay_headers
-from poplarhoist.gateway.attempts import CallerRequest
+from poplarhoist.gateway.attempts import AttemptResult, CallerRequest
 from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.error_responses import JSON_CONTENT_TYPE, json_error, status_line
 from poplarhoist.gateway.exchange import Exchange
@@ -226,9 +226,8 @@
                     return self.refuse(effect)
                 if isinstance(effect, fx.ForwardFailure):
                     return self.respond(self.last_failure)
-                start = self.start_stream if effect.stream else self.start_plain
                 self.hedge = None
-                exchange, first_chunk, chunks = start(effect)
+                exchange, first_chunk, chunks = self.run_attempt(effect)
                 has_ended = False
                 if self.hedge is not None:
                     exchange, first_chunk, chunks, has_ended = self.hedge.settle(
@@ -247,6 +246,26 @@
             if not is_streamed:
                 self.finish()
 
+    def run_attempt(
+        self, effect: fx.Dispatch
+    ) -> tuple[Exchange, bytes | None, Iterator[bytes] | None]:
+        """Run an attempt as `start_plain` or `start_stream` does; any exception counts as a failure.
+
+        Without the end of its attempt the request would never end in the decision loop.
+        """
+        try:
+            return self.start_stream(effect) if effect.stream else self.start_plain(effect)
+        except Exception as error:
+            exchange = self.last_exchange
+            self.decision_loop.log.exception(
+                "attempt-ended-by-exception",
+                caller_id=self.request.head.caller_request_id,
+                attempt=effect.attempt,
+            )
+            self.end_exchange(exchange)
+            exchange.result = AttemptResult(ev.Outcome.BROKEN, type(error).__name__)
+            return exchange, None, None
+
     def end_exchange(self, exchange: Exchange) -> None:
         """Close the exchange of an attempt; a caller that leaves from now on cancels nothing of it."""
         exchange.close()
@@ -400,11 +419,15 @@
             self.mailbox.put(None)
 
     def finish(self) -> None:
-        """Stop the disconnect watch, and drop the mailbox.
+        """Stop the disconnect watch, drop the mailbox, and let the decision loop forget the request.
 
         The server may read the next request from the connection only after the watch has stopped.
         """
         self.caller_watch.stop()
+        if self.request.request_id in self.decision_loop.state.requests:
+            self.decision_loop.submit(
+                ev.RequestAbandoned(self.decision_loop.event_time(), self.request.request_id)
+            )
         if self.hedge_runner is not None:
             self.hedge_runner.remove(self.request.request_id)
         self.decision_loop.close_mailbox(self.request.request_id)
@@ -465,7 +488,7 @@
             if not isinstance(effect, fx.Dispatch):
                 handler.environ[PROTOCOL_KEY].break_off_response()
                 raise StreamBroken
-            exchange, first_chunk, chunks = handler.start_stream(effect)
+            exchange, first_chunk, chunks = handler.run_attempt(effect)
             if first_chunk is not None:
                 self.exchange = exchange
                 self.chunks = itertools.chain((first_chunk,), chunks)
--- a/poplarhoist/gateway/connections.py
+++ b/poplarhoist/gateway/connections.py
@@ -6,11 +6,13 @@
 
 import contextlib
 import enum
+import http.client
 import re
 import socket
 
 import eventlet
 from urllib3.response import BaseHTTPResponse
+from urllib3.util import SKIP_HEADER
 
 from poplarhoist.decisions.gateway import connection_reuse
 from poplarhoist.decisions.gateway.connection_reuse import Drop, EndedExchange
@@ -73,6 +75,14 @@
         self.latest_response = StrictResponse(sock, *args, **options)
         return self.latest_response
 
+    def putheader(self, header: str, *values: str) -> None:
+        """Send a header line, unless its value is the mark for one that is left out.
+
+        urllib3 takes any equal text for the mark, which a caller may send.
+        """
+        if not any(value is SKIP_HEADER for value in values):
+            http.client.HTTPConnection.putheader(self, header, *values)
+
     @property
     def has_received(self) -> bool:
         """Whether a byte of the latest response has arrived."""
--- a/poplarhoist/gateway/logs.py
+++ b/poplarhoist/gateway/logs.py
@@ -24,6 +24,8 @@
 # Log events that tell of an exception in the entry's own code.
 FAULT_EVENTS = (
     "request-failed",
+    "attempt-ended-by-exception",
+    "request-abandoned",
     "effect-failed",
     "tick-failed",
     "message-failed",
