--- a/tests/test_unchecked_clients.py
+++ b/tests/test_unchecked_clients.py
@@ -150,12 +150,20 @@
 LARGE_CHUNKS_WITHOUT_END = chunks(PIECE_BYTES, LARGE_CHUNK_COUNT, b"")
 TINY_CHUNKS = chunks(16, 200_000, b"0\r\n\r\n")
 TINY_CHUNKS_WITHOUT_END = chunks(16, 200_000, b"")
+# About 2,600 parts in one header line.
+PROMPT_PARTS = Request(
+    b"X-Model: base/a1\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: ",
+    b"1f:1," * 13,
+    200,
+    b"1f:1\r\nContent-Length: 0\r\n\r\n",
+)
 LONG_ANSWER = Request(b"Content-Length: 0\r\n\r\n", path=b"/read/long")
 NOTHING = Request(b"")
 
 CROWDS = {
     "heads-of-short-lines": CrowdCase(160, HEADS[:1]),
     "heads-of-odd-lines": CrowdCase(160, HEADS[1:]),
+    "heads-of-many-prompt-parts": CrowdCase(240, (PROMPT_PARTS,)),
     "heads-without-end": CrowdCase(600, HEADS_WITHOUT_END),
     "bodies-whole": CrowdCase(48, (body(0),)),
     "bodies-a-byte-short": CrowdCase(48, (BODY_WITH_MISSING_BYTE,)),
@@ -259,3 +267,22 @@
         crowd.close()
     assert received.startswith(b"HTTP/1.1 200 ")
     assert [request[3] for request in site.endpoints["d1"].requests] == [b"%d" % size]
+
+
+MANY_LINES = {f"x-{number}": "a" for number in range(1600)}
+MANY_PARTS = {"X-Model": "base/a1", "X-Prompt-Prefix": ",".join(["1f:1"] * 2600)}
+# Requests of one caller, one after the other. Each held hundreds of kilobytes after its end.
+SEQUENCES = {
+    "many-lines": MANY_LINES,
+    "many-parts": MANY_PARTS,
+    "value-that-a-library-uses": MANY_PARTS | {"X-Note": "@@@SKIP_HEADER@@@"},
+}
+
+
+@pytest.mark.parametrize("headers", SEQUENCES.values(), ids=SEQUENCES)
+def test_requests_that_have_ended_hold_no_memory(start_site, headers):
+    """They were kept until the deadlines of their routes, or for good."""
+    site = start_site(memoryMb=MEMORY_MB, maxFds=MAX_FDS)
+    for number in range(300):
+        assert site.post(f"c{number}", "/read/soon", b"", **headers) == 200
+        assert site.memory_mb() < MEMORY_MB, f"after {number} requests"
