--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -29,6 +29,7 @@
 from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead
 from poplarhoist.gateway.request_reading import BadRequest, no_room, read_body
 from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED, NoRoom
+from poplarhoist.gateway.streamed_body import StreamedBody
 
 # Statuses for requests that did not run; 503 for reasons not listed here.
 STATUS_BY_REASON = {
@@ -45,10 +46,6 @@
 ANSWERED_OUTCOMES = (ev.Outcome.DONE, ev.Outcome.FAILED)
 
 
-class StreamBroken(Exception):
-    """A streamed response cannot be completed; the server ends the caller's connection."""
-
-
 class CallerApplication:
     """The WSGI application for callers.
 
@@ -453,77 +450,3 @@
         # Not only when the garbage collector finds the circles of references.
         self.request.body = b""
         self.request.active_exchange = self.last_exchange = self.last_failure = None
-
-
-class StreamedBody:
-    """Iterates over a streamed response; a broken stream resumes at another endpoint if allowed.
-
-    Attributes
-    ----------
-    exchange : Exchange or None
-        The attempt that delivers chunks; None between attempts.
-    """
-
-    def __init__(
-        self, handler: RequestHandler, exchange: Exchange, first_chunk: bytes, chunks: Iterator
-    ) -> None:
-        self.handler = handler
-        self.exchange: Exchange | None = exchange
-        self.chunks = itertools.chain((first_chunk,), chunks)
-        headers = [h for h in exchange.result.headers if h[0].lower() != "content-length"]
-        headers += handler.endpoint_headers(exchange)
-        handler.start_response(status_line(exchange.result.status), headers)
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the response's chunks.
-
-        Raises
-        ------
-        StreamBroken
-            If the attempt broke and no other endpoint may continue the stream.
-        """
-        while True:
-            for data in self.chunks:
-                self.handler.request.delivered = True
-                yield data
-            exchange, self.exchange = self.exchange, None
-            self.handler.end_exchange(exchange)
-            self.handler.submit_attempt_ended(exchange)
-            if exchange.result.outcome is ev.Outcome.DONE:
-                return
-            self.resume()
-
-    def resume(self) -> None:
-        """Continue the stream at the endpoint of the next dispatch.
-
-        Raises
-        ------
-        StreamBroken
-            If the next effect is no dispatch.
-        """
-        handler = self.handler
-        while True:
-            effect = handler.mailbox.get()
-            if not isinstance(effect, fx.Dispatch):
-                handler.environ[PROTOCOL_KEY].break_off_response()
-                raise StreamBroken
-            exchange, first_chunk, chunks = handler.run_attempt(effect)
-            if first_chunk is not None:
-                self.exchange = exchange
-                self.chunks = itertools.chain((first_chunk,), chunks)
-                return
-            if exchange.result.outcome is ev.Outcome.DONE:
-                # A whole response that is not a stream (a status other than 200, or an empty body)
-                # cannot continue one.
-                exchange.result.outcome = ev.Outcome.BROKEN
-            handler.submit_attempt_ended(exchange)
-
-    def close(self) -> None:
-        """Cancel the attempt if the caller disconnected during the stream; called by the server."""
-        exchange, self.exchange = self.exchange, None
-        if exchange is not None:
-            exchange.cancelled = True
-            self.handler.end_exchange(exchange)
-            exchange.result.outcome = ev.Outcome.CANCELLED
-            self.handler.submit_attempt_ended(exchange)
-        self.handler.finish()
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -25,7 +25,7 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.entry.metrics import Metrics
 from poplarhoist.entry.server_log import ServerLog
-from poplarhoist.gateway.callers import CallerApplication, StreamBroken
+from poplarhoist.gateway.callers import CallerApplication
 from poplarhoist.gateway.connections import ConnectionPool
 from poplarhoist.gateway.copies import COPIES_PATH, respond_with_copy
 from poplarhoist.gateway.engines import EngineClient
@@ -37,6 +37,7 @@
 from poplarhoist.gateway.room import GuardedListener, RoomGuard
 from poplarhoist.gateway.settings import Address, GatewaySettings
 from poplarhoist.gateway.store_watcher import StoreWatcher
+from poplarhoist.gateway.streamed_body import StreamBroken
 
 # Seconds between ticks; a tenth of the time that an adapter takes to load.
 TICK_INTERVAL_S = 0.025
--- /dev/null
+++ b/poplarhoist/gateway/streamed_body.py
@@ -0,0 +1,94 @@
+"""The body of a streamed response, over the attempts that deliver it."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from poplarhoist.decisions.gateway import effects as fx
+from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.gateway.error_responses import status_line
+from poplarhoist.gateway.exchange import Exchange
+from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
+
+if TYPE_CHECKING:
+    from poplarhoist.gateway.callers import RequestHandler
+
+
+class StreamBroken(Exception):
+    """A streamed response cannot be completed; the server ends the caller's connection."""
+
+
+class StreamedBody:
+    """Iterates over a streamed response; a broken stream resumes at another endpoint if allowed.
+
+    Attributes
+    ----------
+    exchange : Exchange or None
+        The attempt that delivers chunks; None between attempts.
+    """
+
+    def __init__(
+        self, handler: RequestHandler, exchange: Exchange, first_chunk: bytes, chunks: Iterator
+    ) -> None:
+        self.handler = handler
+        self.exchange: Exchange | None = exchange
+        self.chunks = itertools.chain((first_chunk,), chunks)
+        headers = [h for h in exchange.result.headers if h[0].lower() != "content-length"]
+        headers += handler.endpoint_headers(exchange)
+        handler.start_response(status_line(exchange.result.status), headers)
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the response's chunks.
+
+        Raises
+        ------
+        StreamBroken
+            If the attempt broke and no other endpoint may continue the stream.
+        """
+        while True:
+            for data in self.chunks:
+                self.handler.request.delivered = True
+                yield data
+            exchange, self.exchange = self.exchange, None
+            self.handler.end_exchange(exchange)
+            self.handler.submit_attempt_ended(exchange)
+            if exchange.result.outcome is ev.Outcome.DONE:
+                return
+            self.resume()
+
+    def resume(self) -> None:
+        """Continue the stream at the endpoint of the next dispatch.
+
+        Raises
+        ------
+        StreamBroken
+            If the next effect is no dispatch.
+        """
+        handler = self.handler
+        while True:
+            effect = handler.mailbox.get()
+            if not isinstance(effect, fx.Dispatch):
+                handler.environ[PROTOCOL_KEY].break_off_response()
+                raise StreamBroken
+            exchange, first_chunk, chunks = handler.run_attempt(effect)
+            if first_chunk is not None:
+                self.exchange = exchange
+                self.chunks = itertools.chain((first_chunk,), chunks)
+                return
+            if exchange.result.outcome is ev.Outcome.DONE:
+                # A whole response that is not a stream (a status other than 200, or an empty body)
+                # cannot continue one.
+                exchange.result.outcome = ev.Outcome.BROKEN
+            handler.submit_attempt_ended(exchange)
+
+    def close(self) -> None:
+        """Cancel the attempt if the caller disconnected during the stream; called by the server."""
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.cancelled = True
+            self.handler.end_exchange(exchange)
+            exchange.result.outcome = ev.Outcome.CANCELLED
+            self.handler.submit_attempt_ended(exchange)
+        self.handler.finish()
