An entry is ready only once it can begin streams

What callers saw: nothing yet. Since streams wait for records of software versions, an entry that said it was ready before it had read or written these would have refused its first streams while others could have served them.

Cause: readiness asked for the configuration and the endpoints only, and then for the list of records, not for those that this entry still had to write.

Change: an entry is ready once each version that it has seen had a record, if the store is unreachable, or after 5 s in any case, so that plain services are served while the store takes no writes. It stays ready when a new version appears.

--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -311,12 +311,11 @@
 
     Without the records of software versions it begins no resumable streams.
     """
-    has_records = state.software_records.listed_services is not None or state.store_unavailable
     return (
         state.configuration is not None
         and state.endpoints_listed
-        and has_records
         and state.draining_since is None
+        and software_versions.has_been_complete(state)
     )
 
 
--- a/poplarhoist/decisions/gateway/software_versions.py
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -36,6 +36,8 @@
 OTHERS_WRITE_AFTER_S = 1.0
 # Seconds until a call that failed is repeated.
 WRITE_RETRY_S = 1.0
+# Seconds after its start from which on an entry is ready also without records.
+LONGEST_START_S = 5.0
 # Seconds for which a version without an endpoint counts as recorded. Far less than the time until its
 # record may be removed, as entries learn of endpoints seconds apart.
 HELD_WITHOUT_ENDPOINT_S = 10.0
@@ -111,6 +113,19 @@
     return service not in (records.listed_services or ()) and not state.is_first_start
 
 
+def has_been_complete(state: GatewayState) -> bool:
+    """Return whether this entry can begin streams, or has waited long enough for that.
+
+    It does once there was a record of each version that it has seen, or if the store is unreachable.
+    """
+    records = state.software_records
+    if records.is_listed and not records.was_complete:
+        served = recordable(state, served_versions(state))
+        records.was_complete = served <= records.needed_at.keys()
+    waited_s = state.last_event_at - state.started_at
+    return records.was_complete or state.store_unavailable or waited_s > LONGEST_START_S
+
+
 def may_run(state: GatewayState, endpoint: EndpointState, request: RequestState) -> bool:
     """Return whether a request may run at an endpoint, as far as records are concerned.
 
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -131,6 +131,8 @@
         Whether they have been read.
     listed_services : set or None
         Services that had a record then; None before.
+    was_complete : bool
+        Whether all versions that endpoints had at some time were recorded.
     needed_at : dict
         When an endpoint last had a recorded version, or this entry learned of the record.
     write_at : dict
@@ -147,6 +149,7 @@
 
     is_listed: bool = False
     listed_services: set[str] | None = None
+    was_complete: bool = False
     needed_at: dict[ServiceVersion, float] = field(factory=dict)
     write_at: dict[ServiceVersion, float] = field(factory=dict)
     remove_at: dict[ServiceVersion, float] = field(factory=dict)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,7 +7,12 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.models import EndpointRecord, ServiceVersion
-from poplarhoist.decisions.gateway.software_versions import OTHERS_WRITE_AFTER_S, WRITERS
+from poplarhoist.decisions.gateway.reducer import is_serving
+from poplarhoist.decisions.gateway.software_versions import (
+    LONGEST_START_S,
+    OTHERS_WRITE_AFTER_S,
+    WRITERS,
+)
 from poplarhoist.decisions.gateway.state import VERSION_MEMORY_S, SoftwareRecords
 from poplarhoist.gateway.peers import message_converter
 from tests.gateway import ROUTES, Gateway, effects_of, engine, only_effect, plain_endpoint, route
@@ -451,6 +456,49 @@
     assert V2 in {write.service_version for write in effects_of(fx.WriteSoftwareRecord, effects)}
 
 
+# What happens at a start, and whether the entry is ready then.
+@pytest.mark.parametrize(
+    ("happens", "is_ready"),
+    [
+        ("nothing", False),
+        ("records-read", False),
+        ("record-written", True),
+        ("record-found", True),
+        ("store-lost", True),
+        ("long-wait", True),
+    ],
+)
+def test_entry_is_ready_once_it_can_begin_streams(happens, is_ready):
+    """Its first streams were refused, while other entries could have served them."""
+    entry = Gateway()
+    entry.state.software_records = SoftwareRecords()
+    entry.configure()
+    for kind in (ev.EndpointSeen, ev.EndpointsListed):
+        record = engine(1, software_version="v1")
+        known = {"record": record} if kind is ev.EndpointSeen else {"names": frozenset(("e1",))}
+        entry.submit(kind, **known)
+    if happens == "record-found":
+        entry.submit(ev.SoftwareRecordSeen, service_version=V1)
+    if happens.startswith("record"):
+        entry.submit(ev.SoftwareRecordsListed)
+    if happens == "record-written":
+        entry.submit(ev.SoftwareRecordWritten, service_version=V1, status=ev.CallStatus.OK)
+    if happens == "store-lost":
+        entry.submit(ev.StoreAvailabilityChanged, available=False)
+    if happens == "long-wait":
+        entry.advance(LONGEST_START_S + 1.0)
+    assert is_serving(entry.state) is is_ready
+
+
+def test_entry_stays_ready_while_a_new_version_has_no_record():
+    entry = Gateway()
+    entry.configure()
+    entry.list_endpoints(engine(1, software_version="v1"))
+    assert is_serving(entry.state)
+    entry.submit(ev.EndpointSeen, record=engine(2, software_version="v2"))
+    assert is_serving(entry.state)
+
+
 def test_entries_that_are_no_writers_write_a_record_only_if_nobody_tells_them():
     names = tuple(f"entry-{number}" for number in range(1, 10))
     written_after_s = {}
