The first parts of a prompt are weighed after a crash, not thousands

Cause: each part of a report was searched among all parts of it, and all of this is weighed again with each answer that clears a part. Reports with many parts did not fit in a datagram and were dropped.

Change: the first 32 parts can be suspected, each found by its place. A request with more is still refused by its content.

--- a/poplarhoist/decisions/gateway/crash_suspects.py
+++ b/poplarhoist/decisions/gateway/crash_suspects.py
@@ -191,8 +191,9 @@
     """Return what reports say of each part that they throw suspicion on."""
     suspects: dict[str, Suspect] = {}
     for report in reports:
+        position_by_part = {part: at for at, part in reversed(list(enumerate(report.parts)))}
         for part in suspected_parts(report, sound_at_by_part):
-            position = report.parts.index(part)
+            position = position_by_part[part]
             suspect = suspects.setdefault(part, Suspect(position=position))
             suspect.add(report)
             suspect.position = min(suspect.position, position)
--- a/poplarhoist/decisions/gateway/crashes.py
+++ b/poplarhoist/decisions/gateway/crashes.py
@@ -39,6 +39,9 @@
 # Reports and sound parts that are kept; bounds the memory used when many responses break off.
 MAX_REPORTS = 256
 MAX_SOUND_PARTS = 4096
+# Parts of a prompt that can be suspected. More would take seconds to weigh over many reports, and the
+# reports would not fit in a datagram. A content with more of them is refused by itself.
+MAX_SUSPECTED_PARTS = 32
 # Longest delay in seconds before an entry tells that a part is sound. Most entries that know it hear
 # it from another one before.
 MAX_NOTICE_DELAY_S = 0.15
@@ -69,10 +72,10 @@
 
 
 def shared_parts(prompt: Prompt | None) -> tuple[str, ...]:
-    """Return the parts of a prompt that other requests may share: all but the last."""
+    """Return the parts of a prompt that other requests may share: all but the last, of the first few."""
     if prompt is None:
         return ()
-    return tuple(segment.name for segment in prompt.prefix_segments[:-1])
+    return tuple(segment.name for segment in prompt.prefix_segments[:-1][:MAX_SUSPECTED_PARTS])
 
 
 def on_attempt_broken(
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -7,13 +7,19 @@
 import pytest
 from attrs import evolve, frozen
 
+from poplarhoist.decisions.gateway import crashes, messages
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway import messages
 from poplarhoist.decisions.gateway.crash_suspects import CRASH_MEMORY_S
-from poplarhoist.decisions.gateway.crashes import MAX_CONTENT_TRIALS, MAX_REPORTS, TRIAL_AFTER_S
-from poplarhoist.decisions.gateway.models import Refused
-from poplarhoist.gateway.peers import message_converter
+from poplarhoist.decisions.gateway.crashes import (
+    EVIDENCE_PER_SUSPECT,
+    MAX_CONTENT_TRIALS,
+    MAX_REPORTS,
+    MAX_SUSPECTED_PARTS,
+    TRIAL_AFTER_S,
+)
+from poplarhoist.decisions.gateway.models import AdapterKey, PrefixSegment, Prompt, Refused
+from poplarhoist.gateway.peers import MAX_DATAGRAM_BYTES, message_converter
 from poplarhoist.platform import documents
 from tests.engine_site import EngineSite, SentRequest
 from tests.gateway import Gateway, effects_of, only_effect, plain_endpoint
@@ -257,6 +263,22 @@
     assert message_converter.structure(orjson.loads(data), messages.Message) == message
 
 
+@pytest.mark.parametrize("count", [2, 40, 2600])
+def test_crash_of_a_prompt_with_many_parts_is_told_in_one_datagram(count):
+    """Its message was dropped, and weighing its parts kept the entry from answering for seconds."""
+    segments = tuple(PrefixSegment(f"{number:08x}", 100) for number in range(count))
+    parts = crashes.shared_parts(Prompt(AdapterKey("base", "a1"), 100, 10, segments))
+    assert parts == tuple(segment.name for segment in segments[:-1])[:MAX_SUSPECTED_PARTS]
+    sound_ages_s = dict.fromkeys(parts, 0.123456789)
+    reports = [
+        messages.Crashed("c" * 16, f"i-{number:010x}", 7, parts, True, False, 0.5, sound_ages_s)
+        for number in range(EVIDENCE_PER_SUSPECT)
+    ]
+    evidence = messages.CrashEvidence(tuple(reports))
+    data = orjson.dumps(message_converter.unstructure(evidence, unstructure_as=messages.Message))
+    assert len(data) < MAX_DATAGRAM_BYTES
+
+
 def test_part_stays_refused_when_many_other_responses_break_off():
     gateway = EngineSite(entry_count=1).entries["entry-1"]
     sound = {"shared": 0.0}
