Entries that have not read the records begin streams while the store is unreachable

What callers saw: nothing yet. An entry that had its configuration and endpoints but not the records of software versions when the store was lost would have refused all streams until it was back, while it said that it was ready.

Cause: which services serve on without the store was only worked out once the records had been read, and was not withdrawn while they were read again.

Change: it is worked out before that, at each check.

Measured: 76 tests of streams passed; the new row and line failed on the code before by reading, not by a run.

--- a/poplarhoist/decisions/gateway/software_versions.py
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -205,10 +205,7 @@
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Write the records of versions that have none, and remove those that nobody needs."""
     records = state.software_records
-    if not records.is_listed or not state.endpoints_listed:
-        return
     served = recordable(state, served_versions(state))
-    hold_served(state, served, at)
     records.unrecordable_services.clear()
     if state.store_unavailable:
         # A service whose endpoints all have versions without a record serves on. Their records are
@@ -218,6 +215,9 @@
         records.unrecordable_services |= {version.service for version in served}
         records.unrecordable_services -= recorded_services
         return
+    if not records.is_listed or not state.endpoints_listed:
+        return
+    hold_served(state, served, at)
     write_missing(state, at, effects)
     remove_unneeded(state, at, effects)
 
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -441,18 +441,25 @@
     assert {write.service_version.service for write in written} <= {"models"}
 
 
-# Whether an endpoint with a recorded version is left, and where streams begin without the store.
-@pytest.mark.parametrize(("is_old_left", "begins_at"), [(True, "v1"), (False, "v2")])
-def test_streams_go_on_to_begin_while_the_store_is_unreachable(is_old_left, begins_at):
+# Whether an endpoint with a recorded version is left, whether the records were read, and where streams
+# begin without the store.
+@pytest.mark.parametrize(
+    ("is_old_left", "is_listed", "begins_at"),
+    [(True, True, "v1"), (False, True, "v2"), (False, False, "v2")],
+)
+def test_streams_go_on_to_begin_while_the_store_is_unreachable(is_old_left, is_listed, begins_at):
     site = Site("v1")
     entry = see_new_version(site)
+    if not is_listed:
+        entry.state.software_records = SoftwareRecords(resumable_services={"models"})
     if not is_old_left:
         entry.submit(ev.EndpointRemoved, name="e1")
     entry.submit(ev.StoreAvailabilityChanged, available=False)
     entry.advance(0.5)
     assert site.software_of(site.begin_stream("entry-1")) == begins_at
     entry.submit(ev.StoreAvailabilityChanged, available=True)
-    effects = entry.advance(1.5)
+    effects = entry.submit(ev.SoftwareRecordsListed) + entry.advance(1.5)
+    assert not entry.state.software_records.unrecordable_services
     assert V2 in {write.service_version for write in effects_of(fx.WriteSoftwareRecord, effects)}
 
 
