Items of lists in header lines are counted as the head is read

Cause: the parts of a prompt were counted after the whole head, so a crowd whose heads were being read counted as small requests and took what is reserved for these.

A head with thousands of them is large from there on, and gives way.

--- a/poplarhoist/decisions/gateway/memory_budget.py
+++ b/poplarhoist/decisions/gateway/memory_budget.py
@@ -33,8 +33,9 @@
 # forwarded; and copies of its bytes that these hold.
 HEADER_LINE_BYTES = 600
 HEADER_COPIES = 2
-# Cost of a part of a prompt beside the bytes of its header line: 150 measured for short ones.
-PROMPT_PART_BYTES = 200
+# Further cost of an item of a list in a header line, such as a part of a prompt: 150 measured for short
+# ones.
+LIST_ITEM_BYTES = 200
 # Cost up to which a request is small: a body of 64 KB, and a head of about 40 lines.
 SMALL_BYTES = 65536 + REQUEST_BYTES + 32768
 # Least rate of a request that is being read, and seconds by which it may be behind.
--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -84,7 +84,7 @@
     def __init__(self, file) -> None:
         self.file = file
         self.has_bare_line_feed = False
-        self.on_line: Callable[[int], None] | None = None
+        self.on_line: Callable[[bytes], None] | None = None
 
     def readline(self, size: int = -1) -> bytes:
         """Return the next line, or the first `size` bytes of it."""
@@ -92,7 +92,7 @@
         if line.endswith(b"\n") and not line.endswith(b"\r\n"):
             self.has_bare_line_feed = True
         if self.on_line is not None:
-            self.on_line(len(line))
+            self.on_line(line)
         return line
 
     def __getattr__(self, name: str) -> object:
--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -15,7 +15,6 @@
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
-from poplarhoist.decisions.gateway.memory_budget import PROMPT_PART_BYTES, Kind
 from poplarhoist.decisions.gateway.models import CallerLimits, Refused, RelayTerms
 from poplarhoist.entry.caller_watch import CallerWatch
 from poplarhoist.entry.loop import DecisionLoop
@@ -26,9 +25,9 @@
 from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
 from poplarhoist.gateway.hedged_attempts import HedgedAttempt, HedgeRunner
-from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead
-from poplarhoist.gateway.request_reading import BadRequest, no_room, read_body
-from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED, NoRoom
+from poplarhoist.gateway.interfaces import Dialect, Headers
+from poplarhoist.gateway.request_reading import BadRequest, read_body
+from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED
 from poplarhoist.gateway.streamed_body import StreamedBody
 
 # Statuses for requests that did not run; 503 for reasons not listed here.
@@ -88,8 +87,6 @@
         try:
             body = read_body(environ, self.limits())
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
-            head = self.dialect.parse_request_head(header_pairs)
-            take_prompt_room(environ, head)
         except BadRequest as error:
             protocol.close_connection = 1
             headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
@@ -104,6 +101,7 @@
             self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
             return json_error(start_response, status, str(error), headers)
         target = protocol.path
+        head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
         method = environ["REQUEST_METHOD"]
         digest = xxhash.xxh3_64(b"\n".join((method.encode(), target.encode(), b"")))
@@ -173,23 +171,6 @@
         return configuration.limits if configuration is not None else CallerLimits()
 
 
-def take_prompt_room(environ: dict, head: RequestHead) -> None:
-    """Take room for the parts of a prompt, which cost more than their bytes.
-
-    Raises
-    ------
-    BadRequest
-        If there is none.
-    """
-    if head.prompt is None:
-        return
-    try:
-        parts_bytes = PROMPT_PART_BYTES * len(head.prompt.prefix_segments)
-        environ.get(ROOM_KEY, UNBOUNDED).take(Kind.HEAD, parts_bytes)
-    except NoRoom as error:
-        raise no_room(error) from error
-
-
 class RequestHandler:
     """Carries out the effects for one request until it has a response.
 
--- a/poplarhoist/gateway/guarded_protocol.py
+++ b/poplarhoist/gateway/guarded_protocol.py
@@ -9,6 +9,7 @@
 from poplarhoist.decisions.gateway.memory_budget import (
     HEADER_COPIES,
     HEADER_LINE_BYTES,
+    LIST_ITEM_BYTES,
     REQUEST_BYTES,
     Kind,
     Phase,
@@ -103,7 +104,7 @@
         """Parse the head; refuse the request if it cannot be read, or if there is no room for it."""
         try:
             with self.counting_lines():
-                self.count_line(len(self.raw_requestline))
+                self.count_line(self.raw_requestline)
                 if not super().parse_request():
                     return False
             self.room.check()
@@ -126,18 +127,19 @@
         finally:
             reader.on_line = None
 
-    def count_line(self, count: int) -> None:
-        """Count a line of the head.
+    def count_line(self, line: bytes) -> None:
+        """Count a line of the head, and the items of the list that it may be.
 
         Raises
         ------
         NoRoom
             If there is no room for it.
         """
-        if not count:
+        if not line:
             # The end of a connection that was evicted, not of its head.
             self.room.check()
-        self.uncounted_bytes += HEADER_LINE_BYTES + HEADER_COPIES * count
+        self.uncounted_bytes += HEADER_LINE_BYTES + HEADER_COPIES * len(line)
+        self.uncounted_bytes += LIST_ITEM_BYTES * line.count(b",")
         if self.uncounted_bytes >= HEAD_STEP_BYTES:
             self.room.progress(self.uncounted_bytes)
             self.room.take(Kind.HEAD, self.uncounted_bytes)
