--- a/poplarhoist/gateway/streamed_body.py
+++ b/poplarhoist/gateway/streamed_body.py
@@ -1,19 +1,50 @@
 """The body of a streamed response, over the attempts that deliver it."""
 
-from __future__ import annotations
-
 import itertools
-from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from eventlet.queue import LightQueue
 
 from poplarhoist.decisions.gateway import effects as fx
 from poplarhoist.decisions.gateway import events as ev
+from poplarhoist.gateway.attempts import CallerRequest
 from poplarhoist.gateway.error_responses import status_line
 from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
+from poplarhoist.gateway.interfaces import Headers
+
+
+class StreamHandler(Protocol):
+    """Carries a request on, and runs its attempts.
+
+    Attributes
+    ----------
+    mailbox : LightQueue
+        Effects for the request; None means that the caller disconnected.
+    """
+
+    request: CallerRequest
+    mailbox: LightQueue
+    environ: dict
+    start_response: Callable
+
+    def run_attempt(
+        self, effect: fx.Dispatch
+    ) -> tuple[Exchange, bytes | None, Iterator[bytes] | None]:
+        """Run an attempt; return its exchange, its first chunk if it streams, and the rest."""
+
+    def end_exchange(self, exchange: Exchange) -> None:
+        """Close the exchange of an attempt."""
+
+    def submit_attempt_ended(self, exchange: Exchange) -> None:
+        """Submit the result of an attempt."""
+
+    def endpoint_headers(self, exchange: Exchange | None) -> Headers:
+        """Return the headers that tell another entry which endpoint responds."""
 
-if TYPE_CHECKING:
-    from poplarhoist.gateway.callers import RequestHandler
+    def finish(self) -> None:
+        """Let go of the request, which has ended."""
 
 
 class StreamBroken(Exception):
@@ -30,7 +61,7 @@
     """
 
     def __init__(
-        self, handler: RequestHandler, exchange: Exchange, first_chunk: bytes, chunks: Iterator
+        self, handler: StreamHandler, exchange: Exchange, first_chunk: bytes, chunks: Iterator
     ) -> None:
         self.handler = handler
         self.exchange: Exchange | None = exchange
