--- a/poplarhoist/decisions/gateway/software_versions.py
+++ b/poplarhoist/decisions/gateway/software_versions.py
@@ -110,7 +110,7 @@
     records = state.software_records
     if not records.is_listed:
         return True
-    return service not in (records.listed_services or ()) and not state.is_first_start
+    return service not in records.listed_services and not state.is_first_start
 
 
 def has_been_complete(state: GatewayState) -> bool:
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -129,8 +129,8 @@
     ----------
     is_listed : bool
         Whether they have been read.
-    listed_services : set or None
-        Services that had a record then; None before.
+    listed_services : set
+        Services that had a record then.
     was_complete : bool
         Whether all versions that endpoints had at some time were recorded.
     needed_at : dict
@@ -148,7 +148,7 @@
     """
 
     is_listed: bool = False
-    listed_services: set[str] | None = None
+    listed_services: set[str] = field(factory=set)
     was_complete: bool = False
     needed_at: dict[ServiceVersion, float] = field(factory=dict)
     write_at: dict[ServiceVersion, float] = field(factory=dict)
--- a/poplarhoist/gateway/engines.py
+++ b/poplarhoist/gateway/engines.py
@@ -23,7 +23,7 @@
 from poplarhoist.entry.loop import DecisionLoop
 from poplarhoist.gateway.connections import ConnectionPool, Purpose
 from poplarhoist.gateway.interfaces import Dialect
-from poplarhoist.gateway.report_calls import get_over_kept
+from poplarhoist.gateway.report_calls import MAX_RESPONSE_BYTES, get_over_kept
 from poplarhoist.gateway.sockets import socket_options
 
 # Seconds until a request for a report counts as unanswered. An engine responds within milliseconds;
@@ -32,10 +32,8 @@
 # Seconds for the answer to a probe: a connection and a round trip between regions, and shorter than
 # the interval of probes.
 PROBE_TIMEOUT_S = 0.45
-# Seconds for the whole response, and its longest body. A report lists some dozens of adapters, and a
-# lead reads those of all its engines at once.
+# Seconds for the whole response.
 RESPONSE_TIMEOUT_S = 2 * CALL_TIMEOUT_S
-MAX_RESPONSE_BYTES = 262144
 
 
 class EngineClient:
--- a/poplarhoist/gateway/hedged_attempts.py
+++ b/poplarhoist/gateway/hedged_attempts.py
@@ -181,8 +181,7 @@
         if first_chunk is not None:
             if self.claim_long(first):
                 return first, first_chunk, chunks, False
-            first.close()
-            self.handler.request.active_exchange = None
+            self.handler.end_exchange(first)
         else:
             self.claim_whole(first)
         if self.winner is first:
--- a/poplarhoist/gateway/report_calls.py
+++ b/poplarhoist/gateway/report_calls.py
@@ -23,6 +23,8 @@
 # Share of the time of a call that a kept connection gets. An engine answers within milliseconds, and
 # what is left is enough for a new connection and a round trip between regions.
 KEPT_SHARE = 0.4
+# Longest body of a response to any call. A report lists some dozens of adapters, and a lead reads those
+# of all its engines at once.
 MAX_RESPONSE_BYTES = 262144
 
 Decoded = tuple[int, EngineReport | None]
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -89,6 +89,10 @@
         if self.process is not None:
             self.process.wait()
 
+    def descriptor_count(self) -> int:
+        """Return the number of the entry's open descriptors."""
+        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
+
     def log_lines(self, *events: str) -> list[dict]:
         """Return the entry's log lines with one of these event names, as dicts."""
         text = self.log_path.read_text() if self.log_path.exists() else ""
--- a/tests/test_requests_end_once.py
+++ b/tests/test_requests_end_once.py
@@ -2,7 +2,6 @@
 
 import socket
 import time
-from pathlib import Path
 
 import pytest
 
@@ -17,11 +16,6 @@
 MODEL_LINES = (b"X-Model: base/a1", b"X-Token-Usage: 100,20")
 
 
-def descriptor_count(site: PlatformSite) -> int:
-    """Return the number of the entry's open descriptors."""
-    return len(list(Path(f"/proc/{site.process.pid}/fd").iterdir()))
-
-
 @pytest.mark.parametrize("path", [b"/resume/x", b"/stream/x"])
 def test_caller_that_leaves_between_two_attempts_of_a_stream_is_let_go(site, path):
     """Its connection stayed open for good, until the entry had none left for others."""
@@ -34,7 +28,7 @@
     # the request waits for the adapter.
     del endpoint.adapters["a1"]
     endpoint.order_faults = ["refused"] * 1000
-    before = descriptor_count(site)
+    before = site.descriptor_count()
     connections = []
     for number in range(CALLERS):
         connection = socket.create_connection((HOST, site.port), timeout=5.0)
@@ -44,7 +38,7 @@
     assert len([line for line in site.log_lines("again", "waits")]) > 0
     for connection in connections:
         connection.close()
-    site.wait_until(lambda: descriptor_count(site) <= before + 2, 8.0)
+    site.wait_until(lambda: site.descriptor_count() <= before + 2, 8.0)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_unchecked_clients.py
+++ b/tests/test_unchecked_clients.py
@@ -104,10 +104,6 @@
         lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
         return next(int(line.split()[1]) for line in lines if line.startswith("VmHWM")) / 1024
 
-    def descriptor_count(self) -> int:
-        """Return the number of the entry's open descriptors."""
-        return len(list(Path(f"/proc/{self.process.pid}/fd").iterdir()))
-
 
 @pytest.fixture(autouse=True)
 def alone():
