Interim heads go before the response, whatever their status

What callers saw: of an engine that sent 102 or 103 before its response, they got that status as the answer, with an empty body, and waited for another; if the interim head named the request, the caller got it at every route. 101, which nothing asks for, was passed on with what followed as body.

Cause: http.client passes over 100 only. RFC 9110, section 15.2, lets any number of 1xx come.

The lines of interim heads count toward the same bound as those of the head (`test_endless_calls.py`, unchanged).

Change: heads from 102 to 199 are read by the same grammar and passed over, like 100. 101 makes the response broken.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -29,6 +29,7 @@
 
 from poplarhoist.entry.response_head import (
     BadFraming,
+    BadHead,
     check_framing,
     parse_field_line,
     parse_status_line,
@@ -176,7 +177,7 @@
         self.fp = self.reader = ResponseReader(self.source)
 
     def begin(self) -> None:
-        """Read the head, unless it was read before.
+        """Read the head, and interim ones before it, unless that was done before.
 
         Replaces a method of http.client.
 
@@ -190,7 +191,10 @@
         if self.headers is not None:
             return
         status_line = parse_status_line(self.read_line())
-        while status_line.status == HTTPStatus.CONTINUE:
+        while status_line.status < HTTPStatus.OK:
+            if status_line.status == HTTPStatus.SWITCHING_PROTOCOLS:
+                # No request asks for another protocol, so what follows cannot be understood.
+                raise BadHead("switch to another protocol")
             self.read_fields()
             status_line = parse_status_line(self.read_line())
         headers = self.read_fields()
@@ -227,7 +231,7 @@
     def has_no_body(self) -> bool:
         """Return whether there is no body, whatever the head says of its length."""
         is_bodyless = self.status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-        return is_bodyless or self.status < 200 or self._method == "HEAD"
+        return is_bodyless or self._method == "HEAD"
 
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of a chunk; those of the next one at its end, None after the last.
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -59,6 +59,10 @@
     "chunk-extension": CHUNKED_HEAD + "\r\n4 ;a=b\r\nplan\r\n0;last\r\n\r\n",
     "trailers": CHUNKED_HEAD + "\r\n4\r\nplan\r\n0\r\nX-After: 1\r\n\r\n",
     "coding-upper-case": SEALED_HEAD + "Transfer-Encoding: Chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n",
+    "interim-head": SEALED_HEAD.replace("200", "103", 1)
+    + "\r\n"
+    + SEALED_HEAD
+    + "Content-Length: 4\r\n\r\nplan",
 }
 # The parser of the standard library raises TypeError at this type.
 UNCLEAR_TYPE = "multipart/x; boundary*=a; boundary*0=a"
@@ -77,10 +81,10 @@
     name: SEALED_HEAD + line + "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n"
     for name, line in MALFORMED_LINES.items()
 }
-# Statuses outside the classes of HTTP.
+# Statuses outside the classes of HTTP, and the switch to a protocol that nobody has asked for.
 MALFORMED_HEADS |= {
     f"status-{code}": SEALED_HEAD.replace("200", code, 1) + "Content-Length: 4\r\n\r\nplan"
-    for code in ("000", "600", "999")
+    for code in ("000", "101", "600", "999")
 }
 # Heads of responses that the endpoint ends by closing the connection.
 BROKEN_HEADS = {
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -168,6 +168,41 @@
         assert (status, data) == (expected, b"plan")
 
 
+# Heads that may come before a response.
+INTERIM_HEADS = {
+    "continue": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "processing": b"HTTP/1.1 102 Processing\r\n\r\n",
+    "early-hints": b"HTTP/1.1 103 Early Hints\r\nLink: </x>; rel=preload\r\nContent-Length: 9\r\n\r\n",
+    "sealed": b"HTTP/1.1 103 Early Hints\r\nX-Request-Id: c1\r\nX-Response-Seal: i\r\n\r\n",
+    "unknown": b"HTTP/1.1 199 Own\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "several": b"HTTP/1.1 103 X\r\n\r\n" * 3 + b"HTTP/1.1 100 Continue\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", INTERIM_HEADS)
+def test_interim_head_is_not_taken_for_the_response(serve, name):
+    for framing, body in BODIES.values():
+        data = INTERIM_HEADS[name] + STATUS_LINE + b"X-Own: 1\r\n" + framing + b"\r\n" + body
+        status, headers, received = fetch(serve(data))
+        assert (status, headers.getlist("X-Own"), received) == (200, ["1"], b"plan")
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nplan",
+        b"HTTP/1.1 101 X\r\nContent-Length: 4\r\n\r\nplan",
+        b"HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nplan",
+        b"HTTP/1.1 103 X\r\n\r\n",
+        b"HTTP/1.1 103 X\r\n\r\nplan",
+    ],
+)
+def test_interim_head_without_a_response_is_none(serve, data):
+    """Nobody has asked for another protocol, so that what follows cannot be understood."""
+    with pytest.raises(HTTPError):
+        pytest.fail(str(fetch(serve(data))))
+
+
 # Field lines that are unusual and sound, and what they say.
 SOUND_LINES = {
     "no-blank": (b"X-Own:1\r\n", ["1"]),
