A malformed trailer leaves the end of a body unclear

What callers saw: an answer, or a stream, whose last chunk was followed by a line that is no field ended as whole.

Cause: http.client drops the lines behind the last chunk unread, up to an empty one.

Sound trailers are dropped as before, and say nothing about the response.

Change: trailers are read by the grammar of field lines; a malformed one breaks the response off.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -242,6 +242,8 @@
         ------
         BadFraming
             If there is no size of a chunk, or no end, where there has to be one.
+        BadHead
+            If a trailer is malformed.
         """
         if self.chunk_left:
             return self.chunk_left
@@ -252,7 +254,8 @@
             raise BadFraming(f"chunk size {size[:20]!r}")
         self.chunk_left = int(size, 16) or None
         if self.chunk_left is None:
-            self._read_and_discard_trailer()
+            # Trailers say nothing that is used, but a malformed one leaves the end of the body unclear.
+            self.read_fields()
             self._close_conn()
         return self.chunk_left
 
--- a/poplarhoist/entry/response_head.py
+++ b/poplarhoist/entry/response_head.py
@@ -1,4 +1,4 @@
-"""The grammar of response heads (RFC 9110, section 5; RFC 9112, sections 4 to 6).
+"""The grammar of heads and trailers of responses (RFC 9110, section 5; RFC 9112, sections 4 to 7).
 
 A head that does not match it is no response. A reader that leaves out a malformed line, or ends the
 head there, may lose the line that says where the body ends.
@@ -20,7 +20,7 @@
 
 
 class BadHead(HTTPException):
-    """A head of a response is malformed."""
+    """A head or a trailer of a response is malformed."""
 
 
 class BadFraming(HTTPException):
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -81,6 +81,11 @@
     name: SEALED_HEAD + line + "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n"
     for name, line in MALFORMED_LINES.items()
 }
+# The same line among the trailers.
+MALFORMED_TRAILERS = {
+    f"trailer-{name}": CHUNKED_HEAD + "\r\n4\r\nplan\r\n0\r\n" + line + "\r\n"
+    for name, line in MALFORMED_LINES.items()
+}
 # Statuses outside the classes of HTTP, and the switch to a protocol that nobody has asked for.
 MALFORMED_HEADS |= {
     f"status-{code}": SEALED_HEAD.replace("200", code, 1) + "Content-Length: 4\r\n\r\nplan"
@@ -96,7 +101,7 @@
         "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0"
     ),
 }
-RAW_RESPONSES = BROKEN_HEADS | MALFORMED_HEADS | BAD_LENGTHS | SOUND_LENGTHS
+RAW_RESPONSES = BROKEN_HEADS | MALFORMED_HEADS | MALFORMED_TRAILERS | BAD_LENGTHS | SOUND_LENGTHS
 RAW_RESPONSES["type-unclear"] = TYPE_UNCLEAR
 
 
@@ -266,7 +271,8 @@
                 raise
             time.sleep(self.standin.service_time_s)
         if framing == "chunked":
-            self.wfile.write(b"0\r\n\r\n")
+            trailer = MALFORMED_LINES.get(fault.removeprefix("trailer-"), "")
+            self.wfile.write(b"0\r\n" + trailer.encode() + b"\r\n")
         elif framing == "connection":
             self.close_connection = True
 
@@ -313,7 +319,7 @@
         without ids.
         `STREAM_FAULTS`: stream that ends too early. `BROKEN_HEADS`: response that breaks off in its
         head, or none at all. `MALFORMED_HEADS`: response whose head has a malformed line; so do the
-        streams of `MALFORMED_LINES`. `BAD_LENGTHS`, `SOUND_LENGTHS`: response with an unusual framing.
+        streams of `MALFORMED_LINES`. `MALFORMED_TRAILERS`: the same behind the last chunk. `BAD_LENGTHS`, `SOUND_LENGTHS`: response with an unusual framing.
     order_faults : list
         Faults of the next orders, one for each, in order. "refused": not carried out, status 409.
         "refused-twice": the same, with a second response on the same connection.
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -17,6 +17,7 @@
     EVENTS_PER_STREAM,
     MALFORMED_HEADS,
     MALFORMED_LINES,
+    MALFORMED_TRAILERS,
     SOUND_LENGTHS,
     UNCLEAR_TYPE,
     Endpoint,
@@ -109,6 +110,7 @@
         site.wait_until(lambda: site.get_status() == 200)
 
 
+BROKEN_RESPONSES = (*BROKEN_HEADS, *MALFORMED_HEADS, *MALFORMED_TRAILERS, *BAD_LENGTHS)
 # Path, fault of the endpoint, status that the caller must get.
 FAULT_CASES = [
     ("/once/x", "full", 503),
@@ -117,8 +119,8 @@
     ("/once/x", "unsigned", 502),
     ("/once/x", "short", 502),
     ("/once/x", "reset", 502),
-    *[("/once/x", fault, 502) for fault in (*BROKEN_HEADS, *MALFORMED_HEADS, *BAD_LENGTHS)],
-    *[("/read/x", fault, 200) for fault in (*BROKEN_HEADS, *MALFORMED_HEADS, *BAD_LENGTHS)],
+    *[("/once/x", fault, 502) for fault in BROKEN_RESPONSES],
+    *[("/read/x", fault, 200) for fault in BROKEN_RESPONSES],
     ("/once/x", "unframed", 200),
     ("/once/x", "error", 500),
     ("/read/x", "short", 200),
@@ -242,6 +244,16 @@
     assert expected != 200 or data == FULL_STREAM
 
 
+@pytest.mark.parametrize("fault", MALFORMED_TRAILERS)
+def test_stream_with_a_malformed_trailer_does_not_end_as_whole(site, fault):
+    for name in ("e1", "e2"):
+        site.endpoints[name].faults = [fault]
+    let_engines_hold_the_adapter(site)
+    with pytest.raises(http.client.IncompleteRead) as broken_off:
+        pytest.fail(f"whole: {site.send_request('/stream/x', 'a1')}")
+    assert broken_off.value.partial == FULL_STREAM
+
+
 # What the next engine answers instead of the rest of a stream.
 NO_CONTINUATIONS = (
     "page",
--- a/tests/test_malformed_heads.py
+++ b/tests/test_malformed_heads.py
@@ -168,6 +168,17 @@
         assert (status, data) == (expected, b"plan")
 
 
+@pytest.mark.parametrize("name", MALFORMED_LINES)
+def test_body_with_a_malformed_trailer_has_no_end(serve, name):
+    head, chunk = b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nplan\r\n"
+    for before, after in ((b"", b""), (b"X-After: 1\r\n", b"X-After: 2\r\n")):
+        trailers = before + MALFORMED_LINES[name] + after
+        with pytest.raises(HTTPError):
+            pytest.fail(
+                str(fetch(serve(STATUS_LINE + head + chunk + b"0\r\n" + trailers + b"\r\n")))
+            )
+
+
 # Heads that may come before a response.
 INTERIM_HEADS = {
     "continue": b"HTTP/1.1 100 Continue\r\n\r\n",
@@ -222,6 +233,14 @@
 }
 
 
+@pytest.mark.parametrize("name", SOUND_LINES)
+def test_unusual_trailer_is_no_part_of_the_response(serve, name):
+    head = STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+    trailers = SOUND_LINES[name][0] + b"Content-Length: 9\r\n"
+    status, headers, data = fetch(serve(head + b"4\r\nplan\r\n0\r\n" + trailers + b"\r\n"))
+    assert (status, dict(headers), data) == (200, {"Transfer-Encoding": "chunked"}, b"plan")
+
+
 @pytest.mark.parametrize("name", SOUND_LINES)
 def test_unusual_field_line_is_read_as_it_is(serve, name):
     line, values = SOUND_LINES[name]
