An end of connection before the upload was taken is no end of a body

What callers saw: an engine answered an upload at once with 200 and no length, sent a part of the body and ended its connection in order. The caller got that part as a complete answer, and a stream ended as whole.

Cause: a body without a length ends with its connection, unless that was reset. A server that closes with a part of the request unread ends its side first; the reset comes when it closes, or when it gets the rest. The reader looked for a reset only at the moment of the end.

Change: at the end of a connection the reader asks the system whether all that was sent is acknowledged. If the response ends with its connection and the request had a body, it waits 50 ms for a reset before that.

Not found out: an endpoint that has received the whole request, has not read it, and resets the connection later than that.

--- a/poplarhoist/entry/http.py
+++ b/poplarhoist/entry/http.py
@@ -1,12 +1,15 @@
 """Connections and pools for calls to the platform, peers and endpoints; urllib3 does not retry.
 
 Their responses are strict: the end of a connection within a line of a response is an error, and so
-are a reset, a malformed head, and lengths that are unclear.
+are an end before the request was taken, a reset, a malformed head, and lengths that are unclear.
 """
 
+import fcntl
 import io
 import re
 import socket
+import sys
+import termios
 from http import HTTPStatus
 from http.client import (
     HTTPException,
@@ -41,6 +44,8 @@
 # Bytes of lines that may follow one another: those of a head with all interim heads before it, of a
 # chunk size, or of trailers. http.client alone reads such lines without end.
 MAX_LINE_BYTES = 65536
+# Seconds within which a reset may follow the end of a connection.
+LATE_RESET_S = 0.05
 # Lines that end a head.
 EMPTY_LINES = (b"\r\n", b"\n")
 # The size of a chunk; more digits than any sound response needs are refused.
@@ -56,12 +61,16 @@
 
 
 class SocketReader(io.RawIOBase):
-    """Reads from a socket; a reset raises an error.
+    """Reads from a socket; an end of the connection that is no close in order raises an error.
 
-    eventlet's sockets return a reset as the end of the data, like a close in order.
+    eventlet's sockets return a reset as the end of the data, like a close in order. A server that fails
+    while it is sent a request may end its side in order; the reset follows when it closes with a part
+    of the request unread, or gets the rest of it.
 
     Attributes
     ----------
+    awaits_reset : bool
+        Whether a reset that follows the end of the connection is to be waited for.
     received_bytes : int
         Bytes read so far.
     is_stopped : bool
@@ -72,6 +81,7 @@
         self.sock = sock
         self.raw = sock.makefile("rb", buffering=0)
         self.received_bytes = 0
+        self.awaits_reset = False
         self.is_stopped = False
 
     def readable(self) -> bool:
@@ -85,6 +95,8 @@
 
         Raises
         ------
+        ConnectionAbortedError
+            If the connection ended before the other side had received the request.
         ConnectionResetError
             If the connection ended with a reset.
         """
@@ -92,8 +104,16 @@
             return None
         count = self.raw.readinto(buffer)
         self.received_bytes += count or 0
-        if not count and was_reset(self.sock):
+        if count:
+            return count
+        if self.awaits_reset and count == 0:
+            eventlet.sleep(LATE_RESET_S)
+        # Asked first: finding out about a reset ends the sending side, which counts as a byte.
+        unacknowledged = unacknowledged_bytes(self.sock)
+        if was_reset(self.sock):
             raise ConnectionResetError("connection was reset")
+        if unacknowledged:
+            raise ConnectionAbortedError("connection ended before the request was received")
         return count
 
     def close(self) -> None:
@@ -168,10 +188,13 @@
     ----------
     source, reader : SocketReader, ResponseReader
         Tell how much was received, also once the response is closed.
+    follows_body : bool
+        Whether the request had a body, which the other side may have left unread.
     """
 
-    def __init__(self, sock, *args, **options) -> None:
+    def __init__(self, sock, *args, follows_body: bool = False, **options) -> None:
         super().__init__(sock, *args, **options)
+        self.follows_body = follows_body
         self.fp.close()
         self.source = SocketReader(sock)
         self.fp = self.reader = ResponseReader(self.source)
@@ -208,7 +231,9 @@
         self.length = int(length) if length is not None else None
         if self.has_no_body():
             self.length = 0
-        self.will_close = self._check_close() or (not self.chunked and self.length is None)
+        ends_with_connection = not self.chunked and self.length is None
+        self.will_close = ends_with_connection or self._check_close()
+        self.source.awaits_reset = ends_with_connection and self.follows_body
 
     def read_line(self) -> bytes:
         """Read a line, with its end."""
@@ -261,9 +286,24 @@
 
 
 class StrictConnection(HTTPConnection):
-    """A connection whose responses are strict."""
+    """A connection whose responses are strict.
 
-    response_class = StrictResponse
+    Attributes
+    ----------
+    has_sent_body : bool
+        Whether the latest request had a body.
+    """
+
+    has_sent_body = False
+
+    def request(self, method: str, url: str, body=None, *args, **options) -> None:
+        """Send a request as the base class does, and remember whether it has a body."""
+        self.has_sent_body = bool(body)
+        super().request(method, url, body, *args, **options)
+
+    def response_class(self, sock: socket.socket, *args, **options) -> StrictResponse:
+        """Create the response that is read next."""
+        return StrictResponse(sock, *args, follows_body=self.has_sent_body, **options)
 
 
 class StrictPool(HTTPConnectionPool):
@@ -284,6 +324,17 @@
     return create_pool_manager(num_pools=1, maxsize=1, **options)
 
 
+def unacknowledged_bytes(sock) -> int:
+    """Return how many of the bytes sent the other side has not acknowledged.
+
+    It is 0 if the system does not tell, or if the connection is closed here.
+    """
+    try:
+        return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
+    except (OSError, ValueError):
+        return 0
+
+
 def was_reset(sock) -> bool:
     """Return whether a connection that has ended was reset.
 
--- a/poplarhoist/gateway/connections.py
+++ b/poplarhoist/gateway/connections.py
@@ -72,7 +72,7 @@
 
     def response_class(self, sock: socket.socket, *args, **options) -> StrictResponse:
         """Create the response that is read next, and remember it."""
-        self.latest_response = StrictResponse(sock, *args, **options)
+        self.latest_response = super().response_class(sock, *args, **options)
         return self.latest_response
 
     def putheader(self, header: str, *values: str) -> None:
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -188,9 +188,9 @@
     return lambda number: reader.request_copy(peer, {"after": 0, "generation": 1}).position.revision
 
 
-def request(port: int, relay: RelayTerms | None = None):
+def request(port: int, relay: RelayTerms | None = None, body: bytes = b""):
     def call(number: int):
-        request = CallerRequest("1", "POST", "/x", b"", RequestHead("c1", None, None, []))
+        request = CallerRequest("1", "POST", "/x", body, RequestHead("c1", None, None, []))
         dispatch = fx.Dispatch("1", number, record_at(port), 5.0, 0, False, relay=relay)
         exchange = Exchange(loop([]), PlatformDialect(), request, dispatch)
         if exchange.start():
