--- a/poplarhoist/gateway/connections.py
+++ b/poplarhoist/gateway/connections.py
@@ -17,8 +17,9 @@
 from poplarhoist.decisions.gateway import connection_reuse
 from poplarhoist.decisions.gateway.connection_reuse import Drop, EndedExchange
 from poplarhoist.decisions.gateway.models import EndpointRecord
-from poplarhoist.entry.http import StrictConnection, StrictResponse
+from poplarhoist.entry.http import StrictConnection
 from poplarhoist.entry.loop import DecisionLoop
+from poplarhoist.entry.strict_response import StrictResponse
 from poplarhoist.gateway.sockets import socket_options
 
 # Seconds between two looks at all idle connections.
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -12,7 +12,8 @@
 from poplarhoist.clock import SystemClock
 from poplarhoist.decisions.gateway.events import CallStatus
 from poplarhoist.decisions.gateway.positions import Position
-from poplarhoist.entry.http import SocketReader, single_use_pool
+from poplarhoist.entry.http import single_use_pool
+from poplarhoist.entry.strict_response import SocketReader
 from poplarhoist.gateway.interfaces import WatchSpec
 from poplarhoist.platform.store import STALL_S, ObjectStore
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,9 +9,10 @@
 from poplarhoist.decisions.effects import Count
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import Outcome
-from poplarhoist.entry.http import BodyTooLong, HeadTooLong
+from poplarhoist.entry.http import BodyTooLong
 from poplarhoist.entry.metrics import COUNTERS, HISTOGRAMS
 from poplarhoist.entry.response_head import BadFraming, BadHead
+from poplarhoist.entry.strict_response import HeadTooLong
 from tests.gateway import Gateway, effects_of, only_effect, plain_endpoint
 
 LABELS_BY_NAME = {name: labels for name, (_, labels) in (COUNTERS | HISTOGRAMS).items()}
