Tests: what a malformed head says of the run does not count

A 503 with the mark of a request that was not run, in a head with a malformed line, counted as a promise: 2 of 2 rows failed on. It is broken since: 502 that says that the request may have run, or another attempt where it may be repeated. All rows of the table with 502 now also compare that, and that there is neither a time to return nor the endpoint's seal.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -81,6 +81,11 @@
     name: SEALED_HEAD + line + "Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n"
     for name, line in MALFORMED_LINES.items()
 }
+# What a malformed head says of the run does not count either.
+MALFORMED_HEADS["not-executed"] = (
+    SEALED_HEAD.replace("200", "503", 1)
+    + "X-Not-Executed: 1\r\nRetry-After: 1\r\nX Bad: 1\r\nContent-Length: 0\r\n\r\n"
+)
 # The same line among the trailers.
 MALFORMED_TRAILERS = {
     f"trailer-{name}": CHUNKED_HEAD + "\r\n4\r\nplan\r\n0\r\n" + line + "\r\n"
--- a/tests/test_gateway_end_to_end.py
+++ b/tests/test_gateway_end_to_end.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 
+import orjson
 import pytest
 
 from tests.platform_site import PlatformSite, raw_request
@@ -144,6 +145,9 @@
         assert data == (b"unframed" if fault == "unframed" else b"done ")
     if expected == 503:
         assert float(headers["Retry-After"]) > 0
+    if expected == 502:
+        assert orjson.loads(data)["ran"] is True
+        assert "Retry-After" not in headers and "X-Response-Seal" not in headers
     received = [request for request in site.endpoints["d1"].requests]
     if path == "/once/x" and fault != "full":
         assert len(received) == 1
