The line of a chunk size has a grammar too

What callers saw: a chunk whose size stood behind a blank, beside a form feed or a carriage return, or before an extension with control bytes, was taken for sound.

Cause: the size was cut out of its line at the first semicolon and stripped of all that Python counts as white space; what followed the semicolon was not looked at.

Blanks before the end of the line or before an extension, and lines that end without a carriage return, are read as before.

Change: the line is matched as a whole (RFC 9112, section 7.1), beside the grammar of heads, whose module is named for both now.

--- a/poplarhoist/entry/response_head.py
+++ b/poplarhoist/entry/response_grammar.py
@@ -1,6 +1,6 @@
-"""The grammar of heads and trailers of responses (RFC 9110, section 5; RFC 9112, sections 4 to 7).
+"""The grammar of heads, chunk sizes and trailers of responses (RFC 9110, section 5; RFC 9112).
 
-A head that does not match it is no response. A reader that leaves out a malformed line, or ends the
+What does not match it is no response. A reader that leaves out a malformed line of a head, or ends the
 head there, may lose the line that says where the body ends.
 """
 
@@ -15,8 +15,10 @@
 # A name is a token; a value has no control bytes but tabs. A value may not go on in a second line,
 # as in earlier versions of HTTP.
 FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
-# A length of a body; more digits than any sound response needs are refused.
+# A length of a body, and the line of a chunk size, on which extensions are passed over. More digits
+# than any sound response needs are refused.
 LENGTH = re.compile(r"[0-9]{1,18}", re.ASCII)
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r?\n")
 
 
 class BadHead(HTTPException):
@@ -73,6 +75,20 @@
     return name.decode("ascii"), decode_text(value)
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the bytes of a chunk; its size line is given with its end.
+
+    Raises
+    ------
+    BadFraming
+        If there is no size.
+    """
+    size = CHUNK_SIZE_LINE.fullmatch(line)
+    if size is None:
+        raise BadFraming(f"chunk size {line[:20]!r}")
+    return int(size[1], 16)
+
+
 def decode_text(data: bytes) -> str:
     """Return a value or a reason, without the blanks around it."""
     return data.strip(b" \t").decode("iso-8859-1")
--- a/poplarhoist/entry/strict_response.py
+++ b/poplarhoist/entry/strict_response.py
@@ -6,7 +6,6 @@
 
 import fcntl
 import io
-import re
 import socket
 import sys
 import termios
@@ -15,10 +14,11 @@
 
 import eventlet
 
-from poplarhoist.entry.response_head import (
+from poplarhoist.entry.response_grammar import (
     BadFraming,
     BadHead,
     check_framing,
+    parse_chunk_size,
     parse_field_line,
     parse_status_line,
 )
@@ -30,8 +30,6 @@
 LATE_RESET_S = 0.05
 # Lines that end a head.
 EMPTY_LINES = (b"\r\n", b"\n")
-# The size of a chunk; more digits than any sound response needs are refused.
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
 
 
 class HeadTooLong(HTTPException):
@@ -252,10 +250,7 @@
             return self.chunk_left
         if self.chunk_left is not None and self._safe_read(2) != b"\r\n":
             raise BadFraming("chunk without an end")
-        size = self.read_line().partition(b";")[0].strip()
-        if not CHUNK_SIZE.fullmatch(size):
-            raise BadFraming(f"chunk size {size[:20]!r}")
-        self.chunk_left = int(size, 16) or None
+        self.chunk_left = parse_chunk_size(self.read_line()) or None
         if self.chunk_left is None:
             # Trailers say nothing that is used, but a malformed one leaves the end of the body unclear.
             self.read_fields()
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -48,6 +48,11 @@
     "chunk-size-underscore": CHUNKED_HEAD + "\r\n0_4\r\nplan\r\n0\r\n\r\n",
     "chunk-size-no-number": CHUNKED_HEAD + "\r\nplan\r\nplan\r\n0\r\n\r\n",
     "chunk-size-empty": CHUNKED_HEAD + "\r\n\r\nplan\r\n0\r\n\r\n",
+    "chunk-size-after-a-blank": CHUNKED_HEAD + "\r\n 4\r\nplan\r\n0\r\n\r\n",
+    "chunk-size-and-form-feed": CHUNKED_HEAD + "\r\n4\x0c\r\nplan\r\n0\r\n\r\n",
+    "chunk-size-and-carriage-return": CHUNKED_HEAD + "\r\n4\r\r\nplan\r\n0\r\n\r\n",
+    "chunk-extension-control": CHUNKED_HEAD + "\r\n4;a=\x01\r\nplan\r\n0\r\n\r\n",
+    "chunk-extension-two-lines": CHUNKED_HEAD + "\r\n4;a\r0\r\nplan\r\n0\r\n\r\n",
     "chunk-size-absurd": CHUNKED_HEAD + "\r\nffffffffffffffffffff\r\nplan",
     "chunk-without-end": CHUNKED_HEAD + "\r\n4\r\nplan0000\r\n0\r\n\r\n",
 }
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,7 +11,7 @@
 from poplarhoist.decisions.gateway.events import Outcome
 from poplarhoist.entry.http import BodyTooLong
 from poplarhoist.entry.metrics import COUNTERS, HISTOGRAMS
-from poplarhoist.entry.response_head import BadFraming, BadHead
+from poplarhoist.entry.response_grammar import BadFraming, BadHead
 from poplarhoist.entry.strict_response import HeadTooLong
 from tests.gateway import Gateway, effects_of, only_effect, plain_endpoint
 
