White space that is none of HTTP stands in no length and no coding

What callers saw: behind "Transfer-Encoding: chunked" and a byte 85 or A0 they got 200 with the sizes of the chunks in the body; a length beside such a byte was taken for sound.

Cause: lengths and codings were stripped of all that Python counts as white space, which in the text of a head includes these two bytes. So the check took the coding for "chunked", and http.client, which does not strip, for none. Since the body was read in chunks, but the head still counted as sound.

Evidence: found by the test of responses with odd bytes, which this commit adds: what the reader takes for whole has to be the same for h11 (already among the libraries of the tests).

Change: values are stripped once, of blanks and tabs, as the line is parsed.

--- a/poplarhoist/entry/response_grammar.py
+++ b/poplarhoist/entry/response_grammar.py
@@ -102,8 +102,8 @@
     BadFraming
         If it does not.
     """
-    lengths = {text.strip() for text in headers.get_all("Content-Length", ())}
-    codings = [text.strip().lower() for text in headers.get_all("Transfer-Encoding", ())]
+    lengths = set(headers.get_all("Content-Length", ()))
+    codings = [text.lower() for text in headers.get_all("Transfer-Encoding", ())]
     if codings and (codings != ["chunked"] or lengths):
         raise BadFraming(f"codings {codings} with {len(lengths)} lengths")
     if not all(LENGTH.fullmatch(text) for text in lengths) or len(set(map(int, lengths))) > 1:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -39,6 +39,13 @@
     "lengths-conflict": SEALED_HEAD + "Content-Length: 4\r\nContent-Length: 8\r\n\r\nplanplan",
     "lengths-listed": SEALED_HEAD + "Content-Length: 4, 8\r\n\r\nplanplan",
     "length-and-chunked": CHUNKED_HEAD + "Content-Length: 4\r\n\r\n4\r\nplan\r\n0\r\n\r\n",
+    # White space of Python that is none of HTTP.
+    "length-and-next-line": SEALED_HEAD + "Content-Length: 4\x85\r\n\r\nplan",
+    "length-after-hard-blank": SEALED_HEAD + "Content-Length: \xa04\r\n\r\nplan",
+    "coding-and-next-line": SEALED_HEAD
+    + "Transfer-Encoding: chunked\x85\r\n\r\n4\r\nplan\r\n0\r\n\r\n",
+    "coding-after-hard-blank": SEALED_HEAD
+    + "Transfer-Encoding: \xa0chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n",
     "coding-unknown": SEALED_HEAD + "Transfer-Encoding: gzip\r\n\r\nplan",
     "coding-twice": SEALED_HEAD
     + "Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n",
@@ -202,7 +209,8 @@
         elif fault == "error":
             self.respond(500, b"failed", X_Request_Id=request_id, X_Response_Seal="s")
         elif fault in RAW_RESPONSES and not model:
-            self.wfile.write(RAW_RESPONSES[fault].format(request_id=request_id).encode())
+            data = RAW_RESPONSES[fault].format(request_id=request_id)
+            self.wfile.write(data.encode("iso-8859-1"))
             self.close_connection = True
         elif fault == "page":
             seal = {"X_Request_Id": request_id, "X_Response_Seal": "s"}
--- /dev/null
+++ b/tests/test_response_grammar.py
@@ -0,0 +1,137 @@
+"""Responses with odd bytes, against h11: what is read of one is what another strict reader reads.
+
+FUZZ_EXAMPLES=100000 plays so many examples, with fresh seeds.
+"""
+
+import contextlib
+import os
+import re
+import socket
+from http.client import HTTPException
+
+import h11
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from poplarhoist.entry.strict_response import StrictResponse
+
+EXAMPLES_VARIABLE = "FUZZ_EXAMPLES"
+FIELDS = b"X-Request-Id: c1\r\nX-Response-Seal: s\r\n"
+CHUNKED = FIELDS + b"Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n"
+SOUND_RESPONSES = (
+    b"HTTP/1.1 200 OK\r\n" + FIELDS + b"Content-Length: 4\r\n\r\nplan",
+    b"HTTP/1.1 200 OK\r\n" + FIELDS + b"\r\nplan",
+    b"HTTP/1.1 200 OK\r\n" + CHUNKED + b"3;a=b\r\nned\r\n0\r\n\r\n",
+    b"HTTP/1.1 503 X\r\n" + CHUNKED + b"0\r\nX-After: 1\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.0 404 \r\n" + FIELDS + b"\r\nno",
+)
+ODD_PIECES = (
+    *(bytes([number]) for number in (0, 1, 8, 9, 10, 11, 12, 13, 27, 32, 34, 40, 44, 45, 47)),
+    *(bytes([number]) for number in (48, 49, 57, 58, 59, 95, 102, 127, 128, 133, 160, 255)),
+    b"\r\n",
+    b"\r\n ",
+    b"\r\n\r\n",
+    b"X Bad: 1\r\n",
+    b"Content-Length: 4\r\n",
+    b"Content-Length: 5\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Transfer-Encoding: gzip\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"0\r\n",
+)
+# What this reader takes and h11 may not: lines that end without a carriage return, blanks before the
+# extension of a chunk size, and lengths and codings among trailers and in interim heads, which say
+# nothing there.
+FRAMING_FIELDS = rb"(?:.+\r\n)*(?:Content-Length|Transfer-Encoding):"
+ACCEPTED_HERE_ALONE = re.compile(
+    rb"(?<!\r)\n|[\t ];|\r\n0+(?:;.*)?\r\n" + FRAMING_FIELDS + rb"|HTTP/1.[0-9] 1" + FRAMING_FIELDS
+)
+
+Response = tuple[int, list[tuple[bytes, bytes]], bytes]
+
+
+@st.composite
+def odd_responses(draw) -> bytes:
+    """Return a sound response of which a few bytes were replaced."""
+    data = draw(st.sampled_from(SOUND_RESPONSES))
+    for _ in range(draw(st.integers(1, 3))):
+        start = draw(st.integers(0, len(data)))
+        end = start + draw(st.integers(0, 3))
+        data = data[:start] + draw(st.sampled_from(ODD_PIECES)) + data[end:]
+    return data
+
+
+def read(data: bytes) -> Response | None:
+    """Return status, headers and body of a response, None if it is broken, as entries read it."""
+    client, server = socket.socketpair()
+    with client, server:
+        server.sendall(data)
+        server.shutdown(socket.SHUT_WR)
+        response = StrictResponse(client, method="GET")
+        with contextlib.closing(response):
+            try:
+                response.begin()
+                body = response.read()
+            except (HTTPException, OSError):
+                return None
+            headers = [
+                (name.lower().encode(), value.encode("iso-8859-1"))
+                for name, value in response.headers.items()
+            ]
+            return response.status, headers, body
+
+
+def read_by_h11(data: bytes) -> Response | None:
+    """Return the same as h11 reads it."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("Host", "host.test")]))
+    connection.send(h11.EndOfMessage())
+    head, body = None, b""
+    try:
+        connection.receive_data(data)
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(b"")
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return head.status_code, list(head.headers), body
+            elif not isinstance(event, h11.InformationalResponse):
+                return None
+    except h11.RemoteProtocolError:
+        return None
+
+
+def without_lengths(response: Response) -> Response:
+    """Return a response without the fields that h11 rewrites, those of lengths and codings."""
+    status, headers, body = response
+    own = [pair for pair in headers if pair[0] not in (b"content-length", b"transfer-encoding")]
+    return status, own, body
+
+
+@settings(
+    max_examples=int(os.environ.get(EXAMPLES_VARIABLE, 3000)),
+    derandomize=EXAMPLES_VARIABLE not in os.environ,
+    deadline=None,
+    database=None,
+)
+@given(odd_responses())
+@example(
+    b"HTTP/1.1 200 OK\r\n" + FIELDS + b"X Bad: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+)
+def test_response_that_is_taken_for_whole_is_that_for_another_strict_reader(data):
+    """A mutation in a head let its framing be read as a body."""
+    response = read(data)
+    if response is None or ACCEPTED_HERE_ALONE.search(data):
+        return
+    by_h11 = read_by_h11(data)
+    assert by_h11 is not None
+    assert without_lengths(response) == without_lengths(by_h11)
+
+
+def test_sound_responses_are_read_alike():
+    for data in SOUND_RESPONSES:
+        assert without_lengths(read(data)) == without_lengths(read_by_h11(data))
