--- a/poplarhoist/entry/strict_response.py
+++ b/poplarhoist/entry/strict_response.py
@@ -80,9 +80,9 @@
             return None
         count = self.raw.readinto(buffer)
         self.received_bytes += count or 0
-        if count:
+        if count != 0:
             return count
-        if self.awaits_reset and count == 0:
+        if self.awaits_reset:
             eventlet.sleep(LATE_RESET_S)
         # Asked first: finding out about a reset ends the sending side, which counts as a byte.
         unacknowledged = unacknowledged_bytes(self.sock)
@@ -90,7 +90,7 @@
             raise ConnectionResetError("connection was reset")
         if unacknowledged:
             raise ConnectionAbortedError("connection ended before the request was received")
-        return count
+        return 0
 
     def close(self) -> None:
         """Close the file of the socket; the socket closes with its last file."""
