Bytes that are unacknowledged count only if the other side ended the connection

Both rows of test_endpoint_blocked_in_a_write_notices_at_once_that_it_is_cut_off, each time: an attempt that the entry itself had cut read ConnectionAbortedError in place of the end. No caller was concerned, as the outcome of such an attempt follows from who cut it.

Cause: the end that this side sends counts as a byte that is not acknowledged yet.

Change: the count is used only in the state in which the other side alone has ended the connection. Both rows pass, as do 183 tests of this and neighbouring files, three times each.

--- a/poplarhoist/entry/strict_response.py
+++ b/poplarhoist/entry/strict_response.py
@@ -28,6 +28,8 @@
 MAX_LINE_BYTES = 65536
 # Seconds within which a reset may follow the end of a connection.
 LATE_RESET_S = 0.05
+# State of a connection that only the other side has ended; a constant of Linux.
+TCP_CLOSE_WAIT = 8
 # Lines that end a head.
 EMPTY_LINES = (b"\r\n", b"\n")
 
@@ -84,7 +86,7 @@
             return count
         if self.awaits_reset:
             eventlet.sleep(LATE_RESET_S)
-        # Asked first: finding out about a reset ends the sending side, which counts as a byte.
+        # Asked first: finding out about a reset ends this side.
         unacknowledged = unacknowledged_bytes(self.sock)
         if was_reset(self.sock):
             raise ConnectionResetError("connection was reset")
@@ -259,13 +261,17 @@
 
 
 def unacknowledged_bytes(sock) -> int:
-    """Return how many of the bytes sent the other side has not acknowledged.
+    """Return how many of the bytes sent were not acknowledged when the other side ended the connection.
 
-    It is 0 if the system does not tell, or if the connection is closed here.
+    It is 0 if the system does not tell, and if this side has ended the connection too, as that counts as
+    a byte itself.
     """
     try:
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        if state != TCP_CLOSE_WAIT:
+            return 0
         return int.from_bytes(fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)), sys.byteorder)
-    except (OSError, ValueError):
+    except (OSError, ValueError, IndexError):
         return 0
 
 
