--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -75,7 +75,7 @@
     def add(self, text: str) -> None:
         """Add a line."""
         with self.lock:
-            self.lines.append(f"{time.monotonic() - self.started_at:8.3f}  {text}")
+            self.lines.append(f"{time.monotonic() - self.started_at:8.3f}  {text[:300]}")
 
     def write(self) -> None:
         """Write the lines."""
@@ -160,9 +160,12 @@
     ----------
     stale_s : float
         How old the data of calls with `allowStale` is, in seconds.
+    record : Record or None
+        Gets a line for each change of an object that no server has written.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, record: Record | None = None) -> None:
+        self.record = record
         self.changed = threading.Condition()
         self.objects: dict[tuple[str, str], dict] = {}
         self.history: list[tuple[int, float, str, dict, bool]] = []
@@ -222,6 +225,9 @@
     def note(self, kind: str, item: dict, is_gone: bool) -> None:
         """Add a change to the history, with the lock held."""
         now = time.monotonic()
+        if self.record is not None and kind not in ("servers", "config"):
+            name, spec = item["metadata"]["name"], json.dumps(item["spec"])
+            self.record.add(f"store {'removes' if is_gone else 'writes'} {kind}/{name}: {spec}")
         self.history.append((self.revision, now, kind, item, is_gone))
         self.revision_at.append((now, self.revision))
         self.changed.notify_all()
@@ -708,7 +714,7 @@
     def __init__(self, case: Path) -> None:
         self.record = Record(case / "record.txt")
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
-        self.store = Store()
+        self.store = Store(self.record)
         self.entries: list[Entry] = []
 
     def __enter__(self) -> "Site":
