--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,21 +1,72 @@
-"""VERSION: a request begins on an adapter version later than 5 s after a newer one was confirmed."""
+"""UNASKED: a request that is hidden in the body of another one runs at a server."""
 
 import os
+import socket
 import sys
-import threading
 import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 
-from standins_3 import MODEL, Engine, Site, send, wait_until  # noqa: E402
-
-VERSION_S = 5.0
-# The site file's dose of srv_slow: five times as long, for 6.5 s.
-SLOWNESS, SLOW_S = 5.0, 6.5
-ADAPTER = "a7"
-CHAT_INTERVAL_S = 0.15
+from standins_3 import Desk, EngineHandler, Site  # noqa: E402
+
+REQUESTS = 10
+HIDDEN = "hidden"
+
+
+class WatchedDesk(Desk):
+    """A server that keeps what it ran.
+
+    Attributes
+    ----------
+    requests : list
+        Of each request, at any of them: method, path, id and body.
+    """
+
+    requests: list[tuple[str, str, str, bytes]] = []
+
+    def run(self, handler: EngineHandler, body: bytes) -> None:
+        """Serve a request, and keep it."""
+        self.requests.append(
+            (handler.command, handler.path, handler.headers.get("X-Request-Id", ""), bytes(body))
+        )
+        super().run(handler, body)
+
+
+def hidden_request(number: int) -> bytes:
+    """Return the body of a booking, whose text is a request."""
+    lines = [
+        "POST /book/other HTTP/1.1",
+        "Host: ramps.example",
+        f"X-Request-Id: {HIDDEN}-{number}",
+        "X-Deadline-Ms: 1500",
+        "Content-Length: 0",
+        "",
+        "",
+    ]
+    return "\r\n".join(lines).encode()
+
+
+def book(site: Site, number: int, line_end: bytes) -> bytes:
+    """Send a booking; a header line before the length ends with `line_end`. Return the answer."""
+    entry, body = site.entries[0], hidden_request(number)
+    head = b"POST /book/a HTTP/1.1\r\nHost: ramps.example\r\n"
+    head += b"X-Request-Id: book-%d\r\nX-Deadline-Ms: 1500\r\n" % number
+    head += b"X-Note: ring twice" + line_end + b"Content-Length: %d\r\n\r\n" % len(body)
+    site.record.add(f"consumer sends {head + body!r}")
+    answer = b""
+    with socket.create_connection((entry.host, entry.port), timeout=3.0) as connection:
+        connection.sendall(head + body)
+        connection.settimeout(0.6)
+        try:
+            while data := connection.recv(65536):
+                answer += data
+        except OSError:
+            # The connection stays open, and nothing more comes.
+            pass
+    site.record.add(f"consumer gets {answer!r}")
+    return answer
 
 
 def main() -> int:
@@ -23,86 +74,34 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with Site(CASE) as site:
         record, store = site.record, site.store
-        engines = [Engine(store, record, f"i-e{n}", "amman-a") for n in range(1, 4)]
-        if not site.start_entries(("amman-a", "amman-b", "amman-a")):
-            print("the entries did not get ready")
-            return 2
-        store.put("versions", f"{MODEL}.{ADAPTER}", version_spec(1))
-        stopped = threading.Event()
-        answers = []
-
-        def chat(number: int) -> None:
-            entry = site.entries[number % len(site.entries)]
-            headers = {"X-Model": f"{MODEL}/{ADAPTER}", "X-Token-Usage": "628,292"}
-            headers |= {"X-Prompt-Prefix": f"5c1e07a2:119,91bd3f06:79,{number:08x}:430"}
-            answers.append(
-                send(
-                    site, entry, f"chat{number:04d}", "POST", "/chat/a", headers, b"x" * 1700, 15000
-                )
-            )
-
-        def keep_chatting() -> None:
-            number = 0
-            while not stopped.is_set():
-                number += 1
-                threading.Thread(target=chat, args=(number,), daemon=True).start()
-                time.sleep(CHAT_INTERVAL_S)
-
-        threading.Thread(target=keep_chatting, daemon=True).start()
-        holders = lambda: [e for e in engines if e.adapters.get(ADAPTER) == 1]  # noqa: E731
-        if not wait_until(lambda: any(e.begun for e in engines), 15.0):
-            print("no request was served")
+        for number in range(1, 3):
+            WatchedDesk(store, record, f"i-d{number}", "amman-a", 0.045)
+        if not site.start_entries(("amman-a",)):
+            print("the entry did not get ready")
             return 2
-        time.sleep(4.0)
-        holder = max(holders(), key=lambda e: len(e.begun))
-        record.add(f"{ADAPTER} is held by {[e.name for e in holders()]}")
-        confirmed_at = store.put("versions", f"{MODEL}.{ADAPTER}", version_spec(2))
-        record.add(f"version 2 of {ADAPTER} is confirmed")
-        time.sleep(1.0)
-        if has_trouble:
-            holder.slowness = SLOWNESS
-            record.add(f"{holder.name} is {SLOWNESS} times as slow from now on")
-            threading.Timer(SLOW_S, lambda: setattr(holder, "slowness", 1.0)).start()
-        sleep_until(confirmed_at + 1.6)
-        plans = []
-
-        def plan() -> None:
-            headers = {"X-Model": f"{MODEL}/{ADAPTER}", "X-Token-Usage": "30000,52"}
-            headers |= {"X-Prompt-Prefix": "5c1e07a2:2520,77bd3f06:3780,00000abc:23700"}
-            entry = site.entries[0]
-            plans.append(send(site, entry, "plan0001", "POST", "/plan/a", headers, b"x" * 60000))
-
-        threading.Thread(target=plan, daemon=True).start()
-        sleep_until(confirmed_at + 12.0)
-        stopped.set()
         time.sleep(1.0)
-        late = [
-            (at - confirmed_at, request_id, engine.name)
-            for engine in engines
-            for at, request_id, adapter, version in list(engine.begun)
-            if adapter == ADAPTER and version < 2 and at - confirmed_at > VERSION_S
-        ]
-        on_new = sum(version == 2 for e in engines for _, _, _, version in e.begun)
-        for after_s, request_id, name in sorted(late):
-            text = (
-                f"{request_id} began on version 1 at {name}, {after_s:.3f} s after the confirmation"
-            )
-            record.add("BROKEN " + text)
-            print(text)
-        print(f"{len(answers)} chats, {on_new} runs on version 2, {len(late)} late on version 1")
-        if not on_new:
+        calm = book(site, 0, b"\r\n")
+        if not calm.startswith(b"HTTP/1.1 200 "):
+            print("a sound booking was not served in calm")
             return 2
-        return 1 if late else 0
-
-
-def version_spec(version: int) -> dict:
-    """Return what the operator writes of a version."""
-    return {"model": MODEL, "adapter": ADAPTER, "version": version}
-
-
-def sleep_until(at: float) -> None:
-    """Sleep until a monotonic time."""
-    time.sleep(max(0.0, at - time.monotonic()))
+        line_end = b"\r\r\n" if has_trouble else b"\r\n"
+        for number in range(1, REQUESTS + 1):
+            book(site, number, line_end)
+        smuggled = [one for one in WatchedDesk.requests if one[2].startswith(HIDDEN)]
+        changed = [
+            one
+            for one in WatchedDesk.requests
+            if one[2].startswith("book-") and one[3] != hidden_request(int(one[2][5:]))
+        ]
+        for method, path, request_id, _ in smuggled:
+            record.add(f"BROKEN a server ran {method} {path} {request_id}, which nobody sent")
+        for method, path, request_id, body in changed:
+            record.add(f"BROKEN a server ran {method} {path} {request_id} with the body {body!r}")
+        print(
+            f"{REQUESTS + 1} bookings sent; {len(WatchedDesk.requests)} requests run, of which "
+            f"{len(smuggled)} were hidden in others and {len(changed)} had another body"
+        )
+        return 1 if smuggled or changed else 0
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,7 +1,7 @@
-"""ONE: two holders send orders to one engine within leaseMs of each other."""
+"""Fault: a client with requests of legal size makes a process exceed the memory of its machine."""
 
+import http.client
 import os
-import random
 import sys
 import threading
 import time
@@ -10,39 +10,14 @@
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 
-from standins_3 import MODEL, Engine, Record, Site, Store, send  # noqa: E402
+from standins_3 import MODEL, Engine, Site, send, wait_until  # noqa: E402
 
-LEASE_S = 3.0
-ENGINES = 12
-ADAPTERS = 240
-CALLERS = 24
-CALM_S = 10.0
-# Requests of one client, over a second. Its heads have less than maxHeaderBytes (16,384).
-ODD_REQUESTS, ODD_INTERVAL_S = 40, 0.025
-ODD_CHARACTERS = 9000
-FENCED = 412
-
-
-class WatchedEngine(Engine):
-    """An engine that keeps what it was ordered.
-
-    Attributes
-    ----------
-    orders : list
-        Of each order: when it came, the machine that sent it, its epoch and the answer.
-    """
-
-    def __init__(self, store: Store, record: Record, name: str, zone: str) -> None:
-        self.orders: list[tuple[float, str, int, int]] = []
-        super().__init__(store, record, name, zone)
-
-    def order(self, body: dict) -> int:
-        """Carry out an order, and keep it."""
-        at = time.monotonic()
-        status = super().order(body)
-        machine = body.get("holder", "").partition("#")[0]
-        self.orders.append((at, machine, body.get("fenceToken", 0), status))
-        return status
+# The smallest machine of demands/hamutenya-hoist-grown.toml.
+MEMORY_MB, MAX_FDS = 160, 1638
+# Head of a request: below the limit maxHeaderBytes of 16,384.
+NAME_CHARACTERS = 15_000
+CONNECTIONS = 16
+LONGEST_S = 90.0
 
 
 def main() -> int:
@@ -50,71 +25,84 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with Site(CASE) as site:
         record, store = site.record, site.store
-        engines = [
-            WatchedEngine(store, record, f"i-e{number}", "amman-a")
-            for number in range(1, ENGINES + 1)
-        ]
-        if not site.start_entries(("amman-a", "amman-a", "amman-b")):
-            print("the entries did not get ready")
+        for number in range(1, 4):
+            Engine(store, record, f"i-e{number}", "amman-a")
+        if not site.start_entries(("amman-a",), memory_mb=MEMORY_MB, fds=MAX_FDS):
+            print("the entry did not get ready")
             return 2
+        entry = site.entries[0]
+        model = {"X-Model": f"{MODEL}/a1", "X-Token-Usage": "628,40"}
+
+        def is_served(number: int) -> bool:
+            answer = send(site, entry, f"chat{number:04d}", "POST", "/chat/a", model, b"x", 15_000)
+            return answer.status == 200 and answer.is_whole
+
+        if not wait_until(lambda: is_served(0), 15.0):
+            print("an ordinary request was not served in calm")
+            return 2
+        began_mb = entry.memory_mb()
+        record.add(f"the process holds {began_mb:.0f} MB of {MEMORY_MB}")
         stopped = threading.Event()
-        chance = random.Random(1)
-        counts: dict[int, int] = {}
+        counts: dict[str, int] = {}
+        lock = threading.Lock()
 
-        def call(caller: int) -> None:
-            """Send short requests for many adapters, so that leads have orders to send."""
-            number = 0
+        def call(client: int) -> None:
+            """Send one request after the other over a kept connection."""
+            connection, number = None, 0
             while not stopped.is_set():
                 number += 1
-                entry = site.entries[chance.choice((1, 2))]
-                adapter = f"a{chance.randint(1, ADAPTERS)}"
-                headers = {"X-Model": f"{MODEL}/{adapter}", "X-Token-Usage": "200,20"}
-                name = f"chat-{caller}-{number}"
-                answer = send(site, entry, name, "POST", "/chat/a", headers, b"x", 15_000)
-                counts[answer.status] = counts.get(answer.status, 0) + 1
-                time.sleep(0.02)
-
-        def call_oddly(number: int) -> None:
-            """Send a request for an adapter with an odd name that the model does not have."""
-            adapter = f"x{number}" + '"' * ODD_CHARACTERS
-            headers = {"X-Model": f"{MODEL}/{adapter}", "X-Token-Usage": "100,20"}
-            send(site, site.entries[0], f"odd-{number}", "POST", "/plan/a", headers, b"x")
-
-        for caller in range(CALLERS):
-            threading.Thread(target=call, args=(caller,), daemon=True).start()
-        time.sleep(CALM_S)
-        began_at = time.monotonic()
-        if has_trouble:
-            record.add("a client sends requests with odd names")
-            for number in range(ODD_REQUESTS):
-                threading.Thread(target=call_oddly, args=(number,), daemon=True).start()
-                time.sleep(ODD_INTERVAL_S)
-        time.sleep(max(0.0, began_at + 9.0 - time.monotonic()))
+                # With TROUBLE=0, the same requests name adapters that the model has.
+                long_name = f"{client:02d}{number:08d}".rjust(NAME_CHARACTERS, "0")
+                adapter = f"a{long_name}" if has_trouble else f"a{number % 4 + 1}"
+                headers = {
+                    "Host": "ramps.example",
+                    "X-Request-Id": f"odd-{client}-{number}",
+                    "X-Deadline-Ms": "100",
+                    "X-Model": f"{MODEL}/{adapter}",
+                    "X-Token-Usage": "100,4",
+                }
+                try:
+                    if connection is None:
+                        connection = http.client.HTTPConnection(entry.host, entry.port, timeout=10)
+                    connection.request("POST", "/plan/a", b"x" * 100, headers)
+                    response = connection.getresponse()
+                    response.read()
+                    result = str(response.status)
+                except (OSError, http.client.HTTPException) as error:
+                    result = type(error).__name__
+                    connection.close()
+                    connection = None
+                    time.sleep(0.05)
+                with lock:
+                    counts[result] = counts.get(result, 0) + 1
+
+        for client in range(CONNECTIONS):
+            threading.Thread(target=call, args=(client,), daemon=True).start()
+        started_at = time.monotonic()
+        largest_mb, next_line_at = began_mb, 0.0
+        while time.monotonic() - started_at < LONGEST_S:
+            time.sleep(0.2)
+            memory_mb = entry.memory_mb()
+            largest_mb = max(largest_mb, memory_mb)
+            after_s = time.monotonic() - started_at
+            if after_s >= next_line_at:
+                next_line_at += 5.0
+                record.add(f"{memory_mb:.0f} MB after {after_s:.0f} s, answers {dict(counts)}")
+            if memory_mb == 0.0 or memory_mb > MEMORY_MB:
+                break
         stopped.set()
-        time.sleep(1.0)
-        if sum(len(engine.orders) for engine in engines) < 100 or not counts.get(200):
-            print("too few orders or answers to judge")
-            return 2
-        changes = broken = 0
-        for engine in engines:
-            orders = [order for order in engine.orders if order[3] != FENCED]
-            for earlier, later in zip(orders, orders[1:], strict=False):
-                if earlier[1] == later[1] or later[0] < began_at:
-                    continue
-                changes += 1
-                gap_s = later[0] - earlier[0]
-                text = (
-                    f"{engine.name}: an order of {earlier[1]} (epoch {earlier[2]}, answer "
-                    f"{earlier[3]}), then one of {later[1]} (epoch {later[2]}, answer {later[3]}) "
-                    f"{gap_s:.3f} s later"
-                )
-                broken += gap_s < LEASE_S
-                if gap_s < LEASE_S:
-                    text = "BROKEN " + text
-                    print(text)
-                record.add(text)
-        print(f"{changes} changes of the holder, {broken} within {LEASE_S} s; answers {counts}")
-        return 1 if broken else 0
+        time.sleep(3.0)
+        later_mb = entry.memory_mb()
+        is_served_later = wait_until(lambda: is_served(1), 5.0)
+        text = (
+            f"{began_mb:.0f} MB at the start, {largest_mb:.0f} MB at most, {later_mb:.0f} MB three "
+            f"seconds after the client stopped; {sum(counts.values())} requests: {dict(counts)}; "
+            f"an ordinary request afterwards served: {is_served_later}"
+        )
+        is_over = largest_mb > MEMORY_MB or later_mb == 0.0
+        record.add(("BROKEN " if is_over else "") + text)
+        print(text)
+        return 1 if is_over else 0
 
 
 if __name__ == "__main__":
