--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -770,14 +770,19 @@
     headers: dict[str, str],
     body: bytes = b"",
     deadline_ms: int = 6000,
+    patience_s: float | None = None,
 ) -> Answer:
-    """Send a consumer's request over a new connection and read the whole answer."""
+    """Send a consumer's request over a new connection and read the whole answer.
+
+    A consumer leaves after `patience_s` without a byte; at its deadline if that is None.
+    """
     answer = Answer(request_id)
     headers = {"Host": "ramps.example", "X-Request-Id": request_id, **headers}
     headers["X-Deadline-Ms"] = str(deadline_ms)
     answer.sent_at = time.monotonic()
     site.record.add(f"consumer sends {request_id} {method} {path} to {entry.name}")
-    connection = http.client.HTTPConnection(entry.host, entry.port, timeout=deadline_ms / 1000)
+    timeout_s = deadline_ms / 1000 if patience_s is None else patience_s
+    connection = http.client.HTTPConnection(entry.host, entry.port, timeout=timeout_s)
     try:
         connection.request(method, path, body or None, headers)
         response = connection.getresponse()
