--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -605,8 +605,11 @@
         "routes": [
             route("/plan/", "ramp-models", "streaming", 6000, resumable=True, **stream),
             route("/chat/", "ramp-models", "streaming", 15_000, resumable=True, **stream),
+            route("/urgent/", "ramp-models", "streaming", 8000, maxAttempts=1, **stream),
             route("/book/", "visit-desk", "unsafe", 1500, maxAttempts=1, targetLatencyMs=300),
             route("/look/", "visit-desk", "safe", 1500, targetLatencyMs=300),
+            # As bench-booking of sites/tornos-hoist.toml.
+            route("/bench/", "visit-desk", "unsafe", 6000, maxAttempts=1, targetLatencyMs=500),
         ],
         "services": [
             {
