--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -29,6 +29,8 @@
 HEARTBEAT_S = 1.2
 LEASE_OF_RECORD_S = 3 * HEARTBEAT_S
 DRAIN_MS = 3000
+# Seconds after which a script ends in any case.
+LONGEST_S = 117.0
 # The model has 3,000 adapters, named a1, a2, and so on.
 ADAPTER_NAME = re.compile(r"a[0-9]{1,4}")
 SETTINGS = """name = "{name}"
@@ -721,13 +723,27 @@
         self.entries: list[Entry] = []
 
     def __enter__(self) -> "Site":
+        self.watchdog = threading.Timer(LONGEST_S, self.give_up)
+        self.watchdog.daemon = True
+        self.watchdog.start()
         return self
 
     def __exit__(self, *args) -> None:
+        self.watchdog.cancel()
+        self.end()
+
+    def end(self) -> None:
+        """End all entries, and write the record."""
         for entry in self.entries:
             entry.stop()
         self.record.write()
 
+    def give_up(self) -> None:
+        """End the case, which takes too long, as one that could not run."""
+        self.record.add("the case has taken too long")
+        self.end()
+        os._exit(2)
+
     def start_entries(
         self, zones: tuple[str, ...], seconds: float = 20.0, memory_mb: int = 300, fds: int = 4100
     ) -> bool:
