Read heads of requests by the grammar of answers

A head that the end of the connection cut off ran, too.

Cause: http.client's parser for mail read the heads of requests. It ends lines at a lone carriage return and the head at the first line that is no field, or at the end of the data; a list of bad examples was held against what was left.

Change: message_grammar.py (response_grammar.py before) is the one grammar of both directions: first lines, field lines, lengths and codings, fields that may come once, chunk lines, trailers. StrictProtocol reads requests by it, so that every server socket does. What does not match is refused with 400.

--- a/poplarhoist/entry/protocol.py
+++ b/poplarhoist/entry/protocol.py
@@ -8,7 +8,6 @@
 import http.client
 import re
 from collections.abc import Callable, Iterable, Iterator
-from email import errors
 from http import HTTPStatus
 
 import eventlet
@@ -25,6 +24,16 @@
     Input,
 )
 
+from poplarhoist.entry.message_grammar import (
+    BadFraming,
+    BadHead,
+    UnsupportedVersion,
+    check_request_fields,
+    parse_chunk_size,
+    parse_field_line,
+    parse_request_line,
+)
+
 # Bytes of lines that may follow one another: chunk sizes with their extensions, and trailers.
 MAX_LINE_BYTES = 16384
 # Bytes after which other green threads run, and bytes that a line counts as, since each one costs
@@ -38,25 +47,12 @@
 BODY_TIMEOUT_RATIO = 2
 # Position of the state in what the library keeps of a connection: address, socket, state.
 CONNECTION_STATE = 2
-# Leading zeros carry no size; a number of them that no sender has is refused.
-LENGTH = re.compile(r"0{0,100}[0-9]{1,18}", re.ASCII)
-CHUNK_SIZE = re.compile(rb"0{0,100}[0-9A-Fa-f]{1,15}")
 # Empty lines before a request that are passed over.
 MAX_EMPTY_LINES = 8
-# Method and target that a request to an endpoint may have (RFC 9110, section 5.6.2; RFC 3986).
-METHOD = re.compile(r"[-!#$%&'*+.^_`|~0-9A-Za-z]+", re.ASCII)
-TARGET = re.compile(r"[\x21-\x7e]+")
 # Target in absolute form: the authority, and the rest. One with user information is not accepted.
 ABSOLUTE_TARGET = re.compile(r"https?://([^/?#@]+)([/?].*)?", re.ASCII | re.IGNORECASE)
-# Defects of a head that the parser does not take for an error; it also reports some of bodies.
-HEAD_DEFECTS = (
-    errors.MissingHeaderBodySeparatorDefect,
-    errors.FirstHeaderLineIsContinuationDefect,
-    errors.MisplacedEnvelopeHeaderDefect,
-)
-# The library bounds the number of header lines besides their bytes; only the bytes are to be bounded.
-http.client._MAXHEADERS = eventlet.wsgi.MAX_TOTAL_HEADER_SIZE
 REFUSAL = "HTTP/1.1 {} {}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+LINE_END = b"\r\n"
 
 
 class Head(http.client.HTTPMessage):
@@ -70,36 +66,6 @@
         return self.get_default_type()
 
 
-class LineReader:
-    """Passes reads to a file, and records whether a line ended without a carriage return.
-
-    Attributes
-    ----------
-    has_bare_line_feed : bool
-        Whether there was such a line since this was last set to False.
-    on_line : callable or None
-        Is called with the bytes of each line.
-    """
-
-    def __init__(self, file) -> None:
-        self.file = file
-        self.has_bare_line_feed = False
-        self.on_line: Callable[[bytes], None] | None = None
-
-    def readline(self, size: int = -1) -> bytes:
-        """Return the next line, or the first `size` bytes of it."""
-        line = self.file.readline(size)
-        if line.endswith(b"\n") and not line.endswith(b"\r\n"):
-            self.has_bare_line_feed = True
-        if self.on_line is not None:
-            self.on_line(line)
-        return line
-
-    def __getattr__(self, name: str) -> object:
-        """Delegate all other attributes to the file."""
-        return getattr(self.file, name)
-
-
 class DroppedBody:
     """Runs through the body of a response without passing it on."""
 
@@ -241,7 +207,7 @@
                 self.on_bytes(len(data))
             self.position += len(data)
             wanted -= len(data)
-            if self.position == self.chunk_length and self.read_line(rfile) != b"":
+            if self.position == self.chunk_length and self.read_line(rfile) != LINE_END:
                 raise ChunkReadError("chunk without an end")
             if use_readline and data.endswith(b"\n"):
                 break
@@ -249,24 +215,24 @@
 
     def begin_chunk(self, rfile) -> None:
         """Read the size of the next chunk, and the trailers after the last one."""
-        size = self.read_line(rfile).partition(b";")[0].strip(b" \t")
-        if not CHUNK_SIZE.fullmatch(size):
-            raise ChunkReadError(f"chunk size {size[:20]!r}")
-        self.chunk_length, self.position = int(size, 16), 0
-        while self.chunk_length == 0 and self.read_line(rfile) != b"":
-            # A trailer; none is used.
-            pass
+        try:
+            self.chunk_length, self.position = parse_chunk_size(self.read_line(rfile)), 0
+            while self.chunk_length == 0 and (line := self.read_line(rfile)) != LINE_END:
+                # Trailers are not used, but a malformed one leaves the end of the body unclear.
+                parse_field_line(line)
+        except (BadFraming, BadHead) as error:
+            raise ChunkReadError(str(error)) from error
 
     def read_line(self, rfile) -> bytes:
-        """Return the next line of the framing, without its end."""
+        """Return the next line of the framing, with its end."""
         line = rfile.readline(MAX_LINE_BYTES + 1 - self.line_bytes)
         self.line_bytes += len(line)
         self.take_turn(BYTES_PER_LINE)
         if self.line_bytes > MAX_LINE_BYTES:
             raise ChunkReadError(f"more than {MAX_LINE_BYTES} bytes of lines")
-        if not line.endswith(b"\r\n"):
+        if not line.endswith(LINE_END):
             raise ChunkReadError("line without an end")
-        return line[:-2]
+        return line
 
     def take_turn(self, count: int) -> None:
         """Let other green threads run after each `TURN_BYTES` bytes."""
@@ -287,12 +253,6 @@
     """
 
     head_timeout = None
-    MessageClass = Head
-
-    def setup(self) -> None:
-        """Open the files of the connection."""
-        super().setup()
-        self.rfile = LineReader(self.rfile)
 
     def head_timeout_s(self) -> float | None:
         """Return the seconds within which a head must arrive after its first byte."""
@@ -314,13 +274,13 @@
         """Wait for a request and return its first line that is not empty."""
         line = self.read_line()
         for _ in range(MAX_EMPTY_LINES):
-            if line != b"\r\n":
+            if line != LINE_END:
                 break
             self.cancel_head_timeout()
             if self.conn_state[CONNECTION_STATE] == STATE_REQUEST:
                 self.conn_state[CONNECTION_STATE] = STATE_IDLE
             line = self.read_line()
-        return line
+        return line if line != LINE_END else ""
 
     def read_line(self) -> bytes | str:
         """Wait for a line and return it; the time for the head that it begins starts."""
@@ -343,7 +303,6 @@
         self.conn_state[CONNECTION_STATE] = STATE_REQUEST
         error = TimeoutError("timeout reading the request head")
         self.head_timeout = eventlet.Timeout(self.head_timeout_s(), error)
-        self.rfile.has_bare_line_feed = False
         line = super()._read_request_line()
         if len(line) >= self.server.url_length_limit:
             self.refuse(HTTPStatus.REQUEST_URI_TOO_LONG, "request line too long")
@@ -355,27 +314,69 @@
         return True
 
     def parse_request(self) -> bool:
-        """Parse the head; refuse the request and return False if it cannot be read.
+        """Read and parse the head; refuse the request and return False if it cannot be read.
 
-        It cannot if it is unclear how its body ends.
+        Replaces a method of the library, which reads field lines with a parser for mail. That parser
+        ends lines at a carriage return and the head at the first line that is no field, so that the
+        rest of the head, and a length in it, were lost.
         """
+        self.requestline = str(self.raw_requestline, "iso-8859-1").rstrip("\r\n")
+        self.command, self.request_version = None, self.default_request_version
+        self.close_connection = True
         try:
-            if not super().parse_request():
-                return False
+            self.on_head_line(self.raw_requestline)
+            request_line = parse_request_line(self.raw_requestline)
+            headers = self.read_fields()
+            check_request_fields(request_line.version, headers)
         except HeaderLineTooLong:
             self.refuse(HTTPStatus.BAD_REQUEST, "Header Line Too Long", "Header Line Too Long")
             return False
         except HeadersTooLarge:
             self.refuse(HTTPStatus.BAD_REQUEST, "Headers Too Large", "Headers Too Large")
             return False
-        # The library replaces several slashes at the beginning by one.
-        self.path = self.requestline.split()[1]
+        except UnsupportedVersion as error:
+            self.refuse(HTTPStatus.HTTP_VERSION_NOT_SUPPORTED, str(error))
+            return False
+        except (BadFraming, BadHead) as error:
+            self.refuse(HTTPStatus.BAD_REQUEST, str(error))
+            return False
+        self.command, self.path = request_line.method, request_line.target
+        self.request_version, self.headers = request_line.version, headers
+        self.close_connection = self.has_last_request()
         self.resolve_absolute_target()
-        problem = self.find_problem()
-        if not problem:
-            return True
-        self.refuse(HTTPStatus.BAD_REQUEST, problem)
-        return False
+        return True
+
+    def read_fields(self) -> Head:
+        """Read field lines up to the empty line that ends them.
+
+        Raises
+        ------
+        BadHead
+            If a line is no field, or the connection ends before the head does.
+        eventlet.wsgi.HeaderLineTooLong, eventlet.wsgi.HeadersTooLarge
+            If the lines are too long.
+        """
+        fields = Head()
+        while True:
+            line = self.rfile.readline()
+            self.on_head_line(line)
+            if line == LINE_END:
+                return fields
+            if not line.endswith(LINE_END):
+                problem = "without a carriage return" if line.endswith(b"\n") else "that breaks off"
+                raise BadHead(f"line of the head {problem}")
+            name, value = parse_field_line(line)
+            fields[name] = value
+
+    def on_head_line(self, line: bytes) -> None:
+        """Take note of a line of the head; it is empty at the end of the connection."""
+
+    def has_last_request(self) -> bool:
+        """Return whether the connection is to be closed after this request."""
+        values = self.headers.get_all("Connection", ())
+        options = {option.strip(" \t").lower() for text in values for option in text.split(",")}
+        is_kept_open = self.request_version != "HTTP/1.0" or "keep-alive" in options
+        return "close" in options or not is_kept_open
 
     def resolve_absolute_target(self) -> None:
         """Take host and path from a target in absolute form, as RFC 9112, section 3.2.2, requires."""
@@ -387,14 +388,6 @@
         self.headers["Host"] = authority
         self.path = rest if rest.startswith("/") else f"/{rest}"
 
-    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
-        """Refuse a request of which the library finds that it cannot be read.
-
-        The library's own answer has no status line while the version of the request is unknown. What it
-        quotes of the head, in brackets, is left out of the log: it may be a key of a caller.
-        """
-        self.refuse(HTTPStatus(code), (message or "").partition(" (")[0])
-
     def refuse(self, status: HTTPStatus, problem: str, phrase: str = "") -> None:
         """Answer a request whose head cannot be read, and close the connection after it."""
         self.on_unreadable(status, problem)
@@ -406,27 +399,6 @@
         caller = self.client_address[0]
         self.server.log.error(f"{problem[:200]}, refused with {status.value}, from {caller}")
 
-    def find_problem(self) -> str:
-        """Return what is wrong with the request line or the framing; empty if nothing is."""
-        if not METHOD.fullmatch(self.command):
-            return "method that is no token"
-        if not self.path.isascii():
-            return "target with bytes that are not ASCII"
-        if not TARGET.fullmatch(self.path):
-            return "target with control characters"
-        lengths = [text.strip() for text in self.headers.get_all("Content-Length", ())]
-        codings = [text.strip().lower() for text in self.headers.get_all("Transfer-Encoding", ())]
-        if any(isinstance(defect, HEAD_DEFECTS) for defect in self.headers.defects):
-            return "malformed header line"
-        # While it reads a head, the library wraps the file.
-        if self.rfile.fp.has_bare_line_feed:
-            return "line of the head without a carriage return"
-        if codings and (codings != ["chunked"] or lengths):
-            return f"codings {codings!r:.60} with {len(lengths)} lengths"
-        if not all(LENGTH.fullmatch(text) for text in lengths) or len(set(lengths)) > 1:
-            return f"lengths {lengths!r:.60}"
-        return ""
-
     def get_environ(self) -> dict:
         """Return the WSGI environ of a request, with a strict input."""
         environ = super().get_environ()
--- a/poplarhoist/entry/strict_response.py
+++ b/poplarhoist/entry/strict_response.py
@@ -14,7 +14,7 @@
 
 import eventlet
 
-from poplarhoist.entry.response_grammar import (
+from poplarhoist.entry.message_grammar import (
     BadFraming,
     BadHead,
     check_framing,
--- a/poplarhoist/gateway/guarded_protocol.py
+++ b/poplarhoist/gateway/guarded_protocol.py
@@ -1,7 +1,6 @@
 """HTTP protocols of the listeners; what a connection takes is counted in its room."""
 
-from collections.abc import Iterable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterable
 from http import HTTPStatus
 
 import orjson
@@ -102,11 +101,10 @@
 
     def parse_request(self) -> bool:
         """Parse the head; refuse the request if it cannot be read, or if there is no room for it."""
+        self.uncounted_bytes = 0
         try:
-            with self.counting_lines():
-                self.count_line(self.raw_requestline)
-                if not super().parse_request():
-                    return False
+            if not super().parse_request():
+                return False
             self.room.check()
             self.room.begin(Phase.WAITS)
             self.room.take(Kind.HEAD, self.uncounted_bytes + REQUEST_BYTES)
@@ -115,19 +113,7 @@
             return False
         return True
 
-    @contextmanager
-    def counting_lines(self) -> Iterator[None]:
-        """Count the lines that are read meanwhile."""
-        # While it reads a head, the library wraps the file.
-        reader = self.rfile.fp
-        self.uncounted_bytes = 0
-        reader.on_line = self.count_line
-        try:
-            yield
-        finally:
-            reader.on_line = None
-
-    def count_line(self, line: bytes) -> None:
+    def on_head_line(self, line: bytes) -> None:
         """Count a line of the head, and the items of the list that it may be.
 
         Raises
--- a/tests/endless_requests.py
+++ b/tests/endless_requests.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from tests.standin_server import HOST
+from tests.test_malformed_heads import MALFORMED_FIELDS
 
 HEAD = b"POST %s HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: endless\r\nX-Deadline-Ms: 4000\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -47,6 +48,80 @@
     "chunk-without-end": CHUNKED + b"4\r\nplan0000\r\n0\r\n\r\n",
     "head-bare-line-feed": b"X-A: a\nContent-Length: 4\r\n\r\nplan",
     "space-before-colon": b"Content-Length : 4\r\n\r\nplan",
+    **{
+        f"field-{name}": line + b"Content-Length: 4\r\n\r\nplan"
+        for name, line in MALFORMED_FIELDS.items()
+    },
+    **{
+        f"field-{name}": b"X-A: a%bContent-Length: 4\r\n\r\nplan" % line_end
+        for name, line_end in {
+            "carriage-return-within": b"b\rX-B: c\r\n",
+            "carriage-returns-within": b"\r\rb\r\n",
+            "folded": b"\r\n b\r\n",
+            "folded-carriage-return": b"\r\n b\r\r\n",
+            "null": b"\x00\r\n",
+            "vertical-tab": b"\x0b\r\n",
+        }.items()
+    },
+    **{
+        f"coding-{name}": b"Transfer-Encoding: %b\r\n\r\n4\r\nplan\r\n0\r\n\r\n" % coding
+        for name, coding in {
+            "vertical-tab": b"\x0bchunked",
+            "form-feed": b"chunked\x0c",
+            "file-separator": b"\x1cchunked",
+            "next-line": b"chunked\x85",
+            "no-break-space": b"\xa0chunked",
+            "empty-list": b",chunked",
+        }.items()
+    },
+    "length-next-line": b"Content-Length: 4\x85\r\n\r\nplan",
+    "length-no-break-space": b"Content-Length: \xa04\r\n\r\nplan",
+    "chunk-size-blank-first": CHUNKED + b" 4\r\nplan\r\n0\r\n\r\n",
+    "chunk-size-carriage-return": CHUNKED + b"4\r\r\nplan\r\n0\r\n\r\n",
+    "chunk-extension-carriage-return": CHUNKED + b"4;a\rb\r\nplan\r\n0\r\n\r\n",
+    "chunk-extension-null": CHUNKED + b"4;\x00\r\nplan\r\n0\r\n\r\n",
+    **{
+        f"trailer-{name}": CHUNKED + b"4\r\nplan\r\n0\r\n" + line + b"\r\n"
+        for name, line in MALFORMED_FIELDS.items()
+    },
+    **{
+        f"repeated-{name.lower()}": b"%b: 4\r\n%b: 5\r\nContent-Length: 4\r\n\r\nplan"
+        % (name.encode(), name.encode())
+        for name in (
+            "Content-Type",
+            "Last-Event-Id",
+            "Resumes",
+            "X-Length-Hint",
+            "X-Model",
+            "X-Prompt-Prefix",
+            "X-Token-Usage",
+        )
+    },
+    # These are in the first lines already.
+    **{
+        f"repeated-{name.lower()}": b"%b: 4\r\nContent-Length: 4\r\n\r\nplan" % name.encode()
+        for name in ("Host", "X-Request-Id", "x-deadline-ms", "X_Request_Id")
+    },
+}
+# First lines that begin no request.
+MALFORMED_REQUEST_LINES = {
+    "blank-first": b" POST /once/x HTTP/1.1\r\n",
+    "blank-last": b"POST /once/x HTTP/1.1 \r\n",
+    "two-blanks": b"POST  /once/x HTTP/1.1\r\n",
+    "tab": b"POST\t/once/x HTTP/1.1\r\n",
+    "vertical-tab": b"POST /once/x\x0bHTTP/1.1\r\n",
+    "no-break-space": b"POST /once/x\xa0HTTP/1.1\r\n",
+    "fragment": b"POST /once/x#a HTTP/1.1\r\n",
+    "carriage-return-last": b"POST /once/x HTTP/1.1\r\r\n",
+    "carriage-return-within": b"POST /once/x\r HTTP/1.1\r\n",
+    "carriage-return-first": b"\rPOST /once/x HTTP/1.1\r\n",
+    "line-feed-alone": b"POST /once/x HTTP/1.1\n",
+    "method-no-token": b"PO(ST /once/x HTTP/1.1\r\n",
+    "version-lower-case": b"POST /once/x http/1.1\r\n",
+    "version-longer": b"POST /once/x HTTP/1.10\r\n",
+    "version-zeros": b"POST /once/x HTTP/01.1\r\n",
+    "version-0.9": b"POST /once/x HTTP/0.9\r\n",
+    "version-missing": b"GET /once/x\r\n",
 }
 # Unusual requests that are whole, and their bodies.
 SOUND_REQUESTS = {
@@ -61,6 +136,12 @@
     "chunk-extension": (CHUNKED + b"4;a=b\r\nplan\r\n0;last\r\n\r\n", b"plan"),
     "trailers": (CHUNKED + b"4\r\nplan\r\n0\r\nX-After: 1\r\n\r\n", b"plan"),
     "coding-upper-case": (b"Transfer-Encoding: Chunked\r\n\r\n4\r\nplan\r\n0\r\n\r\n", b"plan"),
+    "chunk-size-blank-last": (CHUNKED + b"4 \r\nplan\r\n0\r\n\r\n", b"plan"),
+    "value-of-latin-1": (b"X-A: pl\xe4n\x85\xa0\r\nContent-Length: 4\r\n\r\nplan", b"plan"),
+    "value-empty": (b"X-A:\r\nContent-Length:4\t\r\n\r\nplan", b"plan"),
+    "value-with-tab": (b"X-A: a\tb\r\nContent-Length: 4\r\n\r\nplan", b"plan"),
+    "name-with-underscore": (b"X_A: a\r\nX-A: b\r\nX-A: c\r\n\r\n", b""),
+    "name-of-odd-bytes": (b"!#$%&'*+.^`|~: a\r\n\r\n", b""),
     "no-body": (b"\r\n", b""),
     "many-headers": (b"".join(b"X-%d: a\r\n" % number for number in range(900)) + b"\r\n", b""),
     **{
@@ -134,10 +215,17 @@
 
 def send_raw(port: int, path: str, rest: bytes, seconds: float = 3.0) -> Ending:
     """Send a head's first lines and the rest; return what came back until the close, or the end."""
+    return send_bytes(port, HEAD % path.encode() + rest, seconds)
+
+
+def send_bytes(port: int, data: bytes, seconds: float = 3.0, ends_sending: bool = False) -> Ending:
+    """Send bytes, and end this side if asked to; return what came back until the close, or the end."""
     received = b""
     started_at = time.monotonic()
     with socket.create_connection((HOST, port), timeout=seconds) as caller:
-        caller.sendall(HEAD % path.encode() + rest)
+        caller.sendall(data)
+        if ends_sending:
+            caller.shutdown(socket.SHUT_WR)
         try:
             while data := caller.recv(65536):
                 received += data
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -11,8 +11,11 @@
     BAD_REQUESTS,
     CHUNKED,
     ENDLESS_PARTS,
+    HEAD,
     HIDDEN,
+    MALFORMED_REQUEST_LINES,
     SOUND_REQUESTS,
+    send_bytes,
     send_raw,
     send_without_end,
 )
@@ -25,6 +28,11 @@
 # The bound on all such connections together, in KB, and their number.
 MAX_GROWTH_KB = 32 * 1024
 CONNECTION_COUNT = 64
+# Lines that a request to an address has, besides those of a caller.
+LINES_BY_ADDRESS = {
+    "callers": b"",
+    "relay": b"Relay-Configuration: 1\r\nRelay-Possible-Runs: 0\r\n",
+}
 PACES = {"fast": (65536, 0.0), "a-byte-at-a-time": (1, 0.02)}
 
 
@@ -94,12 +102,62 @@
 @pytest.mark.parametrize("address", ["callers", "relay"])
 def test_request_with_unclear_framing_is_refused_and_hides_no_other(site, name, address):
     site.endpoints["d1"].requests.clear()
-    ending = send_raw(port_of(site, address), "/once/x", BAD_REQUESTS[name] + HIDDEN)
+    data = LINES_BY_ADDRESS[address] + BAD_REQUESTS[name] + HIDDEN
+    ending = send_raw(port_of(site, address), "/once/x", data)
     assert ending.statuses() == [400]
     assert ending.seconds < CUT_WITHIN_S
     assert site.endpoints["d1"].requests == []
 
 
+@pytest.mark.parametrize("name", MALFORMED_REQUEST_LINES)
+@pytest.mark.parametrize("address", ["callers", "relay"])
+def test_request_with_a_malformed_first_line_is_refused_and_hides_no_other(site, name, address):
+    """Other readers take blanks and versions differently."""
+    site.endpoints["d1"].requests.clear()
+    _, _, fields = (HEAD % b"/").partition(b"\r\n")
+    fields += LINES_BY_ADDRESS[address] + b"Content-Length: 0\r\n\r\n"
+    data = MALFORMED_REQUEST_LINES[name] + fields + HIDDEN
+    ending = send_bytes(port_of(site, address), data)
+    assert ending.statuses() == [400]
+    assert site.endpoints["d1"].requests == []
+
+
+@pytest.mark.parametrize("rest", [b"", b"X-A", b"X-A: a\r", b"X-A: a\r\n", b"X-A: a\r\n\r"])
+def test_request_whose_head_breaks_off_is_not_run(site, rest):
+    """The lines that had arrived were taken for a whole head, so that it ran without its body."""
+    site.endpoints["d1"].requests.clear()
+    data = HEAD % b"/once/x" + rest
+    assert set(send_bytes(site.port, data, ends_sending=True).statuses()) <= {400}
+    assert site.endpoints["d1"].requests == []
+
+
+@pytest.mark.parametrize(
+    ("version", "option", "count"),
+    [
+        (b"1.1", b"X-A: a", 2),
+        (b"1.1", b"Connection: X-A, Close", 1),
+        (b"1.1", b"Connection: X-A\r\nConnection: close", 1),
+        (b"1.2", b"X-A: a", 2),
+        (b"1.0", b"X-A: a", 1),
+        (b"1.0", b"Connection: keep-alive", 2),
+    ],
+)
+def test_connection_stays_open_as_the_head_says(site, version, option, count):
+    """An option was only read if it stood alone."""
+    head = (HEAD % b"/once/x").replace(b"HTTP/1.1", b"HTTP/" + version)
+    ending = send_bytes(site.port, head + option + b"\r\n\r\n" + HIDDEN, 1.0)
+    assert ending.statuses() == [200] * count
+
+
+def test_coding_in_a_request_of_http_1_0_is_refused(site):
+    """Servers of that version know no chunks, and read a body without them."""
+    site.endpoints["d1"].requests.clear()
+    head = (HEAD % b"/once/x").replace(b"HTTP/1.1", b"HTTP/1.0")
+    ending = send_bytes(site.port, head + CHUNKED + b"4\r\nplan\r\n0\r\n\r\n" + HIDDEN)
+    assert ending.statuses() == [400]
+    assert site.endpoints["d1"].requests == []
+
+
 @pytest.mark.parametrize("name", SOUND_REQUESTS)
 def test_unusual_but_whole_request_is_forwarded(site, name):
     site.endpoints["d1"].requests.clear()
@@ -109,6 +167,11 @@
     assert [request[3] for request in site.endpoints["d1"].requests] == [body, b""]
 
 
+def test_sound_request_of_another_entry_is_forwarded(site):
+    ending = send_raw(site.relay_port, "/once/x", LINES_BY_ADDRESS["relay"] + b"\r\n", 1.0)
+    assert ending.statuses() == [200]
+
+
 def test_slow_upload_within_the_idle_time_is_read(site):
     """The body comes byte by byte, in two thirds of the time that it may take."""
     results = []
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,8 +10,8 @@
 from poplarhoist.decisions.gateway.effects import Dispatch
 from poplarhoist.decisions.gateway.events import Outcome
 from poplarhoist.entry.http import BodyTooLong
+from poplarhoist.entry.message_grammar import BadFraming, BadHead
 from poplarhoist.entry.metrics import COUNTERS, HISTOGRAMS
-from poplarhoist.entry.response_grammar import BadFraming, BadHead
 from poplarhoist.entry.strict_response import HeadTooLong
 from tests.gateway import Gateway, effects_of, only_effect, plain_endpoint
 
--- a/tests/test_response_grammar.py
+++ b/tests/test_response_grammar.py
@@ -4,18 +4,16 @@
 """
 
 import contextlib
-import os
 import re
 import socket
 from http.client import HTTPException
 
 import h11
-from hypothesis import example, given, settings
-from hypothesis import strategies as st
+from hypothesis import example, given
 
 from poplarhoist.entry.strict_response import StrictResponse
+from tests.odd_bytes import FUZZ_SETTINGS, odd_messages
 
-EXAMPLES_VARIABLE = "FUZZ_EXAMPLES"
 FIELDS = b"X-Request-Id: c1\r\nX-Response-Seal: s\r\n"
 CHUNKED = FIELDS + b"Transfer-Encoding: chunked\r\n\r\n4\r\nplan\r\n"
 SOUND_RESPONSES = (
@@ -25,20 +23,6 @@
     b"HTTP/1.1 503 X\r\n" + CHUNKED + b"0\r\nX-After: 1\r\n\r\n",
     b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.0 404 \r\n" + FIELDS + b"\r\nno",
 )
-ODD_PIECES = (
-    *(bytes([number]) for number in (0, 1, 8, 9, 10, 11, 12, 13, 27, 32, 34, 40, 44, 45, 47)),
-    *(bytes([number]) for number in (48, 49, 57, 58, 59, 95, 102, 127, 128, 133, 160, 255)),
-    b"\r\n",
-    b"\r\n ",
-    b"\r\n\r\n",
-    b"X Bad: 1\r\n",
-    b"Content-Length: 4\r\n",
-    b"Content-Length: 5\r\n",
-    b"Transfer-Encoding: chunked\r\n",
-    b"Transfer-Encoding: gzip\r\n",
-    b"HTTP/1.1 100 Continue\r\n\r\n",
-    b"0\r\n",
-)
 # What this reader takes and h11 may not: lines that end without a carriage return, blanks before the
 # extension of a chunk size, and lengths and codings among trailers and in interim heads, which say
 # nothing there.
@@ -50,17 +34,6 @@
 Response = tuple[int, list[tuple[bytes, bytes]], bytes]
 
 
-@st.composite
-def odd_responses(draw) -> bytes:
-    """Return a sound response of which a few bytes were replaced."""
-    data = draw(st.sampled_from(SOUND_RESPONSES))
-    for _ in range(draw(st.integers(1, 3))):
-        start = draw(st.integers(0, len(data)))
-        end = start + draw(st.integers(0, 3))
-        data = data[:start] + draw(st.sampled_from(ODD_PIECES)) + data[end:]
-    return data
-
-
 def read(data: bytes) -> Response | None:
     """Return status, headers and body of a response, None if it is broken, as entries read it."""
     client, server = socket.socketpair()
@@ -112,13 +85,8 @@
     return status, own, body
 
 
-@settings(
-    max_examples=int(os.environ.get(EXAMPLES_VARIABLE, 3000)),
-    derandomize=EXAMPLES_VARIABLE not in os.environ,
-    deadline=None,
-    database=None,
-)
-@given(odd_responses())
+@FUZZ_SETTINGS
+@given(odd_messages(SOUND_RESPONSES))
 @example(
     b"HTTP/1.1 200 OK\r\n" + FIELDS + b"X Bad: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
 )
