Refuse requests in which a header comes twice that says what it is

Callers saw: with two X-Request-Id lines both reached the engine, and the caller got 502 after the run; a safe request ran twice. The same held for deadline, model, usage, prefix and event id, of which the entry judged by the first and an engine may go by the last. Named in the Connection header, they did not reach the engine; with an underscore for the hyphen, reserved headers did.

Cause: the head was read as a mapping with the first value, but forwarded line by line.

Change: each of these comes once, or the request is refused with 400 before its body is read. They are forwarded whatever the Connection header names. Names are compared as servers may read them, with hyphens for underscores. A response with two ids or two seals is none of the request.

--- a/poplarhoist/gateway/callers.py
+++ b/poplarhoist/gateway/callers.py
@@ -25,7 +25,7 @@
 from poplarhoist.gateway.exchange import Exchange
 from poplarhoist.gateway.guarded_protocol import PROTOCOL_KEY
 from poplarhoist.gateway.hedged_attempts import HedgedAttempt, HedgeRunner
-from poplarhoist.gateway.interfaces import Dialect, Headers
+from poplarhoist.gateway.interfaces import Dialect, Headers, RequestHead
 from poplarhoist.gateway.request_reading import BadRequest, read_body
 from poplarhoist.gateway.room import ROOM_KEY, UNBOUNDED
 from poplarhoist.gateway.streamed_body import StreamedBody
@@ -85,8 +85,9 @@
         if self.decision_loop.state.draining_since is not None:
             protocol.close_connection = 1
         try:
-            body = read_body(environ, self.limits())
             header_pairs, relay = self.split_relay_headers(environ["headers_raw"])
+            head = self.parse_head(header_pairs)
+            body = read_body(environ, self.limits())
         except BadRequest as error:
             protocol.close_connection = 1
             headers = [relay_headers.build_refusal_header(False)] if self.is_relay else []
@@ -101,7 +102,6 @@
             self.record_unreadable(status, error.step, str(error), environ["REMOTE_ADDR"])
             return json_error(start_response, status, str(error), headers)
         target = protocol.path
-        head = self.dialect.parse_request_head(header_pairs)
         path = target.partition("?")[0]
         method = environ["REQUEST_METHOD"]
         digest = xxhash.xxh3_64(b"\n".join((method.encode(), target.encode(), b"")))
@@ -150,6 +150,19 @@
             raise BadRequest(HTTPStatus.BAD_REQUEST, message, "relay") from error
         return relay_headers.without_relay_headers(pairs), terms
 
+    def parse_head(self, pairs: Headers) -> RequestHead:
+        """Return the parsed head of a request.
+
+        Raises
+        ------
+        BadRequest
+            If it is unclear.
+        """
+        try:
+            return self.dialect.parse_request_head(pairs)
+        except ValueError as error:
+            raise BadRequest(HTTPStatus.BAD_REQUEST, str(error), "head") from error
+
     def record_unreadable(self, status: HTTPStatus, step: str, problem: str, caller: str) -> None:
         """Log and count a request that cannot be read.
 
--- a/poplarhoist/gateway/interfaces.py
+++ b/poplarhoist/gateway/interfaces.py
@@ -102,7 +102,13 @@
     ready_path: str
 
     def parse_request_head(self, headers: Iterable[tuple[str, str]]) -> RequestHead:
-        """Parse the head of a caller's request; headers that cannot be parsed count as absent."""
+        """Parse the head of a caller's request; headers that cannot be parsed count as absent.
+
+        Raises
+        ------
+        ValueError
+            If a header comes twice that may come once.
+        """
 
     def build_request_headers(
         self, head: RequestHead, dispatch: Dispatch, last_event_id: str
--- a/poplarhoist/platform/headers.py
+++ b/poplarhoist/platform/headers.py
@@ -20,6 +20,8 @@
 
 MS_PER_S = 1000.0
 REQUEST_ID_HEADER = "X-Request-Id"
+SEAL_HEADER = "X-Response-Seal"
+LEAVING_HEADER = "Server-Leaving"
 DEADLINE_HEADER = "X-Deadline-Ms"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
 TARGET_INSTANCE_HEADER = "X-Target-Instance"
@@ -27,8 +29,7 @@
 EXPECT_VERSION_HEADER = "X-Expect-Version"
 KEY_HEADER = "Api-Key"
 TEAM_HEADER = "X-Tenant"
-# Headers of callers that are not forwarded while teams are in force. Some servers take an underscore
-# in a name for a hyphen.
+# Headers of callers that are not forwarded while teams are in force.
 TEAM_HEADERS = frozenset((KEY_HEADER.lower(), TEAM_HEADER.lower()))
 # Headers that are not forwarded: those that concern one connection only, and Content-Length and
 # Expect, which the HTTP library handles on each connection.
@@ -62,6 +63,20 @@
         "last-event-id",
     )
 )
+# Headers that say what a request is and for how long, so that entry and engine have to agree on them.
+# Each may come once, and is read and forwarded whatever the Connection header names.
+SINGLE_HEADERS = frozenset(
+    (
+        "x-request-id",
+        "x-deadline-ms",
+        "x-model",
+        "x-token-usage",
+        "x-prompt-prefix",
+        "x-length-hint",
+        "last-event-id",
+        "resumes",
+    )
+)
 # Seconds of a pause whose length cannot be read.
 UNREADABLE_PAUSE_S = 1.0
 # Whole numbers that are read; others cannot be reckoned with.
@@ -79,19 +94,31 @@
     Hop-by-hop and reserved headers are not forwarded, nor are those that the Connection header
     names. Of a repeated header the first value counts. A key is read whatever the Connection header
     names.
+
+    Raises
+    ------
+    ValueError
+        If one of `SINGLE_HEADERS` comes twice.
     """
     forwarded_headers: Headers = []
     value_by_name: dict[str, str] = {}
+    single_names: set[str] = set()
     key_lines = 0
     excluded_names = set(HOP_BY_HOP_HEADERS | RESERVED_HEADERS)
     headers = list(headers)
     for name, value in headers:
         if name.lower() == "connection":
-            excluded_names.update(part.strip().lower() for part in value.split(","))
+            named = {normalize_name(part.strip(" \t")) for part in value.split(",")}
+            excluded_names |= named - SINGLE_HEADERS
     for name, value in headers:
         value_by_name.setdefault(name.lower(), value)
         key_lines += name.lower() == KEY_HEADER.lower()
-        if name.lower() not in excluded_names:
+        plain_name = normalize_name(name)
+        if plain_name in SINGLE_HEADERS:
+            if plain_name in single_names:
+                raise ValueError(f"more than one {plain_name} line")
+            single_names.add(plain_name)
+        if plain_name not in excluded_names:
             forwarded_headers.append((name, value))
     return RequestHead(
         caller_request_id=value_by_name.get("x-request-id", ""),
@@ -105,6 +132,11 @@
     )
 
 
+def normalize_name(name: str) -> str:
+    """Return the name of a header as servers may read it: some take an underscore for a hyphen."""
+    return name.lower().replace("_", "-")
+
+
 def parse_ms(text: str | None) -> float | None:
     """Convert milliseconds to seconds, at least 0; None if the text is missing or no number."""
     try:
@@ -166,14 +198,15 @@
 
 def is_team_header(name: str) -> bool:
     """Return whether a header holds, or may be taken for, a key or the name of a team."""
-    return name.lower().replace("_", "-") in TEAM_HEADERS
+    return normalize_name(name) in TEAM_HEADERS
 
 
 def parse_response_head(status: int, headers: Iterable[tuple[str, str]]) -> ResponseHead:
     """Parse the head of an endpoint's response.
 
     Hop-by-hop headers are not returned to the caller, except Content-Length. Status 421 means, like
-    the header X-Not-Executed, that the endpoint did not run the request.
+    the header X-Not-Executed, that the endpoint did not run the request. Several lines with an id are
+    read as a list, which is the id of no request, and several seals are none.
     """
     headers = list(headers)
     returned_headers: Headers = []
@@ -183,10 +216,10 @@
         if name.lower() not in HOP_BY_HOP_HEADERS or name.lower() == "content-length":
             returned_headers.append((name, value))
     return ResponseHead(
-        caller_request_id=value_by_name.get("x-request-id", ""),
+        caller_request_id=", ".join(values_of(headers, REQUEST_ID_HEADER)),
         not_run="x-not-executed" in value_by_name or status == 421,
         returned_headers=returned_headers,
-        has_seal="x-response-seal" in value_by_name,
+        has_seal=len(values_of(headers, SEAL_HEADER)) == 1,
         notice=EndpointNotice(
             load=parse_load(value_by_name.get("x-server-load", "")),
             requests_per_s=parse_limit(value_by_name.get("server-limit")),
@@ -248,8 +281,13 @@
 
 def says_leaving(headers: Iterable[tuple[str, str]]) -> bool:
     """Return whether an endpoint says that it is stopping; a value that cannot be read does not."""
-    values = [value for name, value in headers if name.lower() == "server-leaving"]
-    return any(parse_number("Server-Leaving", value) == 1.0 for value in values)
+    values = values_of(headers, LEAVING_HEADER)
+    return any(parse_number(LEAVING_HEADER, value) == 1.0 for value in values)
+
+
+def values_of(headers: Iterable[tuple[str, str]], name: str) -> list[str]:
+    """Return the values of all lines of a header."""
+    return [value for other, value in headers if other.lower() == name.lower()]
 
 
 def parse_number(header: str, text: str) -> float | None:
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -136,6 +136,44 @@
     assert key is None or key not in repr(head)
 
 
+@pytest.mark.parametrize("name", ["X-Request-Id", "x-model", "X-Deadline-Ms", "Last-Event-Id"])
+@pytest.mark.parametrize("other", [str, str.upper, lambda name: name.replace("-", "_")])
+def test_header_that_says_what_a_request_is_comes_once(name, other):
+    """Entry and engine could go by different ones."""
+    assert parse_request_head([(name, "a")])
+    with pytest.raises(ValueError, match="more than one"):
+        parse_request_head([(name, "a"), ("X-Own", "b"), (other(name), "a")])
+
+
+def test_header_that_says_what_a_request_is_concerns_no_single_connection():
+    """Named in the Connection header, it did not reach the engine."""
+    own = [("X-Request-Id", "c1"), ("X-Model", "m/a"), ("X-Length-Hint", "9")]
+    connection = ("Connection", "X-Request-Id, x-model, X-Length-Hint, X-Own")
+    head = parse_request_head([connection, *own, ("X-Own", "dropped")])
+    assert head.forwarded_headers == own
+
+
+@pytest.mark.parametrize("name", ["X_Hold", "x_pin_ms", "Kv_From", "Transfer_Encoding"])
+def test_header_that_may_be_taken_for_a_reserved_one_is_not_forwarded(name):
+    """Some servers take an underscore for a hyphen."""
+    assert parse_request_head([(name, "a"), ("X_Own", "b")]).forwarded_headers == [("X_Own", "b")]
+
+
+@pytest.mark.parametrize(
+    ("names", "caller_id", "has_seal"),
+    [
+        (["X-Request-Id", "X-Response-Seal"], "a", True),
+        (["X-Request-Id", "X-Request-Id", "X-Response-Seal"], "a, a", True),
+        (["X-Request-Id", "X-Response-Seal", "x-response-seal"], "a", False),
+        ([], "", False),
+    ],
+)
+def test_response_has_one_id_and_one_seal(names, caller_id, has_seal):
+    """Of two the first one counted, and the caller could go by the other."""
+    head = parse_response_head(200, [(name, "a") for name in names])
+    assert (head.caller_request_id, head.has_seal) == (caller_id, has_seal)
+
+
 CALLER_HEADERS = [
     ("API-KEY", "k1"),
     ("api-key", "k2"),
