Break off requests that have not begun when a newer version has to be used

Cause: the bound was on when a request is sent. A request begins with its first token, which prompt, queue and pace of the engine delay. An entry that had just started also took listed versions for announced at that moment.

Change: adapter_versions.py. After 0.4 of version_ms the version is required, as before. Until then a request goes to an engine with an older one only if it is expected to begin before 0.75. What has not begun at 0.75 is broken off, at a relay too, and is sent again if its route may be repeated or resumed, within maxAttempts and the retry budget; else it ends with 502. Versions that an entry reads within 2 s of its start are required at once.

--- a/poplarhoist/decisions/gateway/adapter_asks.py
+++ b/poplarhoist/decisions/gateway/adapter_asks.py
@@ -4,6 +4,7 @@
 
 from poplarhoist.decisions.common_effects import Count
 from poplarhoist.decisions.gateway import endpoints, leads, slot_search, teams
+from poplarhoist.decisions.gateway.adapter_versions import required_version
 from poplarhoist.decisions.gateway.effects import LogRequest, SendPeer
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.leads import interval_factor
@@ -16,7 +17,6 @@
 from poplarhoist.decisions.gateway.messages import Ask, NotLead, Use, View
 from poplarhoist.decisions.gateway.models import AdapterKey
 from poplarhoist.decisions.gateway.request_state import RequestState
-from poplarhoist.decisions.gateway.routing import required_version
 from poplarhoist.decisions.gateway.state import GatewayState, PendingAsk
 
 # Seconds for which an Ask repeats an engine's answer that it lacks the adapter.
@@ -44,14 +44,14 @@
     if existing is not None:
         existing.waiters.add(request.request_id)
         existing.waiting_since = min(existing.waiting_since, request.first_requested_at)
-        existing.version = max(existing.version, required_version(state, key, at))
+        existing.version = max(existing.version, required_version(state, request, at))
         if request.team is not None:
             # Otherwise a request of an urgent team would wait as long as those that asked before it.
             existing.priority = min(existing.priority, teams.ask_priority(request))
         endpoint = state.endpoints[engine]
         update_ready_times(state, existing, endpoint, at)
         return
-    version = required_version(state, key, at)
+    version = required_version(state, request, at)
     priority, since = teams.ask_priority(request), request.first_requested_at
     pending = PendingAsk(engine, key, version, priority, since, at)
     pending.waiters.add(request.request_id)
--- a/poplarhoist/decisions/gateway/effects.py
+++ b/poplarhoist/decisions/gateway/effects.py
@@ -67,6 +67,14 @@
     attempt: int
 
 
+@frozen
+class BreakOffAttempt:
+    """End an attempt unless its response has begun; its request goes on without it."""
+
+    request_id: str
+    attempt: int
+
+
 @frozen
 class Refuse:
     """Answer a request with an error of the gateway.
@@ -229,6 +237,7 @@
     Dispatch
     | Hedge
     | CancelAttempt
+    | BreakOffAttempt
     | Refuse
     | ForwardFailure
     | Claim
--- a/poplarhoist/decisions/gateway/events.py
+++ b/poplarhoist/decisions/gateway/events.py
@@ -202,6 +202,8 @@
     STALE: a kept connection ended before the first byte of the response. The request may have run;
     it says nothing of the endpoint, which may close idle connections at any time.
     TIMED_OUT: the deadline passed.
+    BROKEN_OFF: this entry ended it before the first byte of the response. The request may have run; it
+    says nothing against the endpoint.
     CANCELLED: the caller disconnected.
     """
 
@@ -212,6 +214,7 @@
     BROKEN = "broken"
     STALE = "stale-connection"
     TIMED_OUT = "timed-out"
+    BROKEN_OFF = "broken-off"
     CANCELLED = "cancelled"
 
 
--- a/poplarhoist/decisions/gateway/expected_waits.py
+++ b/poplarhoist/decisions/gateway/expected_waits.py
@@ -68,7 +68,7 @@
 ) -> None:
     """Learn from the result of an attempt how long work takes at its endpoint.
 
-    Only successful responses tell it, and those that did not begin before the deadline: they took
+    Only successful responses tell it, and those that did not begin before they were ended: they took
     at least that long. Failures may be quick.
     """
     pace = endpoint.pace
@@ -77,7 +77,7 @@
     if event.outcome is Outcome.NOT_RUN and event.status == 503 and event.notice is not None:
         paces.on_turned_away(pace, event.notice.load, event.at)
     started_at = request.attempt_started_at
-    if started_at is None and event.outcome is Outcome.TIMED_OUT:
+    if started_at is None and event.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN_OFF):
         started_at = event.at
     elif event.outcome is not Outcome.DONE or not 200 <= event.status < 300:
         return
--- a/poplarhoist/decisions/gateway/reducer.py
+++ b/poplarhoist/decisions/gateway/reducer.py
@@ -7,6 +7,7 @@
 from poplarhoist.decisions.common_effects import LogChange, Stop
 from poplarhoist.decisions.gateway import (
     adapter_asks,
+    adapter_versions,
     brittle,
     configuration,
     copies,
@@ -24,7 +25,6 @@
     request_limits,
     requests,
     residency,
-    routing,
     slot_search,
     software_versions,
     streams,
@@ -32,8 +32,7 @@
 from poplarhoist.decisions.gateway import events as ev
 from poplarhoist.decisions.gateway.effects import SendPeer, StopListening
 from poplarhoist.decisions.gateway.limits import PAUSE_THRESHOLD_S
-from poplarhoist.decisions.gateway.models import AdapterKey
-from poplarhoist.decisions.gateway.state import AnnouncedVersion, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
 # Seconds between two runs of the checks that need not run on every tick.
 SLOW_TICK_INTERVAL_S = 0.25
@@ -186,6 +185,7 @@
     residency.on_tick(state, at, effects)
     settle(state, quotas.on_tick(state, at, effects), at, effects)
     requests.on_tick(state, at, effects)
+    adapter_versions.on_tick(state, at, effects)
     hedging.on_tick(state, at, effects)
     brittle.on_tick(state, at, effects)
     reroute_requests(state, adapter_asks.on_tick(state, at, effects), at, effects)
@@ -242,19 +242,6 @@
         software_versions.on_configuration(state, event.at, effects)
 
 
-def on_version(state: GatewayState, event: ev.VersionSeen, effects: list) -> None:
-    """Record the announcement of an adapter version."""
-    key = AdapterKey(event.model, event.adapter)
-    known = state.announced_versions.get(key)
-    if known is not None and known.version >= event.version:
-        return
-    required = routing.find_required(state, key, event.at)
-    if required is not None:
-        required.earlier = None
-    state.announced_versions[key] = AnnouncedVersion(event.version, event.at, known)
-    effects.append(LogChange("version-announced", {"adapter": str(key), "version": event.version}))
-
-
 def on_store(state: GatewayState, event: ev.StoreAvailabilityChanged, effects: list) -> None:
     """Record that the store was lost or has returned."""
     if event.available == (not state.store_unavailable):
@@ -326,7 +313,7 @@
     ev.EndpointRemoved: endpoints.on_removed,
     ev.EndpointsListed: endpoints.on_listed,
     ev.EndpointSaidLeaving: endpoints.on_said_leaving,
-    ev.VersionSeen: on_version,
+    ev.VersionSeen: adapter_versions.on_version,
     ev.EntryRecordChanged: leads.on_entry,
     ev.EntriesListed: leads.on_entries_listed,
     ev.LeadSeen: leads.on_lead,
--- a/poplarhoist/decisions/gateway/request_state.py
+++ b/poplarhoist/decisions/gateway/request_state.py
@@ -58,12 +58,18 @@
         stream; both empty if the request begins one.
     is_trial : bool
         Whether its next attempt is sent although its content or a part of its prompt is refused.
+    waits_again_since : float
+        When its latest attempt ended after which it was to be sent again.
     attempt_sent_at, attempt_incarnation : float, int
         When the latest attempt was sent, and to which run of its endpoint.
     attempt_started_at : float or None
         When the first byte of the response to the latest attempt arrived; None before.
     attempt_software : str
         Software version of the endpoint of the latest attempt.
+    attempt_version : int
+        Version of the adapter without which the engine does not run the latest attempt; 0 for any.
+    least_version : int
+        Version of the adapter that the request needs, besides those required of all; 0 for any.
     forecast : Forecast or None
         What is expected of the latest attempt; None unless its engine tells its pace.
     software_version : str or None
@@ -111,10 +117,13 @@
     last_event_id: str = ""
     resumed_caller_id: str = ""
     is_trial: bool = False
+    waits_again_since: float = float("-inf")
     attempt_sent_at: float = float("-inf")
     attempt_incarnation: int = 0
     attempt_started_at: float | None = None
     attempt_software: str = ""
+    attempt_version: int = 0
+    least_version: int = 0
     forecast: Forecast | None = None
     software_version: str | None = None
     origin_asked_at: float | None = None
@@ -140,6 +149,7 @@
         self.stage = Stage.RUNNING
         self.attempt = max(self.attempt, self.hedge_attempt) + 1
         self.attempt_started_at = None
+        self.attempt_version = 0
         self.forecast = None
         self.attempt_sent_at = at
         self.endpoint_name = endpoint_name
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -61,6 +61,8 @@
 RETRYABLE_STATUSES = frozenset((500, 502, 503, 504))
 # Outcomes of attempts that the endpoint has certainly answered.
 ANSWERED_OUTCOMES = frozenset((Outcome.DONE, Outcome.FAILED, Outcome.NOT_RUN))
+# Outcomes of attempts whose endpoint had no cause, or no time, to answer.
+SILENT_OUTCOMES = frozenset((Outcome.STALE, Outcome.BROKEN_OFF))
 # Reasons of attempts whose response was past a bound, malformed, or unclear about its end; names of
 # exceptions.
 BOUND_REASONS = frozenset(("HeadTooLong", "BodyTooLong", "BadHead", "BadFraming"))
@@ -236,6 +238,11 @@
         refuse(state, request, Refused.SUSPECT, effects, crashes.retry_after_s(state, at))
         return
     stop_waiting(state, request, at, effects)
+    needed_version = routing.newer_version_needed(state, request, endpoint, at)
+    if needed_version:
+        request.least_version = needed_version
+        place_request(state, request, at, effects)
+        return
     if quotas.admit(state, request, at, effects) is quotas.Admission.WAITING:
         return
     record = endpoint.record
@@ -247,7 +254,8 @@
     version = 0
     prompt = request.prompt
     if prompt is not None:
-        version = routing.expected_version(state, endpoint, prompt.key, at)
+        version = routing.expected_version(state, endpoint, request, at)
+        request.attempt_version = version
         routing.record_sent(endpoint, request, at)
         endpoint.in_flight_by_adapter[prompt.key] = (
             endpoint.in_flight_by_adapter.get(prompt.key, 0) + 1
@@ -424,7 +432,7 @@
         links.on_answered(state, request.attempt_sent_at, event.at, effects)
     elif event.outcome is Outcome.NOT_SENT:
         links.on_failed(state, request.endpoint_name, request.attempt_sent_at, event.at, effects)
-    elif request.attempt_started_at is None and event.outcome is not Outcome.STALE:
+    elif request.attempt_started_at is None and event.outcome not in SILENT_OUTCOMES:
         links.on_unanswered(state, request.endpoint_name, request.attempt_sent_at)
     if event.notice is not None:
         apply_notice(state, request, event.notice, event.at, effects)
@@ -455,6 +463,7 @@
             )
         )
         request.stage = Stage.WAITING
+        request.waits_again_since = event.at
         same_endpoint = connection_reuse.find_endpoint_again(state, request, event)
         if same_endpoint is not None:
             dispatch(state, request, same_endpoint, event.at, effects)
@@ -498,8 +507,8 @@
 ) -> None:
     """Update the state of an endpoint by the result of an attempt.
 
-    An endpoint that failed, could not be reached, broke off or did not run the request is avoided
-    by the request from now on. After NOT_RUN of a request with an adapter, only the adapter is
+    An endpoint that failed, could not be reached, broke off, did not run the request or did not begin
+    it in time is avoided by the request from now on. After NOT_RUN of a request with an adapter, only the adapter is
     recorded as absent.
     """
     expected_waits.on_result(state, request, endpoint, event)
@@ -524,6 +533,9 @@
             request.avoided_endpoints.add(request.endpoint_name)
             if not brittle.explains_fall(endpoint, event.at):
                 crashes.on_attempt_broken(state, request, endpoint, event, effects)
+        case Outcome.BROKEN_OFF:
+            # It is slow, or has a long queue.
+            request.avoided_endpoints.add(request.endpoint_name)
         case Outcome.NOT_RUN if is_turned_away and event.says_busy:
             # It is busy, which says nothing of its adapters.
             request.avoided_endpoints.add(request.endpoint_name)
@@ -649,7 +661,10 @@
 
 
 def has_waited_too_long(state: GatewayState, request: RequestState, at: float) -> bool:
-    """Return whether a request has waited so long for a slot that its caller should retry."""
+    """Return whether a request has waited so long for a slot that its caller should retry.
+
+    One that may have run cannot come back, so that what it has waited counts from its last attempt.
+    """
     endpoint = state.endpoints.get(request.asked_engine)
     # Without a fresh View the lead may be gone and another entry may take over, and a lead that has
     # read no report yet does not know of any slot, so wait longer.
@@ -658,7 +673,8 @@
         view is not None and view.is_known and at - endpoint.lead_view_at <= NO_SLOT_VIEW_FRESH_S
     )
     share = NO_SLOT_WAIT_SHARE if says_no_slot else SILENT_LEAD_WAIT_SHARE
-    return at - request.arrived_at >= share * request.route.latency_target_s
+    waiting_since = request.waits_again_since if request.possible_runs else request.arrived_at
+    return at - waiting_since >= share * request.route.latency_target_s
 
 
 def reroute_request(state: GatewayState, request: RequestState, at: float, effects: list) -> None:
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -13,7 +13,7 @@
 
 from attrs import frozen
 
-from poplarhoist.decisions.gateway import expected_waits, paces
+from poplarhoist.decisions.gateway import adapter_versions, expected_waits, paces
 from poplarhoist.decisions.gateway.endpoint_state import EndpointState
 from poplarhoist.decisions.gateway.endpoints import usable_endpoints
 from poplarhoist.decisions.gateway.hashing import rendezvous_order
@@ -25,10 +25,8 @@
 from poplarhoist.decisions.gateway.models import AdapterKey, Prompt
 from poplarhoist.decisions.gateway.regions import cross_region_s
 from poplarhoist.decisions.gateway.request_state import RequestState
-from poplarhoist.decisions.gateway.state import AnnouncedVersion, GatewayState
+from poplarhoist.decisions.gateway.state import GatewayState
 
-# Share of the time until an announced version must be used, after which it is required.
-REQUIRED_AFTER = 0.4
 # Seconds for which the load in an endpoint's response stays valid.
 LOAD_REPORT_FRESH_S = 1.0
 # Seconds of attention per pair of prompt tokens; half of the site file's figure, as the square of
@@ -102,34 +100,16 @@
     return cached
 
 
-def required_version(state: GatewayState, key: AdapterKey, at: float) -> int:
-    """Return the version that a request must at least get; 0 for any.
-
-    Until an announced version is required, the one announced before it is, if that was.
-    """
-    announced = find_required(state, key, at)
-    return announced.version if announced is not None else 0
-
-
-def find_required(state: GatewayState, key: AdapterKey, at: float) -> AnnouncedVersion | None:
-    """Return the latest announcement that is old enough for engines to have loaded its version."""
-    required_after_s = REQUIRED_AFTER * state.limits.version_deadline_s
-    announced = state.announced_versions.get(key)
-    while announced is not None and at - announced.announced_at < required_after_s:
-        announced = announced.earlier
-    return announced
-
-
 def expected_version(
-    state: GatewayState, endpoint: EndpointState, key: AdapterKey, at: float
+    state: GatewayState, endpoint: EndpointState, request: RequestState, at: float
 ) -> int:
     """Return the version that an engine must have to run a request; 0 for any.
 
     The engine compares for equality, so that it is the one that it is believed to hold, if that is
     newer than the required one.
     """
-    required = required_version(state, key, at)
-    return max(required, endpoint.held.get(key, 0)) if required else 0
+    required = adapter_versions.required_version(state, request, at)
+    return max(required, endpoint.held.get(request.prompt.key, 0)) if required else 0
 
 
 def has_version(endpoint: EndpointState, key: AdapterKey, version: int) -> bool:
@@ -223,16 +203,34 @@
 
 
 def cost_s(state: GatewayState, endpoint: EndpointState, prompt: Prompt, at: float) -> float:
-    """Return the expected seconds to the first byte at an engine that holds the adapter.
+    """Return the cost, in seconds, of a request at an engine that holds the adapter.
 
-    Includes penalties for the engine's error rate, and for an engine that is full.
+    It is the expected time to the first byte, with penalties for the engine's error rate, and for an
+    engine that is full.
     """
+    error_cost_s = endpoint.error_rate * ERROR_COST_S
+    full_cost_s = FULL_COST_S if paces.is_full(endpoint.pace, at) else 0.0
+    return first_byte_s(state, endpoint, prompt, at) + error_cost_s + full_cost_s
+
+
+def first_byte_s(state: GatewayState, endpoint: EndpointState, prompt: Prompt, at: float) -> float:
+    """Return the expected seconds to the first byte at an engine that holds the adapter."""
     own_prefill_s = prefill_s(uncached_prompt_tokens(endpoint, prompt, at))
     own_prefill_s = paces.engine_s(endpoint.pace, own_prefill_s, 0.0, at)
-    error_cost_s = endpoint.error_rate * ERROR_COST_S
     crossing_s = cross_region_s(state, endpoint.record.zone)
-    full_cost_s = FULL_COST_S if paces.is_full(endpoint.pace, at) else 0.0
-    return backlog_s(endpoint, at) + own_prefill_s + crossing_s + error_cost_s + full_cost_s
+    return backlog_s(endpoint, at) + own_prefill_s + crossing_s
+
+
+def newer_version_needed(
+    state: GatewayState, request: RequestState, endpoint: EndpointState, at: float
+) -> int:
+    """Return the version that a request needs, as it may begin too late at an engine; else 0."""
+    prompt = request.prompt
+    if prompt is None or prompt.key not in state.announced_versions:
+        return 0
+    held = endpoint.held.get(prompt.key, 0)
+    expected_s = first_byte_s(state, endpoint, prompt, at)
+    return adapter_versions.newer_version_needed(state, prompt.key, held, expected_s, at)
 
 
 def choose_engine(state: GatewayState, request: RequestState, at: float) -> Choice | None:
@@ -259,7 +257,7 @@
     """
     prompt = request.prompt
     key = prompt.key
-    version = required_version(state, key, at)
+    version = adapter_versions.required_version(state, request, at)
     ranks = {name: rank for rank, name in enumerate(adapter_ranking(state, request.service, key))}
     candidates = [
         endpoint
@@ -298,7 +296,8 @@
 def load_cost_s(endpoint: EndpointState, key: AdapterKey, rank: int) -> float:
     """Return the penalty, in seconds of waiting, of loading an adapter at an engine.
 
-    It is low if the engine is known to have the adapter in its warm cache. At the preferred engines
+    It is low if the engine is known to have the adapter in its warm cache; one that holds an older
+    version has to fetch the newer one. At the preferred engines
     it is lower than elsewhere: the adapter is likely to be in the warm cache there, as all entries
     prefer them.
     """
--- a/poplarhoist/decisions/gateway/state.py
+++ b/poplarhoist/decisions/gateway/state.py
@@ -6,7 +6,7 @@
 import random
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from poplarhoist.decisions.gateway.crash_suspects import Crash, CrashReport, Verdict
 from poplarhoist.decisions.gateway.endpoint_state import DepartedRun, EndpointState
@@ -362,6 +362,15 @@
     retries: deque[float] = field(factory=deque)
 
 
+@frozen
+class BeginDeadline:
+    """Until when requests may begin on an older version of an adapter than an announced one."""
+
+    at: float
+    key: AdapterKey
+    version: int
+
+
 @define
 class AnnouncedVersion:
     """The latest announced version of an adapter, and when this entry read the announcement.
@@ -477,6 +486,7 @@
     entries_listed: bool = False
     leads_listed: bool = False
     announced_versions: dict[AdapterKey, AnnouncedVersion] = field(factory=dict)
+    begin_deadlines: list[BeginDeadline] = field(factory=list)
     entries: dict[str, EntryState] = field(factory=dict)
     leads: dict[str, LeadRecord] = field(factory=dict)
     pending_claims: dict[str, tuple[int, float]] = field(factory=dict)
--- a/poplarhoist/gateway/attempt_connection.py
+++ b/poplarhoist/gateway/attempt_connection.py
@@ -46,6 +46,8 @@
         Whether the caller disconnected.
     expired : bool
         Whether the deadline has passed.
+    broken_off : bool
+        Whether the attempt is to end without the request.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self.is_given_back = False
         self.cancelled = False
         self.expired = False
+        self.broken_off = False
         self.expiry = None
 
     def remaining_s(self) -> float:
@@ -124,6 +127,11 @@
         self.expired = True
         self.cut_connection()
 
+    def break_off(self) -> None:
+        """End the attempt, so that its request can go on without it."""
+        self.broken_off = True
+        self.cut_connection()
+
     def cut_connection(self) -> None:
         """Shut the connection down, and let its close reset it.
 
@@ -155,7 +163,7 @@
         """
         if self.pool is None or self.response is None or self.dispatch.relay is not None:
             return False
-        is_cut = self.cancelled or self.expired
+        is_cut = self.cancelled or self.expired or self.broken_off
         ended = describe_end(self.connection, self.response, is_answer, had_body, is_cut)
         if not self.pool.put(self.connection, ended, request_id):
             return False
--- a/poplarhoist/gateway/exchange.py
+++ b/poplarhoist/gateway/exchange.py
@@ -95,8 +95,8 @@
     def connect(self) -> bool:
         """Connect; on failure set the result to NOT_SENT or CANCELLED and return False.
 
-        The caller may leave while the connection is made, which can take long. Its request must not
-        be sent then.
+        The caller may leave while the connection is made, which can take long, or the attempt be broken
+        off. The request must not be sent then.
         """
         try:
             if not self.cancelled:
@@ -111,6 +111,9 @@
         if self.cancelled:
             self.result = AttemptResult(Outcome.CANCELLED, "caller left")
             return False
+        if self.broken_off:
+            self.result = AttemptResult(Outcome.NOT_SENT, "broken off")
+            return False
         self.begin()
         return True
 
@@ -163,18 +166,22 @@
     def record_failure(self, error: Exception) -> None:
         """Set the result of an attempt whose response did not arrive completely.
 
-        The outcome is CANCELLED if the caller disconnected, else TIMED_OUT if at most 5 ms remain
-        until the deadline, STALE if a kept connection ended before it brought a byte, else BROKEN.
+        The outcome is CANCELLED if the caller disconnected, else BROKEN_OFF if this entry ended the
+        attempt, TIMED_OUT if at most 5 ms remain until the deadline, STALE if a kept connection ended
+        before it brought a byte, else BROKEN.
         """
         if self.cancelled:
             outcome = Outcome.CANCELLED
+        elif self.broken_off:
+            outcome = Outcome.BROKEN_OFF
         elif self.expired or self.decision_loop.event_time() >= self.deadline_at - 0.005:
             outcome = Outcome.TIMED_OUT
         else:
             outcome = Outcome.STALE if self.is_unanswered_reuse() else Outcome.BROKEN
         # urllib3 wraps the error that tells how the connection failed.
         cause = error.__cause__ or error
-        if outcome is not Outcome.CANCELLED and self.is_unanswered_reuse():
+        is_own_end = outcome in (Outcome.CANCELLED, Outcome.BROKEN_OFF)
+        if not is_own_end and self.is_unanswered_reuse():
             # The kernel's own timeout of unacknowledged bytes raises TimeoutError, too.
             is_silent = outcome is Outcome.TIMED_OUT or isinstance(cause, TimeoutError)
             self.report_reuse_failed(is_silent)
@@ -308,6 +315,8 @@
         data = self.response.read1(max_bytes, decode_content=False)
         if self.expired:
             raise TimeoutError("deadline passed")
+        if self.broken_off:
+            raise ConnectionAbortedError("attempt broken off")
         # A read of data that is there already does not let other green threads run.
         eventlet.sleep(0)
         self.received_bytes += len(data)
--- a/poplarhoist/gateway/hedged_attempts.py
+++ b/poplarhoist/gateway/hedged_attempts.py
@@ -1,4 +1,4 @@
-"""Runs a second attempt of a request beside the one that its handler runs.
+"""Runs a second attempt of a request beside the one that its handler runs, and ends attempts early.
 
 The handler's green thread reads the response to the first attempt, so a green thread of its own
 reads the response to the second. Whichever has a whole response first, or one too long to be held,
@@ -34,7 +34,7 @@
 
 
 class HedgeRunner:
-    """Carries out the effects about second attempts.
+    """Carries out the effects about second attempts, and about attempts that end early.
 
     Attributes
     ----------
@@ -46,6 +46,7 @@
         self.threads_by_request: dict[str, HandlerThread] = {}
         decision_loop.set_handler(fx.Hedge, self.on_hedge)
         decision_loop.set_handler(fx.CancelAttempt, self.on_cancel)
+        decision_loop.set_handler(fx.BreakOffAttempt, self.on_break_off)
 
     def add(self, handler) -> None:
         """Record that the current green thread runs the handler of a request."""
@@ -77,9 +78,22 @@
         if first is None or first.dispatch.attempt != effect.attempt:
             return
         first.cancel()
-        if first.sock is None:
-            # It would end only when the connection is made, and keep the response waiting.
-            get_hub().schedule_call_global(0, self.stop_connecting, known, first)
+        self.schedule_stop_connecting(known, first)
+
+    def on_break_off(self, effect: fx.BreakOffAttempt) -> None:
+        """End the attempt with this number, unless its response has begun."""
+        known = self.threads_by_request.get(effect.request_id)
+        exchange = known.handler.request.active_exchange if known is not None else None
+        if exchange is None or exchange.dispatch.attempt != effect.attempt:
+            return
+        if not exchange.response_started:
+            exchange.break_off()
+            self.schedule_stop_connecting(known, exchange)
+
+    def schedule_stop_connecting(self, known: HandlerThread, exchange: Exchange) -> None:
+        """Let an attempt without a connection end now, and not only when the connection is made."""
+        if exchange.sock is None:
+            get_hub().schedule_call_global(0, self.stop_connecting, known, exchange)
 
     def stop_connecting(self, known: HandlerThread, exchange: Exchange) -> None:
         """End the attempt of a handler that still waits for its connection."""
--- a/poplarhoist/gateway/server.py
+++ b/poplarhoist/gateway/server.py
@@ -177,8 +177,7 @@
                 self.dialect,
                 is_relay,
                 self.connection_pool,
-                # What other entries pass on gets no second attempt.
-                None if is_relay else self.hedge_runner,
+                self.hedge_runner,
             ),
             log=ServerLog(self.decision_loop.log, expected=(StreamBroken,)),
             log_format=ServerLog.LINE_FORMAT,
