Load a newer adapter version where no run of the older one holds it up

Cause: an engine that holds an older version counted as warm for the newer one (0.06 s instead of 0.65 or more), though it has to fetch that from the store like any other.

Change: it is not warm for a version that it does not hold.

--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -301,7 +301,7 @@
     it is lower than elsewhere: the adapter is likely to be in the warm cache there, as all entries
     prefer them.
     """
-    if key in endpoint.warm_adapters:
+    if key in endpoint.warm_adapters and key not in endpoint.held:
         return WARM_COST_S
     if rank < PREFERRED_ENGINE_COUNT:
         return PREFERRED_COST_S + rank * PREFERRED_RANK_COST_S
--- a/tests/test_adapter_versions.py
+++ b/tests/test_adapter_versions.py
@@ -259,3 +259,20 @@
     effects = end_broken_off(gateway, gateway.advance(4.0))
     assert not effects_of(fx.Dispatch, effects)
     assert only_effect(fx.Refuse, effects).ran
+
+
+@pytest.mark.parametrize("holder", [1, 2])
+def test_newer_version_is_loaded_at_an_engine_without_runs_of_the_older_one(holder):
+    """All requests waited for an engine whose runs held up the replacement, and were refused."""
+    gateway = start(engine_with(holder, 1), engine(3 - holder))
+    for name in ("e1", "e2"):
+        gateway.set_lead(name, "entry-2")
+    view = messages.View(f"e{holder}", {"base": 1, "base/a1": 1}, {}, 1, 0, room=7)
+    gateway.receive("entry-2", view)
+    begin_response(gateway, send(gateway))
+    announce(gateway, 2)
+    gateway.at += 2.1
+    _, effects = gateway.request("/resume/x", "a1")
+    asked = [one.message for one in effects_of(fx.SendPeer, effects)]
+    engines = [one.engine for one in asked if isinstance(one, messages.Ask)]
+    assert engines == [f"e{3 - holder}"]
