--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -19,6 +19,8 @@
 # A body that the kernel of the sender takes at once. With the small buffer, that of the receiver takes
 # a part of it, else the whole.
 UPLOAD = b"x" * 90_000
+# A body that is still being written when the answer has been read.
+LONG_UPLOAD = b"x" * 3_000_000
 SMALL_BUFFER_BYTES = 4096
 EVENT = b"id: 1\ndata: piece 1\n\n"
 # How an endpoint ends its connection with the upload unread, and whether it has a small buffer.
@@ -49,6 +51,7 @@
         if endpoint.service == "models":
             head += "Content-Type: text/event-stream\r\n"
         self.wfile.write(head.encode() + b"\r\n" + EVENT)
+        time.sleep(endpoint.pause_s)
         if endpoint.end.startswith("reset"):
             linger = struct.pack("ii", 1, 0)
             self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -70,6 +73,8 @@
         How it ends the connection: one of `ENDS`.
     answers_left : int
         Requests that it answers so; all of them if negative.
+    pause_s : float
+        Seconds between its answer and the end of the connection.
     open_s : float
         Seconds until it closes a connection that it has half closed.
     reads_body : bool
@@ -79,6 +84,7 @@
     handler_class = EarlyHandler
     end = ""
     answers_left = -1
+    pause_s = 0.0
     open_s = 0.5
     reads_body = False
 
@@ -112,6 +118,17 @@
             pytest.fail(str(post(endpoint, UPLOAD)))
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.15])
+@pytest.mark.parametrize("end", ENDS)
+def test_body_that_ends_while_the_upload_is_written_is_not_whole(endpoint, end, pause_s):
+    """Other systems returned the part that had arrived as a complete answer."""
+    endpoint.let_end(end)
+    endpoint.pause_s = pause_s
+    for _ in range(5):
+        with pytest.raises((HTTPError, OSError)):
+            pytest.fail(str(post(endpoint, LONG_UPLOAD)))
+
+
 @pytest.mark.parametrize("end", ENDS)
 def test_attempt_is_broken_if_its_answer_ends_before_the_upload_was_taken(endpoint, end):
     endpoint.let_end(end)
