Look through the requests once for all version deadlines that are due

An entry that starts reads the versions of up to 3,000 adapters at once; each of them went through all requests when its deadline came. Same decisions, 259 tests of versions, residency and requests pass.

--- a/poplarhoist/decisions/gateway/adapter_versions.py
+++ b/poplarhoist/decisions/gateway/adapter_versions.py
@@ -103,38 +103,35 @@
 
 def on_tick(state: GatewayState, at: float, effects: list) -> None:
     """Break off the attempts that may only begin on too old a version from now on."""
-    due = [deadline for deadline in state.begin_deadlines if deadline.at <= at]
-    if not due:
+    # Versions of an adapter are announced in ascending order.
+    due_version_by_key = {one.key: one.version for one in state.begin_deadlines if one.at <= at}
+    if not due_version_by_key:
         return
     state.begin_deadlines = [one for one in state.begin_deadlines if one.at > at]
-    for deadline in due:
-        latest = state.announced_versions[deadline.key].version
-        for request in state.requests.values():
-            if is_unbegun(request, deadline):
-                # It must not be broken off for a third version, too.
-                request.least_version = latest
-                fields = {
-                    **request.log_ids(),
-                    "attempt": request.attempt,
-                    "endpoint": request.endpoint_name,
-                    "adapter": str(deadline.key),
-                    "version": deadline.version,
-                    "after_s": round(at - request.attempt_sent_at, 4),
-                }
-                effects.append(BreakOffAttempt(request.request_id, request.attempt))
-                effects.append(LogRequest("broken-off", request.request_id, fields))
-
-
-def is_unbegun(request: RequestState, deadline: BeginDeadline) -> bool:
-    """Return whether an attempt at an engine has not begun, and may begin on an older version.
+    for request in state.requests.values():
+        key = request.prompt.key if request.prompt is not None else None
+        due_version = due_version_by_key.get(key, 0)
+        if request.attempt_version >= due_version or not is_unbegun(request):
+            continue
+        # It must not be broken off for a third version, too.
+        request.least_version = state.announced_versions[key].version
+        fields = {
+            **request.log_ids(),
+            "attempt": request.attempt,
+            "endpoint": request.endpoint_name,
+            "adapter": str(key),
+            "version": due_version,
+            "after_s": round(at - request.attempt_sent_at, 4),
+        }
+        effects.append(BreakOffAttempt(request.request_id, request.attempt))
+        effects.append(LogRequest("broken-off", request.request_id, fields))
+
+
+def is_unbegun(request: RequestState) -> bool:
+    """Return whether a request is at an engine and has not begun, as far as this entry knows.
 
     An entry that passes requests on breaks its attempts off itself.
     """
     return (
-        request.stage is Stage.RUNNING
-        and request.prompt is not None
-        and request.prompt.key == deadline.key
-        and not request.relay
-        and request.attempt_started_at is None
-        and request.attempt_version < deadline.version
+        request.stage is Stage.RUNNING and not request.relay and request.attempt_started_at is None
     )
--- a/poplarhoist/decisions/gateway/requests.py
+++ b/poplarhoist/decisions/gateway/requests.py
@@ -508,8 +508,8 @@
     """Update the state of an endpoint by the result of an attempt.
 
     An endpoint that failed, could not be reached, broke off, did not run the request or did not begin
-    it in time is avoided by the request from now on. After NOT_RUN of a request with an adapter, only the adapter is
-    recorded as absent.
+    it in time is avoided by the request from now on. After NOT_RUN of a request with an adapter, only
+    the adapter is recorded as absent.
     """
     expected_waits.on_result(state, request, endpoint, event)
     key = request.prompt.key if request.prompt is not None else None
--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -297,9 +297,8 @@
     """Return the penalty, in seconds of waiting, of loading an adapter at an engine.
 
     It is low if the engine is known to have the adapter in its warm cache; one that holds an older
-    version has to fetch the newer one. At the preferred engines
-    it is lower than elsewhere: the adapter is likely to be in the warm cache there, as all entries
-    prefer them.
+    version has to fetch the newer one. At the preferred engines it is lower than elsewhere: the adapter
+    is likely to be in the warm cache there, as all entries prefer them.
     """
     if key in endpoint.warm_adapters and key not in endpoint.held:
         return WARM_COST_S
