--- a/tests/test_version_deadline_end_to_end.py
+++ b/tests/test_version_deadline_end_to_end.py
@@ -21,17 +21,20 @@
 class StallingHandler(EndpointHandler):
     """Holds streams back until their connection is closed, before the head or behind it."""
 
+    is_streaming = False
+
     def send_stream(self, request_id: str, last_event_id: int, fault: str) -> None:
         """Send a stream, unless its connection is closed before."""
         self.standin.stream_ids.append(request_id)
         if self.standin.stall == "before-head":
             self.wait_for_close()
+        self.is_streaming = True
         super().send_stream(request_id, last_event_id, fault)
 
     def end_headers(self) -> None:
-        """End the head of a response."""
+        """End the head of a response; reports and answers to orders are not held back."""
         super().end_headers()
-        if self.standin.stall == "behind-head":
+        if self.standin.stall == "behind-head" and self.is_streaming:
             self.wait_for_close()
 
     def wait_for_close(self) -> None:
