Ask first whether an engine has the latest version, and share the lines of a relay

Each model request estimated its time to the first byte a second time, also for adapters whose latest version the engine held long ago. The estimate is made only where an older version is held; decisions are the same. Two tests wrote the lines of a relayed request again; they take them from one place.

--- a/poplarhoist/decisions/gateway/routing.py
+++ b/poplarhoist/decisions/gateway/routing.py
@@ -226,7 +226,8 @@
 ) -> int:
     """Return the version that a request needs, as it may begin too late at an engine; else 0."""
     prompt = request.prompt
-    if prompt is None or prompt.key not in state.announced_versions:
+    latest = state.announced_versions.get(prompt.key) if prompt is not None else None
+    if latest is None or has_version(endpoint, prompt.key, latest.version):
         return 0
     held = endpoint.held.get(prompt.key, 0)
     expected_s = first_byte_s(state, endpoint, prompt, at)
--- a/tests/endless_requests.py
+++ b/tests/endless_requests.py
@@ -9,6 +9,8 @@
 from tests.test_malformed_heads import MALFORMED_FIELDS
 
 HEAD = b"POST %s HTTP/1.1\r\nHost: host.test\r\nX-Request-Id: endless\r\nX-Deadline-Ms: 4000\r\n"
+# Lines that a request of another entry has besides.
+RELAY_LINES = b"Relay-Configuration: 1\r\nRelay-Possible-Runs: 0\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 # Part of a request that does not end: what comes before, and the piece that is repeated.
 ENDLESS_PARTS = {
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -14,6 +14,7 @@
     HEAD,
     HIDDEN,
     MALFORMED_REQUEST_LINES,
+    RELAY_LINES,
     SOUND_REQUESTS,
     send_bytes,
     send_raw,
@@ -29,10 +30,7 @@
 MAX_GROWTH_KB = 32 * 1024
 CONNECTION_COUNT = 64
 # Lines that a request to an address has, besides those of a caller.
-LINES_BY_ADDRESS = {
-    "callers": b"",
-    "relay": b"Relay-Configuration: 1\r\nRelay-Possible-Runs: 0\r\n",
-}
+LINES_BY_ADDRESS = {"callers": b"", "relay": RELAY_LINES}
 PACES = {"fast": (65536, 0.0), "a-byte-at-a-time": (1, 0.02)}
 
 
--- a/tests/test_version_deadline_end_to_end.py
+++ b/tests/test_version_deadline_end_to_end.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.endless_requests import send_bytes
+from tests.endless_requests import RELAY_LINES, send_bytes
 from tests.platform_site import PlatformSite
 from tests.platform_standins import BASE_MODEL, Endpoint, EndpointHandler
 
@@ -15,7 +15,6 @@
 CALLER_TIMEOUT_S = 10.0
 # Seconds for which an entry takes the versions that it reads for old ones.
 START_S = 2.5
-RELAY_LINES = b"Relay-Configuration: 1\r\nRelay-Possible-Runs: 0\r\n"
 
 
 class StallingHandler(EndpointHandler):
